Workspace, shared types, log events, state charts and platform traits

Cause: every later part needs names, outcomes, numbered events, charts and the edge to the platform. Ruled out: one crate for all, since areas are built side by side and the edge has to move alone.

--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Load and latency measurements.
+
+fn main() {}
--- /dev/null
+++ b/crates/chart/src/lib.rs
@@ -0,0 +1,182 @@
+//! State charts read from TOML files and interpreted.
+//!
+//! A chart lists its states and events. Every state either handles an event with a transition or
+//! names it in `ignores`; anything else is refused at load, so no event is ever unhandled.
+
+use std::sync::Arc;
+
+use base::Map;
+use serde::Deserialize;
+use snafu::Snafu;
+
+/// A chart that cannot be used.
+#[derive(Debug, PartialEq, Eq, Snafu)]
+pub enum ChartError {
+    /// The text is not a chart.
+    #[snafu(display("The chart cannot be read: {reason}."))]
+    Syntax {
+        /// What the TOML reader said.
+        reason: String,
+    },
+    /// A transition or `initial` names a state that the chart does not list.
+    #[snafu(display("The chart `{chart}` names the state `{state}`, which it does not define."))]
+    UnknownState {
+        /// The chart's name.
+        chart: String,
+        /// The state named.
+        state: String,
+    },
+    /// A state mentions an event that the chart does not list.
+    #[snafu(display(
+        "The chart `{chart}` uses the event `{event}`, which is not in its `events`."
+    ))]
+    UnknownEvent {
+        /// The chart's name.
+        chart: String,
+        /// The event named.
+        event: String,
+    },
+    /// A state neither handles nor ignores an event.
+    #[snafu(display(
+        "The chart `{chart}` leaves `{event}` unhandled in the state `{state}`; add a transition or list it in `ignores`."
+    ))]
+    Unhandled {
+        /// The chart's name.
+        chart: String,
+        /// The state.
+        state: String,
+        /// The event.
+        event: String,
+    },
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    name: String,
+    initial: String,
+    events: Vec<String>,
+    states: Map<String, StateFile>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct StateFile {
+    #[serde(default)]
+    on: Map<String, String>,
+    #[serde(default)]
+    ignores: Vec<String>,
+}
+
+/// A checked chart, shared by all its instances.
+#[derive(Debug)]
+pub struct Chart {
+    name: String,
+    initial: Arc<str>,
+    next: Map<(Arc<str>, String), Arc<str>>,
+}
+
+impl Chart {
+    /// Reads and checks a chart.
+    pub fn parse(text: &str) -> Result<Arc<Self>, ChartError> {
+        let file: File = toml::from_str(text).map_err(|e| ChartError::Syntax {
+            reason: e.to_string(),
+        })?;
+        let mut states: Map<String, Arc<str>> = Map::default();
+        for state in file.states.keys() {
+            states.insert(state.clone(), state.as_str().into());
+        }
+        let mut next = Map::default();
+        for (state, body) in &file.states {
+            check_events(&file, state, body)?;
+            for event in &file.events {
+                let to = body.on.get(event).unwrap_or(state);
+                let to = find_state(&file, &states, to)?;
+                next.insert((states[state].clone(), event.clone()), to);
+            }
+        }
+        let initial = find_state(&file, &states, &file.initial)?;
+        Ok(Arc::new(Self {
+            name: file.name,
+            initial,
+            next,
+        }))
+    }
+
+    /// The chart's name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// A new instance in the initial state.
+    pub fn start(self: &Arc<Self>) -> Instance {
+        Instance {
+            chart: self.clone(),
+            state: self.initial.clone(),
+        }
+    }
+}
+
+fn find_state(
+    file: &File,
+    states: &Map<String, Arc<str>>,
+    state: &str,
+) -> Result<Arc<str>, ChartError> {
+    states
+        .get(state)
+        .cloned()
+        .ok_or_else(|| ChartError::UnknownState {
+            chart: file.name.clone(),
+            state: state.to_owned(),
+        })
+}
+
+fn check_events(file: &File, state: &str, body: &StateFile) -> Result<(), ChartError> {
+    for event in body.on.keys().chain(&body.ignores) {
+        if !file.events.contains(event) {
+            return Err(ChartError::UnknownEvent {
+                chart: file.name.clone(),
+                event: event.clone(),
+            });
+        }
+    }
+    for event in &file.events {
+        if body.on.contains_key(event) || body.ignores.contains(event) {
+            continue;
+        }
+        return Err(ChartError::Unhandled {
+            chart: file.name.clone(),
+            state: state.to_owned(),
+            event: event.clone(),
+        });
+    }
+    Ok(())
+}
+
+/// One running instance of a chart.
+#[derive(Clone, Debug)]
+pub struct Instance {
+    chart: Arc<Chart>,
+    state: Arc<str>,
+}
+
+impl Instance {
+    /// The current state's name.
+    pub fn state(&self) -> &str {
+        &self.state
+    }
+
+    /// Applies an event and returns the state reached.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the chart does not list `event`; charts and events are built together.
+    pub fn apply(&mut self, event: &str) -> &str {
+        let key = (self.state.clone(), event.to_owned());
+        let Some(next) = self.chart.next.get(&key) else {
+            panic!("chart `{}` has no event `{event}`", self.chart.name);
+        };
+        self.state = next.clone();
+        &self.state
+    }
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Operators' command-line tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/events/src/catalogue.rs
@@ -0,0 +1,78 @@
+//! The catalogue of events; `docs/EVENTS.md` is its printed form.
+
+/// Severity of an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    /// Normal operation.
+    Info,
+    /// Something failed and was handled.
+    Warn,
+    /// An operator should look.
+    Error,
+}
+
+impl From<Level> for log::Level {
+    fn from(level: Level) -> Self {
+        match level {
+            Level::Info => Self::Info,
+            Level::Warn => Self::Warn,
+            Level::Error => Self::Error,
+        }
+    }
+}
+
+macro_rules! catalogue {
+    ($($variant:ident = $number:literal, $name:literal, $level:ident, $text:literal;)*) => {
+        /// Number of an event; numbers are never reused.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum Code {
+            $(#[doc = $text] $variant,)*
+        }
+
+        impl Code {
+            /// All events, in order of number.
+            pub const ALL: &'static [Code] = &[$(Code::$variant),*];
+
+            /// The number that starts the log line.
+            pub fn number(self) -> u16 {
+                match self { $(Code::$variant => $number),* }
+            }
+
+            /// The event's stable name.
+            pub fn name(self) -> &'static str {
+                match self { $(Code::$variant => $name),* }
+            }
+
+            /// The event's severity.
+            pub fn level(self) -> Level {
+                match self { $(Code::$variant => Level::$level),* }
+            }
+
+            /// One sentence for operators.
+            pub fn text(self) -> &'static str {
+                match self { $(Code::$variant => $text),* }
+            }
+        }
+    };
+}
+
+catalogue! {
+    DaemonStarted = 100, "daemon.started", Info, "The daemon is listening; fields give its addresses.";
+    DaemonDraining = 101, "daemon.draining", Info, "The daemon has left readiness and finishes what is in flight.";
+    DaemonStopped = 102, "daemon.stopped", Info, "The daemon has ended; fields count finished and handed-over requests.";
+    RequestAccepted = 200, "request.accepted", Info, "A request passed admission and has its number.";
+    RequestRefused = 201, "request.refused", Info, "A request was refused before it ran; fields give code and reason.";
+    RequestFinished = 202, "request.finished", Info, "A request got its final answer.";
+    RouteChosen = 300, "route.chosen", Info, "A backend server was chosen; fields give the reason and the scores of the alternatives.";
+    RouteNone = 301, "route.none", Warn, "No backend server could take the request.";
+    AttemptFailed = 302, "attempt.failed", Warn, "An attempt at a backend server failed; fields say whether it may have run.";
+    StreamResumed = 303, "stream.resumed", Info, "A stream goes on at another backend server from the tokens already relayed.";
+
+    ConfigInForce = 400, "config.in_force", Info, "A configuration version is in force at this daemon.";
+
+    PeerSuspected = 500, "peer.suspected", Warn, "A peer has not been heard from and gets no handovers until it is.";
+
+    LedgerRefused = 600, "ledger.refused", Info, "A non-idempotent call was not run because of its record.";
+
+    PlacementDecided = 700, "placement.decided", Info, "VMs were bought, returned or given a new role; fields give the reason and the alternatives.";
+}
--- /dev/null
+++ b/crates/events/src/logger.rs
@@ -0,0 +1,97 @@
+//! Set-up of the process's logger.
+
+use std::io::Write;
+
+use flexi_logger::{DeferredNow, FlexiLoggerError, LoggerHandle, Record};
+use snafu::{ResultExt, Snafu};
+
+/// Shape of a log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Format {
+    /// `TIME LEVEL E300 route.chosen {…}`.
+    Text,
+    /// One JSON object per line.
+    Json,
+}
+
+/// The logger could not be started.
+#[derive(Debug, Snafu)]
+pub enum LogError {
+    /// The logging library refused its set-up.
+    #[snafu(display("The logger could not be started: {source}."))]
+    Start {
+        /// The library's own error.
+        source: FlexiLoggerError,
+    },
+}
+
+/// The running logger; lines go to standard error.
+pub struct Logger {
+    handle: LoggerHandle,
+}
+
+impl Logger {
+    /// Starts logging at `level`, such as `info` or `warn`.
+    pub fn open(level: &str, format: Format) -> Result<Self, LogError> {
+        let write = match format {
+            Format::Text => write_text,
+            Format::Json => write_json,
+        };
+        let handle = flexi_logger::Logger::try_with_str(level)
+            .context(StartSnafu)?
+            .log_to_stderr()
+            .format(write)
+            .start()
+            .context(StartSnafu)?;
+        Ok(Self { handle })
+    }
+
+    /// Flushes and ends the logger.
+    pub fn close(self) {
+        self.handle.flush();
+        self.handle.shutdown();
+    }
+}
+
+fn write_text(w: &mut dyn Write, now: &mut DeferredNow, record: &Record) -> std::io::Result<()> {
+    let time = now.format_rfc3339();
+    let message = record.args().to_string();
+    let Some((number, fields)) = split_event(&message) else {
+        return write!(
+            w,
+            "{time} {} - {} {message}",
+            record.level(),
+            record.target()
+        );
+    };
+    write!(
+        w,
+        "{time} {} E{number} {} {fields}",
+        record.level(),
+        record.target()
+    )
+}
+
+fn write_json(w: &mut dyn Write, now: &mut DeferredNow, record: &Record) -> std::io::Result<()> {
+    let time = now.format_rfc3339();
+    let level = record.level();
+    let name = serde_json::Value::from(record.target());
+    let message = record.args().to_string();
+    let Some((number, fields)) = split_event(&message) else {
+        let text = serde_json::Value::from(message);
+        return write!(
+            w,
+            r#"{{"time":"{time}","level":"{level}","name":{name},"text":{text}}}"#
+        );
+    };
+    write!(
+        w,
+        r#"{{"time":"{time}","level":"{level}","event":{number},"name":{name},"fields":{fields}}}"#
+    )
+}
+
+fn split_event(message: &str) -> Option<(u16, &str)> {
+    let start = message.find('{')?;
+    let number = message[..start].parse().ok()?;
+    Some((number, &message[start..]))
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,12 @@
+//! The platform's services as the rest of the system sees them: table, object store, VM list and
+//! cloud API. The traits are the edge of the process; The HTTP clients stand beside them.
+
+mod cloud;
+mod objects;
+mod table;
+mod vms;
+
+pub use cloud::{Cloud, CloudError, Purchase, VmOrder, VmPurchase};
+pub use objects::{ObjectError, Objects};
+pub use table::{CommitError, Condition, Key, ReadError, Row, Table, Write};
+pub use vms::{Vm, VmListError, VmRole, VmState, Vms};
