--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -69,8 +69,21 @@
     StreamResumed = 303, "stream.resumed", Info, "A stream goes on at another backend server from the tokens already relayed.";
 
     ConfigInForce = 400, "config.in_force", Info, "A configuration version is in force at this daemon.";
+    ConfigDecided = 410, "config.decided", Info, "An operator's configuration was accepted or refused by the table; fields give the outcome.";
 
     PeerSuspected = 500, "peer.suspected", Warn, "A peer has not been heard from and gets no handovers until it is.";
+    PeerAlive = 501, "peer.alive", Info, "A peer is new, or is heard from again.";
+    PeerGone = 502, "peer.gone", Warn, "A suspected peer did not refute in time, or a peer said that it leaves.";
+    BackendLeaving = 503, "backend.leaving", Info, "A backend server leaves and gets no new work.";
+    NodeWoke = 504, "node.woke", Warn, "This daemon was paused; it takes no work until it has synced.";
+    NodeFresh = 505, "node.fresh", Info, "This daemon has synced and may route.";
+    NodeDegraded = 506, "node.degraded", Error, "Neither peers nor platform answered after a pause; this daemon goes on with what it has.";
+    StreamGiven = 507, "stream.given", Info, "An open stream was handed to peers; fields give owner and standby.";
+    StreamNotGiven = 508, "stream.not_given", Error, "No peer took an open stream.";
+    StreamTaken = 509, "stream.taken", Info, "This daemon goes on with a stream that a peer handed over.";
+    StreamActivated = 510, "stream.activated", Warn, "A stream's owner did not answer, and this daemon's copy replaces it.";
+    LeaseHeld = 511, "lease.held", Info, "This daemon holds a lease; fields give its fencing number.";
+    LeaseLost = 512, "lease.lost", Warn, "This daemon no longer holds a lease.";
 
     LedgerRefused = 600, "ledger.refused", Info, "A non-idempotent call was not run because of its record.";
 
--- /dev/null
+++ b/crates/fleet/src/bulletin.rs
@@ -0,0 +1,146 @@
+//! Bounded records that ride on heartbeats: demand by workspace and request fingerprints.
+
+use std::collections::VecDeque;
+
+use base::units::Millisecond;
+use base::{Map, Name};
+use serde::{Deserialize, Serialize};
+
+/// Most workspaces whose demand one heartbeat carries.
+pub const DEMAND_MAX: usize = 16;
+/// Most fingerprints in one message.
+pub const FINGERPRINTS_PER_MESSAGE: usize = 4;
+/// Most fingerprints kept.
+const FINGERPRINTS_KEPT: usize = 256;
+/// Longest content of a fingerprint.
+pub const FINGERPRINT_BYTES: usize = 256;
+/// A sample of a peer's demand counts for so long.
+const SAMPLE_AGE_MS: Millisecond = 10_000;
+
+/// One node's demand for one workspace.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// The workspace.
+    #[serde(rename = "w")]
+    pub workspace: Name,
+    /// Work wanted, in the unit that the reader of the numbers chose.
+    #[serde(rename = "u")]
+    pub units: u32,
+}
+
+/// Mark of a request by its content; the content is opaque here.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fingerprint {
+    /// Distinguishes fingerprints; a second one of the same key is a repeat.
+    #[serde(rename = "k")]
+    pub key: String,
+    /// Content.
+    #[serde(rename = "b")]
+    pub blob: String,
+}
+
+impl Fingerprint {
+    /// Whether the record is inside the bounds.
+    pub fn is_bounded(&self) -> bool {
+        self.key.len() <= FINGERPRINT_BYTES && self.blob.len() <= FINGERPRINT_BYTES
+    }
+}
+
+/// Demand of this node and the latest samples of its peers'.
+#[derive(Debug, Default)]
+pub struct DemandSamples {
+    own: Vec<Demand>,
+    heard: Map<Name, Sample>,
+}
+
+#[derive(Debug)]
+struct Sample {
+    at_ms: Millisecond,
+    rows: Vec<Demand>,
+}
+
+impl DemandSamples {
+    /// Replaces this node's demand; only the [`DEMAND_MAX`] largest rows are kept.
+    pub fn set_own(&mut self, mut rows: Vec<Demand>) {
+        rows.sort_by_key(|row| std::cmp::Reverse(row.units));
+        rows.truncate(DEMAND_MAX);
+        self.own = rows;
+    }
+
+    /// This node's demand.
+    pub fn own(&self) -> &[Demand] {
+        &self.own
+    }
+
+    /// Remembers a peer's demand, as its heartbeat gave it.
+    pub fn hear(&mut self, peer: &Name, mut rows: Vec<Demand>, now_ms: Millisecond) {
+        rows.truncate(DEMAND_MAX);
+        let sample = Sample {
+            at_ms: now_ms,
+            rows,
+        };
+        self.heard.insert(peer.clone(), sample);
+    }
+
+    /// Drops samples that are too old.
+    pub fn expire(&mut self, now_ms: Millisecond) {
+        self.heard
+            .retain(|_, sample| now_ms.saturating_sub(sample.at_ms) <= SAMPLE_AGE_MS);
+    }
+
+    /// Demand of the whole fleet of `alive` nodes: the sum where all were heard, else the mean of
+    /// those heard times `alive`.
+    pub fn fleet(&self, alive: usize) -> Map<Name, u64> {
+        let mut sums: Map<Name, u64> = Map::default();
+        let heard = self.heard.values().flat_map(|sample| &sample.rows);
+        for row in self.own.iter().chain(heard) {
+            *sums.entry(row.workspace.clone()).or_default() += u64::from(row.units);
+        }
+        let nodes = self.heard.len() as u64 + 1;
+        let scale = (alive as u64).max(nodes);
+        for sum in sums.values_mut() {
+            *sum = *sum * scale / nodes;
+        }
+        sums
+    }
+}
+
+/// Fingerprints known here, and those that still spread.
+#[derive(Debug, Default)]
+pub struct Fingerprints {
+    known: VecDeque<(Fingerprint, u32)>,
+}
+
+impl Fingerprints {
+    /// Adds one and says whether it was new; records outside the bounds are dropped.
+    pub fn add(&mut self, fingerprint: Fingerprint) -> bool {
+        let repeat = self.known.iter().any(|(known, _)| *known == fingerprint);
+        if repeat || !fingerprint.is_bounded() {
+            return false;
+        }
+        self.known.retain(|(known, _)| known.key != fingerprint.key);
+        if self.known.len() == FINGERPRINTS_KEPT {
+            self.known.pop_front();
+        }
+        self.known.push_back((fingerprint, 0));
+        true
+    }
+
+    /// Takes the least-sent records that were sent less than `limit` times.
+    pub fn next(&mut self, limit: u32) -> Vec<Fingerprint> {
+        let mut spreading: Vec<_> = self.known.iter_mut().filter(|(_, n)| *n < limit).collect();
+        spreading.sort_by_key(|(_, sent)| *sent);
+        spreading.truncate(FINGERPRINTS_PER_MESSAGE);
+        let mut taken = Vec::new();
+        for (fingerprint, sent) in spreading {
+            *sent += 1;
+            taken.push(fingerprint.clone());
+        }
+        taken
+    }
+
+    /// All that are known, oldest first.
+    pub fn all(&self) -> impl Iterator<Item = &Fingerprint> {
+        self.known.iter().map(|(fingerprint, _)| fingerprint)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/fleet.rs
@@ -0,0 +1,381 @@
+//! The running node: its handle, its tasks and its start.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use base::secret::Secret;
+use base::units::Millisecond;
+use base::{Map, Name};
+use jsonrpsee::server::{ServerConfig, ServerHandle};
+use platform::{Objects, Table, Vms};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use snafu::{ResultExt, Snafu, ensure};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, Semaphore, watch};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::apply::{Author, Outcome};
+use crate::auth::PeerAuth;
+use crate::bulletin::{Demand, Fingerprint};
+use crate::clock::{self, Clock};
+use crate::handover::{StreamRecord, Streams};
+use crate::member::draw_incarnation;
+use crate::node::{Action, Event, Node};
+use crate::peers::{MESSAGE_BYTES, Peers};
+use crate::rpc::PeerServer;
+use crate::server::Server;
+use crate::store::ConfigStore;
+use crate::streams::StreamSink;
+use crate::timing::Timing;
+use crate::view::FleetView;
+use crate::wire::{Health, MemberRecord};
+
+/// Shortest secret that peers may share.
+const SECRET_BYTES_MIN: usize = 16;
+/// Most connections from peers.
+const CONNECTIONS_MAX: u32 = 512;
+/// A connection that sends nothing for so long is closed.
+const FIRST_REQUEST: Duration = Duration::from_secs(5);
+
+/// What a node needs to start.
+pub struct FleetOptions {
+    /// The entry VM's identifier, as in the VM list.
+    pub name: Name,
+    /// The failure domain it stands in.
+    pub failure_domain: Name,
+    /// Where to listen for peers; port 0 takes a free one.
+    pub peer_listen: SocketAddr,
+    /// The address that peers reach this node at, where it differs.
+    pub peer_address: Option<SocketAddr>,
+    /// The secret that all peers share.
+    pub secret: Secret,
+    /// Peer addresses to start from; the VM list adds more.
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's table.
+    pub table: Arc<dyn Table>,
+    /// The platform's object store.
+    pub objects: Arc<dyn Objects>,
+    /// The platform's VM list.
+    pub vms: Arc<dyn Vms>,
+    /// Periods and bounds.
+    pub timing: Timing,
+    /// Seed of the node's random source; drawn by the daemon at start.
+    pub rng_seed: u64,
+}
+
+/// What the rest of the daemon does for the fleet.
+#[async_trait]
+pub trait Handlers: Send + Sync {
+    /// This node owns the stream now: go on generating, and give what comes to `sink`. Must return
+    /// at once; the work belongs in a task of its own.
+    fn resume(&self, record: StreamRecord, sink: StreamSink);
+
+    /// The platform is about to take this VM back.
+    fn own_notice(&self, remaining_ms: Millisecond);
+}
+
+/// A node could not start.
+#[derive(Debug, Snafu)]
+pub enum FleetError {
+    /// The secret is too short to keep strangers out.
+    #[snafu(display(
+        "The peers' secret has fewer than {SECRET_BYTES_MIN} bytes; use a longer one."
+    ))]
+    ShortSecret,
+    /// The secret does not fit an HTTP header.
+    #[snafu(display(
+        "The peers' secret has characters that HTTP cannot carry; use printable ASCII."
+    ))]
+    SecretText {
+        /// The library's own error.
+        source: http::header::InvalidHeaderValue,
+    },
+    /// The peer address is not free.
+    #[snafu(display("The peer address {address} cannot be listened on: {source}."))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        source: std::io::Error,
+    },
+}
+
+/// A running node.
+pub struct Fleet {
+    inner: Arc<Inner>,
+    server: ServerHandle,
+}
+
+pub(crate) struct Inner {
+    pub(crate) me: Name,
+    pub(crate) failure_domain: Name,
+    pub(crate) timing: Timing,
+    pub(crate) clock: Clock,
+    pub(crate) core: Mutex<Core>,
+    pub(crate) peers: Peers,
+    pub(crate) store: ConfigStore,
+    pub(crate) vms: Arc<dyn Vms>,
+    pub(crate) handlers: Arc<dyn Handlers>,
+    pub(crate) tracker: TaskTracker,
+    pub(crate) stop: CancellationToken,
+    pub(crate) streams_grew: Notify,
+    pub(crate) reads: Reads,
+    view: watch::Sender<Arc<FleetView>>,
+}
+
+pub(crate) struct Core {
+    pub(crate) node: Node,
+    pub(crate) streams: Streams,
+    pub(crate) rng: StdRng,
+}
+
+/// Lets one read of each kind be under way.
+pub(crate) struct Reads {
+    pub(crate) config: Semaphore,
+    pub(crate) list: Semaphore,
+    pub(crate) notices: Semaphore,
+}
+
+impl Fleet {
+    /// Listens for peers and starts the node's tasks.
+    ///
+    /// # Errors
+    ///
+    /// The secret or the address cannot be used.
+    pub async fn spawn(
+        options: FleetOptions,
+        handlers: Arc<dyn Handlers>,
+    ) -> Result<Self, FleetError> {
+        let long_enough = options.secret.expose().len() >= SECRET_BYTES_MIN;
+        ensure!(long_enough, ShortSecretSnafu);
+        let address = options.peer_listen;
+        let listener = TcpListener::bind(address)
+            .await
+            .context(ListenSnafu { address })?;
+        let bound = listener.local_addr().context(ListenSnafu { address })?;
+        let listener = listener.into_std().context(ListenSnafu { address })?;
+        let inner = Arc::new(Inner::new(&options, bound, handlers)?);
+        let config = ServerConfig::builder()
+            .http_only()
+            .max_request_body_size(MESSAGE_BYTES)
+            .max_response_body_size(MESSAGE_BYTES)
+            .max_connections(CONNECTIONS_MAX)
+            .set_first_request_timeout(Some(FIRST_REQUEST))
+            .build();
+        let auth = PeerAuth::new(Arc::new(options.secret));
+        let server = jsonrpsee::server::Server::builder()
+            .set_config(config)
+            .set_http_middleware(tower::ServiceBuilder::new().layer(auth))
+            .build_from_tcp(listener)
+            .context(ListenSnafu { address })?;
+        let server = server.start(Server::new(inner.clone()).into_rpc());
+        inner.tracker.spawn(tick(inner.clone()));
+        Ok(Self { inner, server })
+    }
+
+    /// The address that peers reach this node at.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.inner.lock().node.members().me().address
+    }
+
+    /// The latest snapshot.
+    pub fn view(&self) -> Arc<FleetView> {
+        self.inner.view.borrow().clone()
+    }
+
+    /// Snapshots as they change.
+    pub fn watch(&self) -> watch::Receiver<Arc<FleetView>> {
+        self.inner.view.subscribe()
+    }
+
+    /// Whether requests may be routed on what this node knows. To be asked directly before a
+    /// request is sent: a process that was stopped finds out here first.
+    pub fn may_route(&self) -> bool {
+        let core = self.inner.lock();
+        core.node.may_route(self.inner.clock.now_ms())
+    }
+
+    /// Whether a backend server must get no new work.
+    pub fn is_leaving(&self, vm: &str) -> bool {
+        self.inner.lock().node.leaving().contains(vm)
+    }
+
+    /// Marks a backend server as leaving, in the whole fleet and for good.
+    pub fn mark_leaving(&self, vm: &Name) {
+        self.inner.handle(Event::LeavingSeen(vm.clone()));
+    }
+
+    /// Spreads a fingerprint.
+    pub fn spread_fingerprint(&self, fingerprint: Fingerprint) {
+        self.inner.handle(Event::FingerprintMade(fingerprint));
+    }
+
+    /// Replaces the demand that this node reports.
+    pub fn set_demand(&self, rows: Vec<Demand>) {
+        self.inner.lock().node.demand_mut().set_own(rows);
+    }
+
+    /// Demand of the whole fleet by workspace, as far as heard.
+    pub fn demand(&self) -> Map<Name, u64> {
+        self.inner.lock().node.fleet_demand()
+    }
+
+    /// Number of live entry VMs, this one included.
+    pub fn alive_count(&self) -> usize {
+        self.inner.lock().node.members().alive_count()
+    }
+
+    /// Proposes a configuration on top of `base_version`. The text must have been validated.
+    pub async fn apply_config(&self, text: &str, base_version: u64, operator: &str) -> Outcome {
+        self.inner.apply_config(text, base_version, operator).await
+    }
+
+    /// Access to the stored configuration and its history.
+    pub fn config_store(&self) -> &ConfigStore {
+        &self.inner.store
+    }
+
+    /// Asks every live peer for its configuration version and names those below `version`.
+    pub async fn lagging(&self, version: u64) -> Vec<Name> {
+        self.inner.lagging(version).await
+    }
+
+    /// Says goodbye to the peers, stops listening and ends all tasks. Streams are to be handed over
+    /// before.
+    pub async fn close(self) {
+        self.inner.handle(Event::Closing);
+        let grace = Duration::from_millis(self.inner.timing.call_ms);
+        self.inner.stop.cancel();
+        self.inner.tracker.close();
+        let _ = tokio::time::timeout(grace, self.inner.tracker.wait()).await;
+        let _ = self.server.stop();
+        let _ = tokio::time::timeout(grace, self.server.stopped()).await;
+    }
+
+    pub(crate) fn inner(&self) -> &Arc<Inner> {
+        &self.inner
+    }
+}
+
+impl Inner {
+    fn new(
+        options: &FleetOptions,
+        bound: SocketAddr,
+        handlers: Arc<dyn Handlers>,
+    ) -> Result<Self, FleetError> {
+        let clock = Clock::start();
+        let mut rng = StdRng::seed_from_u64(options.rng_seed);
+        let me = MemberRecord {
+            name: options.name.clone(),
+            address: options.peer_address.unwrap_or(bound),
+            failure_domain: options.failure_domain.clone(),
+            incarnation: draw_incarnation(clock::unix_ms(), &mut rng),
+            health: Health::Alive,
+        };
+        let node = Node::new(me, options.seeds.clone(), options.timing, clock.now_ms());
+        let view = watch::Sender::new(Arc::new(FleetView::of(&node)));
+        let core = Core {
+            node,
+            streams: Streams::default(),
+            rng,
+        };
+        let peers = Peers::new(&options.secret, &options.timing).context(SecretTextSnafu)?;
+        Ok(Self {
+            me: options.name.clone(),
+            failure_domain: options.failure_domain.clone(),
+            timing: options.timing,
+            store: ConfigStore::new(options.table.clone(), options.objects.clone()),
+            vms: options.vms.clone(),
+            core: Mutex::new(core),
+            tracker: TaskTracker::new(),
+            stop: CancellationToken::new(),
+            streams_grew: Notify::new(),
+            reads: Reads {
+                config: Semaphore::new(1),
+                list: Semaphore::new(1),
+                notices: Semaphore::new(1),
+            },
+            clock,
+            peers,
+            handlers,
+            view,
+        })
+    }
+
+    pub(crate) fn lock(&self) -> std::sync::MutexGuard<'_, Core> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gives an event to the node and carries out what follows.
+    pub(crate) fn handle(self: &Arc<Self>, event: Event) {
+        let mut core = self.lock();
+        let now_ms = self.clock.now_ms();
+        let Core { node, rng, .. } = &mut *core;
+        let actions = node.handle(event, now_ms, rng);
+        self.publish(&core, &actions);
+        drop(core);
+        self.carry_out(actions);
+    }
+
+    /// Publishes a snapshot if the actions ask for one; under the lock, so that snapshots never go
+    /// back.
+    pub(crate) fn publish(&self, core: &Core, actions: &[Action]) {
+        let changed = actions.iter().any(|a| matches!(a, Action::Publish));
+        if changed {
+            self.view.send_replace(Arc::new(FleetView::of(&core.node)));
+        }
+    }
+
+    async fn apply_config(
+        self: &Arc<Self>,
+        text: &str,
+        base_version: u64,
+        operator: &str,
+    ) -> Outcome {
+        let mut rng = {
+            let mut core = self.lock();
+            StdRng::from_rng(&mut core.rng)
+        };
+        let author = Author {
+            operator: operator.to_owned(),
+            token: format!("{:032x}", rng.random::<u128>()),
+            unix_ms: clock::unix_ms(),
+        };
+        let outcome = self
+            .store
+            .propose(text, base_version, author, &mut rng)
+            .await;
+        crate::report::config_decided(&outcome, base_version, operator);
+        let known = match &outcome {
+            Outcome::Accepted => Some(crate::wire::ConfigDocument {
+                version: base_version + 1,
+                digest: base::secret::key_digest_hex(text),
+                text: text.into(),
+            }),
+            Outcome::Lost(Some(stored)) => self.store.document(stored).await.ok(),
+            Outcome::Lost(None) | Outcome::NotAccepted(_) | Outcome::Unknown(_) => None,
+        };
+        if let Some(document) = known {
+            self.handle(Event::ConfigLearned(document));
+        }
+        outcome
+    }
+}
+
+async fn tick(inner: Arc<Inner>) {
+    let mut interval = tokio::time::interval(Duration::from_millis(inner.timing.tick_ms));
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = inner.stop.cancelled() => return,
+            _ = interval.tick() => {}
+        }
+        inner.handle(Event::Tick);
+        let now_ms = inner.clock.now_ms();
+        inner.lock().streams.expire(now_ms);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/freshness.rs
@@ -0,0 +1,192 @@
+//! Whether this node knows enough of the fleet's state to route.
+//!
+//! A node that starts, or that wakes after a pause, may hold old knowledge: it routes again only
+//! when it has synced with peers or with the platform. Peers count only if they are fresh
+//! themselves. If nothing answers in a bounded number of tries, a node that already served goes on
+//! with what it has; one that starts goes on trying.
+
+use std::sync::{Arc, LazyLock};
+
+use base::units::Millisecond;
+use base::{Name, Set};
+use chart::{Chart, Instance};
+
+use crate::timing::Timing;
+use crate::wire::Standing;
+
+/// Fresh peers that a node syncs with before it routes, or all if there are fewer.
+pub const QUORUM: usize = 3;
+/// Tries without any fresh peer before the platform's answers alone are enough.
+const TRIES_FOR_PLATFORM: u32 = 2;
+/// Tries without any answer before a node that already served goes on.
+const TRIES_MAX: u32 = 6;
+
+static CHART: LazyLock<Arc<Chart>> = LazyLock::new(|| {
+    Chart::parse(include_str!("../charts/freshness.toml")).expect("charts/freshness.toml is valid")
+});
+
+/// What a tick found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TickOutcome {
+    /// Nothing to do.
+    Quiet,
+    /// The node was paused for so long and has to sync.
+    Woke {
+        /// Time since the tick before.
+        gap_ms: Millisecond,
+    },
+    /// A sync is under way and is to be tried again.
+    Try,
+    /// Nothing answered; the node goes on with what it has.
+    GaveUp,
+}
+
+/// One span of syncing; an answer to a question from an earlier span does not count.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SyncSpan(u64);
+
+/// Freshness of one node.
+#[derive(Debug)]
+pub struct Freshness {
+    chart: Instance,
+    gap_ms: Millisecond,
+    last_tick_ms: Millisecond,
+    tries: u32,
+    answers: Answers,
+    span: SyncSpan,
+}
+
+#[derive(Debug, Default)]
+struct Answers {
+    fresh: Set<Name>,
+    degraded: Set<Name>,
+    config_read: bool,
+    list_read: bool,
+}
+
+impl Freshness {
+    /// A node that has just started.
+    pub fn new(timing: &Timing, now_ms: Millisecond) -> Self {
+        Self {
+            chart: CHART.start(),
+            gap_ms: timing.gap_ms,
+            last_tick_ms: now_ms,
+            tries: 0,
+            answers: Answers::default(),
+            span: SyncSpan::default(),
+        }
+    }
+
+    /// The chart's state, for status displays.
+    pub fn state(&self) -> &str {
+        self.chart.state()
+    }
+
+    /// The span that questions asked now belong to.
+    pub fn span(&self) -> SyncSpan {
+        self.span
+    }
+
+    /// Whether a node that is not paused may route on what it knows.
+    pub fn may_route(&self, now_ms: Millisecond) -> bool {
+        self.standing(now_ms) != Standing::Stale
+    }
+
+    /// What this node may claim towards peers.
+    pub fn standing(&self, now_ms: Millisecond) -> Standing {
+        if now_ms.saturating_sub(self.last_tick_ms) > self.gap_ms {
+            return Standing::Stale;
+        }
+        match self.chart.state() {
+            "current" => Standing::Fresh,
+            "degraded" => Standing::Degraded,
+            _ => Standing::Stale,
+        }
+    }
+
+    /// Whether a sync is under way.
+    pub fn is_syncing(&self) -> bool {
+        self.chart.state() != "current"
+    }
+
+    /// Counts a tick; `alive_others` is the number of live peers known.
+    pub fn tick(&mut self, now_ms: Millisecond, alive_others: usize) -> TickOutcome {
+        let gap_ms = now_ms.saturating_sub(self.last_tick_ms);
+        self.last_tick_ms = now_ms;
+        if gap_ms > self.gap_ms {
+            self.restart();
+            return TickOutcome::Woke { gap_ms };
+        }
+        if !self.is_syncing() {
+            return TickOutcome::Quiet;
+        }
+        self.tries += 1;
+        self.settle(alive_others);
+        if self.tries == TRIES_MAX && self.chart.state() == "syncing" {
+            self.chart.apply("tries_spent");
+            return TickOutcome::GaveUp;
+        }
+        TickOutcome::Try
+    }
+
+    /// A peer answered a sync in full.
+    pub fn synced_with(
+        &mut self,
+        peer: &Name,
+        standing: Standing,
+        span: SyncSpan,
+        alive_others: usize,
+    ) {
+        if span != self.span {
+            return;
+        }
+        match standing {
+            Standing::Fresh => self.answers.fresh.insert(peer.clone()),
+            Standing::Degraded => self.answers.degraded.insert(peer.clone()),
+            Standing::Stale => return,
+        };
+        self.settle(alive_others);
+    }
+
+    /// The configuration row was read.
+    pub fn config_was_read(&mut self, span: SyncSpan, alive_others: usize) {
+        if span == self.span {
+            self.answers.config_read = true;
+            self.settle(alive_others);
+        }
+    }
+
+    /// The VM list was read.
+    pub fn list_was_read(&mut self, span: SyncSpan, alive_others: usize) {
+        if span == self.span {
+            self.answers.list_read = true;
+            self.settle(alive_others);
+        }
+    }
+
+    fn restart(&mut self) {
+        self.chart.apply("gap");
+        self.tries = 0;
+        self.answers = Answers::default();
+        self.span.0 += 1;
+    }
+
+    fn settle(&mut self, alive_others: usize) {
+        if self.is_syncing() && self.has_enough(alive_others) {
+            self.chart.apply("synced");
+        }
+    }
+
+    fn has_enough(&self, alive_others: usize) -> bool {
+        let answers = &self.answers;
+        let wanted = QUORUM.min(alive_others).max(1);
+        let patient = self.tries > TRIES_FOR_PLATFORM;
+        if patient {
+            let by_platform = answers.config_read && answers.list_read;
+            let by_degraded = self.tries > TRIES_MAX && answers.degraded.len() >= wanted;
+            return by_platform || by_degraded || !answers.fresh.is_empty();
+        }
+        let asked_store = answers.config_read || self.chart.state() != "starting";
+        asked_store && answers.fresh.len() >= wanted
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/holder.rs
@@ -0,0 +1,148 @@
+//! A lease kept up by a task of its own.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use base::Name;
+use events::Code;
+use platform::Table;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde::Serialize;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Clock;
+use crate::lease::{Lease, LeaseAction, Permit, Terms};
+use crate::store::{commit_rows, get_row};
+
+/// Time between two looks at a lease.
+const ROUND: Duration = Duration::from_millis(500);
+
+/// A lease that this node holds or tries to get.
+pub struct LeaseHolder {
+    shared: Arc<Shared>,
+    stop: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+/// Cheap access to the right of a [`LeaseHolder`].
+#[derive(Clone)]
+pub struct LeaseRight {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    name: String,
+    table: Arc<dyn Table>,
+    clock: Clock,
+    lease: Mutex<Lease>,
+    rng: Mutex<StdRng>,
+}
+
+#[derive(Serialize)]
+struct LeaseFields<'a> {
+    lease: &'a str,
+    fence: Option<u64>,
+}
+
+impl LeaseHolder {
+    /// Starts to look after the lease `name`.
+    pub fn spawn(name: &str, node: Name, table: Arc<dyn Table>, terms: Terms, seed: u64) -> Self {
+        let shared = Arc::new(Shared {
+            name: name.to_owned(),
+            table,
+            clock: Clock::start(),
+            lease: Mutex::new(Lease::new(name, node, terms)),
+            rng: Mutex::new(StdRng::seed_from_u64(seed)),
+        });
+        let stop = CancellationToken::new();
+        let task = tokio::spawn(keep(shared.clone(), stop.clone()));
+        Self { shared, stop, task }
+    }
+
+    /// Access to the right, to be asked directly before each order.
+    pub fn right(&self) -> LeaseRight {
+        LeaseRight {
+            shared: self.shared.clone(),
+        }
+    }
+
+    /// Ends the task and frees the lease if it is held.
+    pub async fn close(self) {
+        self.stop.cancel();
+        let _ = self.task.await;
+    }
+}
+
+impl LeaseRight {
+    /// The right to act now, if this node has it.
+    pub fn permit(&self) -> Option<Permit> {
+        self.shared.permit()
+    }
+}
+
+impl Shared {
+    fn permit(&self) -> Option<Permit> {
+        let lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+        lease.permit(self.clock.read())
+    }
+
+    fn with<T>(&self, act: impl FnOnce(&mut Lease, &mut StdRng) -> T) -> T {
+        let mut lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+        act(&mut lease, &mut rng)
+    }
+
+    async fn carry_out(&self, mut next: Option<LeaseAction>) {
+        while let Some(action) = next {
+            next = match action {
+                LeaseAction::Read(key) => {
+                    let row = get_row(&*self.table, &key).await;
+                    let now = self.clock.read();
+                    self.with(|lease, rng| lease.row_read(row, now, rng))
+                }
+                LeaseAction::Commit(write) => {
+                    let result = commit_rows(&*self.table, vec![write]).await;
+                    self.with(|lease, _| lease.committed(result))
+                }
+            };
+        }
+    }
+
+    fn report(&self, before: Option<Permit>) {
+        let after = self.permit();
+        let (before, after) = (before.map(|p| p.fence), after.map(|p| p.fence));
+        if before == after {
+            return;
+        }
+        let fields = LeaseFields {
+            lease: &self.name,
+            fence: after.or(before).map(|fence| fence.0),
+        };
+        match after {
+            Some(_) => events::emit(Code::LeaseHeld, &fields),
+            None => events::emit(Code::LeaseLost, &fields),
+        }
+    }
+}
+
+async fn keep(shared: Arc<Shared>, stop: CancellationToken) {
+    let mut known = None;
+    loop {
+        let now = shared.clock.read();
+        let action = shared.with(|lease, rng| lease.tick(now, rng));
+        shared.carry_out(action).await;
+        shared.report(known);
+        known = shared.permit();
+        tokio::select! {
+            () = stop.cancelled() => break,
+            () = tokio::time::sleep(ROUND) => {}
+        }
+    }
+    let release = shared.with(|lease, rng| lease.release(rng));
+    if let Some(LeaseAction::Commit(write)) = release {
+        // A release whose answer is lost costs others one term; reading back could take it again.
+        let _ = commit_rows(&*shared.table, vec![write]).await;
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lease.rs
@@ -0,0 +1,306 @@
+//! A named lease in the platform's table, with a fencing number.
+//!
+//! The holder's right ends by its own clock, counted from before the write that granted it, less a
+//! margin. A successor waits until it has watched the row unchanged for the whole term and the
+//! margin by its own clock; clocks of different nodes are never compared.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, LazyLock};
+
+use base::Name;
+use base::units::Millisecond;
+use chart::{Chart, Instance};
+use platform::{CommitError, Condition, Key, ReadError, Row, Write};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Reading;
+
+/// Partition of the lease rows.
+pub const LEASE_PARTITION: &str = "lease";
+/// Own writes remembered, whose answers may have been lost.
+const TRIED_KEPT: usize = 8;
+
+static CHART: LazyLock<Arc<Chart>> = LazyLock::new(|| {
+    Chart::parse(include_str!("../charts/lease.toml")).expect("charts/lease.toml is valid")
+});
+
+/// Fencing number: higher for each tenure of a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Fence(pub u64);
+
+/// An order with the fencing number under which it is given.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fenced<T> {
+    /// The number.
+    pub fence: Fence,
+    /// The order.
+    pub order: T,
+}
+
+/// Terms of a lease; the same on every node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// A grant lasts for so long.
+    pub term_ms: Millisecond,
+    /// Taken off by the holder and added by a successor.
+    pub margin_ms: Millisecond,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            term_ms: 10_000,
+            margin_ms: 1_000,
+        }
+    }
+}
+
+/// Body of a lease row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRow {
+    /// The holder; absent after a release.
+    pub holder: Option<Name>,
+    /// Drawn anew for each write.
+    pub nonce: u64,
+    /// Fencing number of the tenure.
+    pub fence: Fence,
+    /// Term of the grant.
+    pub term_ms: Millisecond,
+}
+
+/// Right to act as the holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Permit {
+    /// Number for the orders.
+    pub fence: Fence,
+    /// Time for which the right lasts yet.
+    pub remaining_ms: Millisecond,
+}
+
+/// What is to be done next; each calls for one input.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseAction {
+    /// Read the row, then call [`Lease::row_read`].
+    Read(Key),
+    /// Commit the write, then call [`Lease::committed`].
+    Commit(Write),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Tenure {
+    fence: Fence,
+    row_version: u64,
+    until_ms: Millisecond,
+    renew_at_ms: Millisecond,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Tried {
+    nonce: u64,
+    fence: Fence,
+    row_version: u64,
+    sent_ms: Millisecond,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Watched {
+    row_version: u64,
+    since_ms: Millisecond,
+}
+
+/// One node's view of one lease.
+#[derive(Debug)]
+pub struct Lease {
+    key: Key,
+    node: Name,
+    terms: Terms,
+    chart: Instance,
+    tenure: Option<Tenure>,
+    tried: VecDeque<Tried>,
+    watched: Option<Watched>,
+}
+
+impl Lease {
+    /// A lease that this node has not looked at yet.
+    pub fn new(name: &str, node: Name, terms: Terms) -> Self {
+        Self {
+            key: Key::new(LEASE_PARTITION, name),
+            node,
+            terms,
+            chart: CHART.start(),
+            tenure: None,
+            tried: VecDeque::new(),
+            watched: None,
+        }
+    }
+
+    /// The chart's state.
+    pub fn state(&self) -> &str {
+        self.chart.state()
+    }
+
+    /// The right to act, if this node holds the lease at `now`. To be asked for again after each
+    /// wait, directly before an order is sent.
+    pub fn permit(&self, now: Reading) -> Option<Permit> {
+        let tenure = self.tenure?;
+        let remaining_ms = tenure.until_ms.checked_sub(now.possible_ms)?;
+        (remaining_ms > 0).then_some(Permit {
+            fence: tenure.fence,
+            remaining_ms,
+        })
+    }
+
+    /// Starts a round: renews, or looks whether the lease can be had.
+    pub fn tick(&mut self, now: Reading, rng: &mut impl Rng) -> Option<LeaseAction> {
+        if self.permit(now).is_none() {
+            self.end_tenure("lapsed");
+        }
+        match self.tenure {
+            None => Some(LeaseAction::Read(self.key.clone())),
+            Some(tenure) if now.possible_ms < tenure.renew_at_ms => None,
+            Some(tenure) => {
+                let condition = Condition::VersionIs(tenure.row_version);
+                Some(self.write(condition, tenure.fence, now, rng))
+            }
+        }
+    }
+
+    /// Takes in the row.
+    pub fn row_read(
+        &mut self,
+        row: Result<Option<Row>, ReadError>,
+        now: Reading,
+        rng: &mut impl Rng,
+    ) -> Option<LeaseAction> {
+        let Ok(row) = row else { return None };
+        let Some(row) = row else {
+            return Some(self.write(Condition::Absent, Fence(1), now, rng));
+        };
+        let Ok(body) = serde_json::from_str::<LeaseRow>(&row.body) else {
+            return None;
+        };
+        let own = self.find_tried(body.nonce);
+        if let Some(tried) = own {
+            self.grant(tried);
+            if self.permit(now).is_some() {
+                return None;
+            }
+            self.end_tenure("lapsed");
+        } else {
+            self.end_tenure("refused");
+        }
+        let waited = self.watch(row.version, now) >= body.term_ms + self.terms.margin_ms;
+        let others = body.holder.is_some() && own.is_none();
+        if others && !waited {
+            return None;
+        }
+        let fence = Fence(body.fence.0 + 1);
+        Some(self.write(Condition::VersionIs(row.version), fence, now, rng))
+    }
+
+    /// Takes in the result of the last commit.
+    pub fn committed(&mut self, result: Result<(), CommitError>) -> Option<LeaseAction> {
+        match result {
+            Ok(()) => {
+                if let Some(tried) = self.tried.back().copied() {
+                    self.grant(tried);
+                }
+                None
+            }
+            Err(CommitError::NotApplied { .. }) => None,
+            Err(CommitError::Conflict | CommitError::Unknown { .. }) => {
+                Some(LeaseAction::Read(self.key.clone()))
+            }
+        }
+    }
+
+    /// Gives the lease up; the write frees it for others at once.
+    pub fn release(&mut self, rng: &mut impl Rng) -> Option<LeaseAction> {
+        let tenure = self.tenure.take()?;
+        self.chart.apply("released");
+        self.tried.clear();
+        let body = LeaseRow {
+            holder: None,
+            nonce: rng.random(),
+            fence: tenure.fence,
+            term_ms: self.terms.term_ms,
+        };
+        let condition = Condition::VersionIs(tenure.row_version);
+        Some(self.put(&body, condition))
+    }
+
+    fn write(
+        &mut self,
+        condition: Condition,
+        fence: Fence,
+        now: Reading,
+        rng: &mut impl Rng,
+    ) -> LeaseAction {
+        let body = LeaseRow {
+            holder: Some(self.node.clone()),
+            nonce: rng.random(),
+            fence,
+            term_ms: self.terms.term_ms,
+        };
+        let row_version = match condition {
+            Condition::VersionIs(version) => version + 1,
+            Condition::Absent | Condition::Any => 1,
+        };
+        if self.tried.len() == TRIED_KEPT {
+            self.tried.pop_front();
+        }
+        self.tried.push_back(Tried {
+            nonce: body.nonce,
+            fence,
+            row_version,
+            sent_ms: now.possible_ms,
+        });
+        self.put(&body, condition)
+    }
+
+    fn put(&self, body: &LeaseRow, condition: Condition) -> LeaseAction {
+        LeaseAction::Commit(Write::Put {
+            key: self.key.clone(),
+            body: serde_json::to_string(body).expect("plain data"),
+            condition,
+        })
+    }
+
+    fn grant(&mut self, tried: Tried) {
+        let until_ms = tried.sent_ms + self.terms.term_ms - self.terms.margin_ms;
+        let event = match self.tenure {
+            Some(_) => "renewed",
+            None => "acquired",
+        };
+        self.chart.apply(event);
+        self.tenure = Some(Tenure {
+            fence: tried.fence,
+            row_version: tried.row_version,
+            until_ms,
+            renew_at_ms: tried.sent_ms + self.terms.term_ms / 3,
+        });
+    }
+
+    fn end_tenure(&mut self, event: &str) {
+        if self.tenure.take().is_some() {
+            self.chart.apply(event);
+        }
+    }
+
+    fn find_tried(&self, nonce: u64) -> Option<Tried> {
+        self.tried.iter().find(|t| t.nonce == nonce).copied()
+    }
+
+    fn watch(&mut self, row_version: u64, now: Reading) -> Millisecond {
+        let since_ms = match self.watched {
+            Some(watched) if watched.row_version == row_version => watched.since_ms,
+            _ => now.certain_ms,
+        };
+        self.watched = Some(Watched {
+            row_version,
+            since_ms,
+        });
+        now.certain_ms - since_ms
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/leaving.rs
@@ -0,0 +1,133 @@
+//! Marks of backend servers that are leaving.
+//!
+//! A mark is never taken back: identifiers are not reused. It ends only when its VM has been absent
+//! from the VM list for long; until then it spreads, and for as long again it is remembered without
+//! spreading, so that no node brings it back.
+
+use base::units::Millisecond;
+use base::{Map, Name};
+
+use crate::hash;
+use crate::wire::{Part, SetDigest};
+
+/// Number of buckets that two nodes compare.
+pub const BUCKETS: usize = 16;
+/// Most marks in one message.
+pub const MARKS_PER_MESSAGE: usize = 64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mark {
+    /// Spreads.
+    Active { listed_ms: Millisecond },
+    /// Is remembered only.
+    Retired { since_ms: Millisecond },
+}
+
+/// The marks that one node knows.
+#[derive(Debug, Default)]
+pub struct Leaving {
+    marks: Map<Name, Mark>,
+    buckets: [SetDigest; BUCKETS],
+}
+
+impl Leaving {
+    /// Whether a backend server must get no new work.
+    pub fn contains(&self, vm: &str) -> bool {
+        self.marks.contains_key(vm)
+    }
+
+    /// Names of all marked VMs.
+    pub fn names(&self) -> impl Iterator<Item = &Name> {
+        self.marks.keys()
+    }
+
+    /// Marks a VM and says whether that was news.
+    pub fn mark(&mut self, vm: &Name, now_ms: Millisecond) -> bool {
+        if self.marks.contains_key(vm) {
+            return false;
+        }
+        self.marks
+            .insert(vm.clone(), Mark::Active { listed_ms: now_ms });
+        self.toggle(vm, 1);
+        true
+    }
+
+    /// Digest of the marks that spread.
+    pub fn digest(&self) -> SetDigest {
+        let mut whole = SetDigest::default();
+        for bucket in &self.buckets {
+            whole.count += bucket.count;
+            whole.xor ^= bucket.xor;
+        }
+        whole
+    }
+
+    /// Digests by bucket.
+    pub fn buckets(&self) -> Vec<SetDigest> {
+        self.buckets.to_vec()
+    }
+
+    /// Marks in the buckets that differ from `theirs`, at most [`MARKS_PER_MESSAGE`]. The page
+    /// starts at a bucket chosen by `turn`, so that asking again goes on elsewhere.
+    pub fn difference(&self, theirs: &[SetDigest], turn: u64) -> (Vec<Name>, Part) {
+        let differs = |bucket: usize| theirs.get(bucket) != Some(&self.buckets[bucket]);
+        let mut marks: Vec<&Name> = Vec::new();
+        for (name, mark) in &self.marks {
+            let active = matches!(mark, Mark::Active { .. });
+            if active && differs(bucket_of(name)) {
+                marks.push(name);
+            }
+        }
+        if marks.len() <= MARKS_PER_MESSAGE {
+            return (marks.into_iter().cloned().collect(), Part::Whole);
+        }
+        marks.sort_by_key(|name| hash::rendezvous(name, u128::from(turn)));
+        marks.truncate(MARKS_PER_MESSAGE);
+        (marks.into_iter().cloned().collect(), Part::Partial)
+    }
+
+    /// Takes in the VM list's identifiers: marks of VMs that it has not shown for `forget_ms` retire
+    /// and end.
+    pub fn retain_listed<'a>(
+        &mut self,
+        listed: impl Iterator<Item = &'a Name>,
+        now_ms: Millisecond,
+        forget_ms: Millisecond,
+    ) {
+        for vm in listed {
+            if let Some(Mark::Active { listed_ms }) = self.marks.get_mut(vm) {
+                *listed_ms = now_ms;
+            }
+        }
+        let mut retired = Vec::new();
+        let mut ended = Vec::new();
+        for (name, mark) in &self.marks {
+            match *mark {
+                Mark::Active { listed_ms } if now_ms.saturating_sub(listed_ms) >= forget_ms => {
+                    retired.push(name.clone());
+                }
+                Mark::Retired { since_ms } if now_ms.saturating_sub(since_ms) >= forget_ms => {
+                    ended.push(name.clone());
+                }
+                Mark::Active { .. } | Mark::Retired { .. } => {}
+            }
+        }
+        for name in ended {
+            self.marks.remove(&name);
+        }
+        for name in retired {
+            self.toggle(&name, -1);
+            self.marks.insert(name, Mark::Retired { since_ms: now_ms });
+        }
+    }
+
+    fn toggle(&mut self, name: &Name, count: i32) {
+        let bucket = &mut self.buckets[bucket_of(name)];
+        bucket.xor ^= hash::stable(name.as_bytes());
+        bucket.count = bucket.count.wrapping_add_signed(count);
+    }
+}
+
+fn bucket_of(name: &Name) -> usize {
+    (hash::stable(name.as_bytes()) >> 32) as usize % BUCKETS
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,1 +1,35 @@
-//! Placeholder.
+//! Everything between entry VMs: membership, the spread of configuration and leaving marks, leases,
+//! and the handover of open streams.
+//!
+//! Decisions are in modules without I/O ([`node`] and what it is made of, [`apply`], [`lease`],
+//! [`handover`]); [`Fleet`] carries them out over JSON-RPC and the platform's services.
+
+pub mod apply;
+mod auth;
+pub mod bulletin;
+pub mod clock;
+mod fleet;
+pub mod freshness;
+pub mod handover;
+mod hash;
+mod holder;
+pub mod lease;
+pub mod leaving;
+pub mod member;
+pub mod node;
+mod peers;
+mod report;
+mod rpc;
+mod server;
+mod shell;
+pub mod spread;
+mod store;
+mod streams;
+pub mod timing;
+pub mod view;
+pub mod wire;
+
+pub use fleet::{Fleet, FleetError, FleetOptions, Handlers};
+pub use holder::{LeaseHolder, LeaseRight};
+pub use store::{ConfigStore, StoreError};
+pub use streams::{Given, StreamChunk, StreamError, StreamReader, StreamSink, Superseded};
--- /dev/null
+++ b/crates/fleet/src/member.rs
@@ -0,0 +1,402 @@
+//! Gossip membership: who the other entry VMs are and how they fare.
+//!
+//! Each round calls a fixed number of peers. News of members rides on those calls, a bounded number
+//! of records each, and is dropped after a number of sends that is logarithmic in the fleet's size.
+//! A suspected member refutes by a higher incarnation number; one that is gone is still tried now
+//! and then, so a paused member or a parted region comes back by itself.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, LazyLock};
+
+use base::units::Millisecond;
+use base::{Map, Name};
+use chart::{Chart, Instance};
+use platform::{Vm, VmRole, VmState};
+use rand::Rng;
+use rand::seq::SliceRandom;
+
+use crate::timing::Timing;
+use crate::wire::{Health, MemberRecord};
+
+/// Peers called in each round.
+pub const FANOUT: usize = 3;
+/// Most member records in one message.
+pub const RECORDS_PER_MESSAGE: usize = 6;
+/// Most member records in one page of a sync.
+pub const RECORDS_PER_PAGE: usize = 32;
+/// One call in so many that meets a gone member is still made.
+const GONE_CALL_ODDS: u32 = 8;
+/// A record is sent this many times for each doubling of the fleet.
+const SENDS_PER_DOUBLING: u32 = 2;
+
+static CHART: LazyLock<Arc<Chart>> = LazyLock::new(|| {
+    Chart::parse(include_str!("../charts/member.toml")).expect("charts/member.toml is valid")
+});
+
+/// Whom a heartbeat goes to.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Target {
+    /// A member.
+    Member(Name, SocketAddr),
+    /// An address whose node is not known yet.
+    Candidate(SocketAddr),
+}
+
+/// A member's health as this node sees it has changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HealthChange {
+    /// The member.
+    pub member: Name,
+    /// Its health before; absent for a new member.
+    pub from: Option<Health>,
+    /// Its health now.
+    pub to: Health,
+}
+
+#[derive(Debug)]
+struct Peer {
+    record: MemberRecord,
+    chart: Instance,
+    config_version: u64,
+    listed_ms: Millisecond,
+    changed_ms: Millisecond,
+}
+
+#[derive(Debug)]
+struct Rumour {
+    record: MemberRecord,
+    sends: u32,
+}
+
+/// Membership as one node sees it.
+#[derive(Debug)]
+pub struct Membership {
+    me: MemberRecord,
+    timing: Timing,
+    peers: Map<Name, Peer>,
+    alive: usize,
+    order: Vec<Name>,
+    cursor: usize,
+    suspects: Map<Name, Millisecond>,
+    candidates: Vec<SocketAddr>,
+    rumours: Vec<Rumour>,
+}
+
+/// Incarnation number of a start: the start's time above random bits, so that a restart within the
+/// same millisecond still differs.
+pub fn draw_incarnation(unix_ms: u64, rng: &mut impl Rng) -> u64 {
+    (unix_ms << 10) | rng.random_range(0..1024)
+}
+
+impl Membership {
+    /// Membership of a node that knows only itself and some addresses.
+    pub fn new(me: MemberRecord, seeds: Vec<SocketAddr>, timing: Timing) -> Self {
+        let candidates = seeds.into_iter().filter(|seed| *seed != me.address);
+        let mut membership = Self {
+            candidates: candidates.collect(),
+            peers: Map::default(),
+            alive: 0,
+            order: Vec::new(),
+            cursor: 0,
+            suspects: Map::default(),
+            rumours: Vec::new(),
+            timing,
+            me,
+        };
+        membership.spread(membership.me.clone());
+        membership
+    }
+
+    /// This node's own record.
+    pub fn me(&self) -> &MemberRecord {
+        &self.me
+    }
+
+    /// Number of live members, this node included.
+    pub fn alive_count(&self) -> usize {
+        self.alive + 1
+    }
+
+    /// Records of all other members.
+    pub fn others(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.peers.values().map(|peer| &peer.record)
+    }
+
+    /// Records of the other members that are alive.
+    pub fn alive_others(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.others().filter(|r| r.health == Health::Alive)
+    }
+
+    /// One member's record.
+    pub fn get(&self, name: &str) -> Option<&MemberRecord> {
+        self.peers.get(name).map(|peer| &peer.record)
+    }
+
+    /// Configuration version that a member last reported.
+    pub fn config_version_of(&self, name: &str) -> u64 {
+        self.peers.get(name).map_or(0, |peer| peer.config_version)
+    }
+
+    /// Remembers the configuration version that a member reported.
+    pub fn note_config_version(&mut self, name: &str, version: u64) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.config_version = peer.config_version.max(version);
+        }
+    }
+
+    /// Chooses whom to call in this round: members in a shuffled order, one suspect, and one
+    /// address that has not answered yet.
+    pub fn round(&mut self, rng: &mut impl Rng) -> Vec<Target> {
+        let mut targets = Vec::new();
+        for _ in 0..self.order.len() {
+            if targets.len() == FANOUT {
+                break;
+            }
+            let name = self.next_in_order(rng);
+            let record = &self.peers[&name].record;
+            let called = match record.health {
+                Health::Alive | Health::Suspect => true,
+                Health::Gone | Health::Left => rng.random_ratio(1, GONE_CALL_ODDS),
+            };
+            if called {
+                targets.push(Target::Member(name, record.address));
+            }
+        }
+        if let Some(name) = self.suspects.keys().next() {
+            let suspect = Target::Member(name.clone(), self.peers[name].record.address);
+            if !targets.contains(&suspect) {
+                targets.push(suspect);
+            }
+        }
+        if !self.candidates.is_empty() {
+            let index = rng.random_range(0..self.candidates.len());
+            targets.push(Target::Candidate(self.candidates[index]));
+        }
+        targets
+    }
+
+    /// Draws up to `count` live members.
+    pub fn sample(&self, count: usize, rng: &mut impl Rng) -> Vec<(Name, SocketAddr)> {
+        let mut drawn: Vec<(Name, SocketAddr)> = Vec::new();
+        for _ in 0..count * 4 {
+            if drawn.len() == count || self.order.is_empty() {
+                break;
+            }
+            let name = &self.order[rng.random_range(0..self.order.len())];
+            let record = &self.peers[name].record;
+            let taken = drawn.iter().any(|(drawn, _)| drawn == name);
+            if taken || record.health != Health::Alive {
+                continue;
+            }
+            drawn.push((name.clone(), record.address));
+        }
+        drawn
+    }
+
+    /// Takes the least-sent news for one message.
+    pub fn news(&mut self) -> Vec<MemberRecord> {
+        let doublings = usize::BITS - self.peers.len().leading_zeros() + 1;
+        let limit = SENDS_PER_DOUBLING * doublings;
+        self.rumours.sort_by_key(|rumour| rumour.sends);
+        let mut news = Vec::new();
+        for rumour in self.rumours.iter_mut().take(RECORDS_PER_MESSAGE) {
+            rumour.sends += 1;
+            news.push(rumour.record.clone());
+        }
+        self.rumours.retain(|rumour| rumour.sends < limit);
+        news
+    }
+
+    /// A page of records by name, this node's own included, from names above `after`.
+    pub fn page(&self, after: &str) -> Vec<MemberRecord> {
+        let all = self.others().chain(std::iter::once(&self.me));
+        let mut above: Vec<&MemberRecord> = all.filter(|r| &*r.name > after).collect();
+        if above.len() > RECORDS_PER_PAGE {
+            above.select_nth_unstable_by(RECORDS_PER_PAGE, |a, b| a.name.cmp(&b.name));
+            above.truncate(RECORDS_PER_PAGE);
+        }
+        above.sort_by(|a, b| a.name.cmp(&b.name));
+        above.into_iter().cloned().collect()
+    }
+
+    /// What this node believes of a caller, where the caller should refute it.
+    pub fn rebuke(&self, caller: &MemberRecord) -> Option<MemberRecord> {
+        let known = &self.peers.get(&caller.name)?.record;
+        let wrong = known.incarnation > caller.incarnation
+            || (known.incarnation == caller.incarnation && known.health != caller.health);
+        wrong.then(|| known.clone())
+    }
+
+    /// Takes in a record, whether first hand or by gossip.
+    pub fn merge(&mut self, record: MemberRecord, now_ms: Millisecond) -> Option<HealthChange> {
+        if record.name == self.me.name {
+            self.refute(&record);
+            return None;
+        }
+        self.candidates.retain(|known| *known != record.address);
+        let Some(peer) = self.peers.get_mut(&record.name) else {
+            return self.admit(record, now_ms);
+        };
+        let known = (peer.record.incarnation, peer.record.health);
+        if (record.incarnation, record.health) <= known {
+            return None;
+        }
+        let from = peer.record.health;
+        if record.incarnation > peer.record.incarnation {
+            peer.chart.apply("refuted");
+        }
+        peer.chart.apply(event_of(record.health));
+        peer.record = record.clone();
+        peer.record.health = health_of(peer.chart.state());
+        peer.changed_ms = now_ms;
+        let to = peer.record.health;
+        self.spread(record.clone());
+        self.settle(&record.name, from, to, now_ms);
+        (from != to).then_some(HealthChange {
+            member: record.name,
+            from: Some(from),
+            to,
+        })
+    }
+
+    /// A call to a member failed.
+    pub fn suspect(&mut self, name: &str, now_ms: Millisecond) -> Option<HealthChange> {
+        let mut record = self.peers.get(name)?.record.clone();
+        if record.health != Health::Alive {
+            return None;
+        }
+        record.health = Health::Suspect;
+        self.merge(record, now_ms)
+    }
+
+    /// Declares suspects gone that did not refute in time.
+    pub fn expire(&mut self, now_ms: Millisecond) -> Vec<HealthChange> {
+        let due = self.suspects.iter().filter(|(_, at_ms)| **at_ms <= now_ms);
+        let due: Vec<Name> = due.map(|(name, _)| name.clone()).collect();
+        let mut changes = Vec::new();
+        for name in due {
+            let mut record = self.peers[&name].record.clone();
+            record.health = Health::Gone;
+            changes.extend(self.merge(record, now_ms));
+        }
+        changes
+    }
+
+    /// After a pause of this node its suspicions are void: the time passed without a chance to hear.
+    pub fn restart_suspicions(&mut self, now_ms: Millisecond) {
+        let deadline_ms = now_ms + self.timing.suspect_ms;
+        for at_ms in self.suspects.values_mut() {
+            *at_ms = deadline_ms;
+        }
+    }
+
+    /// Says that this node leaves.
+    pub fn leave(&mut self) {
+        self.me.health = Health::Left;
+        self.spread(self.me.clone());
+    }
+
+    /// Takes in the VM list: a hint of addresses, and the ground on which members are forgotten.
+    pub fn hint(&mut self, vms: &[Vm], now_ms: Millisecond) {
+        let entries = vms.iter().filter(|vm| vm.role == VmRole::Entry);
+        for vm in entries {
+            if let Some(peer) = self.peers.get_mut(&vm.id) {
+                peer.listed_ms = now_ms;
+                continue;
+            }
+            let own = vm.id == self.me.name || vm.address == self.me.address;
+            let known = self.candidates.contains(&vm.address);
+            if own || known || vm.state != VmState::Live {
+                continue;
+            }
+            self.candidates.push(vm.address);
+        }
+        let forget_ms = self.timing.forget_ms;
+        self.peers.retain(|_, peer| {
+            let silent = matches!(peer.record.health, Health::Gone | Health::Left);
+            let since_ms = peer.listed_ms.max(peer.changed_ms);
+            !silent || now_ms.saturating_sub(since_ms) < forget_ms
+        });
+        let peers = &self.peers;
+        self.order.retain(|name| peers.contains_key(name));
+    }
+
+    fn admit(&mut self, record: MemberRecord, now_ms: Millisecond) -> Option<HealthChange> {
+        let mut chart = CHART.start();
+        chart.apply(event_of(record.health));
+        let change = HealthChange {
+            member: record.name.clone(),
+            from: None,
+            to: record.health,
+        };
+        let peer = Peer {
+            chart,
+            config_version: 0,
+            listed_ms: now_ms,
+            changed_ms: now_ms,
+            record: record.clone(),
+        };
+        self.peers.insert(record.name.clone(), peer);
+        self.order.push(record.name.clone());
+        self.settle(&record.name, Health::Gone, record.health, now_ms);
+        self.spread(record);
+        Some(change)
+    }
+
+    fn settle(&mut self, name: &Name, from: Health, to: Health, now_ms: Millisecond) {
+        if from == Health::Alive && to != Health::Alive {
+            self.alive -= 1;
+        }
+        if from != Health::Alive && to == Health::Alive {
+            self.alive += 1;
+        }
+        if to == Health::Suspect {
+            let deadline_ms = now_ms + self.timing.suspect_ms;
+            self.suspects.insert(name.clone(), deadline_ms);
+        } else {
+            self.suspects.remove(name);
+        }
+    }
+
+    fn refute(&mut self, record: &MemberRecord) {
+        let mine = (self.me.incarnation, self.me.health);
+        if (record.incarnation, record.health) <= mine {
+            return;
+        }
+        self.me.incarnation = record.incarnation + 1;
+        self.spread(self.me.clone());
+    }
+
+    fn spread(&mut self, record: MemberRecord) {
+        self.rumours
+            .retain(|rumour| rumour.record.name != record.name);
+        self.rumours.push(Rumour { record, sends: 0 });
+    }
+
+    fn next_in_order(&mut self, rng: &mut impl Rng) -> Name {
+        if self.cursor >= self.order.len() {
+            self.order.shuffle(rng);
+            self.cursor = 0;
+        }
+        self.cursor += 1;
+        self.order[self.cursor - 1].clone()
+    }
+}
+
+fn event_of(health: Health) -> &'static str {
+    match health {
+        Health::Alive => "refuted",
+        Health::Suspect => "suspected",
+        Health::Gone => "expired",
+        Health::Left => "left",
+    }
+}
+
+fn health_of(state: &str) -> Health {
+    match state {
+        "suspect" => Health::Suspect,
+        "gone" => Health::Gone,
+        "left" => Health::Left,
+        _ => Health::Alive,
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/peers.rs
@@ -0,0 +1,66 @@
+//! Clients for calls to peers, kept for reuse.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use base::Map;
+use base::secret::Secret;
+use http::HeaderMap;
+use jsonrpsee::core::client::Error as CallError;
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+
+use crate::auth::PeerAuth;
+use crate::timing::Timing;
+
+/// Most clients kept.
+const CLIENTS_MAX: usize = 64;
+/// Largest message between peers.
+pub const MESSAGE_BYTES: u32 = 4 << 20;
+
+/// Clients by address.
+#[derive(Debug)]
+pub struct Peers {
+    headers: HeaderMap,
+    timeout: Duration,
+    clients: Mutex<Map<SocketAddr, HttpClient>>,
+}
+
+impl Peers {
+    /// Clients that show `secret`.
+    ///
+    /// # Errors
+    ///
+    /// The secret has characters that a header cannot carry.
+    pub fn new(secret: &Secret, timing: &Timing) -> Result<Self, http::header::InvalidHeaderValue> {
+        Ok(Self {
+            headers: PeerAuth::header(secret)?,
+            timeout: Duration::from_millis(timing.call_ms),
+            clients: Mutex::default(),
+        })
+    }
+
+    /// The client for an address.
+    ///
+    /// # Errors
+    ///
+    /// The client library refuses the address.
+    pub fn at(&self, address: SocketAddr) -> Result<HttpClient, CallError> {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(client) = clients.get(&address) {
+            return Ok(client.clone());
+        }
+        if clients.len() >= CLIENTS_MAX {
+            let any = clients.keys().next().copied();
+            any.map(|address| clients.remove(&address));
+        }
+        let client = HttpClientBuilder::default()
+            .set_headers(self.headers.clone())
+            .request_timeout(self.timeout)
+            .max_request_size(MESSAGE_BYTES)
+            .max_response_size(MESSAGE_BYTES)
+            .build(format!("http://{address}"))?;
+        clients.insert(address, client.clone());
+        Ok(client)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/shell.rs
@@ -0,0 +1,168 @@
+//! Carries out a node's actions: each call to a peer or the platform is a task whose result comes
+//! back as an event.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Name;
+use futures_util::StreamExt;
+use futures_util::stream;
+
+use crate::fleet::Inner;
+use crate::freshness::SyncSpan;
+use crate::member::Target;
+use crate::node::{Action, Event};
+use crate::report;
+use crate::rpc::PeerClient;
+use crate::wire::{Heartbeat, Push, SyncRequest};
+
+/// Notices or versions asked for at the same time.
+const CONCURRENT: usize = 16;
+/// Bound of a read of the VM list or a notice.
+const LIST_CALL: Duration = Duration::from_millis(2_000);
+
+impl Inner {
+    pub(crate) fn carry_out(self: &Arc<Self>, actions: Vec<Action>) {
+        for action in actions {
+            let inner = self.clone();
+            match action {
+                Action::Publish => {}
+                Action::Report(report) => report::node(&report),
+                Action::SendHeartbeat(target, message) => {
+                    self.tracker.spawn(inner.heartbeat(target, message));
+                }
+                Action::SendPush(name, address, push) => {
+                    let target = Target::Member(name, address);
+                    self.tracker.spawn(inner.push(target, push));
+                }
+                Action::SendSync(name, address, request, span) => {
+                    let target = Target::Member(name, address);
+                    self.tracker.spawn(inner.sync(target, request, span));
+                }
+                Action::ReadConfig(span) => {
+                    self.tracker.spawn(inner.read_config(span));
+                }
+                Action::ReadList(span) => {
+                    self.tracker.spawn(inner.read_list(span));
+                }
+                Action::ReadNotices(vms) => {
+                    self.tracker.spawn(inner.read_notices(vms));
+                }
+            }
+        }
+    }
+
+    async fn heartbeat(self: Arc<Self>, target: Target, message: Heartbeat) {
+        let answer = match self.peers.at(address_of(&target)) {
+            Ok(client) => client.heartbeat(message).await,
+            Err(error) => Err(error),
+        };
+        match answer {
+            Ok(answer) => self.handle(Event::HeartbeatAnswered(answer)),
+            Err(_) => self.handle(Event::CallFailed(target)),
+        }
+    }
+
+    async fn push(self: Arc<Self>, target: Target, push: Push) {
+        let answer = match self.peers.at(address_of(&target)) {
+            Ok(client) => client.push(push).await,
+            Err(error) => Err(error),
+        };
+        let event = match (answer, target) {
+            (Ok(answer), Target::Member(name, _)) => Event::PushAnswered(name, answer),
+            (_, target) => Event::CallFailed(target),
+        };
+        self.handle(event);
+    }
+
+    async fn sync(self: Arc<Self>, target: Target, request: SyncRequest, span: SyncSpan) {
+        let answer = match self.peers.at(address_of(&target)) {
+            Ok(client) => client.sync(request).await,
+            Err(error) => Err(error),
+        };
+        match answer {
+            Ok(answer) => self.handle(Event::SyncAnswered(answer, span)),
+            Err(_) => self.handle(Event::CallFailed(target)),
+        }
+    }
+
+    async fn read_config(self: Arc<Self>, span: SyncSpan) {
+        let Ok(_one) = self.reads.config.try_acquire() else {
+            return;
+        };
+        if let Ok(document) = self.store.read().await {
+            self.handle(Event::ConfigRead(document, span));
+        }
+    }
+
+    async fn read_list(self: Arc<Self>, span: SyncSpan) {
+        let Ok(_one) = self.reads.list.try_acquire() else {
+            return;
+        };
+        let list = tokio::time::timeout(LIST_CALL, self.vms.list()).await;
+        if let Ok(Ok(list)) = list {
+            self.handle(Event::ListRead(list, span));
+        }
+    }
+
+    async fn read_notices(self: Arc<Self>, vms: Vec<Name>) {
+        let Ok(_one) = self.reads.notices.try_acquire() else {
+            return;
+        };
+        let reads = stream::iter(vms).for_each_concurrent(CONCURRENT, |vm| self.read_notice(vm));
+        reads.await;
+    }
+
+    async fn read_notice(self: &Arc<Self>, vm: Name) {
+        let notice = tokio::time::timeout(LIST_CALL, self.vms.notice(&vm)).await;
+        let Ok(Ok(Some(remaining_ms))) = notice else {
+            return;
+        };
+        if vm == self.me {
+            self.handlers.own_notice(remaining_ms);
+        } else {
+            self.handle(Event::LeavingSeen(vm));
+        }
+    }
+
+    pub(crate) async fn lagging(self: &Arc<Self>, version: u64) -> Vec<Name> {
+        let behind: Vec<Target> = {
+            let core = self.lock();
+            let members = core.node.members();
+            let behind = members
+                .alive_others()
+                .filter(|r| members.config_version_of(&r.name) < version);
+            behind
+                .map(|r| Target::Member(r.name.clone(), r.address))
+                .collect()
+        };
+        let asked = stream::iter(behind).map(|target| async move {
+            let answer = match self.peers.at(address_of(&target)) {
+                Ok(client) => client.config_version().await.ok(),
+                Err(_) => None,
+            };
+            (target, answer)
+        });
+        let answers: Vec<_> = asked.buffer_unordered(CONCURRENT).collect().await;
+        let mut lagging = Vec::new();
+        for (target, answer) in answers {
+            let Target::Member(name, _) = target else {
+                continue;
+            };
+            let known = answer.unwrap_or(0);
+            let mut core = self.lock();
+            core.node.note_config_version(&name, known);
+            if known < version {
+                lagging.push(name);
+            }
+        }
+        lagging.sort();
+        lagging
+    }
+}
+
+fn address_of(target: &Target) -> std::net::SocketAddr {
+    match target {
+        Target::Member(_, address) | Target::Candidate(address) => *address,
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/store.rs
@@ -0,0 +1,187 @@
+//! The configuration rows of the platform's table and their large texts in the object store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::units::Millisecond;
+use bytes::Bytes;
+use platform::{CommitError, Objects, ReadError, Row, Table, Write};
+use rand::Rng;
+use snafu::Snafu;
+
+use crate::apply::{self, Apply, Author, Content, Outcome, Proposal, Step, StoredConfig};
+use crate::wire::ConfigDocument;
+
+/// Longer texts go to the object store.
+const ROW_TEXT_BYTES: usize = 200_000;
+/// Bound of one call to the platform.
+const CALL: Duration = Duration::from_millis(3_000);
+const TIMED_OUT: &str = "no answer within 3 s";
+
+/// The configuration could not be read.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("The configuration could not be read from the platform: {reason}."))]
+pub struct StoreError {
+    /// What was seen.
+    pub reason: String,
+}
+
+/// Access to the configuration that the platform keeps.
+#[derive(Clone)]
+pub struct ConfigStore {
+    table: Arc<dyn Table>,
+    objects: Arc<dyn Objects>,
+}
+
+impl ConfigStore {
+    /// Uses these services.
+    pub fn new(table: Arc<dyn Table>, objects: Arc<dyn Objects>) -> Self {
+        Self { table, objects }
+    }
+
+    /// Reads the document in force.
+    ///
+    /// # Errors
+    ///
+    /// Table or object store did not answer, or hold something else.
+    pub async fn read(&self) -> Result<Option<ConfigDocument>, StoreError> {
+        let row = self.get(apply::current_key()).await.map_err(turn)?;
+        let Some(row) = row else {
+            return Ok(None);
+        };
+        let Some(stored) = apply::parse(&row) else {
+            let reason = "the row config/current is not a configuration".to_owned();
+            return Err(StoreError { reason });
+        };
+        self.document(&stored).await.map(Some)
+    }
+
+    /// Reads the text that a row stands for.
+    ///
+    /// # Errors
+    ///
+    /// The object store did not answer or has no such object.
+    pub async fn document(&self, stored: &StoredConfig) -> Result<ConfigDocument, StoreError> {
+        let path = match &stored.content {
+            Content::Text(text) => return Ok(apply::document(stored, text)),
+            Content::Object(path) => path,
+        };
+        let read = tokio::time::timeout(CALL, self.objects.get(path)).await;
+        let read = read.map_err(|_| StoreError {
+            reason: TIMED_OUT.to_owned(),
+        })?;
+        let body = read.map_err(|error| StoreError {
+            reason: error.reason,
+        })?;
+        let text = body.and_then(|body| String::from_utf8(body.to_vec()).ok());
+        let text = text.ok_or_else(|| StoreError {
+            reason: format!("the object {path} is missing or not text"),
+        })?;
+        Ok(apply::document(stored, &text))
+    }
+
+    /// Reads up to `limit` versions from above `after`, oldest first.
+    ///
+    /// # Errors
+    ///
+    /// The table did not answer.
+    pub async fn history(&self, after: u64, limit: u32) -> Result<Vec<StoredConfig>, StoreError> {
+        let after = apply::history_key(after).sort;
+        let scan = self.table.scan(apply::HISTORY_PARTITION, &after, limit);
+        let rows = match tokio::time::timeout(CALL, scan).await {
+            Ok(rows) => rows.map_err(turn)?,
+            Err(_) => {
+                let reason = TIMED_OUT.to_owned();
+                return Err(StoreError { reason });
+            }
+        };
+        Ok(rows.iter().filter_map(apply::parse).collect())
+    }
+
+    /// Proposes `text` on top of `base_version` and follows the proposal until its fate is known or
+    /// the attempts are spent.
+    pub async fn propose(
+        &self,
+        text: &str,
+        base_version: u64,
+        author: Author,
+        rng: &mut (impl Rng + Send),
+    ) -> Outcome {
+        let content = match self.content(text).await {
+            Ok(content) => content,
+            Err(error) => return Outcome::NotAccepted(error.reason),
+        };
+        let proposal = Proposal::new(base_version, text, content, author);
+        let (mut apply, mut step) = Apply::start(proposal);
+        loop {
+            step = match step {
+                Step::Done(outcome) => return outcome,
+                Step::Wait(delay_ms) => {
+                    sleep_ms(delay_ms).await;
+                    apply.resume()
+                }
+                Step::Commit(writes) => apply.committed(self.commit(writes).await, rng),
+                Step::ReadHistory(key) => apply.history_read(self.get(key).await, rng),
+                Step::ReadCurrent(key) => apply.current_read(self.get(key).await, rng),
+            };
+        }
+    }
+
+    async fn content(&self, text: &str) -> Result<Content, StoreError> {
+        if text.len() <= ROW_TEXT_BYTES {
+            return Ok(Content::Text(text.to_owned()));
+        }
+        let path = format!("config/{}", base::secret::key_digest_hex(text));
+        let body = Bytes::copy_from_slice(text.as_bytes());
+        match tokio::time::timeout(CALL, self.objects.put(&path, body)).await {
+            Ok(Ok(())) => Ok(Content::Object(path)),
+            Ok(Err(error)) => Err(StoreError {
+                reason: error.reason,
+            }),
+            Err(_) => Err(StoreError {
+                reason: TIMED_OUT.to_owned(),
+            }),
+        }
+    }
+
+    async fn get(&self, key: platform::Key) -> Result<Option<Row>, ReadError> {
+        get_row(&*self.table, &key).await
+    }
+
+    async fn commit(&self, writes: Vec<Write>) -> Result<(), CommitError> {
+        commit_rows(&*self.table, writes).await
+    }
+}
+
+/// Reads a row within the bound of a call.
+pub(crate) async fn get_row(
+    table: &dyn Table,
+    key: &platform::Key,
+) -> Result<Option<Row>, ReadError> {
+    let read = tokio::time::timeout(CALL, table.get(key)).await;
+    read.unwrap_or_else(|_| {
+        Err(ReadError {
+            reason: TIMED_OUT.to_owned(),
+        })
+    })
+}
+
+/// Commits within the bound of a call; a commit that is cut off may have taken effect.
+pub(crate) async fn commit_rows(table: &dyn Table, writes: Vec<Write>) -> Result<(), CommitError> {
+    let commit = tokio::time::timeout(CALL, table.commit(writes)).await;
+    commit.unwrap_or_else(|_| {
+        Err(CommitError::Unknown {
+            reason: TIMED_OUT.to_owned(),
+        })
+    })
+}
+
+fn turn(error: ReadError) -> StoreError {
+    StoreError {
+        reason: error.reason,
+    }
+}
+
+async fn sleep_ms(delay_ms: Millisecond) {
+    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+}
--- /dev/null
+++ b/crates/fleet/src/streams.rs
@@ -0,0 +1,475 @@
+//! Handing streams over, going on with them and reading them, over calls to peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Name;
+use base::ids::RequestId;
+use events::Code;
+use futures_util::StreamExt;
+use futures_util::stream;
+use snafu::Snafu;
+
+use crate::fleet::{Fleet, Inner};
+use crate::handover::{
+    self, ActivateReply, CANDIDATES, CopyRole, ExtendReply, Extension, ReadReply, StreamEnd,
+    StreamFound, StreamRecord, TakeReply,
+};
+use crate::report;
+use crate::rpc::PeerClient;
+use crate::wire::{Health, MemberRecord};
+
+/// Streams handed over at the same time.
+const CONCURRENT: usize = 32;
+/// All members are asked for a stream in fleets up to this size.
+const ASK_ALL_MAX: usize = 16;
+/// Tries of a reader before it reports that no copy answers.
+const READ_TRIES: u32 = 8;
+const READ_RETRY: Duration = Duration::from_millis(250);
+/// Time between two searches for a standby.
+const STANDBY_RETRY: Duration = Duration::from_secs(2);
+
+/// Where a stream went.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Given {
+    /// The stream.
+    pub id: RequestId,
+    /// Who goes on with it; absent if no peer took it.
+    pub owner: Option<Name>,
+    /// Who keeps the other copy.
+    pub standby: Option<Name>,
+}
+
+/// A stream's owner must stop: another node owns the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("Another entry VM owns the stream now."))]
+pub struct Superseded;
+
+/// A handed-over stream cannot be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum StreamError {
+    /// No node has the stream, or it belongs to another workspace.
+    #[snafu(display("No such request."))]
+    NotFound,
+    /// The offset is not one that the answer has.
+    #[snafu(display("The offset is beyond the answer."))]
+    BadOffset,
+    /// The nodes that may have it do not answer; ask again.
+    #[snafu(display("The entry VMs that may have the request do not answer."))]
+    Unavailable,
+}
+
+/// Next bytes of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamChunk {
+    /// The bytes; may be empty while the stream is open.
+    pub text: String,
+    /// Whether more comes.
+    pub end: StreamEnd,
+}
+
+/// Takes what an owner generates.
+pub struct StreamSink {
+    inner: Arc<Inner>,
+    id: RequestId,
+    epoch: u32,
+    standby: Option<Name>,
+    next_search: tokio::time::Instant,
+}
+
+/// Reads a handed-over stream from wherever it is.
+pub struct StreamReader {
+    inner: Arc<Inner>,
+    id: RequestId,
+    workspace: Name,
+    offset: usize,
+    source: Option<Source>,
+}
+
+enum Source {
+    Here,
+    Peer(SocketAddr),
+}
+
+impl Fleet {
+    /// Gives streams to peers. The caller must have stopped relaying them; it may cut their
+    /// connections when this returns. Streams taken from other nodes go along by themselves.
+    pub async fn hand_over(&self, records: Vec<StreamRecord>) -> Vec<Given> {
+        let inner = self.inner();
+        let mut records = records;
+        {
+            let core = inner.lock();
+            let now_ms = inner.clock.now_ms();
+            for id in core.streams.owned() {
+                records.extend(core.streams.record(id, now_ms));
+            }
+        }
+        let members = inner.live_members();
+        let ids: Vec<RequestId> = records.iter().map(|r| r.id).collect();
+        let plan = handover::plan(&ids, &members, &inner.failure_domain);
+        let work = records.into_iter().zip(plan);
+        let given = stream::iter(work)
+            .map(|(record, assignment)| inner.give(record, assignment.takers))
+            .buffer_unordered(CONCURRENT);
+        given.collect().await
+    }
+
+    /// Opens a stream that some node has taken, for a caller of `workspace` that has `offset` bytes.
+    pub fn read_stream(&self, id: RequestId, workspace: Name, offset: usize) -> StreamReader {
+        StreamReader {
+            inner: self.inner().clone(),
+            id,
+            workspace,
+            offset,
+            source: None,
+        }
+    }
+}
+
+impl StreamReader {
+    /// The next bytes; waits a little for them.
+    ///
+    /// # Errors
+    ///
+    /// There is no such stream or offset, or no copy answers.
+    pub async fn next(&mut self) -> Result<StreamChunk, StreamError> {
+        for attempt in 0..READ_TRIES {
+            if attempt > 0 {
+                tokio::time::sleep(READ_RETRY).await;
+            }
+            if self.source.is_none() {
+                self.source = self
+                    .inner
+                    .locate(self.id, &self.workspace, self.offset)
+                    .await?;
+            }
+            let reply = match &self.source {
+                None => continue,
+                Some(Source::Here) => {
+                    let inner = &self.inner;
+                    inner.read_waiting(self.id, self.offset, READ_RETRY).await
+                }
+                Some(Source::Peer(address)) => match self.inner.peers.at(*address) {
+                    Ok(client) => client
+                        .read_stream(self.id, self.offset)
+                        .await
+                        .unwrap_or(ReadReply::NotOwner),
+                    Err(_) => ReadReply::NotOwner,
+                },
+            };
+            match reply {
+                ReadReply::Bytes { text, end } => {
+                    self.offset += text.len();
+                    return Ok(StreamChunk { text, end });
+                }
+                ReadReply::BadOffset => return Err(StreamError::BadOffset),
+                ReadReply::NotOwner => self.source = None,
+            }
+        }
+        Err(StreamError::Unavailable)
+    }
+}
+
+impl StreamSink {
+    /// The stream's epoch.
+    pub fn epoch(&self) -> u32 {
+        self.epoch
+    }
+
+    /// Adds to the stream. Readers see the bytes when the standby has them.
+    ///
+    /// # Errors
+    ///
+    /// Another node owns the stream now: generating must stop.
+    pub async fn append(
+        &mut self,
+        answer: &str,
+        generated: &str,
+        tokens: u64,
+        end: StreamEnd,
+    ) -> Result<(), Superseded> {
+        let part = {
+            let mut core = self.inner.lock();
+            let found = core.streams.find(self.id).ok_or(Superseded)?;
+            let part = Extension {
+                id: self.id,
+                epoch: self.epoch,
+                offset_bytes: found.answer_bytes,
+                answer: answer.to_owned(),
+                generated: generated.to_owned(),
+                tokens,
+                end,
+            };
+            if core.streams.extend(&part) != ExtendReply::Kept {
+                return Err(Superseded);
+            }
+            part
+        };
+        let shown = part.offset_bytes + part.answer.len();
+        self.replicate(part).await?;
+        self.inner.lock().streams.show(self.id, self.epoch, shown);
+        self.inner.streams_grew.notify_waiters();
+        Ok(())
+    }
+
+    async fn replicate(&mut self, part: Extension) -> Result<(), Superseded> {
+        if let Some(standby) = self.standby.clone() {
+            match self.inner.extend_at(&standby, part).await {
+                Some(ExtendReply::Kept) => return Ok(()),
+                Some(ExtendReply::Superseded) => return Err(self.stop()),
+                Some(ExtendReply::Missing) | None => self.standby = None,
+            }
+            self.next_search = tokio::time::Instant::now();
+        }
+        if tokio::time::Instant::now() < self.next_search {
+            return Ok(());
+        }
+        self.next_search = tokio::time::Instant::now() + STANDBY_RETRY;
+        self.find_standby().await
+    }
+
+    async fn find_standby(&mut self) -> Result<(), Superseded> {
+        let record = {
+            let mut core = self.inner.lock();
+            let raised = core.streams.raise_epoch(self.id).ok_or(Superseded)?;
+            self.epoch = raised;
+            let now_ms = self.inner.clock.now_ms();
+            core.streams.record(self.id, now_ms).ok_or(Superseded)?
+        };
+        let members = self.inner.live_members();
+        for name in handover::rank(self.id, &members)
+            .into_iter()
+            .take(CANDIDATES)
+        {
+            match self.inner.offer(&name, &record, CopyRole::Standby).await {
+                Some(TakeReply::Taken) => {
+                    self.standby = Some(name);
+                    return Ok(());
+                }
+                Some(TakeReply::Superseded) => return Err(self.stop()),
+                Some(TakeReply::Full | TakeReply::Leaving) | None => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn stop(&self) -> Superseded {
+        self.inner.lock().streams.drop_copy(self.id);
+        Superseded
+    }
+}
+
+impl Inner {
+    fn live_members(&self) -> Vec<MemberRecord> {
+        let core = self.lock();
+        core.node.members().alive_others().cloned().collect()
+    }
+
+    /// Gives one stream to two of `takers`, the standby first, so that an owner never starts alone.
+    async fn give(&self, mut record: StreamRecord, takers: Vec<Name>) -> Given {
+        record.epoch += 1;
+        let mut left = takers.into_iter();
+        let first = left.next();
+        let mut owner = first.clone();
+        let mut standby = None;
+        record.owner = first.clone().unwrap_or_else(|| self.me.clone());
+        for name in left.by_ref() {
+            let reply = self.offer(&name, &record, CopyRole::Standby).await;
+            if reply == Some(TakeReply::Taken) {
+                standby = Some(name);
+                break;
+            }
+        }
+        record.standby = standby.clone();
+        while let Some(name) = owner.clone() {
+            record.owner = name.clone();
+            let reply = self.offer(&name, &record, CopyRole::Owner).await;
+            if reply == Some(TakeReply::Taken) {
+                break;
+            }
+            owner = left.next();
+        }
+        let code = match owner {
+            Some(_) => Code::StreamGiven,
+            None => Code::StreamNotGiven,
+        };
+        report::stream(
+            code,
+            record.id,
+            owner.as_ref(),
+            standby.as_ref(),
+            record.epoch,
+        );
+        if owner.is_some() || standby.is_some() {
+            self.lock().streams.drop_copy(record.id);
+        }
+        Given {
+            id: record.id,
+            owner,
+            standby,
+        }
+    }
+
+    /// Takes an offered copy, and goes on with it if this node is to own it.
+    pub(crate) fn take(self: &Arc<Self>, record: StreamRecord, role: CopyRole) -> TakeReply {
+        let now_ms = self.clock.now_ms();
+        let reply = {
+            let mut core = self.lock();
+            if core.node.members().me().health == Health::Left {
+                return TakeReply::Leaving;
+            }
+            core.streams.take(record.clone(), role, now_ms)
+        };
+        if reply == TakeReply::Taken && role == CopyRole::Owner {
+            self.resume(Code::StreamTaken, record);
+        }
+        reply
+    }
+
+    /// Makes this node's standby copy the owner, unless the owner answers here.
+    pub(crate) async fn activate(self: &Arc<Self>, id: RequestId, offset: usize) -> ActivateReply {
+        let Some(found) = self.lock().streams.find(id) else {
+            return ActivateReply::Missing;
+        };
+        if found.role == CopyRole::Standby && self.owner_answers(id, &found).await {
+            return ActivateReply::OwnerAnswers;
+        }
+        let now_ms = self.clock.now_ms();
+        let (reply, record) = self.lock().streams.activate(id, offset, &self.me, now_ms);
+        if let Some(record) = record {
+            self.resume(Code::StreamActivated, record);
+        }
+        reply
+    }
+
+    async fn owner_answers(&self, id: RequestId, copy: &StreamFound) -> bool {
+        let Some(found) = self.find_at(&copy.owner, id).await else {
+            return false;
+        };
+        found.is_some_and(|f| f.role == CopyRole::Owner && f.epoch >= copy.epoch)
+    }
+
+    fn resume(self: &Arc<Self>, code: Code, record: StreamRecord) {
+        let (owner, standby) = (Some(&record.owner), record.standby.as_ref());
+        report::stream(code, record.id, owner, standby, record.epoch);
+        if record.end != StreamEnd::Open {
+            return;
+        }
+        let sink = StreamSink {
+            inner: self.clone(),
+            id: record.id,
+            epoch: record.epoch,
+            standby: record.standby.clone(),
+            next_search: tokio::time::Instant::now(),
+        };
+        self.handlers.resume(record, sink);
+    }
+
+    /// Finds the node to read from; activates a standby if no owner answers. `None` means that the
+    /// search should be repeated.
+    async fn locate(
+        self: &Arc<Self>,
+        id: RequestId,
+        workspace: &Name,
+        offset: usize,
+    ) -> Result<Option<Source>, StreamError> {
+        let mut copies: Vec<(Option<Name>, StreamFound)> = Vec::new();
+        let mut silent = 0;
+        if let Some(found) = self.lock().streams.find(id) {
+            copies.push((None, found));
+        }
+        let asked = stream::iter(self.members_to_ask(id)).map(|name| async move {
+            let answer = self.find_at(&name, id).await;
+            (name, answer)
+        });
+        let answers: Vec<_> = asked.buffer_unordered(CONCURRENT).collect().await;
+        for (name, answer) in answers {
+            match answer {
+                None => silent += 1,
+                Some(None) => {}
+                Some(Some(found)) => copies.push((Some(name), found)),
+            }
+        }
+        copies.retain(|(_, found)| found.workspace == *workspace);
+        if copies.is_empty() {
+            return match silent {
+                0 => Err(StreamError::NotFound),
+                _ => Ok(None),
+            };
+        }
+        copies.sort_by_key(|(_, found)| {
+            (
+                found.epoch,
+                found.role == CopyRole::Owner,
+                found.answer_bytes,
+            )
+        });
+        let Some((name, best)) = copies.pop() else {
+            return Ok(None);
+        };
+        if best.role == CopyRole::Standby {
+            let reply = match &name {
+                None => self.activate(id, offset).await,
+                Some(name) => self.activate_at(name, id, offset).await,
+            };
+            match reply {
+                ActivateReply::Activated | ActivateReply::Owner => {}
+                ActivateReply::Behind | ActivateReply::OwnerAnswers | ActivateReply::Missing => {
+                    return Ok(None);
+                }
+            }
+        }
+        let source = match name {
+            None => Some(Source::Here),
+            Some(name) => self.address_of(&name).map(Source::Peer),
+        };
+        Ok(source)
+    }
+
+    fn members_to_ask(&self, id: RequestId) -> Vec<Name> {
+        let core = self.lock();
+        let members = core.node.members();
+        let asked = members
+            .others()
+            .filter(|r| matches!(r.health, Health::Alive | Health::Suspect));
+        let asked: Vec<MemberRecord> = asked.cloned().collect();
+        drop(core);
+        let mut ranked = handover::rank(id, &asked);
+        if ranked.len() > ASK_ALL_MAX {
+            ranked.truncate(CANDIDATES);
+        }
+        ranked
+    }
+
+    fn address_of(&self, name: &str) -> Option<SocketAddr> {
+        let core = self.lock();
+        core.node.members().get(name).map(|record| record.address)
+    }
+
+    async fn offer(&self, name: &str, record: &StreamRecord, role: CopyRole) -> Option<TakeReply> {
+        let client = self.peers.at(self.address_of(name)?).ok()?;
+        client.take_stream(record.clone(), role).await.ok()
+    }
+
+    async fn extend_at(&self, name: &str, part: Extension) -> Option<ExtendReply> {
+        let client = self.peers.at(self.address_of(name)?).ok()?;
+        client.extend_stream(part).await.ok()
+    }
+
+    async fn find_at(&self, name: &str, id: RequestId) -> Option<Option<StreamFound>> {
+        let client = self.peers.at(self.address_of(name)?).ok()?;
+        client.find_stream(id).await.ok()
+    }
+
+    async fn activate_at(&self, name: &str, id: RequestId, offset: usize) -> ActivateReply {
+        let Some(address) = self.address_of(name) else {
+            return ActivateReply::Missing;
+        };
+        let Ok(client) = self.peers.at(address) else {
+            return ActivateReply::Missing;
+        };
+        let reply = client.activate_stream(id, offset).await;
+        reply.unwrap_or(ActivateReply::Missing)
+    }
+}
