Routing decision: cost policy, baselines, prefix index

Cause: requests need a backend server; load reports lag, cache events are late and have gaps, and six entry VMs decide at once. Kept: predicted cost per candidate (time, recomputed tokens, price) with a hard load bound, and sends since the last report counted once per entry VM. Ruled out: choosing by reported load alone.

--- /dev/null
+++ b/crates/policy/src/route/candidates.rs
@@ -0,0 +1,145 @@
+//! The servers that a decision looks at.
+
+use base::Name;
+use rand::Rng;
+
+use super::blocks::BLOCK_TOKENS;
+use super::state::RouteState;
+use super::view::{NoServer, RouteRequest, Routing, ServerState, ServerView};
+
+/// Views up to this size are considered whole.
+const MAX_CONSIDERED: usize = 64;
+
+/// Servers drawn at random from a larger view.
+const SAMPLE: usize = 24;
+
+/// Holders of a prefix that are considered beside the sample.
+const MAX_MATCHES: usize = 8;
+
+/// A server under consideration.
+pub(super) struct Candidate<'a> {
+    pub view: &'a ServerView,
+    pub cached_tokens: u64,
+}
+
+/// Selects the candidates: everything usable in a small view; in a large one the best holders of
+/// the prompt's prefix and a random sample, so that the work has a bound.
+pub(super) fn select<'a>(
+    routing: Routing,
+    view: &'a [ServerView],
+    request: &RouteRequest,
+    local: &RouteState,
+    rng: &mut impl Rng,
+) -> Result<Vec<Candidate<'a>>, NoServer> {
+    let matches = match routing {
+        Routing::Cost => best_matches(request, local),
+        _ => Vec::new(),
+    };
+    let sampled = routing == Routing::Cost && view.len() > MAX_CONSIDERED;
+    let mut found = Vec::new();
+    if sampled {
+        add_matches(&mut found, view, request, &matches);
+        add_sample(&mut found, view, request, rng);
+    }
+    if found.is_empty() {
+        add_all(&mut found, view, request, ServerState::Live);
+    }
+    if found.is_empty() {
+        add_all(&mut found, view, request, ServerState::Suspect);
+    }
+    if found.is_empty() {
+        return Err(why_none(view, request));
+    }
+    let mut candidates = Vec::with_capacity(found.len());
+    for server in found {
+        let matched = matches.iter().find(|(name, _)| *name == server.server);
+        let blocks = matched.map_or(0, |(_, blocks)| *blocks as u64);
+        let cached_tokens = (blocks * BLOCK_TOKENS).min(request.prompt_tokens);
+        candidates.push(Candidate {
+            view: server,
+            cached_tokens,
+        });
+    }
+    Ok(candidates)
+}
+
+fn best_matches(request: &RouteRequest, local: &RouteState) -> Vec<(Name, usize)> {
+    let mut matches = local.index().matches(&request.blocks);
+    matches.sort_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(&b.0)));
+    matches
+}
+
+fn usable(server: &ServerView, request: &RouteRequest, state: ServerState) -> bool {
+    server.state == state
+        && server.service == request.service
+        && !request.excluded.contains(&server.server)
+}
+
+fn add_matches<'a>(
+    found: &mut Vec<&'a ServerView>,
+    view: &'a [ServerView],
+    request: &RouteRequest,
+    matches: &[(Name, usize)],
+) {
+    for (name, _) in matches {
+        let Ok(position) = view.binary_search_by(|server| server.server.cmp(name)) else {
+            continue;
+        };
+        if !usable(&view[position], request, ServerState::Live) {
+            continue;
+        }
+        found.push(&view[position]);
+        if found.len() == MAX_MATCHES {
+            return;
+        }
+    }
+}
+
+fn add_sample<'a>(
+    found: &mut Vec<&'a ServerView>,
+    view: &'a [ServerView],
+    request: &RouteRequest,
+    rng: &mut impl Rng,
+) {
+    for _ in 0..SAMPLE {
+        let server = &view[rng.random_range(0..view.len())];
+        if !usable(server, request, ServerState::Live) {
+            continue;
+        }
+        if found.iter().any(|other| other.server == server.server) {
+            continue;
+        }
+        found.push(server);
+    }
+}
+
+fn add_all<'a>(
+    found: &mut Vec<&'a ServerView>,
+    view: &'a [ServerView],
+    request: &RouteRequest,
+    state: ServerState,
+) {
+    for server in view {
+        if usable(server, request, state) {
+            found.push(server);
+        }
+    }
+}
+
+fn why_none(view: &[ServerView], request: &RouteRequest) -> NoServer {
+    let service = request.service.clone();
+    let mut known = false;
+    let mut staying = false;
+    for server in view {
+        if server.service != service {
+            continue;
+        }
+        known = true;
+        staying |= server.state != ServerState::Leaving;
+    }
+    match (known, staying) {
+        (false, _) => NoServer::NoneKnown { service },
+        (true, false) => NoServer::AllLeaving { service },
+        (true, true) => NoServer::AllExcluded { service },
+    }
+}
--- /dev/null
+++ b/crates/policy/src/route/cost.rs
@@ -0,0 +1,129 @@
+//! The cost policy: predicted time, recomputed tokens and price of each candidate.
+
+use base::units::Millisecond;
+use rand::Rng;
+
+use super::baseline::decide;
+use super::candidates::Candidate;
+use super::state::{RouteState, ServerStats};
+use super::view::{Alternative, Decision, LoadReport, Reason, RouteRequest};
+
+/// Requests beyond its slots that a server may be sent before it counts as full, as a factor.
+const LOAD_BOUND: f64 = 1.25;
+
+/// Slots assumed of a server that has not reported.
+const PRIOR_SLOTS: u32 = 8;
+
+/// Scores within this factor of the best are as good as the best.
+const NEAR_BEST: f64 = 1.05;
+
+/// How much a full batch slows decoding down, as a factor of the learned time.
+const BATCH_SLOWDOWN: f64 = 0.5;
+
+const MS_PER_H: f64 = 3_600_000.0;
+const MICROS_PER_CENT: f64 = 10_000.0;
+const US_PER_MS: f64 = 1_000.0;
+
+struct Scored<'a> {
+    candidate: &'a Candidate<'a>,
+    score: f64,
+    fullness: f64,
+}
+
+/// The candidate of lowest predicted cost below its load bound. Among near-equals the choice is
+/// drawn, so that entry VMs with the same view do not all choose the same server.
+pub(super) fn cheapest(
+    candidates: &[Candidate],
+    request: &RouteRequest,
+    local: &RouteState,
+    now_ms: Millisecond,
+    rng: &mut impl Rng,
+) -> Decision {
+    let prior = ServerStats::default();
+    let mut scored = Vec::with_capacity(candidates.len());
+    for candidate in candidates {
+        let stats = local.stats(&candidate.view.server).unwrap_or(&prior);
+        scored.push(score(candidate, request, local, stats, now_ms));
+    }
+    let alternatives = scored.iter().map(|s| Alternative {
+        server: s.candidate.view.server.clone(),
+        score: s.score,
+        cached_tokens: s.candidate.cached_tokens,
+    });
+    let alternatives = alternatives.collect();
+    let open: Vec<&Scored> = scored.iter().filter(|s| s.fullness < LOAD_BOUND).collect();
+    if open.is_empty() {
+        let emptiest = scored
+            .iter()
+            .min_by(|a, b| a.fullness.total_cmp(&b.fullness));
+        let emptiest = emptiest.map_or(&candidates[0], |s| s.candidate);
+        return decide(emptiest, Reason::LeastOverloaded, alternatives);
+    }
+    let best = open.iter().map(|s| s.score).fold(f64::INFINITY, f64::min);
+    let near: Vec<&&Scored> = open
+        .iter()
+        .filter(|s| s.score <= best * NEAR_BEST)
+        .collect();
+    let chosen = near[rng.random_range(0..near.len())].candidate;
+    let reason = match chosen.cached_tokens {
+        0 => Reason::LowestCost,
+        _ => Reason::PrefixCached,
+    };
+    decide(chosen, reason, alternatives)
+}
+
+fn score<'a>(
+    candidate: &'a Candidate<'a>,
+    request: &RouteRequest,
+    local: &RouteState,
+    stats: &ServerStats,
+    now_ms: Millisecond,
+) -> Scored<'a> {
+    let view = candidate.view;
+    let slots = view.load.map_or(PRIOR_SLOTS, |load| load.slots).max(1);
+    let requests = expected_requests(view.load.as_ref(), stats, local.entries(), now_ms);
+    let fullness = requests / f64::from(slots);
+
+    let new_tokens = request
+        .prompt_tokens
+        .saturating_sub(candidate.cached_tokens) as f64;
+    let prefill_ms = new_tokens / stats.prefill_tokens_per_ms.max(0.01);
+    let decode_ms = request.output_tokens as f64
+        * stats.decode_ms_per_token
+        * (1.0 + BATCH_SLOWDOWN * fullness.min(1.0));
+    let run_ms = match request.output_tokens {
+        0 => stats.service_ms,
+        _ => prefill_ms + decode_ms,
+    };
+    let ahead = (requests + 1.0 - f64::from(slots)).max(0.0);
+    let wait_ms = ahead * stats.service_ms.max(run_ms) / f64::from(slots);
+    let network_ms = 2.0 * view.latency_us as f64 / US_PER_MS;
+
+    let weights = local.weights();
+    let recompute_ms = new_tokens * weights.recompute_ms_per_token;
+    let micros = view.price_micros_per_h as f64 * run_ms / MS_PER_H / f64::from(slots);
+    let price_ms = micros / MICROS_PER_CENT * weights.ms_per_cent;
+    Scored {
+        candidate,
+        score: run_ms + wait_ms + network_ms + recompute_ms + price_ms,
+        fullness,
+    }
+}
+
+/// Requests at a server: those it reported and those sent since. The other entry VMs are assumed
+/// to have sent it as many since the report as this one.
+fn expected_requests(
+    load: Option<&LoadReport>,
+    stats: &ServerStats,
+    entries: u32,
+    now_ms: Millisecond,
+) -> f64 {
+    let own = f64::from(stats.in_flight);
+    let Some(load) = load else {
+        return own * f64::from(entries);
+    };
+    let (unreported, _) = stats.unreported(now_ms, load.age_ms);
+    let unreported = f64::from(unreported.min(stats.in_flight));
+    let reported = f64::from(load.running + load.waiting);
+    (reported + unreported * f64::from(entries)).max(own)
+}
