--- /dev/null
+++ b/crates/policy/src/limit/demand.rs
@@ -0,0 +1,69 @@
+//! What the other entry VMs last said they want.
+
+use base::units::Millisecond;
+use base::{Map, Name};
+
+use super::WorkspaceDemand;
+
+#[derive(Debug)]
+struct Report {
+    made_ms: Millisecond,
+    wanted: Map<Name, u32>,
+}
+
+/// Demand reports of peers, newest for each.
+#[derive(Debug, Default)]
+pub(super) struct PeerDemand {
+    reports: Map<Name, Report>,
+}
+
+/// Sum of the peers' demand for one workspace.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct PeerSum {
+    /// Wanted by peers whose name comes before this entry VM's.
+    pub before: f64,
+    /// Wanted by all peers.
+    pub total: f64,
+}
+
+impl PeerDemand {
+    /// Keeps a report unless a newer one of that peer is known.
+    pub fn put(&mut self, peer: &Name, made_ms: Millisecond, demand: &[WorkspaceDemand]) {
+        if self
+            .reports
+            .get(peer)
+            .is_some_and(|known| known.made_ms > made_ms)
+        {
+            return;
+        }
+        let mut wanted = Map::default();
+        for item in demand {
+            wanted.insert(item.workspace.clone(), item.running + item.queued);
+        }
+        self.reports
+            .insert(peer.clone(), Report { made_ms, wanted });
+    }
+
+    /// Drops reports made before `oldest_ms`; true when there were any.
+    pub fn expire(&mut self, oldest_ms: Millisecond) -> bool {
+        let before = self.reports.len();
+        self.reports.retain(|_, report| report.made_ms >= oldest_ms);
+        self.reports.len() < before
+    }
+
+    /// Adds up the reports by workspace, as seen by the entry VM `own`.
+    pub fn sums(&self, own: &Name) -> Map<Name, PeerSum> {
+        let mut sums: Map<Name, PeerSum> = Map::default();
+        for (peer, report) in &self.reports {
+            for (workspace, wanted) in &report.wanted {
+                let sum = sums.entry(workspace.clone()).or_default();
+                let wanted = f64::from(*wanted);
+                sum.total += wanted;
+                if peer < own {
+                    sum.before += wanted;
+                }
+            }
+        }
+        sums
+    }
+}
