Reclaim: finish, move the KV cache, or recompute, and spread over survivors

Cause: a leaving server's streams have seconds; the three ways cost differently and the moved work can topple the servers that stay. Kept: one plan for all leaving servers, highest priority and most context first; transfers of a server follow one another; the survivor where the stream goes on soonest, with the work given so far counted and domains under reclaim avoided. Ruled out: always recomputing (loses the cache though the link is idle); always moving (the link of one server carries a few long contexts in a notice and the rest would be lost).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,4 +4,5 @@
 //! time and, where it needs one, a random source, and returns what is to be done.
 
 pub mod limit;
+pub mod reclaim;
 pub mod route;
--- /dev/null
+++ b/crates/policy/src/reclaim/transfer.rs
@@ -0,0 +1,47 @@
+//! Time that KV transfers take; the transfers of one server follow one another.
+
+use base::{Map, Name};
+
+use super::{KvExport, LeavingServer, StreamAtStake};
+
+/// Fixed time of an export and import beside the transfer itself.
+const SETUP_MS: f64 = 20.0;
+
+/// Transfers planned so far, by leaving server.
+pub(super) struct Links {
+    busy_ms: Map<Name, f64>,
+}
+
+impl Links {
+    pub fn new(leaving: &[LeavingServer]) -> Self {
+        let mut busy_ms = Map::default();
+        for server in leaving {
+            busy_ms.insert(server.server.clone(), 0.0);
+        }
+        Self { busy_ms }
+    }
+
+    /// Time until the stream's cache has arrived, after the transfers planned before; nothing
+    /// when the engine cannot export.
+    pub fn move_ms(&self, server: &LeavingServer, stream: &StreamAtStake) -> Option<f64> {
+        let busy_ms = self.busy_ms.get(&server.server).copied().unwrap_or(0.0);
+        Some(busy_ms + transfer_ms(server, stream)?)
+    }
+
+    /// Plans the transfer.
+    pub fn reserve(&mut self, server: &LeavingServer, stream: &StreamAtStake) {
+        let Some(transfer_ms) = transfer_ms(server, stream) else {
+            return;
+        };
+        *self.busy_ms.entry(server.server.clone()).or_default() += transfer_ms;
+    }
+}
+
+fn transfer_ms(server: &LeavingServer, stream: &StreamAtStake) -> Option<f64> {
+    match server.export {
+        KvExport::Unsupported => None,
+        KvExport::Supported { tokens_per_ms } => {
+            Some(SETUP_MS + stream.context_tokens() as f64 / tokens_per_ms.max(f64::EPSILON))
+        }
+    }
+}
