Ledger: at most one run of a non-idempotent call by a conditional row per call

Cause: nothing kept a non-idempotent call from running twice when its caller asks again. One row per call, created in state sending by a conditional write right before the bytes leave, then settled. A separate claim before the sending write was ruled out: with nothing done between the two writes it narrows no window and costs a third write (3 writes a call against 2, 0 reads). A lost answer is resolved by reading back and comparing the owner token; as the write may still land afterwards, it is repeated with the same condition, or the key is released by a write that fences it. Rows are never deleted, so versions only grow and the key stays closed after retention.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -73,6 +73,11 @@
     PeerSuspected = 500, "peer.suspected", Warn, "A peer has not been heard from and gets no handovers until it is.";
 
     LedgerRefused = 600, "ledger.refused", Info, "A non-idempotent call was not run because of its record.";
+    LedgerStoreDown = 601, "ledger.store_down", Warn, "The table service does not answer; non-idempotent calls are refused at once until a probe succeeds.";
+    LedgerStoreUp = 602, "ledger.store_up", Info, "The table service answers again; non-idempotent calls are taken.";
+    LedgerOutcomeDropped = 603, "ledger.outcome_dropped", Error, "Too many outcomes wait for the table service; this one is not recorded, and its key stays closed.";
+    LedgerOutcomeLost = 604, "ledger.outcome_lost", Error, "The record of a call that ran belongs to another call; someone changed the row.";
+    LedgerRecordDamaged = 605, "ledger.record_damaged", Error, "A record cannot be read; calls with its key are answered as unknown.";
 
     PlacementDecided = 700, "placement.decided", Info, "VMs were bought, returned or given a new role; fields give the reason and the alternatives.";
 }
--- /dev/null
+++ b/crates/ledger/src/settling.rs
@@ -0,0 +1,146 @@
+//! Decides how an outcome is written into a call's row: state and event in, next action out.
+//!
+//! A row is never deleted, so its version only grows and a late write of an earlier owner cannot
+//! match it.
+
+use platform::{CommitError, Condition, Key, Row, Write};
+
+use crate::record::{Progress, Record};
+
+/// What the owner knows of the row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Known {
+    /// The claim stands at this version.
+    ClaimedAt(u64),
+    /// The claim or an earlier settling had no answer.
+    Nothing,
+}
+
+/// Where the settling stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// The outcome is being written.
+    Writing,
+    /// The row is being read.
+    Reading,
+    /// The end has been reported.
+    Finished,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The commit took effect.
+    Committed,
+    /// The commit did not, or is not known to have.
+    CommitFailed(CommitError),
+    /// The row as read.
+    Row(Option<Row>),
+    /// The read gave no answer, or the store is down.
+    StoreDown,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Commit this.
+    Commit(Write),
+    /// Read the row.
+    Read(Key),
+    /// The settling is over.
+    End(End),
+}
+
+/// How a settling ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The outcome is recorded, or the row needs none.
+    Recorded,
+    /// To be tried again when the store answers, from [`Known::Nothing`].
+    TryAgain,
+    /// The row belongs to another call although this one ran: a fault of the table or of a person.
+    Lost,
+}
+
+/// The outcome of one call on its way into the row.
+#[derive(Clone, Debug)]
+pub struct Settling {
+    key: Key,
+    outcome: Record,
+}
+
+impl Settling {
+    /// Settling of `outcome`, whose owner is the claim's.
+    pub fn new(key: Key, outcome: Record) -> Self {
+        Self { key, outcome }
+    }
+
+    /// First state and action.
+    pub fn start(&self, known: Known) -> (State, Action) {
+        match known {
+            Known::ClaimedAt(version) => self.write(Condition::VersionIs(version)),
+            Known::Nothing => self.read(),
+        }
+    }
+
+    /// Next state and action.
+    pub fn step(&self, state: State, event: Event) -> (State, Action) {
+        match (state, event) {
+            (State::Writing, Event::Committed) => end(End::Recorded),
+            (State::Writing, Event::CommitFailed(error)) => self.after_failed_write(error),
+            (State::Reading, Event::Row(row)) => self.after_read(row),
+            _ => end(End::TryAgain),
+        }
+    }
+
+    fn after_failed_write(&self, error: CommitError) -> (State, Action) {
+        match error {
+            CommitError::Conflict | CommitError::Unknown { .. } => self.read(),
+            CommitError::NotApplied { .. } => end(End::TryAgain),
+        }
+    }
+
+    fn after_read(&self, row: Option<Row>) -> (State, Action) {
+        let Some(row) = row else {
+            return self.write(Condition::Absent);
+        };
+        let found = Record::decode(&row.body);
+        let mine = found.filter(|record| record.owner == self.outcome.owner);
+        let Some(mine) = mine else {
+            return end(self.without_row());
+        };
+        match (&mine.progress, &self.outcome.progress) {
+            (Progress::Sending, _) => self.write(Condition::VersionIs(row.version)),
+            (Progress::Unknown, Progress::Done { .. } | Progress::TooLarge { .. }) => {
+                self.write(Condition::VersionIs(row.version))
+            }
+            (Progress::Released, wanted) if *wanted != Progress::Released => end(End::Lost),
+            _ => end(End::Recorded),
+        }
+    }
+
+    /// End when the row is another call's: harmless if this call sent nothing.
+    fn without_row(&self) -> End {
+        match self.outcome.progress {
+            Progress::Released => End::Recorded,
+            _ => End::Lost,
+        }
+    }
+
+    fn write(&self, condition: Condition) -> (State, Action) {
+        let put = Write::Put {
+            key: self.key.clone(),
+            body: self.outcome.encode(),
+            condition,
+        };
+        (State::Writing, Action::Commit(put))
+    }
+
+    fn read(&self) -> (State, Action) {
+        (State::Reading, Action::Read(self.key.clone()))
+    }
+}
+
+fn end(end: End) -> (State, Action) {
+    (State::Finished, Action::End(end))
+}
--- /dev/null
+++ b/crates/ledger/tests/faults.rs
@@ -0,0 +1,302 @@
+//! Each fault of the table and of the owner, one at a time, against the running ledger.
+
+mod support;
+
+use ledger::{Begin, Ledger, Permit, Progress, Settled};
+use support::{FakeTable, Fault, fingerprint, ledger, request, result, scope};
+use test_case::test_case;
+
+fn name(begin: &Begin) -> &'static str {
+    match begin {
+        Begin::Run(_) => "run",
+        Begin::Replay(_) => "replay",
+        Begin::TooLarge => "too_large",
+        Begin::Expired => "expired",
+        Begin::InProgress { .. } => "in_progress",
+        Begin::Mismatch => "mismatch",
+        Begin::OutcomeUnknown => "outcome_unknown",
+        Begin::Unavailable { .. } => "unavailable",
+    }
+}
+
+async fn ask(ledger: &Ledger, number: u128) -> Begin {
+    let scope = scope("coop", "k");
+    ledger
+        .begin(scope, fingerprint("body"), request(number))
+        .await
+}
+
+async fn permit(ledger: &Ledger, number: u128) -> Permit {
+    match ask(ledger, number).await {
+        Begin::Run(permit) => permit,
+        other => panic!("wanted leave to run, got {}", name(&other)),
+    }
+}
+
+async fn settled(ledger: &Ledger) {
+    while ledger.backlog_len() > 0 {
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_call_costs_two_writes_and_no_read() {
+    let table = FakeTable::default();
+    let ledger = ledger(&table, "vm-1", 1);
+    let running = permit(&ledger, 1).await.start();
+    assert_eq!(running.finish(result("filed")).await, Settled::Recorded);
+    assert_eq!(table.operations(), (2, 0));
+    let Begin::Replay(replayed) = ask(&ledger, 2).await else {
+        panic!("not replayed");
+    };
+    assert_eq!(replayed, result("filed"));
+    assert_eq!(
+        table.operations(),
+        (3, 1),
+        "a replay costs one refused write and one read"
+    );
+}
+
+#[test_case(&[Fault::Refused], &[], "unavailable", "run"; "refused before")]
+#[test_case(&[Fault::LostAfter], &[], "run", "in_progress"; "answer of the claim lost, effect taken")]
+#[test_case(&[Fault::LostBefore], &[], "run", "in_progress"; "claim lost on the way")]
+#[test_case(&[Fault::SilentAfter], &[], "unavailable", "run"; "silent store that took the claim")]
+#[test_case(&[Fault::Silent], &[], "unavailable", "run"; "silent store that did not")]
+#[test_case(&[Fault::LostAfter], &[Fault::Refused], "unavailable", "run"; "claim taken, read back refused")]
+#[test_case(&[Fault::LostBefore], &[Fault::Refused], "unavailable", "run"; "claim lost, read back refused")]
+#[test_case(&[Fault::LostThenLands], &[Fault::Refused], "unavailable", "run"; "claim delayed, read back refused")]
+#[test_case(&[Fault::LostBefore; 4], &[], "unavailable", "run"; "claim lost each time")]
+#[tokio::test(start_paused = true)]
+async fn the_claim_meets(commits: &[Fault], reads: &[Fault], first: &str, then: &str) {
+    let table = FakeTable::default();
+    table.fail_commits(commits);
+    table.fail_reads(reads);
+    let ledger = ledger(&table, "vm-1", 1);
+    let begin = ask(&ledger, 1).await;
+    assert_eq!(name(&begin), first);
+    settled(&ledger).await;
+    ledger.until_store_up().await;
+    let late = table.land_late();
+    assert_eq!(late, 0, "a delayed claim is fenced once the key is free");
+    assert_eq!(name(&ask(&ledger, 2).await), then);
+}
+
+#[test_case(&[Fault::Refused], Settled::Deferred; "refused")]
+#[test_case(&[Fault::LostAfter], Settled::Recorded; "answer lost, effect taken")]
+#[test_case(&[Fault::LostBefore], Settled::Recorded; "lost on the way")]
+#[test_case(&[Fault::LostThenLands], Settled::Recorded; "delayed")]
+#[test_case(&[Fault::Silent], Settled::Deferred; "silent")]
+#[test_case(&[Fault::SilentAfter], Settled::Deferred; "silent, effect taken")]
+#[tokio::test(start_paused = true)]
+async fn the_result_meets(commits: &[Fault], want: Settled) {
+    let table = FakeTable::default();
+    let ledger = ledger(&table, "vm-1", 1);
+    let running = permit(&ledger, 1).await.start();
+    table.fail_commits(commits);
+    assert_eq!(running.finish(result("filed")).await, want);
+    settled(&ledger).await;
+    table.land_late();
+    ledger.until_store_up().await;
+    assert_eq!(name(&ask(&ledger, 2).await), "replay");
+}
+
+#[tokio::test(start_paused = true)]
+async fn store_down_is_answered_at_once() {
+    let table = FakeTable::default();
+    let ledger = ledger(&table, "vm-1", 1);
+    table.fail_all(Some(Fault::Silent));
+    let start = tokio::time::Instant::now();
+    assert_eq!(name(&ask(&ledger, 1).await), "unavailable");
+    let first_ms = start.elapsed().as_millis();
+    let (commits, _) = table.operations();
+    for number in 2..1_000 {
+        assert_eq!(name(&ask(&ledger, number).await), "unavailable");
+    }
+    assert_eq!(
+        start.elapsed().as_millis(),
+        first_ms,
+        "later calls wait for nothing"
+    );
+    assert_eq!(table.operations().0, commits, "and ask the store nothing");
+    table.fail_all(None);
+    ledger.until_store_up().await;
+    assert_eq!(name(&ask(&ledger, 1_000).await), "run");
+}
+
+#[tokio::test(start_paused = true)]
+async fn calls_that_wait_when_the_outage_is_found_are_answered_with_it() {
+    let table = FakeTable::default();
+    let ledger = ledger(&table, "vm-1", 1);
+    table.fail_all(Some(Fault::SilentAfter));
+    let start = tokio::time::Instant::now();
+    let early = ask(&ledger, 1);
+    let late = async {
+        tokio::time::sleep(std::time::Duration::from_millis(1_400)).await;
+        let scope = scope("coop", "other");
+        ledger.begin(scope, fingerprint("body"), request(2)).await
+    };
+    let (early, late) = tokio::join!(early, late);
+    assert_eq!((name(&early), name(&late)), ("unavailable", "unavailable"));
+    assert!(start.elapsed().as_millis() < 1_600, "{:?}", start.elapsed());
+}
+
+#[tokio::test(start_paused = true)]
+async fn store_down_after_the_run_is_recorded_later() {
+    let table = FakeTable::default();
+    let (first, second) = (ledger(&table, "vm-1", 1), ledger(&table, "vm-2", 2));
+    let running = permit(&first, 1).await.start();
+    table.fail_all(Some(Fault::Silent));
+    assert_eq!(running.finish(result("filed")).await, Settled::Deferred);
+    assert_eq!(name(&ask(&second, 2).await), "unavailable");
+    table.fail_all(None);
+    second.until_store_up().await;
+    let between = ask(&second, 3).await;
+    assert!(["in_progress", "replay"].contains(&name(&between)));
+    settled(&first).await;
+    assert_eq!(name(&ask(&second, 4).await), "replay");
+}
+
+#[derive(Clone, Copy)]
+enum Death {
+    BeforeStart,
+    AfterStart,
+    DuringFinish,
+    AfterFinish,
+}
+
+/// A killed owner runs no destructor: its permit is forgotten and its ledger never settles.
+#[test_case(Death::BeforeStart, "in_progress"; "after the claim")]
+#[test_case(Death::AfterStart, "in_progress"; "after sending")]
+#[test_case(Death::DuringFinish, "in_progress"; "result lost with it")]
+#[test_case(Death::AfterFinish, "replay"; "after the result")]
+#[tokio::test(start_paused = true)]
+async fn the_owner_is_killed(death: Death, want: &str) {
+    let table = FakeTable::default();
+    let (first, second) = (ledger(&table, "vm-1", 1), ledger(&table, "vm-2", 2));
+    let permit = permit(&first, 1).await;
+    match death {
+        Death::BeforeStart => std::mem::forget(permit),
+        Death::AfterStart => std::mem::forget(permit.start()),
+        Death::DuringFinish => {
+            table.fail_all(Some(Fault::Refused));
+            permit.start().finish(result("filed")).await;
+        }
+        Death::AfterFinish => {
+            permit.start().finish(result("filed")).await;
+        }
+    }
+    first.close(0).await;
+    table.fail_all(None);
+    for number in 2..5 {
+        assert_eq!(name(&ask(&second, number).await), want);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_wakes_after_any_pause_is_still_the_only_one() {
+    let table = FakeTable::default();
+    let (first, second) = (ledger(&table, "vm-1", 1), ledger(&table, "vm-2", 2));
+    let permit = permit(&first, 1).await;
+    let year = std::time::Duration::from_secs(365 * 86_400);
+    tokio::time::advance(year).await;
+    assert_eq!(name(&ask(&second, 2).await), "in_progress");
+    let running = permit.start();
+    tokio::time::advance(year).await;
+    assert_eq!(name(&ask(&second, 3).await), "in_progress");
+    assert_eq!(running.finish(result("filed")).await, Settled::Recorded);
+    assert_eq!(name(&ask(&second, 4).await), "replay");
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_two_entry_vms_at_once_one_runs() {
+    let table = FakeTable::default();
+    let (first, second) = (ledger(&table, "vm-1", 1), ledger(&table, "vm-2", 2));
+    let (a, b) = tokio::join!(ask(&first, 1), ask(&second, 2));
+    let mut names = [name(&a), name(&b)];
+    names.sort();
+    assert_eq!(names, ["in_progress", "run"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn outcomes_of_the_owner_decide_what_a_second_call_gets() {
+    let table = FakeTable::default();
+    let ledger = ledger(&table, "vm-1", 1);
+    permit(&ledger, 1).await.not_sent().await;
+    permit(&ledger, 2).await.start().not_sent().await;
+    drop(permit(&ledger, 3).await);
+    settled(&ledger).await;
+    drop(permit(&ledger, 4).await.start());
+    settled(&ledger).await;
+    assert_eq!(name(&ask(&ledger, 5).await), "outcome_unknown");
+    let row = scope("coop", "k").row_key();
+    assert_eq!(table.record(&row).unwrap().progress, Progress::Unknown);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_leaves_during_the_claim_frees_the_key() {
+    let table = FakeTable::default();
+    let ledger = ledger(&table, "vm-1", 1);
+    let left = tokio::time::timeout(std::time::Duration::ZERO, ask(&ledger, 1)).await;
+    assert!(left.is_err());
+    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    settled(&ledger).await;
+    assert_eq!(table.operations().0, 2, "claimed and freed");
+    assert_eq!(name(&ask(&ledger, 2).await), "run");
+}
+
+#[tokio::test(start_paused = true)]
+async fn another_body_or_workspace_is_another_matter() {
+    let table = FakeTable::default();
+    let ledger = ledger(&table, "vm-1", 1);
+    let running = permit(&ledger, 1).await.start();
+    running.finish(result("filed")).await;
+    let other_body = ledger
+        .begin(scope("coop", "k"), fingerprint("other"), request(2))
+        .await;
+    assert_eq!(name(&other_body), "mismatch");
+    let other_workspace = ledger
+        .begin(scope("rival", "k"), fingerprint("body"), request(3))
+        .await;
+    assert_eq!(name(&other_workspace), "run");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_result_too_large_to_keep_is_refused_loudly() {
+    let table = FakeTable::default();
+    let ledger = ledger(&table, "vm-1", 1);
+    let running = permit(&ledger, 1).await.start();
+    running.finish(result(&"x".repeat(65))).await;
+    assert_eq!(name(&ask(&ledger, 2).await), "too_large");
+}
+
+#[tokio::test(start_paused = true)]
+async fn after_retention_the_key_stays_closed() {
+    let table = FakeTable::default();
+    let ledger = ledger(&table, "vm-1", 1);
+    permit(&ledger, 1)
+        .await
+        .start()
+        .finish(result("filed"))
+        .await;
+    let row = scope("coop", "k").row_key();
+    assert_eq!(ledger.sweep_page("coop", "", 30).await.unwrap().dropped, 0);
+    assert_eq!(name(&ask(&ledger, 2).await), "replay");
+    let mut old = table.record(&row).unwrap();
+    old.day -= 31;
+    table.overwrite(&row, &old.encode());
+    assert_eq!(ledger.sweep_page("coop", "", 30).await.unwrap().dropped, 1);
+    assert_eq!(name(&ask(&ledger, 3).await), "expired");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_damaged_row_is_never_run_again() {
+    let table = FakeTable::default();
+    let ledger = ledger(&table, "vm-1", 1);
+    permit(&ledger, 1)
+        .await
+        .start()
+        .finish(result("filed"))
+        .await;
+    table.overwrite(&scope("coop", "k").row_key(), "{");
+    assert_eq!(name(&ask(&ledger, 2).await), "outcome_unknown");
+}
