Daemon settings in TOML, checked against their own schema

Cause: a daemon learns its addresses, failure domain and limits from settings; unknown keys, wrong units and clashing ports must be refused at start with file, key and mend. The settings get a published schema too, so that the reporting of faults is shared with the configuration document. Ruled out: serde's errors alone (one fault at a time).

--- a/crates/conf/src/config.rs
+++ b/crates/conf/src/config.rs
@@ -49,7 +49,7 @@
     /// Reads and checks a document; an error lists every fault.
     pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
         let value = read(text).map_err(|fault| vec![fault])?;
-        let mut faults = schema::violations(&value);
+        let mut faults = schema::config().violations(&value);
         faults.extend(check::faults(&Sections::read(&value)));
         if !faults.is_empty() {
             return Err(faults);
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -8,14 +8,18 @@
 mod check;
 mod config;
 mod diff;
-#[allow(missing_docs)]
-#[path = "generated.rs"]
+#[allow(missing_docs, clippy::derivable_impls)]
+#[path = "generated/config.rs"]
 pub mod document;
 mod fault;
 mod model;
 mod route;
 mod schema;
 mod sections;
+pub mod settings;
+#[allow(missing_docs, clippy::derivable_impls)]
+#[path = "generated/settings.rs"]
+mod settings_document;
 mod strict;
 
 pub use config::{Config, MAX_DOCUMENT_SIZE_BYTES};
--- a/crates/conf/src/schema.rs
+++ b/crates/conf/src/schema.rs
@@ -1,39 +1,108 @@
-//! Checks a document against the published JSON Schema.
+//! Checks values against the published JSON Schemas.
 
+use std::collections::BTreeSet;
 use std::sync::LazyLock;
 
 use jsonschema::error::{TypeKind, ValidationErrorKind};
-use jsonschema::{ValidationError, Validator};
+use jsonschema::{JsonType, ValidationError, Validator};
 use serde_json::Value;
 
 use crate::fault::Fault;
 
-static SCHEMA_TEXT: &str = include_str!("../../../schema/config.schema.json");
+static CONFIG: LazyLock<Schema> =
+    LazyLock::new(|| Schema::read(include_str!("../../../schema/config.schema.json")));
 
-static VALIDATOR: LazyLock<Validator> = LazyLock::new(|| {
-    let schema = serde_json::from_str(SCHEMA_TEXT).expect("the published schema is JSON");
-    jsonschema::validator_for(&schema).expect("the published schema is a schema")
-});
+static SETTINGS: LazyLock<Schema> =
+    LazyLock::new(|| Schema::read(include_str!("../../../schema/settings.schema.json")));
 
-/// Every violation of the schema.
-pub(crate) fn violations(document: &Value) -> Vec<Fault> {
-    let mut faults = Vec::new();
-    for error in VALIDATOR.iter_errors(document) {
-        faults.extend(translate(&error));
+/// Endings of keys that give a unit.
+const UNIT_SUFFIXES: [&str; 10] = [
+    "_ms", "_us", "_s", "_sec", "_secs", "_seconds", "_bytes", "_kb", "_mb", "_mib",
+];
+
+/// A published schema, ready for use.
+pub(crate) struct Schema {
+    validator: Validator,
+    keys: BTreeSet<String>,
+}
+
+/// The schema of the configuration document.
+pub(crate) fn config() -> &'static Schema {
+    &CONFIG
+}
+
+/// The schema of the daemon's settings.
+pub(crate) fn settings() -> &'static Schema {
+    &SETTINGS
+}
+
+impl Schema {
+    fn read(text: &str) -> Self {
+        let schema = serde_json::from_str(text).expect("the published schema is JSON");
+        let mut keys = BTreeSet::new();
+        collect_keys(&schema, &mut keys);
+        Self {
+            validator: jsonschema::validator_for(&schema).expect("the published schema is valid"),
+            keys,
+        }
+    }
+
+    /// Every violation of the schema.
+    pub(crate) fn violations(&self, value: &Value) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        for error in self.validator.iter_errors(value) {
+            let path = json_path(error.instance_path.as_str());
+            let ValidationErrorKind::AdditionalProperties { unexpected } = &error.kind else {
+                faults.push(translate(path, &error));
+                continue;
+            };
+            for key in unexpected {
+                faults.push(self.unknown_key(&path, key));
+            }
+        }
+        faults
+    }
+
+    fn unknown_key(&self, path: &str, key: &str) -> Fault {
+        let mend = match self.same_stem(key) {
+            Some(known) => format!("Write `{known}`, in the unit that its name gives."),
+            None => format!("Remove `{key}` or correct its spelling."),
+        };
+        Fault::new(path, format!("The key `{key}` is unknown."), mend)
+    }
+
+    /// The known key that differs in its unit only.
+    fn same_stem(&self, key: &str) -> Option<&str> {
+        let wanted = stem(key);
+        let known = self.keys.iter().find(|known| stem(known) == wanted)?;
+        (known != key).then_some(known)
+    }
+}
+
+fn stem(key: &str) -> &str {
+    for suffix in UNIT_SUFFIXES {
+        if let Some(stem) = key.strip_suffix(suffix) {
+            return stem;
+        }
+    }
+    key
+}
+
+fn collect_keys(schema: &Value, keys: &mut BTreeSet<String>) {
+    let Value::Object(fields) = schema else {
+        return;
+    };
+    for (field, value) in fields {
+        if let ("properties", Value::Object(properties)) = (field.as_str(), value) {
+            keys.extend(properties.keys().cloned());
+        }
+        collect_keys(value, keys);
     }
-    faults
 }
 
-fn translate(error: &ValidationError) -> Vec<Fault> {
-    let path = json_path(error.instance_path.as_str());
+fn translate(path: String, error: &ValidationError) -> Fault {
     let shown = shown(&path, &error.instance);
     let (problem, mend) = match &error.kind {
-        ValidationErrorKind::AdditionalProperties { unexpected } => {
-            return unexpected
-                .iter()
-                .map(|key| unknown_key(&path, key))
-                .collect();
-        }
         ValidationErrorKind::Required { property } => (
             format!("The key {property} is missing."),
             format!("Add {property}."),
@@ -78,19 +147,14 @@
             format!("See {} in the schema.", error.schema_path.as_str()),
         ),
     };
-    vec![Fault::new(path, problem, mend)]
-}
-
-fn unknown_key(path: &str, key: &str) -> Fault {
-    Fault::new(
-        path,
-        format!("The key `{key}` is unknown."),
-        format!("Remove `{key}` or correct its spelling."),
-    )
+    Fault::new(path, problem, mend)
 }
 
 fn type_mend(kind: &TypeKind) -> String {
     match kind {
+        TypeKind::Single(JsonType::Integer) => {
+            "Write a whole number without quotes; the key's name gives the unit.".to_owned()
+        }
         TypeKind::Single(kind) => format!("Use the type {kind}."),
         TypeKind::Multiple(_) => "Use one of the types that the schema allows.".to_owned(),
     }
@@ -99,7 +163,7 @@
 /// The value for a message: short, and never what may be a key.
 fn shown(path: &str, value: &Value) -> String {
     const MAX_SHOWN_CHARS: usize = 60;
-    if path.contains(".key_digest") {
+    if path.contains(".key_digest") || path.contains(".secret") {
         return "The value".to_owned();
     }
     match value {
--- a/crates/conf/tests/faults.rs
+++ b/crates/conf/tests/faults.rs
@@ -24,8 +24,8 @@
 }
 
 #[test_case("/services/0/kind", json!("llm"), "$.services[0].kind", "Use one of"; "unknown kind")]
-#[test_case("/services/0/timeout_s", json!(60), "$.services[0]", "Remove `timeout_s`"; "unknown key")]
-#[test_case("/services/0/timeout_ms", json!("60s"), "$.services[0].timeout_ms", "Use the type integer"; "wrong type")]
+#[test_case("/services/0/timeout_s", json!(60), "$.services[0]", "Write `timeout_ms`"; "unknown key")]
+#[test_case("/services/0/timeout_ms", json!("60s"), "$.services[0].timeout_ms", "Write a whole number"; "wrong type")]
 #[test_case("/services/0/timeout_ms", json!(0), "$.services[0].timeout_ms", "Use 1 or more"; "too small")]
 #[test_case("/services/0/timeout_ms", json!(1000), "$.services[0].latency_target.first_token_ms", "raise `timeout_ms`"; "target beyond timeout")]
 #[test_case("/workspaces/0/name", json!("Schools!"), "$.workspaces[0].name", "Write text that matches"; "bad name")]
