HTTP clients of the platform's services, with their contract tests

Each call is one bounded attempt; a commit is NotApplied only when no connection could be opened or the service named a refusal that excludes an effect. A plain 503, a cut answer, a timeout or junk after the first byte is Unknown; a wrong classification here would make 'not run' untrue above. Puts travel as Update with ADD version, so that the service counts versions up even without a condition; ruled out: reading the version first, which costs a read and races.

--- /dev/null
+++ b/crates/platform/src/http/cloud.rs
@@ -0,0 +1,103 @@
+//! Cloud API.
+
+use async_trait::async_trait;
+use base::units::ByteCount;
+use bytes::Bytes;
+use http::{Method, StatusCode};
+
+use super::client::{Call, Client, Endpoint, Reply, SendError};
+use super::is_url_safe;
+use crate::{Cloud, CloudError, VmOrder, VmPurchase};
+
+/// Bound of an answer.
+const ANSWER_LIMIT_BYTES: ByteCount = 1 << 20;
+
+const JSON: &[(&str, &str)] = &[("content-type", "application/json")];
+
+/// The platform's cloud API.
+#[derive(Clone, Debug)]
+pub struct HttpCloud {
+    client: Client,
+}
+
+impl HttpCloud {
+    /// Opens a client; connections are made when needed.
+    pub fn open(endpoint: Endpoint) -> Self {
+        Self {
+            client: Client::open(endpoint),
+        }
+    }
+
+    async fn call(&self, method: Method, path: String, body: Bytes) -> Result<Reply, CloudError> {
+        let call = Call {
+            method,
+            path,
+            headers: JSON,
+            body,
+            answer_limit_bytes: ANSWER_LIMIT_BYTES,
+        };
+        let reply = self.client.send(call).await;
+        reply.map_err(|e| match e {
+            SendError::NotSent { .. } => CloudError::Refused {
+                reason: e.to_string(),
+            },
+            SendError::Unanswered { .. } => unknown(&e.to_string()),
+        })
+    }
+}
+
+#[async_trait]
+impl Cloud for HttpCloud {
+    async fn buy(&self, order: &VmOrder) -> Result<VmPurchase, CloudError> {
+        let body = serde_json::to_vec(order).expect("an order is plain data");
+        let path = "/cloud/vms".to_owned();
+        let reply = self.call(Method::POST, path, body.into()).await?;
+        match reply.status {
+            StatusCode::CREATED => purchase(&reply),
+            StatusCode::CONFLICT => Err(CloudError::Refused {
+                reason: String::from_utf8_lossy(&reply.body).into_owned(),
+            }),
+            _ => Err(unknown(&reply.unexpected())),
+        }
+    }
+
+    async fn find(&self, token: &str) -> Result<Option<VmPurchase>, CloudError> {
+        require_url_safe(token)?;
+        let path = format!("/cloud/vms?token={token}");
+        let reply = self.call(Method::GET, path, Bytes::new()).await?;
+        match reply.status {
+            StatusCode::OK => purchase(&reply).map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(unknown(&reply.unexpected())),
+        }
+    }
+
+    async fn release(&self, vm: &str) -> Result<(), CloudError> {
+        require_url_safe(vm)?;
+        let path = format!("/cloud/vms/{vm}");
+        let reply = self.call(Method::DELETE, path, Bytes::new()).await?;
+        match reply.status {
+            StatusCode::OK | StatusCode::NO_CONTENT | StatusCode::NOT_FOUND => Ok(()),
+            _ => Err(unknown(&reply.unexpected())),
+        }
+    }
+}
+
+fn purchase(reply: &Reply) -> Result<VmPurchase, CloudError> {
+    serde_json::from_slice(&reply.body).map_err(|e| unknown(&e.to_string()))
+}
+
+fn require_url_safe(text: &str) -> Result<(), CloudError> {
+    match is_url_safe(text) {
+        true => Ok(()),
+        false => Err(CloudError::Refused {
+            reason: format!("`{text}` cannot stand in a URL"),
+        }),
+    }
+}
+
+fn unknown(reason: &str) -> CloudError {
+    CloudError::Unknown {
+        reason: reason.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http/objects.rs
@@ -0,0 +1,71 @@
+//! Object store over S3 paths.
+
+use async_trait::async_trait;
+use base::units::ByteCount;
+use bytes::Bytes;
+use http::{Method, StatusCode};
+
+use super::client::{Call, Client, Endpoint, Reply};
+use super::is_url_safe;
+use crate::{ObjectError, Objects};
+
+/// Largest object that is read.
+const OBJECT_LIMIT_BYTES: ByteCount = 64 << 20;
+
+/// The platform's object store.
+#[derive(Clone, Debug)]
+pub struct HttpObjects {
+    client: Client,
+    bucket: String,
+}
+
+impl HttpObjects {
+    /// Opens a client of one bucket; connections are made when needed.
+    pub fn open(endpoint: Endpoint, bucket: impl Into<String>) -> Self {
+        Self {
+            client: Client::open(endpoint),
+            bucket: bucket.into(),
+        }
+    }
+
+    async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Reply, ObjectError> {
+        if !path.split('/').all(is_url_safe) {
+            return Err(failure(&format!("`{path}` cannot be an object's path")));
+        }
+        let call = Call {
+            method,
+            path: format!("/{}/{path}", self.bucket),
+            headers: &[],
+            body,
+            answer_limit_bytes: OBJECT_LIMIT_BYTES,
+        };
+        let reply = self.client.send(call).await;
+        reply.map_err(|e| failure(&e.to_string()))
+    }
+}
+
+#[async_trait]
+impl Objects for HttpObjects {
+    async fn get(&self, path: &str) -> Result<Option<Bytes>, ObjectError> {
+        let reply = self.call(Method::GET, path, Bytes::new()).await?;
+        match reply.status {
+            StatusCode::OK => Ok(Some(reply.body)),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(failure(&reply.unexpected())),
+        }
+    }
+
+    async fn put(&self, path: &str, body: Bytes) -> Result<(), ObjectError> {
+        let reply = self.call(Method::PUT, path, body).await?;
+        match reply.status {
+            StatusCode::OK => Ok(()),
+            _ => Err(failure(&reply.unexpected())),
+        }
+    }
+}
+
+fn failure(reason: &str) -> ObjectError {
+    ObjectError {
+        reason: reason.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http/table.rs
@@ -0,0 +1,167 @@
+//! Table over the DynamoDB JSON 1.0 protocol.
+
+use async_trait::async_trait;
+use base::units::ByteCount;
+use http::{Method, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::client::{Call, Client, Endpoint, Reply, SendError};
+use super::dynamo::{
+    GetItem, GotItem, Query, QueryPage, Refusal, RefusalKind, TransactItem, Transaction,
+};
+use crate::{CommitError, Key, ReadError, Row, Table, Write};
+
+/// Bound of an answer: a page of the service is at most 1 MiB of items.
+const ANSWER_LIMIT_BYTES: ByteCount = 8 << 20;
+
+const TARGET: &str = "x-amz-target";
+
+const JSON: (&str, &str) = ("content-type", "application/x-amz-json-1.0");
+
+/// Operation of the service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Operation {
+    GetItem,
+    Query,
+    TransactWriteItems,
+}
+
+impl Operation {
+    fn headers(self) -> &'static [(&'static str, &'static str)] {
+        match self {
+            Self::GetItem => &[JSON, (TARGET, "DynamoDB_20120810.GetItem")],
+            Self::Query => &[JSON, (TARGET, "DynamoDB_20120810.Query")],
+            Self::TransactWriteItems => &[JSON, (TARGET, "DynamoDB_20120810.TransactWriteItems")],
+        }
+    }
+}
+
+/// The platform's table service.
+#[derive(Clone, Debug)]
+pub struct HttpTable {
+    client: Client,
+    table_name: String,
+}
+
+impl HttpTable {
+    /// Opens a client of one table; connections are made when needed.
+    pub fn open(endpoint: Endpoint, table_name: impl Into<String>) -> Self {
+        Self {
+            client: Client::open(endpoint),
+            table_name: table_name.into(),
+        }
+    }
+
+    async fn call(&self, operation: Operation, body: &impl Serialize) -> Result<Reply, SendError> {
+        let body = serde_json::to_vec(body).expect("a message is plain data");
+        let call = Call {
+            method: Method::POST,
+            path: "/".into(),
+            headers: operation.headers(),
+            body: body.into(),
+            answer_limit_bytes: ANSWER_LIMIT_BYTES,
+        };
+        self.client.send(call).await
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        operation: Operation,
+        body: &impl Serialize,
+    ) -> Result<T, ReadError> {
+        let reply = self.call(operation, body).await;
+        let reply = reply.map_err(|e| unreadable(&e.to_string()))?;
+        if reply.status != StatusCode::OK {
+            return Err(unreadable(&describe(&reply)));
+        }
+        serde_json::from_slice(&reply.body).map_err(|e| unreadable(&e.to_string()))
+    }
+}
+
+#[async_trait]
+impl Table for HttpTable {
+    async fn get(&self, key: &Key) -> Result<Option<Row>, ReadError> {
+        let body = GetItem {
+            table_name: &self.table_name,
+            key: key.into(),
+            consistent_read: true,
+        };
+        let got: GotItem = self.read(Operation::GetItem, &body).await?;
+        let Some(item) = got.item else {
+            return Ok(None);
+        };
+        item.try_into()
+            .map(Some)
+            .map_err(|e: String| unreadable(&e))
+    }
+
+    async fn scan(&self, partition: &str, after: &str, limit: u32) -> Result<Vec<Row>, ReadError> {
+        let mut rows: Vec<Row> = Vec::new();
+        while rows.len() < limit as usize {
+            let after = rows.last().map_or(after, |row| row.key.sort.as_str());
+            let wanted = limit - rows.len() as u32;
+            let body = Query::new(&self.table_name, partition, after, wanted);
+            let page: QueryPage = self.read(Operation::Query, &body).await?;
+            let page_was_empty = page.items.is_empty();
+            for item in page.items {
+                rows.push(item.try_into().map_err(|e: String| unreadable(&e))?);
+            }
+            if page.last_evaluated_key.is_none() || page_was_empty {
+                break;
+            }
+        }
+        Ok(rows)
+    }
+
+    async fn commit(&self, writes: Vec<Write>) -> Result<(), CommitError> {
+        let item = |write| TransactItem::new(&self.table_name, write);
+        let body = Transaction {
+            transact_items: writes.iter().map(item).collect(),
+        };
+        let reply = self.call(Operation::TransactWriteItems, &body).await;
+        match reply {
+            Ok(reply) => judge(&reply),
+            Err(e @ SendError::NotSent { .. }) => Err(CommitError::NotApplied {
+                reason: e.to_string(),
+            }),
+            Err(e @ SendError::Unanswered { .. }) => Err(CommitError::Unknown {
+                reason: e.to_string(),
+            }),
+        }
+    }
+}
+
+/// Reads the outcome of a commit from a whole answer.
+fn judge(reply: &Reply) -> Result<(), CommitError> {
+    if reply.status == StatusCode::OK {
+        return match serde_json::from_slice::<serde_json::Value>(&reply.body) {
+            Ok(_) => Ok(()),
+            Err(e) => Err(CommitError::Unknown {
+                reason: e.to_string(),
+            }),
+        };
+    }
+    let reason = describe(reply);
+    match refusal(reply).kind() {
+        RefusalKind::Conflict => Err(CommitError::Conflict),
+        RefusalKind::BeforeEffect => Err(CommitError::NotApplied { reason }),
+        RefusalKind::Unclear => Err(CommitError::Unknown { reason }),
+    }
+}
+
+fn refusal(reply: &Reply) -> Refusal {
+    serde_json::from_slice(&reply.body).unwrap_or_default()
+}
+
+fn describe(reply: &Reply) -> String {
+    format!("{} {}", reply.unexpected(), refusal(reply).name())
+        .trim_end()
+        .to_owned()
+}
+
+fn unreadable(reason: &str) -> ReadError {
+    ReadError {
+        reason: reason.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http/vms.rs
@@ -0,0 +1,86 @@
+//! VM list and reclaim notices.
+
+use async_trait::async_trait;
+use base::units::{ByteCount, Millisecond};
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use serde::Deserialize;
+
+use super::client::{Call, Client, Endpoint, Reply};
+use super::is_url_safe;
+use crate::{Vm, VmListError, Vms};
+
+/// Largest list that is read; 13,200 VMs take about 4 MB.
+const LIST_LIMIT_BYTES: ByteCount = 16 << 20;
+
+/// The platform's VM list.
+#[derive(Clone, Debug)]
+pub struct HttpVms {
+    client: Client,
+}
+
+#[derive(Deserialize)]
+struct VmList {
+    vms: Vec<Vm>,
+}
+
+#[derive(Deserialize)]
+struct Notice {
+    remaining_ms: Millisecond,
+}
+
+impl HttpVms {
+    /// Opens a client; connections are made when needed.
+    pub fn open(endpoint: Endpoint) -> Self {
+        Self {
+            client: Client::open(endpoint),
+        }
+    }
+
+    async fn get(&self, path: String) -> Result<Reply, VmListError> {
+        let call = Call {
+            method: Method::GET,
+            path,
+            headers: &[],
+            body: Bytes::new(),
+            answer_limit_bytes: LIST_LIMIT_BYTES,
+        };
+        let reply = self.client.send(call).await;
+        reply.map_err(|e| failure(&e.to_string()))
+    }
+}
+
+#[async_trait]
+impl Vms for HttpVms {
+    async fn list(&self) -> Result<Vec<Vm>, VmListError> {
+        let reply = self.get("/vms".into()).await?;
+        if reply.status != StatusCode::OK {
+            return Err(failure(&reply.unexpected()));
+        }
+        let list: Result<VmList, _> = serde_json::from_slice(&reply.body);
+        list.map(|list| list.vms)
+            .map_err(|e| failure(&e.to_string()))
+    }
+
+    async fn notice(&self, vm: &str) -> Result<Option<Millisecond>, VmListError> {
+        if !is_url_safe(vm) {
+            return Err(failure(&format!("`{vm}` cannot be a VM's identifier")));
+        }
+        let reply = self.get(format!("/vms/{vm}/notice")).await?;
+        match reply.status {
+            StatusCode::OK => {
+                let notice: Result<Notice, _> = serde_json::from_slice(&reply.body);
+                let notice = notice.map_err(|e| failure(&e.to_string()))?;
+                Ok(Some(notice.remaining_ms))
+            }
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(failure(&reply.unexpected())),
+        }
+    }
+}
+
+fn failure(reason: &str) -> VmListError {
+    VmListError {
+        reason: reason.to_owned(),
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,7 +1,8 @@
 //! The platform's services as the rest of the system sees them: table, object store, VM list and
-//! cloud API. The traits are the edge of the process; The HTTP clients stand beside them.
+//! cloud API. The traits are the edge of the process; the HTTP clients stand beside them.
 
 mod cloud;
+pub mod http;
 mod objects;
 mod table;
 mod vms;
--- a/crates/standin/src/platform/table.rs
+++ b/crates/standin/src/platform/table.rs
@@ -188,10 +188,7 @@
     fn checked(self) -> Result<Part, String> {
         let (part, effect) = match self {
             Self::Put(put) => {
-                let bytes = serde_json::to_string(&put.item).map_err(|e| e.to_string())?;
-                if bytes.len() > ITEM_LIMIT_BYTES {
-                    return Err("item size has exceeded the maximum allowed size".into());
-                }
+                check_size(&put.item)?;
                 return Ok(Part {
                     key: ItemKey::of(&put.item)?,
                     condition: put.condition_expression,
@@ -203,6 +200,7 @@
                 if part.update_expression.as_deref() != Some("SET body = :b ADD version :one") {
                     return Err("unknown update expression".into());
                 }
+                check_size(&part.expression_attribute_values)?;
                 (part, Effect::Update)
             }
             Self::Delete(part) => (part, Effect::Delete),
@@ -328,6 +326,14 @@
     }
 }
 
+fn check_size(attributes: &Item) -> Result<(), String> {
+    let text = serde_json::to_string(attributes).map_err(|e| e.to_string())?;
+    match text.len() > ITEM_LIMIT_BYTES {
+        true => Err("item size has exceeded the maximum allowed size".into()),
+        false => Ok(()),
+    }
+}
+
 fn parse<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, String> {
     serde_json::from_slice(body).map_err(|e| e.to_string())
 }
