--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,5 +4,6 @@
 //! time and, where it needs one, a random source, and returns what is to be done.
 
 pub mod limit;
+pub mod place;
 pub mod reclaim;
 pub mod route;
--- /dev/null
+++ b/crates/policy/src/place/mix.rs
@@ -0,0 +1,174 @@
+//! The cheapest VMs that hold a demand through the loss of any one failure domain.
+
+use base::{Map, Name};
+
+use super::{Offer, Purchase};
+
+/// VMs bought in one decision at most, for each service.
+const MAX_ADDITIONS: usize = 2_000;
+
+/// Tolerance in comparisons of capacity.
+const EPSILON: f64 = 1e-6;
+
+/// Capacity left when the failure domain with the most of it is lost. With a single failure
+/// domain nothing would be left, so its whole capacity counts.
+pub fn capacity_after_loss(by_domain: &Map<Name, f64>) -> f64 {
+    let total: f64 = by_domain.values().sum();
+    let largest = by_domain.values().copied().fold(0.0, f64::max);
+    total - largest
+}
+
+/// The offers to buy, one entry for each VM, so that `existing` and they hold `demand_per_s`
+/// through the loss of one failure domain. With offers and VMs in one failure domain only, they
+/// hold it without a loss.
+pub fn cheapest_additions(
+    demand_per_s: f64,
+    existing: &Map<Name, f64>,
+    offers: &[&Offer],
+) -> Vec<usize> {
+    let domains = domains_by_price(existing, offers);
+    if domains.len() < 2 {
+        return fill_single(demand_per_s, existing, offers, &domains);
+    }
+    let mut best: Option<(u64, Vec<usize>)> = None;
+    for used in 2..=domains.len() {
+        let Some(chosen) = fill_evenly(demand_per_s, existing, offers, &domains[..used]) else {
+            continue;
+        };
+        let chosen = trim(demand_per_s, existing, offers, chosen);
+        let price = chosen.iter().map(|i| offers[*i].price_micros_per_h).sum();
+        if best.as_ref().is_some_and(|(lowest, _)| *lowest <= price) {
+            continue;
+        }
+        best = Some((price, chosen));
+    }
+    best.map(|(_, chosen)| chosen).unwrap_or_default()
+}
+
+fn price_per_unit(offer: &Offer) -> f64 {
+    offer.price_micros_per_h as f64 / offer.capacity_per_s.max(EPSILON)
+}
+
+/// Failure domains with an offer or a VM, those that cost least to use first. What a domain has
+/// already costs nothing more.
+fn domains_by_price(existing: &Map<Name, f64>, offers: &[&Offer]) -> Vec<Name> {
+    let mut cheapest: Map<Name, f64> = Map::default();
+    for offer in offers {
+        let price = price_per_unit(offer);
+        let lowest = cheapest
+            .entry(offer.kind.failure_domain.clone())
+            .or_insert(price);
+        *lowest = lowest.min(price);
+    }
+    for domain in existing.keys() {
+        cheapest.entry(domain.clone()).or_insert(0.0);
+    }
+    let mut domains: Vec<(f64, Name)> = cheapest.into_iter().map(|(d, p)| (p, d)).collect();
+    domains.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+    domains.into_iter().map(|(_, domain)| domain).collect()
+}
+
+/// Raises each of the domains to the level at which the loss of one leaves the demand.
+fn fill_evenly(
+    demand_per_s: f64,
+    existing: &Map<Name, f64>,
+    offers: &[&Offer],
+    domains: &[Name],
+) -> Option<Vec<usize>> {
+    let outside: f64 = existing
+        .iter()
+        .filter(|(domain, _)| !domains.contains(domain))
+        .map(|(_, capacity)| capacity)
+        .sum();
+    let level = (demand_per_s - outside).max(0.0) / (domains.len() - 1) as f64;
+    let mut chosen = Vec::new();
+    let mut missing = 0.0;
+    for domain in domains {
+        let has = existing.get(domain).copied().unwrap_or(0.0);
+        missing += fill(level - has, domain, offers, &mut chosen)?;
+    }
+    match missing > EPSILON {
+        true => None,
+        false => Some(chosen),
+    }
+}
+
+/// Adds VMs of one failure domain until `wanted` is covered; answers what stays uncovered.
+fn fill(wanted: f64, domain: &Name, offers: &[&Offer], chosen: &mut Vec<usize>) -> Option<f64> {
+    let mut wanted = wanted;
+    let here = || (0..offers.len()).filter(|i| offers[*i].kind.failure_domain == *domain);
+    while wanted > EPSILON {
+        if chosen.len() >= MAX_ADDITIONS {
+            return None;
+        }
+        let covering = here()
+            .filter(|i| offers[*i].capacity_per_s + EPSILON >= wanted)
+            .min_by_key(|i| offers[*i].price_micros_per_h);
+        let dense =
+            here().min_by(|a, b| price_per_unit(offers[*a]).total_cmp(&price_per_unit(offers[*b])));
+        let Some(dense) = dense else {
+            return Some(wanted);
+        };
+        let pick = match covering {
+            Some(last) if offers[last].price_micros_per_h <= offers[dense].price_micros_per_h => {
+                last
+            }
+            _ => dense,
+        };
+        chosen.push(pick);
+        wanted -= offers[pick].capacity_per_s;
+    }
+    Some(0.0)
+}
+
+fn fill_single(
+    demand_per_s: f64,
+    existing: &Map<Name, f64>,
+    offers: &[&Offer],
+    domains: &[Name],
+) -> Vec<usize> {
+    let mut chosen = Vec::new();
+    let Some(domain) = domains.first() else {
+        return chosen;
+    };
+    let has = existing.get(domain).copied().unwrap_or(0.0);
+    let _uncovered = fill(demand_per_s - has, domain, offers, &mut chosen);
+    chosen
+}
+
+/// Drops VMs, dearest first, while the demand is still held.
+fn trim(
+    demand_per_s: f64,
+    existing: &Map<Name, f64>,
+    offers: &[&Offer],
+    chosen: Vec<usize>,
+) -> Vec<usize> {
+    let mut by_domain = existing.clone();
+    for i in &chosen {
+        *by_domain
+            .entry(offers[*i].kind.failure_domain.clone())
+            .or_default() += offers[*i].capacity_per_s;
+    }
+    let mut order = chosen;
+    order.sort_by_key(|i| std::cmp::Reverse(offers[*i].price_micros_per_h));
+    let mut kept = Vec::with_capacity(order.len());
+    for i in order {
+        let offer = offers[i];
+        let mut without = by_domain.clone();
+        if let Some(capacity) = without.get_mut(&offer.kind.failure_domain) {
+            *capacity -= offer.capacity_per_s;
+        }
+        if capacity_after_loss(&without) + EPSILON >= demand_per_s {
+            by_domain = without;
+            continue;
+        }
+        kept.push(i);
+    }
+    kept
+}
+
+/// On-demand offers only.
+pub(super) fn on_demand<'a>(offers: &[&'a Offer]) -> Vec<&'a Offer> {
+    let on_demand = |offer: &&&Offer| offer.kind.purchase == Purchase::OnDemand;
+    offers.iter().filter(on_demand).copied().collect()
+}
