Ledger: a call refused for a known outage leaves no work behind

The guard now reports such a commit as not applied, and the test counts the outcomes that wait (1 after 999 refusals).

--- a/crates/ledger/src/store.rs
+++ b/crates/ledger/src/store.rs
@@ -68,6 +68,10 @@
 
     /// Commits; an answer that does not come, or that an outage overtakes, is a lost one.
     pub async fn commit(&self, write: Write) -> Result<(), CommitError> {
+        if self.reach() == Reach::Down {
+            let reason = "the store is known to be down".to_string();
+            return Err(CommitError::NotApplied { reason });
+        }
         let commit = self.table.commit(vec![write]);
         let Some(result) = self.within_bounds(commit).await else {
             let reason = "no answer in time".to_string();
--- a/crates/ledger/tests/faults.rs
+++ b/crates/ledger/tests/faults.rs
@@ -118,6 +118,7 @@
         "later calls wait for nothing"
     );
     assert_eq!(table.operations().0, commits, "and ask the store nothing");
+    assert_eq!(ledger.backlog_len(), 1, "nor leave work behind");
     table.fail_all(None);
     ledger.until_store_up().await;
     assert_eq!(name(&ask(&ledger, 1_000).await), "run");
