--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod limit;
 pub mod reclaim;
+pub mod retry;
 pub mod route;
