--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod limit;
 pub mod place;
 pub mod reclaim;
+pub mod retry;
 pub mod route;
