Command-line tool: configuration, status, drain, requests, catalogue

Cause: operators need a tool beside the daemon, with tables for people and JSON for scripts. An apply whose answer is lost is offered again at the next daemon against the same base version; a conflict with an empty difference then means that the first offer took effect. Ruled out: reading the version back, which cannot tell a late effect from none.

--- /dev/null
+++ b/crates/cli/src/exit.rs
@@ -0,0 +1,33 @@
+//! Exit codes, as documented for scripts.
+
+use std::process::ExitCode;
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Exit {
+    /// Done.
+    Success = 0,
+    /// Something failed that no other code names.
+    Failed = 1,
+    /// The command line is faulty.
+    Usage = 2,
+    /// No daemon answered; for a change, it may have taken effect.
+    Unreachable = 3,
+    /// The daemon did not take the operator's key.
+    Unauthorized = 4,
+    /// Another operator's change came first.
+    Conflict = 5,
+    /// The document has faults.
+    Invalid = 6,
+    /// The change was accepted but is not in force everywhere yet.
+    NotInForce = 7,
+    /// There is no such thing.
+    NotFound = 8,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        ExitCode::from(exit as u8)
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/cli/main.rs
@@ -0,0 +1,6 @@
+//! The real tool against a small admin server.
+
+mod config;
+mod offline;
+mod operate;
+mod support;
--- a/crates/conf/src/admin.rs
+++ b/crates/conf/src/admin.rs
@@ -101,6 +101,17 @@
     },
 }
 
+impl ApplyReply {
+    /// HTTP status that goes with the answer.
+    pub fn http_status(&self) -> u16 {
+        match self {
+            Self::Accepted { .. } => 200,
+            Self::Conflict { .. } => 409,
+            Self::Invalid { .. } => 422,
+        }
+    }
+}
+
 /// One accepted version, as in `GET /admin/config/history`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HistoryEntry {
