--- /dev/null
+++ b/crates/engine/src/chat.rs
@@ -0,0 +1,295 @@
+//! Wire types of the OpenAI-compatible protocol, as far as the system reads them.
+//!
+//! Fields that the system does not read pass through untouched.
+
+use base::units::TokenCount;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use serde_json::{Map, Value, json};
+
+/// Which of the two completion calls a request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Call {
+    /// `/v1/chat/completions`.
+    Chat,
+    /// `/v1/completions`.
+    Completions,
+}
+
+impl Call {
+    /// The call's path.
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::Chat => "/v1/chat/completions",
+            Self::Completions => "/v1/completions",
+        }
+    }
+
+    fn chunk_object(self) -> &'static str {
+        match self {
+            Self::Chat => "chat.completion.chunk",
+            Self::Completions => "text_completion",
+        }
+    }
+}
+
+/// Body of a completion request, with the fields that the system changes taken out.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CompletionRequest {
+    /// The service asked for.
+    pub model: String,
+    /// Bound on generated tokens.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_tokens: Option<TokenCount>,
+    /// Whether the caller wants server-sent events.
+    #[serde(default)]
+    pub stream: bool,
+    /// Number of answers; only one is offered.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub n: Option<u32>,
+    /// Chat messages, for [`Call::Chat`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub messages: Option<Vec<Value>>,
+    /// Prompt, for [`Call::Completions`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub prompt: Option<String>,
+    /// Everything else, as the caller sent it.
+    #[serde(flatten)]
+    pub rest: Map<String, Value>,
+}
+
+impl CompletionRequest {
+    /// All prompt text, for estimates and prefix hashing.
+    pub fn prompt_text(&self) -> String {
+        if let Some(prompt) = &self.prompt {
+            return prompt.clone();
+        }
+        let mut text = String::new();
+        for message in self.messages.iter().flatten() {
+            push_content(&mut text, &message["content"]);
+            text.push('\n');
+        }
+        text
+    }
+
+    /// The body of an attempt that goes on after `relayed`, of which `tokens` were counted.
+    pub fn attempt_body(
+        &self,
+        call: Call,
+        relayed: &str,
+        tokens: TokenCount,
+        priority: u8,
+    ) -> Vec<u8> {
+        let mut request = self.clone();
+        request.stream = true;
+        let options = json!({"include_usage": true});
+        request.rest.insert("stream_options".into(), options);
+        request.rest.insert("priority".into(), priority.into());
+        if !relayed.is_empty() {
+            request.max_tokens = self.max_tokens.map(|max| max.saturating_sub(tokens).max(1));
+            request.append_relayed(call, relayed);
+        }
+        serde_json::to_vec(&request).unwrap_or_default()
+    }
+
+    fn append_relayed(&mut self, call: Call, relayed: &str) {
+        match call {
+            Call::Completions => {
+                let prompt = self.prompt.get_or_insert_default();
+                prompt.push_str(relayed);
+            }
+            Call::Chat => {
+                let messages = self.messages.get_or_insert_default();
+                messages.push(json!({"role": "assistant", "content": relayed}));
+                self.rest
+                    .insert("continue_final_message".into(), true.into());
+                self.rest
+                    .insert("add_generation_prompt".into(), false.into());
+            }
+        }
+    }
+}
+
+fn push_content(text: &mut String, content: &Value) {
+    match content {
+        Value::String(part) => text.push_str(part),
+        Value::Array(parts) => {
+            for part in parts {
+                push_content(text, &part["text"]);
+            }
+        }
+        _ => {}
+    }
+}
+
+/// One streamed piece of an answer.
+#[derive(Debug, Deserialize)]
+pub struct Chunk {
+    /// Choices; at most one is used.
+    #[serde(default)]
+    pub choices: Vec<Choice>,
+    /// Token counts, on the last chunk.
+    #[serde(default)]
+    pub usage: Option<Usage>,
+}
+
+/// One choice of a chunk.
+#[derive(Debug, Deserialize)]
+pub struct Choice {
+    /// Text and tool calls, for chat.
+    #[serde(default)]
+    pub delta: Option<Delta>,
+    /// Text, for plain completions.
+    #[serde(default)]
+    pub text: Option<String>,
+    /// Log probabilities, passed through.
+    #[serde(default)]
+    pub logprobs: Option<Box<RawValue>>,
+    /// Why generation ended, on the last piece.
+    #[serde(default)]
+    pub finish_reason: Option<String>,
+}
+
+/// Change of a chat message.
+#[derive(Debug, Deserialize)]
+pub struct Delta {
+    /// Text.
+    #[serde(default)]
+    pub content: Option<String>,
+    /// Tool calls, passed through.
+    #[serde(default)]
+    pub tool_calls: Option<Box<RawValue>>,
+}
+
+/// Token counts of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    #[serde(default)]
+    pub prompt_tokens: TokenCount,
+    /// Tokens generated.
+    #[serde(default)]
+    pub completion_tokens: TokenCount,
+    /// Sum of both.
+    #[serde(default)]
+    pub total_tokens: TokenCount,
+    /// Details of the prompt.
+    #[serde(default)]
+    pub prompt_tokens_details: PromptTokensDetails,
+}
+
+/// Details of [`Usage::prompt_tokens`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptTokensDetails {
+    /// Prompt tokens found in the engine's cache.
+    #[serde(default)]
+    pub cached_tokens: TokenCount,
+}
+
+/// Names an answer in every piece of it.
+#[derive(Clone, Debug)]
+pub struct AnswerHead {
+    /// The call answered.
+    pub call: Call,
+    /// Identifier of the answer.
+    pub id: String,
+    /// Seconds since the Unix epoch.
+    pub created_s: u64,
+    /// The service asked for.
+    pub model: String,
+}
+
+#[derive(Serialize)]
+struct ChunkOut<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    model: &'a str,
+    choices: [ChoiceOut<'a>; 1],
+}
+
+#[derive(Serialize)]
+struct ChoiceOut<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<DeltaOut<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    logprobs: Option<&'a RawValue>,
+    finish_reason: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct DeltaOut<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    tool_calls: Option<&'a RawValue>,
+}
+
+impl AnswerHead {
+    /// One streamed piece, as JSON.
+    pub fn chunk(
+        &self,
+        text: &str,
+        choice: Option<&Choice>,
+        finish_reason: Option<&str>,
+    ) -> String {
+        let delta = choice.and_then(|c| c.delta.as_ref());
+        let content = (!text.is_empty()).then_some(text);
+        let (delta, text) = match self.call {
+            Call::Chat => (
+                Some(DeltaOut {
+                    content,
+                    tool_calls: delta.and_then(|d| d.tool_calls.as_deref()),
+                }),
+                None,
+            ),
+            Call::Completions => (None, Some(text)),
+        };
+        let out = ChunkOut {
+            id: &self.id,
+            object: self.call.chunk_object(),
+            created: self.created_s,
+            model: &self.model,
+            choices: [ChoiceOut {
+                index: 0,
+                delta,
+                text,
+                logprobs: choice.and_then(|c| c.logprobs.as_deref()),
+                finish_reason,
+            }],
+        };
+        serde_json::to_string(&out).unwrap_or_default()
+    }
+
+    /// The last streamed piece, with token counts and no choice.
+    pub fn usage_chunk(&self, usage: Usage) -> String {
+        json!({
+            "id": self.id, "object": self.call.chunk_object(), "created": self.created_s,
+            "model": self.model, "choices": [], "usage": usage,
+        })
+        .to_string()
+    }
+
+    /// A whole answer, as JSON.
+    pub fn whole(&self, text: &str, finish_reason: &str, usage: Usage) -> String {
+        let (object, choice) = match self.call {
+            Call::Chat => (
+                "chat.completion",
+                json!({"index": 0, "message": {"role": "assistant", "content": text}, "finish_reason": finish_reason}),
+            ),
+            Call::Completions => (
+                "text_completion",
+                json!({"index": 0, "text": text, "finish_reason": finish_reason}),
+            ),
+        };
+        json!({
+            "id": self.id, "object": object, "created": self.created_s, "model": self.model,
+            "choices": [choice], "usage": usage,
+        })
+        .to_string()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/backends/mod.rs
@@ -0,0 +1,9 @@
+//! The backend servers as this entry VM knows them, and the choice among them.
+
+mod flight;
+mod poller;
+mod view;
+
+pub use flight::{Flight, Leaving};
+pub use poller::{Poller, PollerOptions};
+pub use view::{Backends, Chosen, Known};
--- /dev/null
+++ b/crates/entry/src/backends/view.rs
@@ -0,0 +1,291 @@
+//! The shared view of backend servers.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use base::ids::RequestId;
+use base::units::Millisecond;
+use base::{Map, Name};
+use engine::Target;
+use events::Code;
+use policy::route::{
+    self, CacheEvent, Decision, LoadReport, NoServer, RouteRequest, RouteState, RouteStateConfig,
+    Routing, ServerState, ServerView, Usage,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde::Serialize;
+use tokio::sync::watch;
+
+use super::flight::{Flight, Leaving};
+use crate::clock::Clock;
+
+/// What the VM list and the configuration say of one backend server.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// Where it listens.
+    pub target: Target,
+    /// The service it offers.
+    pub service: Name,
+    /// Where it stands.
+    pub failure_domain: Name,
+    /// Its VM's price, in millionths of the currency an hour.
+    pub price_micros_per_h: u64,
+    /// One-way latency from this entry VM, in microseconds.
+    pub latency_us: u64,
+    /// Whether it is leaving.
+    pub leaving: Leaving,
+}
+
+struct Server {
+    target: Target,
+    leaving: watch::Sender<Leaving>,
+}
+
+struct Inner {
+    view: Vec<ServerView>,
+    servers: Map<Name, Server>,
+    local: RouteState,
+    rng: SmallRng,
+}
+
+/// The view and this entry VM's own routing state; clones share both.
+#[derive(Clone)]
+pub struct Backends {
+    routing: Routing,
+    clock: Clock,
+    inner: Arc<Mutex<Inner>>,
+}
+
+/// A chosen backend server, counted as in flight.
+pub struct Chosen {
+    /// The attempt to be made.
+    pub flight: Flight,
+    /// Why this one.
+    pub decision: Decision,
+}
+
+#[derive(Serialize)]
+struct RouteLog<'a> {
+    request: RequestId,
+    service: &'a Name,
+    #[serde(flatten)]
+    decision: &'a Decision,
+}
+
+#[derive(Serialize)]
+struct NoRouteLog<'a> {
+    request: RequestId,
+    service: &'a Name,
+    reason: String,
+}
+
+impl Backends {
+    /// An empty view.
+    pub fn open(routing: Routing, config: RouteStateConfig, clock: Clock, seed: u64) -> Self {
+        Self {
+            routing,
+            clock,
+            inner: Arc::new(Mutex::new(Inner {
+                view: Vec::new(),
+                servers: Map::default(),
+                local: RouteState::new(config),
+                rng: SmallRng::seed_from_u64(seed),
+            })),
+        }
+    }
+
+    /// Chooses a backend server and counts the attempt, logging the decision.
+    pub fn choose(&self, id: RequestId, request: &RouteRequest) -> Result<Chosen, NoServer> {
+        let now_ms = self.clock.now_ms();
+        let mut guard = self.lock();
+        let inner = &mut *guard;
+        let chosen = route::choose(
+            self.routing,
+            &inner.view,
+            request,
+            &inner.local,
+            now_ms,
+            &mut inner.rng,
+        );
+        let decision = match chosen {
+            Ok(decision) => decision,
+            Err(error) => {
+                drop(guard);
+                log_no_route(id, request, &error);
+                return Err(error);
+            }
+        };
+        inner.local.on_sent(id, request, &decision, now_ms);
+        let server = &inner.servers[&decision.server];
+        let target = server.target.clone();
+        let leaving = server.leaving.subscribe();
+        drop(guard);
+        events::emit(
+            Code::RouteChosen,
+            &RouteLog {
+                request: id,
+                service: &request.service,
+                decision: &decision,
+            },
+        );
+        let flight = Flight::open(id, self.clone(), target, leaving);
+        Ok(Chosen { flight, decision })
+    }
+
+    /// Replaces the list of backend servers; reports and marks of those that stay are kept.
+    pub fn set_known(&self, known: Vec<Known>) {
+        let mut inner = self.lock();
+        let mut old_loads: Map<Name, (Option<LoadReport>, ServerState)> = Map::default();
+        for view in inner.view.drain(..) {
+            old_loads.insert(view.server, (view.load, view.state));
+        }
+        let mut servers = Map::default();
+        for one in known {
+            let id = one.target.id.clone();
+            let (load, old_state) = old_loads.remove(&id).unwrap_or((None, ServerState::Live));
+            let server = inner.servers.remove(&id).unwrap_or_else(|| Server {
+                target: one.target.clone(),
+                leaving: watch::channel(Leaving::No).0,
+            });
+            let leaving = merge_leaving(&server, one.leaving);
+            servers.insert(id.clone(), server);
+            inner.view.push(ServerView {
+                server: id,
+                service: one.service,
+                failure_domain: one.failure_domain,
+                load,
+                price_micros_per_h: one.price_micros_per_h,
+                state: state_of(leaving, old_state),
+                latency_us: one.latency_us,
+            });
+        }
+        inner.view.sort_by(|a, b| a.server.cmp(&b.server));
+        inner.servers = servers;
+        let Inner { local, servers, .. } = &mut *inner;
+        local.retain_servers(|name| servers.contains_key(name));
+    }
+
+    /// Marks a backend server as leaving; the mark is never taken back.
+    pub fn set_leaving(&self, server: &str, gone_ms: Millisecond) {
+        let mut inner = self.lock();
+        let Some(held) = inner.servers.get(server) else {
+            return;
+        };
+        merge_leaving(held, Leaving::Until(gone_ms));
+        for view in &mut inner.view {
+            if &*view.server == server {
+                view.state = ServerState::Leaving;
+            }
+        }
+    }
+
+    /// Takes in a load report that is `age_ms` old, or notes that none was to be had.
+    pub fn set_load(&self, server: &str, report: Option<LoadReport>, elapsed_ms: Millisecond) {
+        let mut inner = self.lock();
+        let Ok(at) = inner.view.binary_search_by(|v| (*v.server).cmp(server)) else {
+            return;
+        };
+        let name = inner.view[at].server.clone();
+        if let Some(load) = &report {
+            inner.local.on_load(&name, load);
+        }
+        let view = &mut inner.view[at];
+        match report {
+            Some(load) => {
+                view.load = Some(load);
+                if view.state == ServerState::Suspect {
+                    view.state = ServerState::Live;
+                }
+            }
+            None => {
+                if let Some(load) = &mut view.load {
+                    load.age_ms += elapsed_ms;
+                }
+            }
+        }
+    }
+
+    /// Notes that an attempt broke: the server gets work only if no other can, until it reports.
+    pub fn set_suspect(&self, server: &str) {
+        let mut inner = self.lock();
+        for view in &mut inner.view {
+            if &*view.server == server && view.state == ServerState::Live {
+                view.state = ServerState::Suspect;
+            }
+        }
+    }
+
+    /// Takes in a change of a server's prefix cache.
+    pub fn on_cache_event(&self, server: &Name, event: &CacheEvent) {
+        self.lock().local.on_cache_event(server, event);
+    }
+
+    /// Sets how many entry VMs share the backend servers.
+    pub fn set_entries(&self, entries: u32) {
+        self.lock().local.set_entries(entries);
+    }
+
+    /// A copy of the view.
+    pub fn view(&self) -> Vec<ServerView> {
+        self.lock().view.clone()
+    }
+
+    /// Where all known backend servers listen, with the service each offers.
+    pub fn targets(&self) -> Vec<(Target, Name)> {
+        let inner = self.lock();
+        let mut targets = Vec::with_capacity(inner.view.len());
+        for view in &inner.view {
+            let target = inner.servers[&view.server].target.clone();
+            targets.push((target, view.service.clone()));
+        }
+        targets
+    }
+
+    pub(super) fn on_first_token(&self, id: RequestId) {
+        let now_ms = self.clock.now_ms();
+        self.lock().local.on_first_token(id, now_ms);
+    }
+
+    pub(super) fn on_ended(&self, id: RequestId, usage: Option<Usage>) {
+        let now_ms = self.clock.now_ms();
+        self.lock().local.on_ended(id, usage, now_ms);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Joins what is held and what is news: a mark stays, with the earliest end named.
+fn merge_leaving(server: &Server, news: Leaving) -> Leaving {
+    server.leaving.send_if_modified(|held| match (*held, news) {
+        (Leaving::No, Leaving::Until(_)) => {
+            *held = news;
+            true
+        }
+        (Leaving::Until(old), Leaving::Until(new)) if new < old => {
+            *held = news;
+            true
+        }
+        _ => false,
+    });
+    *server.leaving.borrow()
+}
+
+fn state_of(leaving: Leaving, old: ServerState) -> ServerState {
+    match leaving {
+        Leaving::Until(_) => ServerState::Leaving,
+        Leaving::No => old,
+    }
+}
+
+fn log_no_route(id: RequestId, request: &RouteRequest, error: &NoServer) {
+    events::emit(
+        Code::RouteNone,
+        &NoRouteLog {
+            request: id,
+            service: &request.service,
+            reason: error.to_string(),
+        },
+    );
+}
--- /dev/null
+++ b/crates/entry/src/flow/mod.rs
@@ -0,0 +1,72 @@
+//! The flow of an accepted model request: attempts, resumption and the answer so far.
+
+mod phase;
+mod record;
+mod relay;
+mod store;
+
+pub use phase::Phase;
+pub use record::{Progress, Record, SharedRecord};
+pub use relay::{Piece, Relay};
+pub use store::{Store, StoreOptions, Taken};
+
+use std::sync::Arc;
+
+use base::units::Millisecond;
+use chart::Chart;
+use engine::Backend;
+use tokio::sync::watch;
+
+use crate::backends::Backends;
+use crate::clock::Clock;
+
+/// How far the daemon has gone towards its end, as relays see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Drain {
+    /// Streams go on.
+    Open,
+    /// Streams stop where they are and are handed over.
+    Cut,
+}
+
+/// Times that bound the flow of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct FlowOptions {
+    /// How long a backend server may take to begin its answer.
+    pub head_timeout_ms: Millisecond,
+    /// Longest silence within a streamed answer.
+    pub stall_timeout_ms: Millisecond,
+    /// Failed attempts allowed for one request; those ended by a reclaim do not count.
+    pub failures_max: u32,
+    /// Time kept back at the end of a leaving server's life.
+    pub leaving_margin_ms: Millisecond,
+}
+
+impl Default for FlowOptions {
+    fn default() -> Self {
+        Self {
+            head_timeout_ms: 30_000,
+            stall_timeout_ms: 10_000,
+            failures_max: 4,
+            leaving_margin_ms: 500,
+        }
+    }
+}
+
+/// What all relays of one daemon share.
+pub struct Flow {
+    /// Calls to backend servers.
+    pub backend: Arc<dyn Backend>,
+    /// The choice among them.
+    pub backends: Backends,
+    /// Records of accepted requests.
+    pub store: Store,
+    /// The request's state chart.
+    pub chart: Arc<Chart>,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Whether streams must stop.
+    pub drain: watch::Receiver<Drain>,
+    /// Bounds.
+    pub options: FlowOptions,
+}
--- /dev/null
+++ b/crates/entry/src/front/body.rs
@@ -0,0 +1,58 @@
+//! Bodies of requests and replies, bounded.
+
+use std::time::Duration;
+
+use base::units::Millisecond;
+use bytes::Bytes;
+use engine::BodyError;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+
+use super::error::{CallerError, ErrorCode};
+
+/// Body of a reply.
+pub type ReplyBody = UnsyncBoxBody<Bytes, BodyError>;
+
+/// A reply to a caller or operator.
+pub type Reply = Response<ReplyBody>;
+
+/// A whole reply.
+pub fn full(status: StatusCode, content_type: &'static str, body: impl Into<Bytes>) -> Reply {
+    let body = Full::new(body.into()).map_err(|never| match never {});
+    let mut reply = Response::new(body.boxed_unsync());
+    *reply.status_mut() = status;
+    reply
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
+    reply
+}
+
+/// Reads a request's whole body within bounds of size and time.
+pub async fn read<B>(body: B, max_bytes: usize, timeout_ms: Millisecond) -> Result<Bytes, CallerError>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let collected = Limited::new(body, max_bytes).collect();
+    let Ok(result) = tokio::time::timeout(Duration::from_millis(timeout_ms), collected).await else {
+        return Err(CallerError::mistake(
+            StatusCode::REQUEST_TIMEOUT,
+            ErrorCode::RequestTimeout,
+            format!("The request's body did not arrive within {timeout_ms} ms; send it faster."),
+        ));
+    };
+    match result {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(CallerError::mistake(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            ErrorCode::BodyTooLarge,
+            format!("The request's body is over {max_bytes} bytes; send a smaller one."),
+        )),
+        Err(e) => Err(CallerError::mistake(
+            StatusCode::BAD_REQUEST,
+            ErrorCode::BadRequest,
+            format!("The request's body broke off: {e}."),
+        )),
+    }
+}
