--- a/crates/base/src/outcome.rs
+++ b/crates/base/src/outcome.rs
@@ -13,3 +13,14 @@
     /// The request may or may not have run.
     Unknown,
 }
+
+impl RunState {
+    /// What holds of a request after one more attempt that ended with `attempt`.
+    pub fn after(self, attempt: Self) -> Self {
+        match (self, attempt) {
+            (Self::NotRun, attempt) => attempt,
+            (Self::Ran, _) | (_, Self::Ran) => Self::Ran,
+            (Self::Unknown, _) => Self::Unknown,
+        }
+    }
+}
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -86,6 +86,7 @@
     phase: Instance,
     live: Option<Live>,
     failures: u32,
+    run_state: RunState,
     error: Option<CallerError>,
     drain: watch::Receiver<Drain>,
 }
@@ -133,6 +134,7 @@
             phase,
             live: None,
             failures: 0,
+            run_state: RunState::NotRun,
             error: None,
             drain,
         }
@@ -423,6 +425,7 @@
         if self.finishes_before(gone_ms, now_ms) {
             return;
         }
+        self.run_state = self.run_state.after(RunState::Ran);
         self.live = None;
         self.phase.apply("broken");
     }
@@ -443,6 +446,7 @@
             return;
         };
         let server = live.flight.target().id.clone();
+        self.run_state = self.run_state.after(run_state);
         events::emit(
             Code::AttemptFailed,
             &AttemptLog {
@@ -476,10 +480,9 @@
     }
 
     fn give_up(&mut self, code: ErrorCode, reason: &str) {
-        let relayed = self.record.lock().tokens > 0;
         self.live = None;
         self.error = Some(CallerError {
-            run_state: if relayed { RunState::Ran } else { RunState::NotRun },
+            run_state: self.run_state,
             message: format!("The request was given up: {reason}"),
             ..CallerError::refusal(code, "", COME_BACK_MS)
         });
--- /dev/null
+++ b/crates/entry/src/front/mod.rs
@@ -0,0 +1,170 @@
+//! HTTP towards callers: which call a request is, whose it is, and its reply.
+
+mod auth;
+mod body;
+mod error;
+mod model;
+mod plain;
+mod resume;
+mod server;
+mod sse;
+
+pub use body::{Reply, ReplyBody, full, read};
+pub use error::{CallerError, ErrorCode, RetrySafety};
+pub use server::{Server, ServerOptions};
+
+use std::sync::Arc;
+
+use base::ids::RequestId;
+use base::units::Millisecond;
+use bytes::Bytes;
+use engine::chat::Call;
+use http::{HeaderValue, Method, Request, StatusCode};
+
+use crate::flow::Flow;
+use crate::state::Standing;
+
+/// Bounds on what a caller may send.
+#[derive(Clone, Copy, Debug)]
+pub struct FrontOptions {
+    /// Largest body.
+    pub max_body_bytes: usize,
+    /// How long a body may take to arrive.
+    pub body_timeout_ms: Millisecond,
+}
+
+/// What the handlers share.
+pub struct Front {
+    /// The flow of model requests.
+    pub flow: Arc<Flow>,
+    /// Configuration, readiness and what is in flight.
+    pub standing: Arc<Standing>,
+    /// Non-idempotent calls.
+    pub ledger: ledger::Ledger,
+    /// Bounds.
+    pub options: FrontOptions,
+}
+
+/// Body types that requests may have.
+pub trait RequestBody:
+    http_body::Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>>
+    + Send
+    + 'static
+{
+}
+
+impl<B> RequestBody for B where
+    B: http_body::Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>>
+        + Send
+        + 'static
+{
+}
+
+enum Route<'a> {
+    Model(Call),
+    Plain { service: &'a str },
+    Resume { id: &'a str },
+    Health,
+    Ready,
+    Unknown,
+}
+
+impl Front {
+    /// Answers one request; an error becomes the one error shape.
+    pub async fn handle<B: RequestBody>(self: Arc<Self>, request: Request<B>) -> Reply {
+        let result = self.dispatch(request).await;
+        match result {
+            Ok(reply) => reply,
+            Err(error) => {
+                self.standing.metrics.refused(error.code);
+                error.into_reply()
+            }
+        }
+    }
+
+    async fn dispatch<B: RequestBody>(
+        self: &Arc<Self>,
+        request: Request<B>,
+    ) -> Result<Reply, CallerError> {
+        let path = request.uri().path().to_owned();
+        match route(&path) {
+            Route::Health => Ok(full(StatusCode::OK, "text/plain", "ok\n")),
+            Route::Ready => Ok(self.readiness()),
+            Route::Model(call) => {
+                expect(&request, &Method::POST)?;
+                model::handle(self, call, request).await
+            }
+            Route::Resume { id } => {
+                expect(&request, &Method::GET)?;
+                resume::handle(self, parse_id(id)?, request).await
+            }
+            Route::Plain { service } => plain::handle(self, service, request).await,
+            Route::Unknown => Err(CallerError::mistake(
+                StatusCode::NOT_FOUND,
+                ErrorCode::NotFound,
+                format!("There is no `{path}` here; see the README for the paths."),
+            )),
+        }
+    }
+
+    fn readiness(&self) -> Reply {
+        match self.standing.serving() {
+            Ok(_) => full(StatusCode::OK, "text/plain", "ready\n"),
+            Err(error) => error.into_reply(),
+        }
+    }
+}
+
+fn route(path: &str) -> Route<'_> {
+    if let Some(rest) = path.strip_prefix("/services/") {
+        let service = rest.split('/').next().unwrap_or_default();
+        return Route::Plain { service };
+    }
+    if let Some(id) = path.strip_prefix("/v1/requests/") {
+        return Route::Resume { id };
+    }
+    match path {
+        "/v1/chat/completions" => Route::Model(Call::Chat),
+        "/v1/completions" => Route::Model(Call::Completions),
+        "/healthz" => Route::Health,
+        "/readyz" => Route::Ready,
+        _ => Route::Unknown,
+    }
+}
+
+fn expect<B>(request: &Request<B>, method: &Method) -> Result<(), CallerError> {
+    if request.method() == method {
+        return Ok(());
+    }
+    Err(CallerError::mistake(
+        StatusCode::METHOD_NOT_ALLOWED,
+        ErrorCode::MethodNotAllowed,
+        format!("`{}` takes {method}, not {}.", request.uri().path(), request.method()),
+    ))
+}
+
+fn parse_id(text: &str) -> Result<RequestId, CallerError> {
+    text.parse().map_err(|reason| {
+        CallerError::mistake(
+            StatusCode::BAD_REQUEST,
+            ErrorCode::BadRequest,
+            format!("The request's number is malformed: {reason}."),
+        )
+    })
+}
+
+/// The number the caller chose in `x-request-id`, or a new one.
+fn request_id<B>(request: &Request<B>) -> Result<RequestId, CallerError> {
+    match request.headers().get("x-request-id") {
+        None => Ok(RequestId::draw(&mut rand::rng())),
+        Some(value) => parse_id(value.to_str().unwrap_or_default()),
+    }
+}
+
+/// Names the request in its reply.
+fn with_id(mut reply: Reply, id: RequestId) -> Reply {
+    if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
+        reply.headers_mut().insert("x-request-id", value);
+    }
+    reply
+}
--- /dev/null
+++ b/crates/entry/src/front/model.rs
@@ -0,0 +1,138 @@
+//! Completion calls of model services.
+
+use std::sync::Arc;
+
+use base::ids::RequestId;
+use conf::{Config, Service, ServiceKind, Workspace};
+use engine::chat::{Call, CompletionRequest};
+use events::Code;
+use http::{Request, StatusCode};
+use serde::Serialize;
+
+use super::error::{CallerError, ErrorCode};
+use super::{Front, Reply, RequestBody, auth, read, request_id, sse, with_id};
+use crate::clock::unix_s;
+use crate::flow::{Progress, Record, Relay};
+use crate::state::{Admitted, Work};
+
+#[derive(Serialize)]
+struct AcceptedLog<'a> {
+    request: RequestId,
+    workspace: &'a str,
+    service: &'a str,
+}
+
+/// Answers a completion call, streamed or whole.
+pub async fn handle<B: RequestBody>(
+    front: &Arc<Front>,
+    call: Call,
+    request: Request<B>,
+) -> Result<Reply, CallerError> {
+    let in_force = front.standing.serving()?;
+    let workspace = auth::workspace(&in_force.config, request.headers())?;
+    let id = request_id(&request)?;
+    let options = front.options;
+    let body = read(request.into_body(), options.max_body_bytes, options.body_timeout_ms).await?;
+    let completion = parse(call, &body)?;
+    let service = model_service(&in_force.config, &completion.model)?;
+    let work = Work::model(workspace, service, &completion);
+    let admitted = front.standing.admit(id, work).await?;
+    let record = new_record(id, workspace, service, call, completion);
+    let streamed = record.request.stream;
+    let shared = front.flow.store.insert(record).map_err(|_| in_use(id))?;
+    let mut relay = Relay::open(front.flow.clone(), shared, admitted.priority());
+    if let Err(error) = relay.begin().await {
+        front.flow.store.remove(id);
+        return Err(error);
+    }
+    events::emit(
+        Code::RequestAccepted,
+        &AcceptedLog {
+            request: id,
+            workspace: &workspace.name,
+            service: &service.name,
+        },
+    );
+    reply(relay, id, streamed, 0, admitted).await
+}
+
+/// The reply that a relay gives, from byte `offset` of the answer's text.
+pub async fn reply(
+    relay: Relay,
+    id: RequestId,
+    streamed: bool,
+    offset: usize,
+    admitted: Admitted,
+) -> Result<Reply, CallerError> {
+    let reply = match streamed {
+        true => sse::streamed(relay, offset, admitted),
+        false => sse::whole(relay, admitted).await?,
+    };
+    Ok(with_id(reply, id))
+}
+
+fn parse(call: Call, body: &[u8]) -> Result<CompletionRequest, CallerError> {
+    let request: CompletionRequest = serde_json::from_slice(body).map_err(|e| {
+        bad_request(format!("The body is not a completion request: {e}."))
+    })?;
+    if request.n.unwrap_or(1) != 1 {
+        return Err(bad_request("`n` must be 1; ask several times instead.".to_owned()));
+    }
+    let missing = match call {
+        Call::Chat if request.messages.as_ref().is_none_or(Vec::is_empty) => Some("messages"),
+        Call::Completions if request.prompt.is_none() => Some("prompt"),
+        _ => None,
+    };
+    match missing {
+        Some(field) => Err(bad_request(format!("`{field}` is missing or empty; add it."))),
+        None => Ok(request),
+    }
+}
+
+fn bad_request(message: String) -> CallerError {
+    CallerError::mistake(StatusCode::BAD_REQUEST, ErrorCode::BadRequest, message)
+}
+
+fn model_service<'a>(config: &'a Config, name: &str) -> Result<&'a Service, CallerError> {
+    let service = config.service(name);
+    service
+        .filter(|s| matches!(s.kind, ServiceKind::Model { .. }))
+        .ok_or_else(|| {
+            CallerError::mistake(
+                StatusCode::NOT_FOUND,
+                ErrorCode::UnknownService,
+                format!("`model` names `{name}`, which is no model service here."),
+            )
+        })
+}
+
+fn new_record(
+    id: RequestId,
+    workspace: &Workspace,
+    service: &Service,
+    call: Call,
+    request: CompletionRequest,
+) -> Record {
+    Record {
+        id,
+        workspace: workspace.name.clone(),
+        service: service.name.clone(),
+        call,
+        request,
+        text: String::new(),
+        tokens: 0,
+        created_s: unix_s(),
+        remaining_ms: service.timeout_ms,
+        usage: Default::default(),
+        progress: Progress::Open,
+        epoch: 0,
+    }
+}
+
+fn in_use(id: RequestId) -> CallerError {
+    CallerError::mistake(
+        StatusCode::CONFLICT,
+        ErrorCode::RequestIdInUse,
+        format!("The number {id} is in use; ask for `/v1/requests/{id}` or send a new one."),
+    )
+}
--- /dev/null
+++ b/crates/entry/src/front/plain.rs
@@ -0,0 +1,121 @@
+//! Calls of plain services, passed through by service name.
+
+use std::sync::Arc;
+
+use base::ids::RequestId;
+use bytes::Bytes;
+use conf::{Effect, ServiceKind};
+use engine::Attempt;
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
+
+use super::error::{CallerError, ErrorCode};
+use super::{Front, Reply, RequestBody, auth, read, request_id, with_id};
+use crate::passage::{self, Call, NonIdempotent};
+use crate::state::Work;
+
+/// Headers that belong to one connection or to this system, and are not passed on.
+const OWN_HEADERS: [header::HeaderName; 8] = [
+    header::AUTHORIZATION,
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::HOST,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Answers a call of a plain service.
+pub async fn handle<B: RequestBody>(
+    front: &Arc<Front>,
+    service: &str,
+    request: Request<B>,
+) -> Result<Reply, CallerError> {
+    let in_force = front.standing.serving()?;
+    let config = &in_force.config;
+    let workspace = auth::workspace(config, request.headers())?;
+    let service = config
+        .service(service)
+        .filter(|s| matches!(s.kind, ServiceKind::Plain { .. }))
+        .ok_or_else(|| unknown_service(service))?;
+    let id = request_id(&request)?;
+    let path = passed_path(&request, &service.name);
+    let effect = config.effect_of(&service.name, request.method().as_str(), &path);
+    let (head, body) = request.into_parts();
+    let options = front.options;
+    let body = read(body, options.max_body_bytes, options.body_timeout_ms).await?;
+    let headers = passed_headers(&head.headers, id);
+    let call = Call {
+        id,
+        service: service.name.clone(),
+        timeout_ms: service.timeout_ms,
+        max_attempts: service.retry.max_attempts,
+        attempt: attempt(head.method, path, headers, body, service.timeout_ms),
+    };
+    let guard = match effect {
+        Effect::Idempotent => None,
+        Effect::NonIdempotent => {
+            Some(NonIdempotent::new(&workspace.name, &call, &head.headers)?)
+        }
+    };
+    let admitted = front.standing.admit(id, Work::plain(workspace, service)).await?;
+    let reply = match guard {
+        None => passage::idempotent(&front.flow, call, admitted).await?,
+        Some(guard) => passage::non_idempotent(front, call, guard, admitted).await?,
+    };
+    Ok(with_id(reply, id))
+}
+
+fn unknown_service(name: &str) -> CallerError {
+    CallerError::mistake(
+        StatusCode::NOT_FOUND,
+        ErrorCode::UnknownService,
+        format!("`{name}` is no plain service here; check the path after /services/."),
+    )
+}
+
+/// Path and query as the backend server gets them.
+fn passed_path<B>(request: &Request<B>, service: &str) -> String {
+    let whole = request.uri().path_and_query().map_or("/", |p| p.as_str());
+    let rest = &whole["/services/".len() + service.len()..];
+    match rest.starts_with('/') {
+        true => rest.to_owned(),
+        false => format!("/{rest}"),
+    }
+}
+
+fn passed_headers(headers: &HeaderMap, id: RequestId) -> HeaderMap {
+    let mut passed = headers.clone();
+    let named_by_connection = headers.get(header::CONNECTION).cloned();
+    for name in OWN_HEADERS {
+        passed.remove(name);
+    }
+    let listed = named_by_connection
+        .as_ref()
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    for name in listed.split(',') {
+        passed.remove(name.trim());
+    }
+    passed.remove("keep-alive");
+    if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
+        passed.insert("x-request-id", value);
+    }
+    passed
+}
+
+fn attempt(
+    method: Method,
+    path: String,
+    headers: HeaderMap,
+    body: Bytes,
+    timeout_ms: u64,
+) -> Attempt {
+    Attempt {
+        method,
+        path,
+        headers,
+        body,
+        head_timeout_ms: timeout_ms,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/front/resume.rs
@@ -0,0 +1,84 @@
+//! A caller comes back for the rest of its answer.
+
+use std::sync::Arc;
+
+use base::ids::RequestId;
+use http::{Request, StatusCode};
+
+use super::error::{CallerError, ErrorCode};
+use super::{Front, Reply, RequestBody, auth, model};
+use crate::flow::{Progress, Relay, SharedRecord};
+use crate::state::Work;
+
+/// Answers `GET /v1/requests/ID`, from byte `offset` of the answer's text.
+pub async fn handle<B: RequestBody>(
+    front: &Arc<Front>,
+    id: RequestId,
+    request: Request<B>,
+) -> Result<Reply, CallerError> {
+    let in_force = front.standing.serving()?;
+    let workspace = auth::workspace(&in_force.config, request.headers())?;
+    let offset = offset(&request)?;
+    let record = find(front, id).await.ok_or_else(not_found)?;
+    let streamed = {
+        let held = record.lock();
+        // Another workspace's number is told apart from none at all by nobody.
+        if held.workspace != workspace.name {
+            return Err(not_found());
+        }
+        check_offset(&held.text, offset)?;
+        held.request.stream
+    };
+    let work = Work::resumed(workspace, &record.lock());
+    let admitted = front.standing.admit(id, work).await?;
+    let mut relay = Relay::open(front.flow.clone(), record, admitted.priority());
+    let open = relay.record().lock().progress == Progress::Open;
+    if open {
+        relay.begin().await?;
+    }
+    model::reply(relay, id, streamed, offset, admitted).await
+}
+
+async fn find(front: &Front, id: RequestId) -> Option<SharedRecord> {
+    if let Some(record) = front.flow.store.find(id) {
+        return Some(record);
+    }
+    front.standing.fetch_record(&front.flow, id).await
+}
+
+fn offset<B>(request: &Request<B>) -> Result<usize, CallerError> {
+    let query = request.uri().query().unwrap_or_default();
+    let in_query = query.split('&').find_map(|pair| pair.strip_prefix("offset="));
+    let in_header = request
+        .headers()
+        .get("last-event-id")
+        .and_then(|value| value.to_str().ok());
+    let Some(text) = in_query.or(in_header) else {
+        return Ok(0);
+    };
+    text.parse().map_err(|_| {
+        bad_offset(format!("`{text}` is no offset; send the last event's `id`."))
+    })
+}
+
+fn check_offset(text: &str, offset: usize) -> Result<(), CallerError> {
+    if text.is_char_boundary(offset) {
+        return Ok(());
+    }
+    Err(bad_offset(format!(
+        "The offset {offset} is not within the {} bytes relayed; send the last event's `id`.",
+        text.len()
+    )))
+}
+
+fn bad_offset(message: String) -> CallerError {
+    CallerError::mistake(StatusCode::BAD_REQUEST, ErrorCode::BadRequest, message)
+}
+
+fn not_found() -> CallerError {
+    CallerError::mistake(
+        StatusCode::NOT_FOUND,
+        ErrorCode::NotFound,
+        "No request of this workspace has that number, or it is no longer kept.",
+    )
+}
--- /dev/null
+++ b/crates/entry/src/front/sse.rs
@@ -0,0 +1,147 @@
+//! Replies that a relay gives: server-sent events, or one JSON document.
+//!
+//! The `id` of each event is the count of text bytes up to its end. A caller that reconnects names
+//! the last one it read, in `Last-Event-ID` or `offset`, and gets the rest.
+
+use std::fmt::Write;
+
+use bytes::Bytes;
+use engine::BodyError;
+use engine::chat::{AnswerHead, Choice, Usage};
+use futures_util::stream;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+
+use super::body::{Reply, full};
+use super::error::CallerError;
+use crate::flow::{Piece, Relay};
+use crate::state::Admitted;
+
+struct Streamed {
+    relay: Relay,
+    head: AnswerHead,
+    admitted: Admitted,
+    offset: usize,
+    usage: UsageReport,
+    at: Position,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum UsageReport {
+    Wanted,
+    Unwanted,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Position {
+    Start,
+    Middle,
+    End,
+}
+
+/// A reply as server-sent events, from byte `offset` of the text.
+pub fn streamed(relay: Relay, offset: usize, admitted: Admitted) -> Reply {
+    let (head, usage) = {
+        let record = relay.record().lock();
+        let wanted = record.request.rest.get("stream_options");
+        let wanted = wanted.is_some_and(|options| options["include_usage"] == true);
+        let usage = if wanted { UsageReport::Wanted } else { UsageReport::Unwanted };
+        (record.answer_head(), usage)
+    };
+    let state = Streamed {
+        relay,
+        head,
+        admitted,
+        offset,
+        usage,
+        at: Position::Start,
+    };
+    let frames = stream::unfold(state, |mut state| async move {
+        let frame = state.next().await?;
+        Some((Ok::<_, BodyError>(Frame::data(frame)), state))
+    });
+    let mut reply = Response::new(StreamBody::new(frames).boxed_unsync());
+    let headers = reply.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    reply
+}
+
+impl Streamed {
+    async fn next(&mut self) -> Option<Bytes> {
+        match self.at {
+            Position::End => return None,
+            Position::Middle => {}
+            Position::Start => {
+                self.at = Position::Middle;
+                if let Some(frame) = self.catch_up() {
+                    return Some(frame);
+                }
+            }
+        }
+        let frame = match self.relay.next().await {
+            Piece::Text { text, choice, offset } => self.text(&text, choice.as_ref(), offset),
+            Piece::Finish { reason, usage } => self.finish(&reason, usage),
+            Piece::Moved => self.end(": moved\n\n".to_owned()),
+            Piece::Failed(error) => self.end(format!("event: error\ndata: {}\n\n", error.to_json())),
+        };
+        Some(frame)
+    }
+
+    /// Text that was relayed before this reader came.
+    fn catch_up(&mut self) -> Option<Bytes> {
+        let record = self.relay.record().lock();
+        let missed = record.text.get(self.offset..).unwrap_or_default().to_owned();
+        let offset = record.text.len();
+        drop(record);
+        if missed.is_empty() {
+            return None;
+        }
+        Some(self.text(&missed, None, offset))
+    }
+
+    fn text(&mut self, text: &str, choice: Option<&Choice>, offset: usize) -> Bytes {
+        self.offset = offset;
+        self.admitted.relayed();
+        event(offset, &self.head.chunk(text, choice, None)).into()
+    }
+
+    fn finish(&mut self, reason: &str, usage: Usage) -> Bytes {
+        let mut out = event(self.offset, &self.head.chunk("", None, Some(reason)));
+        if self.usage == UsageReport::Wanted {
+            out.push_str(&event(self.offset, &self.head.usage_chunk(usage)));
+        }
+        out.push_str("data: [DONE]\n\n");
+        self.admitted.finished();
+        self.end(out)
+    }
+
+    fn end(&mut self, out: String) -> Bytes {
+        self.at = Position::End;
+        out.into()
+    }
+}
+
+fn event(offset: usize, data: &str) -> String {
+    let mut out = String::with_capacity(data.len() + 32);
+    let _ = write!(out, "id: {offset}\ndata: {data}\n\n");
+    out
+}
+
+/// A reply as one JSON document, once the answer is whole.
+pub async fn whole(mut relay: Relay, mut admitted: Admitted) -> Result<Reply, CallerError> {
+    loop {
+        match relay.next().await {
+            Piece::Text { .. } => admitted.relayed(),
+            Piece::Finish { reason, usage } => {
+                admitted.finished();
+                let record = relay.record().lock();
+                let json = record.answer_head().whole(&record.text, &reason, usage);
+                return Ok(full(StatusCode::OK, "application/json", json));
+            }
+            Piece::Moved => return Err(CallerError::moved()),
+            Piece::Failed(error) => return Err(error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/passage/non_idempotent.rs
@@ -0,0 +1,245 @@
+//! Calls that run at most once: the ledger has the word before a byte is sent.
+
+use std::str::FromStr;
+use std::sync::Arc;
+
+use base::Name;
+use base::outcome::RunState;
+use bytes::Bytes;
+use engine::{Answer, SendError};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use ledger::{Begin, Fingerprint, Header, IdempotencyKey, Running, Scope, StoredResult};
+use policy::route;
+
+use super::{Call, given_up};
+use crate::front::{CallerError, ErrorCode, Front, Reply, RetrySafety, full};
+use crate::state::Admitted;
+
+/// Largest answer of a non-idempotent call.
+const ANSWER_MAX_BYTES: usize = 8 << 20;
+
+/// Headers of an answer that are kept and replayed.
+const KEPT_HEADERS: [&str; 2] = ["content-type", "location"];
+
+/// What makes a call recognisable when its caller sends it again.
+pub struct NonIdempotent {
+    scope: Scope,
+    fingerprint: Fingerprint,
+}
+
+impl NonIdempotent {
+    /// Reads the caller's `Idempotency-Key`, which such a call must have.
+    pub fn new(workspace: &Name, call: &Call, headers: &HeaderMap) -> Result<Self, CallerError> {
+        let Some(value) = headers.get("idempotency-key") else {
+            return Err(CallerError::mistake(
+                StatusCode::BAD_REQUEST,
+                ErrorCode::IdempotencyKeyRequired,
+                "This call must not run twice; send an `Idempotency-Key` that is new for each operation.",
+            ));
+        };
+        let key = IdempotencyKey::from_str(value.to_str().unwrap_or("\u{7f}"));
+        let key = key.map_err(|error| {
+            CallerError::mistake(
+                StatusCode::BAD_REQUEST,
+                ErrorCode::IdempotencyKeyInvalid,
+                error.to_string(),
+            )
+        })?;
+        let fingerprint = Fingerprint::of(
+            call.attempt.method.as_str(),
+            &call.attempt.path,
+            |name| headers.get(name).map(HeaderValue::as_bytes),
+            &call.attempt.body,
+        );
+        Ok(Self {
+            scope: Scope {
+                workspace: workspace.clone(),
+                service: call.service.clone(),
+                key,
+            },
+            fingerprint,
+        })
+    }
+}
+
+/// Runs a call at most once. A caller that leaves does not stop it: its outcome is recorded.
+pub async fn non_idempotent(
+    front: &Arc<Front>,
+    call: Call,
+    guard: NonIdempotent,
+    admitted: Admitted,
+) -> Result<Reply, CallerError> {
+    let front = front.clone();
+    let task = tokio::spawn(async move { run(&front, call, guard, admitted).await });
+    let ended = task.await;
+    ended.unwrap_or_else(|_| {
+        Err(unknown("the entry VM failed while the call was running"))
+    })
+}
+
+async fn run(
+    front: &Front,
+    call: Call,
+    guard: NonIdempotent,
+    mut admitted: Admitted,
+) -> Result<Reply, CallerError> {
+    let begin = front
+        .ledger
+        .begin(guard.scope, guard.fingerprint, call.id)
+        .await;
+    let result = match begin {
+        Begin::Run(permit) => send(front, call, permit.start()).await,
+        other => without_run(other),
+    };
+    admitted.finished();
+    result
+}
+
+/// The one instant after which `not_run` may not be said is within `Backend::send`; a
+/// [`SendError::NotSent`] comes from before it, everything else from after it.
+async fn send(front: &Front, call: Call, running: Running) -> Result<Reply, CallerError> {
+    let mut ask = call.ask(route::Effect::NonIdempotent);
+    let mut reason = String::new();
+    for _ in 0..call.max_attempts {
+        let chosen = match front.flow.backends.choose(call.id, &ask) {
+            Ok(chosen) => chosen,
+            Err(error) => {
+                if reason.is_empty() {
+                    reason = error.to_string();
+                }
+                break;
+            }
+        };
+        let target = chosen.flight.target().clone();
+        match front.flow.backend.send(&target, call.attempt.clone()).await {
+            Ok(answer) => {
+                chosen.flight.first_token();
+                let result = answered(answer, running, call.timeout_ms).await;
+                chosen.flight.close(route::Usage::default());
+                return result;
+            }
+            Err(SendError::NotSent { reason: text }) => {
+                front.flow.backends.set_suspect(&target.id);
+                ask.excluded.push(target.id);
+                reason = text;
+            }
+            Err(SendError::Unanswered { reason }) => {
+                front.flow.backends.set_suspect(&target.id);
+                running.unknown().await;
+                return Err(unknown(&reason));
+            }
+        }
+    }
+    running.not_sent().await;
+    Err(given_up(ErrorCode::NoBackendServer, &reason, RunState::NotRun, RetrySafety::Safe))
+}
+
+async fn answered(answer: Answer, running: Running, timeout_ms: u64) -> Result<Reply, CallerError> {
+    let limit = std::time::Duration::from_millis(timeout_ms);
+    let body = Limited::new(answer.body, ANSWER_MAX_BYTES).collect();
+    let body = match tokio::time::timeout(limit, body).await {
+        Ok(Ok(whole)) => whole.to_bytes(),
+        Ok(Err(error)) => {
+            running.unknown().await;
+            return Err(unknown(&error.to_string()));
+        }
+        Err(_) => {
+            running.unknown().await;
+            return Err(unknown("the answer did not end in time"));
+        }
+    };
+    let result = StoredResult {
+        status: answer.status.as_u16(),
+        headers: kept_headers(&answer.headers),
+        body: body.to_vec(),
+    };
+    let reply = replay(&result, body);
+    running.finish(result).await;
+    Ok(reply)
+}
+
+fn without_run(begin: Begin) -> Result<Reply, CallerError> {
+    match begin {
+        Begin::Run(_) => Err(unknown("a permit was not used")),
+        Begin::Replay(result) => {
+            let body = Bytes::from(result.body.clone());
+            Ok(replay(&result, body))
+        }
+        Begin::TooLarge => Err(settled(
+            ErrorCode::ResultNotKept,
+            "The call ran; its answer was too large to be kept and cannot be sent again.",
+        )),
+        Begin::Expired => Err(settled(
+            ErrorCode::ResultNotKept,
+            "The call ran; its answer is no longer kept and cannot be sent again.",
+        )),
+        Begin::InProgress { retry_after_ms, .. } => Err(CallerError {
+            status: StatusCode::CONFLICT,
+            run_state: RunState::Unknown,
+            ..CallerError::refusal(
+                ErrorCode::IdempotencyKeyInProgress,
+                "The first call with this key is still running; ask again with the same key.",
+                retry_after_ms,
+            )
+        }),
+        Begin::Mismatch => Err(CallerError::mistake(
+            StatusCode::CONFLICT,
+            ErrorCode::IdempotencyKeyReused,
+            "This key was used for another call; send a new key with a new call.",
+        )),
+        Begin::OutcomeUnknown => Err(unknown("a call with this key was sent and its outcome was lost")),
+        Begin::Unavailable { retry_after_ms } => Err(CallerError::refusal(
+            ErrorCode::StoreUnavailable,
+            "The record of the call could not be written, so it was not run; ask again with the same key.",
+            retry_after_ms,
+        )),
+    }
+}
+
+fn settled(code: ErrorCode, message: &str) -> CallerError {
+    CallerError {
+        status: StatusCode::CONFLICT,
+        run_state: RunState::Ran,
+        ..CallerError::mistake(StatusCode::CONFLICT, code, message)
+    }
+}
+
+fn unknown(reason: &str) -> CallerError {
+    CallerError {
+        status: StatusCode::BAD_GATEWAY,
+        run_state: RunState::Unknown,
+        ..CallerError::mistake(
+            StatusCode::BAD_GATEWAY,
+            ErrorCode::OutcomeUnknown,
+            format!("Whether the call ran is not known, and it is not run again: {reason}."),
+        )
+    }
+}
+
+fn kept_headers(headers: &HeaderMap) -> Vec<Header> {
+    let mut kept = Vec::new();
+    for name in KEPT_HEADERS {
+        let Some(value) = headers.get(name).and_then(|v| v.to_str().ok()) else {
+            continue;
+        };
+        kept.push(Header {
+            name: name.to_owned(),
+            value: value.to_owned(),
+        });
+    }
+    kept
+}
+
+fn replay(result: &StoredResult, body: Bytes) -> Reply {
+    let status = StatusCode::from_u16(result.status).unwrap_or(StatusCode::OK);
+    let mut reply = full(status, "application/octet-stream", body);
+    for header in &result.headers {
+        let name = HeaderName::from_str(&header.name);
+        let value = HeaderValue::from_str(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            reply.headers_mut().insert(name, value);
+        }
+    }
+    reply
+}
