--- /dev/null
+++ b/crates/entry/src/admin/config.rs
@@ -0,0 +1,146 @@
+//! Configuration towards operators: show, history, apply.
+
+use std::collections::BTreeMap;
+
+use base::Name;
+use conf::admin::{ApplyReply, ConfigView, History, HistoryEntry};
+use conf::{Config, MAX_DOCUMENT_SIZE_BYTES, diff};
+use fleet::Fleet;
+use fleet::apply::{Outcome, StoredConfig};
+use http::{Request, StatusCode};
+
+use super::{Admin, json};
+use crate::front::{CallerError, ErrorCode, Reply, RequestBody, read};
+
+/// How long a document may take to arrive.
+const BODY_TIMEOUT_MS: u64 = 30_000;
+
+/// When to come back after the store gave no verdict.
+const COME_BACK_MS: u64 = 2_000;
+
+/// Versions that `history` lists.
+const HISTORY_LENGTH: u32 = 50;
+
+/// The configuration in force here.
+pub fn show(admin: &Admin) -> Result<Reply, CallerError> {
+    let in_force = admin.standing.config.borrow().clone();
+    let Some(in_force) = in_force else {
+        return Err(CallerError::mistake(
+            StatusCode::NOT_FOUND,
+            ErrorCode::NotFound,
+            "No configuration has been applied yet; send one with `apricotledge config apply`.",
+        ));
+    };
+    let view = ConfigView {
+        version: in_force.version,
+        document: in_force.config.to_value(),
+    };
+    json(StatusCode::OK, &view)
+}
+
+/// The newest versions, newest first.
+pub async fn history(admin: &Admin) -> Result<Reply, CallerError> {
+    let fleet = fleet(admin)?;
+    let newest = admin.standing.config.borrow().as_ref().map_or(0, |c| c.version);
+    let after = newest.saturating_sub(u64::from(HISTORY_LENGTH));
+    let rows = fleet.config_store().history(after, HISTORY_LENGTH).await;
+    let rows = rows.map_err(|e| {
+        CallerError::refusal(ErrorCode::StoreUnavailable, e.to_string(), COME_BACK_MS)
+    })?;
+    let mut entries: Vec<HistoryEntry> = rows.iter().map(entry).collect();
+    entries.sort_by_key(|entry| std::cmp::Reverse(entry.version));
+    json(StatusCode::OK, &History { entries })
+}
+
+fn entry(stored: &StoredConfig) -> HistoryEntry {
+    HistoryEntry {
+        version: stored.version,
+        operator: stored.operator.as_str().into(),
+        at_ms: stored.unix_ms,
+        digest: stored.digest.clone(),
+        summary: format!("applied by {}", stored.operator),
+    }
+}
+
+/// Validates a document and proposes it on top of the version named by `base`.
+pub async fn apply<B: RequestBody>(
+    admin: &Admin,
+    operator: &Name,
+    request: Request<B>,
+) -> Result<Reply, CallerError> {
+    let base = base_version(request.uri().query().unwrap_or_default())?;
+    let body = read(request.into_body(), MAX_DOCUMENT_SIZE_BYTES, BODY_TIMEOUT_MS).await?;
+    let text = String::from_utf8_lossy(&body);
+    let config = match Config::parse(&text) {
+        Ok(config) => config,
+        Err(faults) => {
+            return json(StatusCode::UNPROCESSABLE_ENTITY, &ApplyReply::Invalid { faults });
+        }
+    };
+    let fleet = fleet(admin)?;
+    let outcome = fleet.apply_config(&config.to_text(), base, operator).await;
+    match outcome {
+        Outcome::Accepted => json(StatusCode::OK, &ApplyReply::Accepted { version: base + 1 }),
+        Outcome::Lost(stored) => conflict(fleet, stored, &config).await,
+        Outcome::NotAccepted(reason) => Err(CallerError::refusal(
+            ErrorCode::StoreUnavailable,
+            format!("The document was not accepted: {reason}"),
+            COME_BACK_MS,
+        )),
+        Outcome::Unknown(reason) => Err(CallerError {
+            run_state: base::outcome::RunState::Unknown,
+            ..CallerError::refusal(
+                ErrorCode::StoreUnavailable,
+                format!("Whether the document was accepted is not known yet; see `config history`: {reason}"),
+                COME_BACK_MS,
+            )
+        }),
+    }
+}
+
+async fn conflict(
+    fleet: &Fleet,
+    stored: Option<StoredConfig>,
+    offered: &Config,
+) -> Result<Reply, CallerError> {
+    let mut current_version = 0;
+    let mut changes = Vec::new();
+    if let Some(stored) = stored {
+        current_version = stored.version;
+        let document = fleet.config_store().document(&stored).await.ok();
+        let current = document.and_then(|d| Config::parse(&d.text).ok());
+        if let Some(current) = current {
+            changes = diff(&current, offered);
+        }
+    }
+    let reply = ApplyReply::Conflict {
+        current_version,
+        diff: changes,
+    };
+    json(StatusCode::CONFLICT, &reply)
+}
+
+fn base_version(query: &str) -> Result<u64, CallerError> {
+    let mut pairs = BTreeMap::new();
+    for pair in query.split('&') {
+        let Some((name, value)) = pair.split_once('=') else {
+            continue;
+        };
+        pairs.insert(name, value);
+    }
+    let base = pairs.get("base").and_then(|value| value.parse().ok());
+    base.ok_or_else(|| {
+        CallerError::mistake(
+            StatusCode::BAD_REQUEST,
+            ErrorCode::BadRequest,
+            "`base` is missing; name the version that the document was made from, 0 for the first.",
+        )
+    })
+}
+
+fn fleet(admin: &Admin) -> Result<&Fleet, CallerError> {
+    let fleet = admin.standing.peers.fleet();
+    fleet.map(|fleet| &**fleet).ok_or_else(|| {
+        CallerError::refusal(ErrorCode::NotReady, "The daemon is starting.", COME_BACK_MS)
+    })
+}
--- /dev/null
+++ b/crates/entry/src/admin/status.rs
@@ -0,0 +1,73 @@
+//! What this daemon knows of the fleet.
+
+use conf::admin::{BackendServer, EntryVm, NodeState, Status};
+use fleet::wire::Health;
+use policy::route::ServerState;
+
+use super::Admin;
+
+/// The answer of `GET /admin/status`.
+pub fn of(admin: &Admin) -> Status {
+    let standing = &admin.standing;
+    let in_force = standing.config.borrow().as_ref().map(|c| c.version);
+    Status {
+        node: standing.node.clone(),
+        program_version: env!("CARGO_PKG_VERSION").to_owned(),
+        config_version: in_force.unwrap_or(0),
+        in_flight: standing.gate.in_flight(),
+        entry_vms: entry_vms(admin, in_force.unwrap_or(0)),
+        backend_servers: backend_servers(admin),
+    }
+}
+
+fn entry_vms(admin: &Admin, own_version: u64) -> Vec<EntryVm> {
+    let Some(fleet) = admin.standing.peers.fleet() else {
+        return Vec::new();
+    };
+    let view = fleet.view();
+    let mut vms = vec![EntryVm {
+        name: view.me.name.clone(),
+        incarnation: view.me.incarnation,
+        state: node_state(view.me.health),
+        config_version: own_version,
+    }];
+    for member in &view.members {
+        vms.push(EntryVm {
+            name: member.record.name.clone(),
+            incarnation: member.record.incarnation,
+            state: node_state(member.record.health),
+            config_version: member.config_version,
+        });
+    }
+    vms.sort_by(|a, b| a.name.cmp(&b.name));
+    vms
+}
+
+fn backend_servers(admin: &Admin) -> Vec<BackendServer> {
+    let views = admin.flow.backends.view();
+    let targets = admin.flow.backends.targets();
+    let mut servers = Vec::with_capacity(views.len());
+    for (view, (target, service)) in views.into_iter().zip(targets) {
+        servers.push(BackendServer {
+            id: view.server,
+            service,
+            address: target.address,
+            failure_domain: view.failure_domain,
+            state: match view.state {
+                ServerState::Live => NodeState::Live,
+                ServerState::Leaving => NodeState::Leaving,
+                ServerState::Suspect => NodeState::Suspect,
+            },
+            running: view.load.map_or(0, |load| u64::from(load.running)),
+        });
+    }
+    servers
+}
+
+fn node_state(health: Health) -> NodeState {
+    match health {
+        Health::Alive => NodeState::Live,
+        Health::Suspect => NodeState::Suspect,
+        _ => NodeState::Leaving,
+    }
+}
--- a/crates/entry/src/flow/record.rs
+++ b/crates/entry/src/flow/record.rs
@@ -46,6 +46,8 @@
     pub usage: Usage,
     /// How far the answer has come.
     pub progress: Progress,
+    /// Backend servers tried, in order.
+    pub attempts: Vec<Name>,
     /// Count of relays that have owned the record; only the newest may add to it.
     pub epoch: u64,
 }
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -196,6 +196,8 @@
         }
         match self.flow.backends.choose(self.id, &self.ask) {
             Ok(chosen) => {
+                let server = chosen.decision.server.clone();
+                self.record.lock().attempts.push(server);
                 self.live = Some(Live {
                     flight: chosen.flight,
                     stream: None,
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -9,6 +9,7 @@
 mod server;
 mod sse;
 
+pub use auth::bearer;
 pub use body::{Reply, ReplyBody, full, read};
 pub use error::{CallerError, ErrorCode, RetrySafety};
 pub use server::{Server, ServerOptions};
--- a/crates/entry/src/front/model.rs
+++ b/crates/entry/src/front/model.rs
@@ -125,6 +125,7 @@
         remaining_ms: service.timeout_ms,
         usage: Default::default(),
         progress: Progress::Open,
+        attempts: Vec::new(),
         epoch: 0,
     }
 }
--- a/crates/entry/src/passage/non_idempotent.rs
+++ b/crates/entry/src/passage/non_idempotent.rs
@@ -152,7 +152,7 @@
     let result = StoredResult {
         status: answer.status.as_u16(),
         headers: kept_headers(&answer.headers),
-        body: body.to_vec(),
+        body: body.clone(),
     };
     let reply = replay(&result, body);
     running.finish(result).await;
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,77 @@
+//! The other entry VMs, as handlers see them.
+
+use std::sync::{Arc, OnceLock};
+
+use base::Name;
+use base::ids::RequestId;
+use fleet::Fleet;
+use fleet::handover::{StreamEnd, StreamRecord};
+use fleet::streams::StreamReader;
+
+use crate::flow::{Progress, Record, SharedRecord};
+
+/// Access to the fleet, once it runs.
+#[derive(Clone, Default)]
+pub struct Peers {
+    fleet: Arc<OnceLock<Arc<Fleet>>>,
+}
+
+impl Peers {
+    /// Names the running fleet; it is named once.
+    pub fn set(&self, fleet: Arc<Fleet>) {
+        // A second call would be a fault of start-up and changes nothing.
+        let _ = self.fleet.set(fleet);
+    }
+
+    /// The running fleet.
+    pub fn fleet(&self) -> Option<&Arc<Fleet>> {
+        self.fleet.get()
+    }
+
+    /// Whether what this node knows is recent enough to serve by.
+    pub fn may_serve(&self) -> bool {
+        self.fleet().is_some_and(|fleet| fleet.may_route())
+    }
+
+    /// Opens a stream that was handed over.
+    pub fn read_stream(&self, id: RequestId, workspace: &Name, offset: usize) -> Option<StreamReader> {
+        let fleet = self.fleet()?;
+        Some(fleet.read_stream(id, workspace.clone(), offset))
+    }
+
+    /// Gives streams to peers and returns how many found a taker.
+    pub async fn hand_over(&self, records: &[SharedRecord]) -> usize {
+        let Some(fleet) = self.fleet() else {
+            return 0;
+        };
+        let mut outgoing = Vec::with_capacity(records.len());
+        for record in records {
+            outgoing.push(to_stream(&record.lock()));
+        }
+        let given = fleet.hand_over(outgoing).await;
+        given.iter().filter(|one| one.owner.is_some()).count()
+    }
+}
+
+/// The form in which a record is handed over. Offsets count bytes of text.
+fn to_stream(record: &Record) -> StreamRecord {
+    StreamRecord {
+        id: record.id,
+        workspace: record.workspace.clone(),
+        service: record.service.clone(),
+        path: record.call.path().to_owned(),
+        body: serde_json::to_string(&record.request).unwrap_or_default(),
+        answer: record.text.clone(),
+        generated: record.text.clone(),
+        tokens: record.tokens,
+        remaining_ms: record.remaining_ms,
+        priority: 0,
+        epoch: 0,
+        owner: Name::from(""),
+        standby: None,
+        end: match record.progress {
+            Progress::Open => StreamEnd::Open,
+            Progress::Done { .. } => StreamEnd::Complete,
+        },
+    }
+}
--- /dev/null
+++ b/crates/entry/src/state/mod.rs
@@ -0,0 +1,91 @@
+//! What holds for the whole daemon: the configuration in force, its life, and admission.
+
+mod gate;
+mod life;
+mod work;
+
+pub use gate::{Admitted, Gate};
+pub use life::{Life, LifeEvent, LifeState};
+pub use work::Work;
+
+use std::sync::Arc;
+
+use base::Name;
+use base::ids::RequestId;
+use conf::Config;
+use tokio::sync::watch;
+
+use crate::flow::{Flow, SharedRecord};
+use crate::front::{CallerError, ErrorCode};
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+
+/// When a caller that met a daemon without readiness may come back.
+const COME_BACK_MS: u64 = 500;
+
+/// A configuration with its version.
+#[derive(Clone, Debug)]
+pub struct InForce {
+    /// The version.
+    pub version: u64,
+    /// The checked document.
+    pub config: Arc<Config>,
+}
+
+/// Daemon-wide state, shared by all handlers.
+pub struct Standing {
+    /// This entry VM.
+    pub node: Name,
+    /// The configuration in force; none before the first.
+    pub config: watch::Receiver<Option<InForce>>,
+    /// The process's life.
+    pub life: Life,
+    /// Admission.
+    pub gate: Gate,
+    /// The other entry VMs.
+    pub peers: Peers,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+}
+
+impl Standing {
+    /// The configuration to serve under, or why nothing is served now.
+    pub fn serving(&self) -> Result<InForce, CallerError> {
+        let reason = match self.life.state() {
+            LifeState::Serving if self.peers.may_serve() => None,
+            LifeState::Serving | LifeState::Starting => {
+                Some("This entry VM is learning the current configuration.")
+            }
+            LifeState::Draining | LifeState::HandingOver | LifeState::Stopped => {
+                Some("This entry VM is leaving.")
+            }
+        };
+        if let Some(reason) = reason {
+            return Err(not_ready(reason));
+        }
+        let in_force = self.config.borrow().clone();
+        in_force.ok_or_else(|| not_ready("No configuration is in force yet."))
+    }
+
+    /// Admits a request, or refuses it for good.
+    pub async fn admit(&self, id: RequestId, work: Work) -> Result<Admitted, CallerError> {
+        let admitted = self.gate.admit(id, work).await?;
+        self.metrics.admitted();
+        Ok(admitted)
+    }
+
+    /// Looks for a request's record at the peers and takes it over.
+    pub async fn fetch_record(&self, flow: &Flow, id: RequestId) -> Option<SharedRecord> {
+        let record = self.peers.fetch_record(id).await?;
+        flow.store.adopt(record, flow.clock.now_ms());
+        flow.store.find(id)
+    }
+}
+
+fn not_ready(reason: &str) -> CallerError {
+    CallerError::refusal(
+        ErrorCode::NotReady,
+        format!("{reason} Ask another entry VM."),
+        COME_BACK_MS,
+    )
+}
