--- a/crates/entry/src/admin/config.rs
+++ b/crates/entry/src/admin/config.rs
@@ -41,7 +41,12 @@
 /// The newest versions, newest first.
 pub async fn history(admin: &Admin) -> Result<Reply, CallerError> {
     let fleet = fleet(admin)?;
-    let newest = admin.standing.config.borrow().as_ref().map_or(0, |c| c.version);
+    let newest = admin
+        .standing
+        .config
+        .borrow()
+        .as_ref()
+        .map_or(0, |c| c.version);
     let after = newest.saturating_sub(u64::from(HISTORY_LENGTH));
     let rows = fleet.config_store().history(after, HISTORY_LENGTH).await;
     let rows = rows.map_err(|e| {
@@ -69,12 +74,20 @@
     request: Request<B>,
 ) -> Result<Reply, CallerError> {
     let base = base_version(request.uri().query().unwrap_or_default())?;
-    let body = read(request.into_body(), MAX_DOCUMENT_SIZE_BYTES, BODY_TIMEOUT_MS).await?;
+    let body = read(
+        request.into_body(),
+        MAX_DOCUMENT_SIZE_BYTES,
+        BODY_TIMEOUT_MS,
+    )
+    .await?;
     let text = String::from_utf8_lossy(&body);
     let config = match Config::parse(&text) {
         Ok(config) => config,
         Err(faults) => {
-            return json(StatusCode::UNPROCESSABLE_ENTITY, &ApplyReply::Invalid { faults });
+            return json(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                &ApplyReply::Invalid { faults },
+            );
         }
     };
     let fleet = fleet(admin)?;
@@ -91,7 +104,9 @@
             run_state: base::outcome::RunState::Unknown,
             ..CallerError::refusal(
                 ErrorCode::StoreUnavailable,
-                format!("Whether the document was accepted is not known yet; see `config history`: {reason}"),
+                format!(
+                    "Whether the document was accepted is not known yet; see `config history`: {reason}"
+                ),
                 COME_BACK_MS,
             )
         }),
--- a/crates/entry/src/admin/mod.rs
+++ b/crates/entry/src/admin/mod.rs
@@ -113,7 +113,9 @@
             return Err(CallerError::mistake(
                 StatusCode::NOT_FOUND,
                 ErrorCode::NotFound,
-                format!("This entry VM holds no request `{id}`; ask the one that the caller reached."),
+                format!(
+                    "This entry VM holds no request `{id}`; ask the one that the caller reached."
+                ),
             ));
         };
         let view = request_view(&self.standing.node, &record.lock());
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -150,7 +150,7 @@
         loop {
             match self.phase() {
                 Phase::Streaming | Phase::Done => return Ok(()),
-                Phase::Moved => return Err(moved()),
+                Phase::Moved => return Err(CallerError::moved()),
                 Phase::Failed => return Err(self.take_error()),
                 Phase::Routing | Phase::Sending | Phase::Waiting => self.advance().await,
             }
@@ -192,7 +192,10 @@
 
     fn route(&mut self) {
         if self.remaining_ms() == 0 {
-            return self.give_up(ErrorCode::DeadlineExceeded, "The time for the answer is over.");
+            return self.give_up(
+                ErrorCode::DeadlineExceeded,
+                "The time for the answer is over.",
+            );
         }
         match self.flow.backends.choose(self.id, &self.ask) {
             Ok(chosen) => {
@@ -349,7 +352,10 @@
             live.finish_reason = Some(reason);
         }
         let text = choice_text(&mut choice);
-        let tool_calls = choice.delta.as_ref().is_some_and(|d| d.tool_calls.is_some());
+        let tool_calls = choice
+            .delta
+            .as_ref()
+            .is_some_and(|d| d.tool_calls.is_some());
         if text.is_empty() && !tool_calls {
             return None;
         }
@@ -380,7 +386,10 @@
     }
 
     fn end_marker(&mut self) {
-        let finished = self.live.as_ref().is_some_and(|l| l.finish_reason.is_some());
+        let finished = self
+            .live
+            .as_ref()
+            .is_some_and(|l| l.finish_reason.is_some());
         match finished {
             true => self.complete(),
             false => self.broken(RunState::Ran, "the stream ended without a finish reason"),
@@ -388,7 +397,10 @@
     }
 
     fn ended_early(&mut self, reason: &str) {
-        let finished = self.live.as_ref().is_some_and(|l| l.finish_reason.is_some());
+        let finished = self
+            .live
+            .as_ref()
+            .is_some_and(|l| l.finish_reason.is_some());
         match finished {
             true => self.complete(),
             false => self.broken(RunState::Ran, reason),
@@ -509,7 +521,7 @@
     }
 
     fn take_error(&mut self) -> CallerError {
-        self.error.clone().unwrap_or_else(moved)
+        self.error.clone().unwrap_or_else(CallerError::moved)
     }
 
     fn remaining_ms(&self) -> Millisecond {
@@ -535,7 +547,11 @@
             path: record.call.path().to_owned(),
             headers,
             body: body.into(),
-            head_timeout_ms: self.flow.options.head_timeout_ms.min(self.remaining_ms().max(1)),
+            head_timeout_ms: self
+                .flow
+                .options
+                .head_timeout_ms
+                .min(self.remaining_ms().max(1)),
         }
     }
 }
@@ -564,14 +580,6 @@
     }
 }
 
-fn moved() -> CallerError {
-    CallerError::refusal(
-        ErrorCode::Moved,
-        "This entry VM is leaving; ask for the request by its number at another one.",
-        0,
-    )
-}
-
 fn choice_text(choice: &mut Choice) -> String {
     if let Some(text) = choice.text.take() {
         return text;
--- a/crates/entry/src/front/auth.rs
+++ b/crates/entry/src/front/auth.rs
@@ -12,7 +12,10 @@
 }
 
 /// Finds the workspace that holds the request's bearer key.
-pub fn workspace<'a>(config: &'a Config, headers: &HeaderMap) -> Result<&'a Workspace, CallerError> {
+pub fn workspace<'a>(
+    config: &'a Config,
+    headers: &HeaderMap,
+) -> Result<&'a Workspace, CallerError> {
     bearer(headers)
         .and_then(|key| config.workspace_by_key(key))
         .ok_or_else(|| {
--- a/crates/entry/src/front/body.rs
+++ b/crates/entry/src/front/body.rs
@@ -29,13 +29,18 @@
 }
 
 /// Reads a request's whole body within bounds of size and time.
-pub async fn read<B>(body: B, max_bytes: usize, timeout_ms: Millisecond) -> Result<Bytes, CallerError>
+pub async fn read<B>(
+    body: B,
+    max_bytes: usize,
+    timeout_ms: Millisecond,
+) -> Result<Bytes, CallerError>
 where
     B: http_body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let collected = Limited::new(body, max_bytes).collect();
-    let Ok(result) = tokio::time::timeout(Duration::from_millis(timeout_ms), collected).await else {
+    let Ok(result) = tokio::time::timeout(Duration::from_millis(timeout_ms), collected).await
+    else {
         return Err(CallerError::mistake(
             StatusCode::REQUEST_TIMEOUT,
             ErrorCode::RequestTimeout,
--- a/crates/entry/src/front/error.rs
+++ b/crates/entry/src/front/error.rs
@@ -69,6 +69,14 @@
     NotReady,
 }
 
+impl ErrorCode {
+    /// The code as callers see it.
+    pub fn name(self) -> String {
+        let json = serde_json::to_value(self).unwrap_or_default();
+        json.as_str().unwrap_or_default().to_owned()
+    }
+}
+
 /// An error as the caller sees it.
 #[derive(Clone, Debug, Serialize)]
 pub struct CallerError {
@@ -107,7 +115,11 @@
     }
 
     /// A refusal before anything ran; the caller may come back.
-    pub fn refusal(code: ErrorCode, message: impl Into<String>, retry_after_ms: Millisecond) -> Self {
+    pub fn refusal(
+        code: ErrorCode,
+        message: impl Into<String>,
+        retry_after_ms: Millisecond,
+    ) -> Self {
         let status = match code {
             ErrorCode::Overloaded => StatusCode::TOO_MANY_REQUESTS,
             _ => StatusCode::SERVICE_UNAVAILABLE,
@@ -122,6 +134,15 @@
         }
     }
 
+    /// The answer goes on at another entry VM.
+    pub fn moved() -> Self {
+        Self::refusal(
+            ErrorCode::Moved,
+            "This entry VM is leaving; ask for the request by its number at another one.",
+            0,
+        )
+    }
+
     /// The error as JSON, `{"error":{…}}`.
     pub fn to_json(&self) -> String {
         serde_json::to_string(&Envelope { error: self }).unwrap_or_default()
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -140,7 +140,11 @@
     Err(CallerError::mistake(
         StatusCode::METHOD_NOT_ALLOWED,
         ErrorCode::MethodNotAllowed,
-        format!("`{}` takes {method}, not {}.", request.uri().path(), request.method()),
+        format!(
+            "`{}` takes {method}, not {}.",
+            request.uri().path(),
+            request.method()
+        ),
     ))
 }
 
--- a/crates/entry/src/front/model.rs
+++ b/crates/entry/src/front/model.rs
@@ -32,7 +32,12 @@
     let workspace = auth::workspace(&in_force.config, request.headers())?;
     let id = request_id(&request)?;
     let options = front.options;
-    let body = read(request.into_body(), options.max_body_bytes, options.body_timeout_ms).await?;
+    let body = read(
+        request.into_body(),
+        options.max_body_bytes,
+        options.body_timeout_ms,
+    )
+    .await?;
     let completion = parse(call, &body)?;
     let service = model_service(&in_force.config, &completion.model)?;
     let work = Work::model(workspace, service, &completion);
@@ -72,11 +77,12 @@
 }
 
 fn parse(call: Call, body: &[u8]) -> Result<CompletionRequest, CallerError> {
-    let request: CompletionRequest = serde_json::from_slice(body).map_err(|e| {
-        bad_request(format!("The body is not a completion request: {e}."))
-    })?;
+    let request: CompletionRequest = serde_json::from_slice(body)
+        .map_err(|e| bad_request(format!("The body is not a completion request: {e}.")))?;
     if request.n.unwrap_or(1) != 1 {
-        return Err(bad_request("`n` must be 1; ask several times instead.".to_owned()));
+        return Err(bad_request(
+            "`n` must be 1; ask several times instead.".to_owned(),
+        ));
     }
     let missing = match call {
         Call::Chat if request.messages.as_ref().is_none_or(Vec::is_empty) => Some("messages"),
@@ -84,7 +90,9 @@
         _ => None,
     };
     match missing {
-        Some(field) => Err(bad_request(format!("`{field}` is missing or empty; add it."))),
+        Some(field) => Err(bad_request(format!(
+            "`{field}` is missing or empty; add it."
+        ))),
         None => Ok(request),
     }
 }
--- a/crates/entry/src/front/plain.rs
+++ b/crates/entry/src/front/plain.rs
@@ -54,11 +54,12 @@
     };
     let guard = match effect {
         Effect::Idempotent => None,
-        Effect::NonIdempotent => {
-            Some(NonIdempotent::new(&workspace.name, &call, &head.headers)?)
-        }
+        Effect::NonIdempotent => Some(NonIdempotent::new(&workspace.name, &call, &head.headers)?),
     };
-    let admitted = front.standing.admit(id, Work::plain(workspace, service)).await?;
+    let admitted = front
+        .standing
+        .admit(id, Work::plain(workspace, service))
+        .await?;
     let reply = match guard {
         None => passage::idempotent(&front.flow, call, admitted).await?,
         Some(guard) => passage::non_idempotent(front, call, guard, admitted).await?,
--- a/crates/entry/src/front/resume.rs
+++ b/crates/entry/src/front/resume.rs
@@ -48,7 +48,9 @@
 
 fn offset<B>(request: &Request<B>) -> Result<usize, CallerError> {
     let query = request.uri().query().unwrap_or_default();
-    let in_query = query.split('&').find_map(|pair| pair.strip_prefix("offset="));
+    let in_query = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("offset="));
     let in_header = request
         .headers()
         .get("last-event-id")
@@ -57,7 +59,9 @@
         return Ok(0);
     };
     text.parse().map_err(|_| {
-        bad_offset(format!("`{text}` is no offset; send the last event's `id`."))
+        bad_offset(format!(
+            "`{text}` is no offset; send the last event's `id`."
+        ))
     })
 }
 
--- a/crates/entry/src/front/server.rs
+++ b/crates/entry/src/front/server.rs
@@ -38,7 +38,11 @@
 
 impl Server {
     /// Listens at `address` and answers each request by `service`.
-    pub async fn bind<S>(address: SocketAddr, options: ServerOptions, service: S) -> std::io::Result<Self>
+    pub async fn bind<S>(
+        address: SocketAddr,
+        options: ServerOptions,
+        service: S,
+    ) -> std::io::Result<Self>
     where
         S: tower::Service<Request<Incoming>, Response = Reply, Error = Infallible>
             + Clone
--- a/crates/entry/src/front/sse.rs
+++ b/crates/entry/src/front/sse.rs
@@ -46,7 +46,11 @@
         let record = relay.record().lock();
         let wanted = record.request.rest.get("stream_options");
         let wanted = wanted.is_some_and(|options| options["include_usage"] == true);
-        let usage = if wanted { UsageReport::Wanted } else { UsageReport::Unwanted };
+        let usage = if wanted {
+            UsageReport::Wanted
+        } else {
+            UsageReport::Unwanted
+        };
         (record.answer_head(), usage)
     };
     let state = Streamed {
@@ -63,7 +67,10 @@
     });
     let mut reply = Response::new(StreamBody::new(frames).boxed_unsync());
     let headers = reply.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("text/event-stream"),
+    );
     headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
     reply
 }
@@ -81,10 +88,16 @@
             }
         }
         let frame = match self.relay.next().await {
-            Piece::Text { text, choice, offset } => self.text(&text, choice.as_ref(), offset),
+            Piece::Text {
+                text,
+                choice,
+                offset,
+            } => self.text(&text, choice.as_ref(), offset),
             Piece::Finish { reason, usage } => self.finish(&reason, usage),
             Piece::Moved => self.end(": moved\n\n".to_owned()),
-            Piece::Failed(error) => self.end(format!("event: error\ndata: {}\n\n", error.to_json())),
+            Piece::Failed(error) => {
+                self.end(format!("event: error\ndata: {}\n\n", error.to_json()))
+            }
         };
         Some(frame)
     }
@@ -92,7 +105,11 @@
     /// Text that was relayed before this reader came.
     fn catch_up(&mut self) -> Option<Bytes> {
         let record = self.relay.record().lock();
-        let missed = record.text.get(self.offset..).unwrap_or_default().to_owned();
+        let missed = record
+            .text
+            .get(self.offset..)
+            .unwrap_or_default()
+            .to_owned();
         let offset = record.text.len();
         drop(record);
         if missed.is_empty() {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
-use prometheus_client::encoding::{EncodeLabelSet, LabelSetEncoder, text};
+use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -11,14 +11,9 @@
 
 use crate::front::ErrorCode;
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct CodeLabel(ErrorCode);
-
-impl EncodeLabelSet for CodeLabel {
-    fn encode(&self, encoder: &mut LabelSetEncoder) -> Result<(), std::fmt::Error> {
-        let value = serde_json::to_string(&self.0).map_err(|_| std::fmt::Error)?;
-        ("code", value.trim_matches('"')).encode(encoder.encode_label())
-    }
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CodeLabel {
+    code: String,
 }
 
 /// The metrics and their registry.
@@ -60,15 +55,27 @@
     fn register(&self) {
         let mut registry = self.lock();
         let name = "apricotledge_requests_admitted";
-        registry.register(name, "Requests that passed admission", self.admitted.clone());
+        registry.register(
+            name,
+            "Requests that passed admission",
+            self.admitted.clone(),
+        );
         let name = "apricotledge_errors";
-        registry.register(name, "Errors given to callers, by code", self.refused.clone());
+        registry.register(
+            name,
+            "Errors given to callers, by code",
+            self.refused.clone(),
+        );
         let name = "apricotledge_requests_in_flight";
         registry.register(name, "Requests in flight or queued", self.in_flight.clone());
         let name = "apricotledge_records";
         registry.register(name, "Records of model requests held", self.records.clone());
         let name = "apricotledge_config_version";
-        registry.register(name, "Configuration version in force", self.config_version.clone());
+        registry.register(
+            name,
+            "Configuration version in force",
+            self.config_version.clone(),
+        );
     }
 
     /// Counts an admitted request.
@@ -78,7 +85,10 @@
 
     /// Counts an error given to a caller.
     pub fn refused(&self, code: ErrorCode) {
-        self.refused.get_or_create(&CodeLabel(code)).inc();
+        let label = CodeLabel {
+            code: code.name().to_owned(),
+        };
+        self.refused.get_or_create(&label).inc();
     }
 
     /// All metrics as text.
--- a/crates/entry/src/passage/idempotent.rs
+++ b/crates/entry/src/passage/idempotent.rs
@@ -37,7 +37,12 @@
             Ok(chosen) => chosen,
             Err(error) if reason.is_empty() => {
                 let text = error.to_string();
-                return Err(given_up(ErrorCode::NoBackendServer, &text, run_state, RetrySafety::Safe));
+                return Err(given_up(
+                    ErrorCode::NoBackendServer,
+                    &text,
+                    run_state,
+                    RetrySafety::Safe,
+                ));
             }
             Err(_) => break,
         };
@@ -54,7 +59,12 @@
         flow.backends.set_suspect(&target.id);
         ask.excluded.push(target.id);
     }
-    Err(given_up(ErrorCode::BackendFailed, &reason, run_state, RetrySafety::Safe))
+    Err(given_up(
+        ErrorCode::BackendFailed,
+        &reason,
+        run_state,
+        RetrySafety::Safe,
+    ))
 }
 
 fn pass_on(answer: Answer, flight: Flight, admitted: Admitted) -> Reply {
--- a/crates/entry/src/passage/mod.rs
+++ b/crates/entry/src/passage/mod.rs
@@ -48,6 +48,10 @@
     CallerError {
         run_state,
         retry,
-        ..CallerError::refusal(code, format!("The call was given up: {reason}"), COME_BACK_MS)
+        ..CallerError::refusal(
+            code,
+            format!("The call was given up: {reason}"),
+            COME_BACK_MS,
+        )
     }
 }
--- a/crates/entry/src/passage/non_idempotent.rs
+++ b/crates/entry/src/passage/non_idempotent.rs
@@ -73,9 +73,7 @@
     let front = front.clone();
     let task = tokio::spawn(async move { run(&front, call, guard, admitted).await });
     let ended = task.await;
-    ended.unwrap_or_else(|_| {
-        Err(unknown("the entry VM failed while the call was running"))
-    })
+    ended.unwrap_or_else(|_| Err(unknown("the entry VM failed while the call was running")))
 }
 
 async fn run(
@@ -132,7 +130,12 @@
         }
     }
     running.not_sent().await;
-    Err(given_up(ErrorCode::NoBackendServer, &reason, RunState::NotRun, RetrySafety::Safe))
+    Err(given_up(
+        ErrorCode::NoBackendServer,
+        &reason,
+        RunState::NotRun,
+        RetrySafety::Safe,
+    ))
 }
 
 async fn answered(answer: Answer, running: Running, timeout_ms: u64) -> Result<Reply, CallerError> {
@@ -188,7 +191,9 @@
             ErrorCode::IdempotencyKeyReused,
             "This key was used for another call; send a new key with a new call.",
         )),
-        Begin::OutcomeUnknown => Err(unknown("a call with this key was sent and its outcome was lost")),
+        Begin::OutcomeUnknown => Err(unknown(
+            "a call with this key was sent and its outcome was lost",
+        )),
         Begin::Unavailable { retry_after_ms } => Err(CallerError::refusal(
             ErrorCode::StoreUnavailable,
             "The record of the call could not be written, so it was not run; ask again with the same key.",
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -34,7 +34,12 @@
     }
 
     /// Opens a stream that was handed over.
-    pub fn read_stream(&self, id: RequestId, workspace: &Name, offset: usize) -> Option<StreamReader> {
+    pub fn read_stream(
+        &self,
+        id: RequestId,
+        workspace: &Name,
+        offset: usize,
+    ) -> Option<StreamReader> {
         let fleet = self.fleet()?;
         Some(fleet.read_stream(id, workspace.clone(), offset))
     }
--- a/crates/entry/src/state/gate.rs
+++ b/crates/entry/src/state/gate.rs
@@ -117,9 +117,10 @@
         let own = inner.own.clone();
         let mut actions = Vec::new();
         for service in services {
-            let admission = inner.services.entry(service.clone()).or_insert_with(|| {
-                Admission::new(own.clone(), LimitConfig::default(), &shares)
-            });
+            let admission = inner
+                .services
+                .entry(service.clone())
+                .or_insert_with(|| Admission::new(own.clone(), LimitConfig::default(), &shares));
             actions.extend(admission.on_shares(&shares));
         }
         inner.shares = shares;
