--- a/crates/engine/src/chat.rs
+++ b/crates/engine/src/chat.rs
@@ -26,6 +26,13 @@
         }
     }
 
+    /// The call with that path.
+    pub fn named(path: &str) -> Option<Self> {
+        [Self::Chat, Self::Completions]
+            .into_iter()
+            .find(|call| call.path() == path)
+    }
+
     fn chunk_object(self) -> &'static str {
         match self {
             Self::Chat => "chat.completion.chunk",
--- a/crates/entry/src/admin/mod.rs
+++ b/crates/entry/src/admin/mod.rs
@@ -25,8 +25,8 @@
     pub standing: Arc<Standing>,
     /// The flow of model requests.
     pub flow: Arc<Flow>,
-    /// The key that works before any configuration names operators.
-    pub bootstrap_key: Option<Secret>,
+    /// The peers' secret, which works as a key until a configuration names operators.
+    pub bootstrap_key: Secret,
     /// Asks the daemon to drain.
     pub drain: mpsc::Sender<()>,
     /// Longest time a drain takes.
@@ -72,8 +72,7 @@
         {
             return Ok(operator.name.clone());
         }
-        let bootstrap = self.bootstrap_key.as_ref();
-        if in_force.is_none() && bootstrap.is_some_and(|secret| secret.matches(key)) {
+        if in_force.is_none() && self.bootstrap_key.matches(key) {
             return Ok("bootstrap".into());
         }
         Err(CallerError::mistake(
--- a/crates/entry/src/flow/mod.rs
+++ b/crates/entry/src/flow/mod.rs
@@ -25,8 +25,10 @@
 pub enum Drain {
     /// Streams go on.
     Open,
-    /// Streams stop where they are and are handed over.
+    /// Streams stop where they are and are being handed over.
     Cut,
+    /// Peers have the streams.
+    HandedOver,
 }
 
 /// Times that bound the flow of a request.
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -150,7 +150,10 @@
         loop {
             match self.phase() {
                 Phase::Streaming | Phase::Done => return Ok(()),
-                Phase::Moved => return Err(CallerError::moved()),
+                Phase::Moved => {
+                    self.handed_over().await;
+                    return Err(CallerError::moved());
+                }
                 Phase::Failed => return Err(self.take_error()),
                 Phase::Routing | Phase::Sending | Phase::Waiting => self.advance().await,
             }
@@ -170,13 +173,23 @@
                     }
                 }
                 Phase::Done => return self.finished().unwrap_or(Piece::Moved),
-                Phase::Moved => return Piece::Moved,
+                Phase::Moved => {
+                    self.handed_over().await;
+                    return Piece::Moved;
+                }
                 Phase::Failed => return Piece::Failed(self.take_error()),
                 Phase::Routing | Phase::Sending | Phase::Waiting => self.advance().await,
             }
         }
     }
 
+    /// In a drain, waits until the peers have the record, so that the caller finds it there.
+    async fn handed_over(&mut self) {
+        if *self.drain.borrow() == Drain::Cut {
+            let _ = self.drain.wait_for(|drain| *drain == Drain::HandedOver).await;
+        }
+    }
+
     fn phase(&self) -> Phase {
         Phase::named(self.phase.state())
     }
@@ -505,7 +518,13 @@
 
     fn stop(&mut self, event: &str) {
         self.live = None;
-        self.record.lock().remaining_ms = self.remaining_ms();
+        let remaining_ms = self.remaining_ms();
+        {
+            let mut record = self.record.lock();
+            if record.epoch == self.epoch {
+                record.remaining_ms = remaining_ms;
+            }
+        }
         self.phase.apply(event);
     }
 
@@ -574,7 +593,7 @@
 const TOKEN_MS_ASSUMED: Millisecond = 40;
 
 async fn cut(drain: &mut watch::Receiver<Drain>) {
-    let closed = drain.wait_for(|drain| *drain == Drain::Cut).await.is_err();
+    let closed = drain.wait_for(|drain| *drain != Drain::Open).await.is_err();
     if closed {
         std::future::pending::<()>().await;
     }
--- /dev/null
+++ b/crates/entry/src/follow.rs
@@ -0,0 +1,230 @@
+//! Keeps the daemon's state in step with what the fleet knows.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Name;
+use base::units::Millisecond;
+use conf::Config;
+use engine::Target;
+use events::Code;
+use fleet::Fleet;
+use fleet::bulletin::Demand;
+use fleet::view::FleetView;
+use platform::{Vm, VmRole, VmState};
+use policy::limit::{WorkspaceDemand, WorkspaceShare};
+use policy::route::ServerState;
+use serde::Serialize;
+use tokio::sync::watch;
+
+use crate::backends::{Known, Leaving};
+use crate::flow::Flow;
+use crate::state::{InForce, LifeEvent, Standing};
+
+/// Time between looks at capacity and demand.
+const TICK_MS: Millisecond = 250;
+
+/// Time left assumed of a leaving server whose notice gave none.
+const REMAINING_ASSUMED_MS: Millisecond = 10_000;
+
+/// Slots assumed of a model engine that has not reported.
+const MODEL_SLOTS_ASSUMED: u32 = 8;
+
+/// Slots assumed of a plain server.
+const PLAIN_SLOTS_ASSUMED: u32 = 64;
+
+/// Separates service and workspace in a row of demand.
+const DEMAND_SEPARATOR: char = '/';
+
+/// The peer under whose name the demand of all others is counted.
+const OTHERS: &str = "others";
+
+#[derive(Serialize)]
+struct ConfigLog {
+    version: u64,
+}
+
+/// Follows one fleet for one daemon.
+pub struct Follower {
+    /// The fleet.
+    pub fleet: Arc<Fleet>,
+    /// Daemon-wide state.
+    pub standing: Arc<Standing>,
+    /// The flow, whose view of backend servers is kept.
+    pub flow: Arc<Flow>,
+    /// Where a new configuration is published.
+    pub config: watch::Sender<Option<InForce>>,
+}
+
+impl Follower {
+    /// Runs until the fleet ends.
+    pub async fn run(self) {
+        let mut views = self.fleet.watch();
+        let mut tick = tokio::time::interval(Duration::from_millis(TICK_MS));
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                changed = views.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+                _ = tick.tick() => {}
+            }
+            let view = views.borrow_and_update().clone();
+            self.take_config(&view);
+            self.take_servers(&view);
+            self.exchange_demand();
+        }
+    }
+
+    fn take_config(&self, view: &FleetView) {
+        let Some(document) = &view.config else {
+            return;
+        };
+        let held = self.config.borrow().as_ref().map_or(0, |c| c.version);
+        if document.version <= held {
+            return;
+        }
+        // Only validated documents are proposed; one that this program cannot read is of a newer
+        // program, and what is held stays in force.
+        let Ok(config) = Config::parse(&document.text) else {
+            return;
+        };
+        self.set_shares(&config);
+        self.config.send_replace(Some(InForce {
+            version: document.version,
+            config: Arc::new(config),
+        }));
+        events::emit(
+            Code::ConfigInForce,
+            &ConfigLog {
+                version: document.version,
+            },
+        );
+        self.standing.life.apply(LifeEvent::ConfigInForce);
+    }
+
+    fn set_shares(&self, config: &Config) {
+        let services: Vec<Name> = config.services.keys().cloned().collect();
+        let mut shares = Vec::with_capacity(config.workspaces.len());
+        for workspace in config.workspaces.values() {
+            shares.push(WorkspaceShare {
+                workspace: workspace.name.clone(),
+                weight: f64::from(workspace.share),
+            });
+        }
+        self.standing.gate.set_shares(&services, shares);
+    }
+
+    fn take_servers(&self, view: &FleetView) {
+        let in_force = self.config.borrow().clone();
+        let Some(in_force) = in_force else {
+            return;
+        };
+        let now_ms = self.flow.clock.now_ms();
+        let own_domain = &view.me.failure_domain;
+        let mut known = Vec::new();
+        for vm in view.vms.iter() {
+            if vm.role != VmRole::Backend {
+                continue;
+            }
+            let Some(service) = &vm.service else {
+                continue;
+            };
+            known.push(Known {
+                target: Target {
+                    id: vm.id.clone(),
+                    address: vm.address,
+                },
+                service: service.clone(),
+                failure_domain: vm.failure_domain.clone(),
+                price_micros_per_h: price_micros(&in_force.config, vm),
+                latency_us: latency_us(&in_force.config, own_domain, vm),
+                leaving: leaving(view, vm, now_ms),
+            });
+        }
+        self.flow.backends.set_known(known);
+        self.flow.backends.set_entries(self.fleet.alive_count() as u32);
+        self.set_capacity(&in_force.config);
+    }
+
+    fn set_capacity(&self, config: &Config) {
+        let views = self.flow.backends.view();
+        for (name, service) in &config.services {
+            let assumed = match service.kind {
+                conf::ServiceKind::Model { .. } => MODEL_SLOTS_ASSUMED,
+                conf::ServiceKind::Plain { .. } => PLAIN_SLOTS_ASSUMED,
+            };
+            let mut slots = 0;
+            for view in &views {
+                if view.service != *name || view.state == ServerState::Leaving {
+                    continue;
+                }
+                let reported = view.load.map_or(0, |load| load.slots);
+                slots += if reported == 0 { assumed } else { reported };
+            }
+            self.standing.gate.set_capacity(name, f64::from(slots));
+        }
+    }
+
+    fn exchange_demand(&self) {
+        let totals = self.fleet.demand();
+        let now_ms = self.flow.clock.now_ms();
+        let own = self.standing.gate.demand();
+        let mut rows = Vec::new();
+        for (service, demands) in &own {
+            let mut others = Vec::new();
+            for (key, total) in &totals {
+                let Some((of_service, workspace)) = key.split_once(DEMAND_SEPARATOR) else {
+                    continue;
+                };
+                if of_service != &**service {
+                    continue;
+                }
+                let own_units = units(demands, workspace);
+                others.push(WorkspaceDemand {
+                    workspace: workspace.into(),
+                    running: total.saturating_sub(u64::from(own_units)) as u32,
+                    queued: 0,
+                });
+            }
+            let gate = &self.standing.gate;
+            gate.set_peer_demand(service, &OTHERS.into(), now_ms, &others);
+            for demand in demands {
+                rows.push(Demand {
+                    workspace: format!("{service}{DEMAND_SEPARATOR}{}", demand.workspace).into(),
+                    units: demand.running + demand.queued,
+                });
+            }
+        }
+        self.fleet.set_demand(rows);
+    }
+}
+
+fn units(demands: &[WorkspaceDemand], workspace: &str) -> u32 {
+    let own = demands.iter().find(|d| &*d.workspace == workspace);
+    own.map_or(0, |d| d.running + d.queued)
+}
+
+fn leaving(view: &FleetView, vm: &Vm, now_ms: Millisecond) -> Leaving {
+    match vm.state {
+        VmState::Leaving { remaining_ms } => Leaving::Until(now_ms + remaining_ms),
+        VmState::Live if view.leaving.contains(&vm.id) => {
+            Leaving::Until(now_ms + REMAINING_ASSUMED_MS)
+        }
+        VmState::Live => Leaving::No,
+    }
+}
+
+fn price_micros(config: &Config, vm: &Vm) -> u64 {
+    let class = config.vm_classes.get(&vm.class);
+    let price = class.and_then(|class| class.prices.get(&vm.failure_domain));
+    let per_hour = price.and_then(|p| p.reclaimable_per_hour.or(p.on_demand_per_hour));
+    (per_hour.unwrap_or(0.0) * 1e6) as u64
+}
+
+fn latency_us(config: &Config, own_domain: &str, vm: &Vm) -> u64 {
+    let latency_ms = config.one_way_latency_ms(own_domain, &vm.failure_domain);
+    (latency_ms.unwrap_or(0.0) * 1e3) as u64
+}
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -3,6 +3,7 @@
 mod auth;
 mod body;
 mod error;
+mod handed;
 mod model;
 mod plain;
 mod resume;
@@ -109,8 +110,8 @@
     }
 
     fn readiness(&self) -> Reply {
-        match self.standing.serving() {
-            Ok(_) => full(StatusCode::OK, "text/plain", "ready\n"),
+        match self.standing.readiness() {
+            Ok(()) => full(StatusCode::OK, "text/plain", "ready\n"),
             Err(error) => error.into_reply(),
         }
     }
--- a/crates/entry/src/front/resume.rs
+++ b/crates/entry/src/front/resume.rs
@@ -6,8 +6,8 @@
 use http::{Request, StatusCode};
 
 use super::error::{CallerError, ErrorCode};
-use super::{Front, Reply, RequestBody, auth, model};
-use crate::flow::{Progress, Relay, SharedRecord};
+use super::{Front, Reply, RequestBody, auth, handed, model};
+use crate::flow::{Progress, Relay};
 use crate::state::Work;
 
 /// Answers `GET /v1/requests/ID`, from byte `offset` of the answer's text.
@@ -19,7 +19,9 @@
     let in_force = front.standing.serving()?;
     let workspace = auth::workspace(&in_force.config, request.headers())?;
     let offset = offset(&request)?;
-    let record = find(front, id).await.ok_or_else(not_found)?;
+    let Some(record) = front.flow.store.find(id) else {
+        return handed::reply(front, id, &workspace.name, offset).await;
+    };
     let streamed = {
         let held = record.lock();
         // Another workspace's number is told apart from none at all by nobody.
@@ -39,13 +41,6 @@
     model::reply(relay, id, streamed, offset, admitted).await
 }
 
-async fn find(front: &Front, id: RequestId) -> Option<SharedRecord> {
-    if let Some(record) = front.flow.store.find(id) {
-        return Some(record);
-    }
-    front.standing.fetch_record(&front.flow, id).await
-}
-
 fn offset<B>(request: &Request<B>) -> Result<usize, CallerError> {
     let query = request.uri().query().unwrap_or_default();
     let in_query = query
@@ -75,11 +70,13 @@
     )))
 }
 
-fn bad_offset(message: String) -> CallerError {
+/// The error of an offset that the answer does not have.
+pub fn bad_offset(message: String) -> CallerError {
     CallerError::mistake(StatusCode::BAD_REQUEST, ErrorCode::BadRequest, message)
 }
 
-fn not_found() -> CallerError {
+/// The error of a number that this workspace does not have.
+pub fn not_found() -> CallerError {
     CallerError::mistake(
         StatusCode::NOT_FOUND,
         ErrorCode::NotFound,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,9 +3,14 @@
 pub mod admin;
 pub mod backends;
 pub mod clock;
+pub mod daemon;
+pub mod drain;
 pub mod flow;
+pub mod follow;
 pub mod front;
 pub mod metrics;
+pub mod options;
 pub mod passage;
 pub mod peers;
 pub mod state;
+pub mod takeover;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -4,9 +4,8 @@
 
 use base::Name;
 use base::ids::RequestId;
-use fleet::Fleet;
+use fleet::{Fleet, StreamReader};
 use fleet::handover::{StreamEnd, StreamRecord};
-use fleet::streams::StreamReader;
 
 use crate::flow::{Progress, Record, SharedRecord};
 
--- a/crates/entry/src/state/mod.rs
+++ b/crates/entry/src/state/mod.rs
@@ -15,7 +15,6 @@
 use conf::Config;
 use tokio::sync::watch;
 
-use crate::flow::{Flow, SharedRecord};
 use crate::front::{CallerError, ErrorCode};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -53,10 +52,12 @@
     pub fn serving(&self) -> Result<InForce, CallerError> {
         let reason = match self.life.state() {
             LifeState::Serving if self.peers.may_serve() => None,
+            // The balancer may not have seen yet that the daemon is not ready.
+            LifeState::Draining => None,
             LifeState::Serving | LifeState::Starting => {
                 Some("This entry VM is learning the current configuration.")
             }
-            LifeState::Draining | LifeState::HandingOver | LifeState::Stopped => {
+            LifeState::HandingOver | LifeState::Stopped => {
                 Some("This entry VM is leaving.")
             }
         };
@@ -74,11 +75,12 @@
         Ok(admitted)
     }
 
-    /// Looks for a request's record at the peers and takes it over.
-    pub async fn fetch_record(&self, flow: &Flow, id: RequestId) -> Option<SharedRecord> {
-        let record = self.peers.fetch_record(id).await?;
-        flow.store.adopt(record, flow.clock.now_ms());
-        flow.store.find(id)
+    /// Whether the balancer may send new callers.
+    pub fn readiness(&self) -> Result<(), CallerError> {
+        if self.life.state() == LifeState::Draining {
+            return Err(not_ready("This entry VM is leaving."));
+        }
+        self.serving().map(|_| ())
     }
 }
 
--- /dev/null
+++ b/crates/entry/src/takeover.rs
@@ -0,0 +1,142 @@
+//! Streams that this entry VM takes over from a peer.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use base::units::Millisecond;
+use engine::chat::{Call, Usage};
+use fleet::handover::{StreamEnd, StreamRecord};
+use fleet::{Handlers, StreamSink};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+
+use crate::clock::unix_s;
+use crate::flow::{Flow, Piece, Progress, Record, Relay, SharedRecord};
+use crate::front::CallerError;
+
+/// Starts the trailer, which ends the bytes of a handed-over answer.
+const TRAILER_MARK: char = '\u{1e}';
+
+/// How a handed-over answer ended; follows its text.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "end")]
+pub enum Trailer {
+    /// The answer is whole.
+    Whole {
+        /// Why generation ended.
+        finish_reason: String,
+        /// Token counts.
+        usage: Usage,
+    },
+    /// The request was given up.
+    Failed {
+        /// The error, as callers see it.
+        error: String,
+    },
+}
+
+impl Trailer {
+    fn encode(&self) -> String {
+        let json = serde_json::to_string(self).unwrap_or_default();
+        format!("{TRAILER_MARK}{json}")
+    }
+
+    /// Splits the last bytes of an answer into text and trailer.
+    pub fn split(last: &str) -> Option<(&str, Self)> {
+        let (text, json) = last.rsplit_once(TRAILER_MARK)?;
+        let trailer = serde_json::from_str(json).ok()?;
+        Some((text, trailer))
+    }
+}
+
+/// Goes on with streams that peers hand over, and passes on the VM's own notice.
+pub struct Takeover {
+    flow: Arc<Flow>,
+    notice: mpsc::Sender<Millisecond>,
+}
+
+impl Takeover {
+    /// Goes on with streams in `flow`; a notice goes to `notice`.
+    pub fn new(flow: Arc<Flow>, notice: mpsc::Sender<Millisecond>) -> Self {
+        Self { flow, notice }
+    }
+}
+
+#[async_trait]
+impl Handlers for Takeover {
+    fn resume(&self, record: StreamRecord, sink: StreamSink) {
+        let flow = self.flow.clone();
+        tokio::spawn(async move {
+            if let Some(taken) = from_stream(&record) {
+                go_on(flow, taken, record.priority, sink).await;
+            }
+        });
+    }
+
+    fn own_notice(&self, remaining_ms: Millisecond) {
+        // A full channel holds an earlier notice already.
+        let _ = self.notice.try_send(remaining_ms);
+    }
+}
+
+async fn go_on(flow: Arc<Flow>, record: Record, priority: i32, mut sink: StreamSink) {
+    let shared = SharedRecord::new(record);
+    let priority = u8::try_from(priority).unwrap_or(0);
+    let mut relay = Relay::open(flow, shared.clone(), priority);
+    loop {
+        let tokens = shared.lock().tokens;
+        let appended = match relay.next().await {
+            Piece::Text { text, .. } => {
+                sink.append(&text, &text, tokens + 1, StreamEnd::Open).await
+            }
+            Piece::Finish { reason, usage } => {
+                let trailer = Trailer::Whole {
+                    finish_reason: reason,
+                    usage,
+                };
+                let _ = sink
+                    .append(&trailer.encode(), "", tokens, StreamEnd::Complete)
+                    .await;
+                return;
+            }
+            Piece::Failed(error) => {
+                let trailer = failed(&error);
+                let _ = sink
+                    .append(&trailer.encode(), "", tokens, StreamEnd::Failed)
+                    .await;
+                return;
+            }
+            // The fleet hands on what this node owns when it leaves in its turn.
+            Piece::Moved => return,
+        };
+        if appended.is_err() {
+            return;
+        }
+    }
+}
+
+fn failed(error: &CallerError) -> Trailer {
+    Trailer::Failed {
+        error: error.to_json(),
+    }
+}
+
+fn from_stream(stream: &StreamRecord) -> Option<Record> {
+    let call = Call::named(&stream.path)?;
+    let request = serde_json::from_str(&stream.body).ok()?;
+    Some(Record {
+        id: stream.id,
+        workspace: stream.workspace.clone(),
+        service: stream.service.clone(),
+        call,
+        request,
+        text: stream.generated.clone(),
+        tokens: stream.tokens,
+        created_s: unix_s(),
+        remaining_ms: stream.remaining_ms,
+        usage: Usage::default(),
+        progress: Progress::Open,
+        attempts: Vec::new(),
+        epoch: 0,
+    })
+}
