Admission: an estimate of the fleet's demand in place of single reports

Cause: with thousands of entry VMs a node hears a bounded sample of its peers, not each. The estimate's total replaces the sum of reports and ages out like one. Proof: with the ageing taken out, the test sees 0 started after 6 s in place of 6.

--- a/crates/policy/src/limit/admission.rs
+++ b/crates/policy/src/limit/admission.rs
@@ -180,6 +180,30 @@
         self.sum_peers();
     }
 
+    /// Takes in an estimate of the whole fleet's demand, this entry VM's included, where there are
+    /// too many peers to hear them all. `rank` is this entry VM's place among `entries` by name.
+    pub fn on_fleet_demand(
+        &mut self,
+        made_ms: Millisecond,
+        fleet: &[(Name, u64)],
+        rank: usize,
+        entries: usize,
+    ) {
+        let before = rank as f64 / entries.saturating_sub(1).max(1) as f64;
+        let mut sums = Map::default();
+        for (workspace, units) in fleet {
+            let Some(position) = self.positions.get(workspace) else {
+                continue;
+            };
+            let own = self.workspaces[*position].own();
+            let total = (*units as f64 - own).max(0.0);
+            let before = before * total;
+            sums.insert(workspace.clone(), PeerSum { before, total });
+        }
+        self.peers.put_estimate(made_ms, sums);
+        self.sum_peers();
+    }
+
     /// The demand to tell the peers.
     pub fn demand(&self) -> Vec<WorkspaceDemand> {
         let mut demand = Vec::new();
--- a/crates/policy/src/limit/demand.rs
+++ b/crates/policy/src/limit/demand.rs
@@ -11,10 +11,17 @@
     wanted: Map<Name, u32>,
 }
 
-/// Demand reports of peers, newest for each.
+/// Demand reports of peers, newest for each, or an estimate of their sum.
 #[derive(Debug, Default)]
 pub(super) struct PeerDemand {
     reports: Map<Name, Report>,
+    estimate: Option<Estimate>,
+}
+
+#[derive(Debug)]
+struct Estimate {
+    made_ms: Millisecond,
+    sums: Map<Name, PeerSum>,
 }
 
 /// Sum of the peers' demand for one workspace.
@@ -44,15 +51,25 @@
             .insert(peer.clone(), Report { made_ms, wanted });
     }
 
-    /// Drops reports made before `oldest_ms`; true when there were any.
+    /// Keeps an estimate of the peers' sums; it takes the place of single reports.
+    pub fn put_estimate(&mut self, made_ms: Millisecond, sums: Map<Name, PeerSum>) {
+        self.estimate = Some(Estimate { made_ms, sums });
+    }
+
+    /// Drops reports and estimates made before `oldest_ms`; true when there were any.
     pub fn expire(&mut self, oldest_ms: Millisecond) -> bool {
+        let stale = |estimate: &mut Estimate| estimate.made_ms < oldest_ms;
+        let dropped = self.estimate.take_if(stale).is_some();
         let before = self.reports.len();
         self.reports.retain(|_, report| report.made_ms >= oldest_ms);
-        self.reports.len() < before
+        dropped || self.reports.len() < before
     }
 
     /// Adds up the reports by workspace, as seen by the entry VM `own`.
     pub fn sums(&self, own: &Name) -> Map<Name, PeerSum> {
+        if let Some(estimate) = &self.estimate {
+            return estimate.sums.clone();
+        }
         let mut sums: Map<Name, PeerSum> = Map::default();
         for (peer, report) in &self.reports {
             for (workspace, wanted) in &report.wanted {
--- a/crates/policy/tests/limit.rs
+++ b/crates/policy/tests/limit.rs
@@ -98,6 +98,21 @@
     assert_eq!(count, 5);
 }
 
+#[test]
+fn part_follows_an_estimate_of_the_fleet_until_it_is_stale() {
+    let mut rng = rng();
+    let mut admission = admission(20.0, &[share("a", 1.0)]);
+    admission.on_fleet_demand(0, &[(Name::from("a"), 40)], 1, 3);
+    let mut count = 0;
+    for id in 0..10 {
+        let actions = admission.on_request(request(id, "a", 0, 60_000), 0, &mut rng);
+        count += started(&actions);
+    }
+    // 10 of a demand of 50 are here.
+    assert_eq!(count, 4);
+    assert_eq!(started(&admission.on_tick(6_000, &mut rng)), 6);
+}
+
 #[test]
 fn lent_share_comes_back_at_once() {
     let mut rng = rng();
