--- a/crates/engine/src/chat.rs
+++ b/crates/engine/src/chat.rs
@@ -2,6 +2,7 @@
 //!
 //! Fields that the system does not read pass through untouched.
 
+use base::ids::RequestId;
 use base::units::TokenCount;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
@@ -237,6 +238,20 @@
 }
 
 impl AnswerHead {
+    /// Names the answer to a request.
+    pub fn new(call: Call, id: RequestId, created_s: u64, service: &str) -> Self {
+        let prefix = match call {
+            Call::Chat => "chatcmpl",
+            Call::Completions => "cmpl",
+        };
+        Self {
+            call,
+            id: format!("{prefix}-{id}"),
+            created_s,
+            model: service.to_owned(),
+        }
+    }
+
     /// One streamed piece, as JSON.
     pub fn chunk(
         &self,
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -260,7 +260,10 @@
 
 fn endpoint(settings: &Settings) -> Result<Endpoint, DaemonError> {
     let url = &settings.platform.url;
-    let address = url.strip_prefix("http://").unwrap_or(url).trim_end_matches('/');
+    let address = url
+        .strip_prefix("http://")
+        .unwrap_or(url)
+        .trim_end_matches('/');
     let Ok(address) = address.parse() else {
         return PlatformUrlSnafu { url }.fail();
     };
@@ -286,7 +289,10 @@
         secret: settings.peers.secret.clone(),
         seeds: settings.peers.seeds.clone(),
         table: Arc::new(HttpTable::open(endpoint, TABLE_NAME)),
-        objects: Arc::new(HttpObjects::open(endpoint, settings.platform.bucket.clone())),
+        objects: Arc::new(HttpObjects::open(
+            endpoint,
+            settings.platform.bucket.clone(),
+        )),
         vms: Arc::new(HttpVms::open(endpoint)),
         timing: Timing::default(),
         rng_seed: rand::rng().random(),
--- a/crates/entry/src/flow/record.rs
+++ b/crates/entry/src/flow/record.rs
@@ -55,16 +55,7 @@
 impl Record {
     /// The head that names every piece of the answer.
     pub fn answer_head(&self) -> AnswerHead {
-        let prefix = match self.call {
-            Call::Chat => "chatcmpl",
-            Call::Completions => "cmpl",
-        };
-        AnswerHead {
-            call: self.call,
-            id: format!("{prefix}-{}", self.id),
-            created_s: self.created_s,
-            model: self.service.to_string(),
-        }
+        AnswerHead::new(self.call, self.id, self.created_s, &self.service)
     }
 
     /// Approximate memory held, in bytes.
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -186,7 +186,10 @@
     /// In a drain, waits until the peers have the record, so that the caller finds it there.
     async fn handed_over(&mut self) {
         if *self.drain.borrow() == Drain::Cut {
-            let _ = self.drain.wait_for(|drain| *drain == Drain::HandedOver).await;
+            let _ = self
+                .drain
+                .wait_for(|drain| *drain == Drain::HandedOver)
+                .await;
         }
     }
 
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -145,7 +145,9 @@
             });
         }
         self.flow.backends.set_known(known);
-        self.flow.backends.set_entries(self.fleet.alive_count() as u32);
+        self.flow
+            .backends
+            .set_entries(self.fleet.alive_count() as u32);
         self.set_capacity(&in_force.config);
     }
 
--- /dev/null
+++ b/crates/entry/src/front/handed.rs
@@ -0,0 +1,170 @@
+//! Replies from a stream that another entry VM handed over, wherever it is now.
+
+use std::sync::Arc;
+
+use base::Name;
+use base::ids::RequestId;
+use bytes::Bytes;
+use engine::BodyError;
+use engine::chat::{AnswerHead, Call};
+use fleet::handover::StreamEnd;
+use fleet::{StreamChunk, StreamError, StreamReader};
+use futures_util::stream;
+use http::StatusCode;
+
+use super::error::{CallerError, ErrorCode};
+use super::resume::{Delivery, bad_offset, not_found};
+use super::{Front, Reply, full, sse, with_id};
+use crate::clock::unix_s;
+use crate::takeover::Trailer;
+
+/// When to come back after no holder of a stream answered.
+const COME_BACK_MS: u64 = 1_000;
+
+struct Handed {
+    reader: StreamReader,
+    head: AnswerHead,
+    offset: usize,
+    first: Option<StreamChunk>,
+    ended: bool,
+}
+
+/// The rest of a handed-over answer, from byte `offset` of its text.
+pub async fn reply(
+    front: &Arc<Front>,
+    id: RequestId,
+    workspace: &Name,
+    offset: usize,
+    delivery: Delivery,
+) -> Result<Reply, CallerError> {
+    let peers = &front.standing.peers;
+    let mut reader = peers
+        .read_stream(id, workspace, offset)
+        .ok_or_else(not_found)?;
+    let first = reader.next().await.map_err(turn)?;
+    let head = head(id, &reader).ok_or_else(not_found)?;
+    let handed = Handed {
+        reader,
+        head,
+        offset,
+        first: Some(first),
+        ended: false,
+    };
+    let reply = match delivery {
+        Delivery::Streamed => handed.streamed(),
+        Delivery::Whole => handed.whole().await?,
+    };
+    Ok(with_id(reply, id))
+}
+
+fn head(id: RequestId, reader: &StreamReader) -> Option<AnswerHead> {
+    let found = reader.found()?;
+    let call = Call::named(&found.path)?;
+    Some(AnswerHead::new(call, id, unix_s(), &found.service))
+}
+
+fn turn(error: StreamError) -> CallerError {
+    match error {
+        StreamError::NotFound => not_found(),
+        StreamError::BadOffset => {
+            bad_offset("The offset is not within the answer; send the last event's `id`.".into())
+        }
+        StreamError::Unavailable => CallerError::refusal(
+            ErrorCode::NotReady,
+            "The entry VM that has this answer does not respond; ask again.",
+            COME_BACK_MS,
+        ),
+    }
+}
+
+impl Handed {
+    async fn next_chunk(&mut self) -> Result<StreamChunk, StreamError> {
+        match self.first.take() {
+            Some(chunk) => Ok(chunk),
+            None => self.reader.next().await,
+        }
+    }
+
+    fn streamed(self) -> Reply {
+        let frames = stream::unfold(self, |mut handed| async move {
+            let frame = handed.next_frame().await?;
+            Some((Ok::<_, BodyError>(frame), handed))
+        });
+        sse::reply(frames)
+    }
+
+    async fn next_frame(&mut self) -> Option<Bytes> {
+        while !self.ended {
+            let Ok(chunk) = self.next_chunk().await else {
+                self.ended = true;
+                return Some(": moved\n\n".into());
+            };
+            let frame = self.frame(&chunk);
+            if !frame.is_empty() {
+                return Some(frame.into());
+            }
+        }
+        None
+    }
+
+    fn frame(&mut self, chunk: &StreamChunk) -> String {
+        if chunk.end == StreamEnd::Open {
+            return self.text(&chunk.text);
+        }
+        self.ended = true;
+        let Some((text, trailer)) = Trailer::split(&chunk.text) else {
+            return ": moved\n\n".to_owned();
+        };
+        let mut out = self.text(text);
+        match trailer {
+            Trailer::Whole {
+                finish_reason,
+                usage,
+            } => {
+                out.push_str(&sse::ending(
+                    &self.head,
+                    self.offset,
+                    &finish_reason,
+                    Some(usage),
+                ));
+            }
+            Trailer::Failed { error } => out.push_str(&sse::failure(&error)),
+        }
+        out
+    }
+
+    fn text(&mut self, text: &str) -> String {
+        if text.is_empty() {
+            return String::new();
+        }
+        self.offset += text.len();
+        sse::event(self.offset, &self.head.chunk(text, None, None))
+    }
+
+    async fn whole(mut self) -> Result<Reply, CallerError> {
+        let mut all = String::new();
+        loop {
+            let chunk = self.next_chunk().await.map_err(turn)?;
+            if chunk.end == StreamEnd::Open {
+                all.push_str(&chunk.text);
+                continue;
+            }
+            let Some((text, trailer)) = Trailer::split(&chunk.text) else {
+                return Err(not_found());
+            };
+            all.push_str(text);
+            return Ok(match trailer {
+                Trailer::Whole {
+                    finish_reason,
+                    usage,
+                } => {
+                    let json = self.head.whole(&all, &finish_reason, usage);
+                    full(StatusCode::OK, "application/json", json)
+                }
+                Trailer::Failed { error } => {
+                    full(StatusCode::SERVICE_UNAVAILABLE, "application/json", error)
+                }
+            });
+        }
+    }
+}
--- a/crates/entry/src/front/model.rs
+++ b/crates/entry/src/front/model.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 
 use super::error::{CallerError, ErrorCode};
+use super::resume::Delivery;
 use super::{Front, Reply, RequestBody, auth, read, request_id, sse, with_id};
 use crate::clock::unix_s;
 use crate::flow::{Progress, Record, Relay};
@@ -43,7 +44,7 @@
     let work = Work::model(workspace, service, &completion);
     let admitted = front.standing.admit(id, work).await?;
     let record = new_record(id, workspace, service, call, completion);
-    let streamed = record.request.stream;
+    let delivery = Delivery::of(record.request.stream);
     let shared = front.flow.store.insert(record).map_err(|_| in_use(id))?;
     let mut relay = Relay::open(front.flow.clone(), shared, admitted.priority());
     if let Err(error) = relay.begin().await {
@@ -58,20 +59,20 @@
             service: &service.name,
         },
     );
-    reply(relay, id, streamed, 0, admitted).await
+    reply(relay, id, delivery, 0, admitted).await
 }
 
 /// The reply that a relay gives, from byte `offset` of the answer's text.
 pub async fn reply(
     relay: Relay,
     id: RequestId,
-    streamed: bool,
+    delivery: Delivery,
     offset: usize,
     admitted: Admitted,
 ) -> Result<Reply, CallerError> {
-    let reply = match streamed {
-        true => sse::streamed(relay, offset, admitted),
-        false => sse::whole(relay, admitted).await?,
+    let reply = match delivery {
+        Delivery::Streamed => sse::streamed(relay, offset, admitted),
+        Delivery::Whole => sse::whole(relay, admitted).await?,
     };
     Ok(with_id(reply, id))
 }
--- a/crates/entry/src/front/resume.rs
+++ b/crates/entry/src/front/resume.rs
@@ -3,13 +3,41 @@
 use std::sync::Arc;
 
 use base::ids::RequestId;
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode, header};
 
 use super::error::{CallerError, ErrorCode};
 use super::{Front, Reply, RequestBody, auth, handed, model};
 use crate::flow::{Progress, Relay};
 use crate::state::Work;
 
+/// Form in which an answer is given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// As server-sent events.
+    Streamed,
+    /// As one JSON document, once it is whole.
+    Whole,
+}
+
+impl Delivery {
+    /// The form that a request's `stream` field asks for.
+    pub fn of(stream: bool) -> Self {
+        match stream {
+            true => Self::Streamed,
+            false => Self::Whole,
+        }
+    }
+}
+
+/// The form that the `Accept` header asks for.
+fn wanted_delivery(headers: &HeaderMap) -> Option<Delivery> {
+    match headers.get(header::ACCEPT)?.to_str().ok()? {
+        "text/event-stream" => Some(Delivery::Streamed),
+        "application/json" => Some(Delivery::Whole),
+        _ => None,
+    }
+}
+
 /// Answers `GET /v1/requests/ID`, from byte `offset` of the answer's text.
 pub async fn handle<B: RequestBody>(
     front: &Arc<Front>,
@@ -19,17 +47,25 @@
     let in_force = front.standing.serving()?;
     let workspace = auth::workspace(&in_force.config, request.headers())?;
     let offset = offset(&request)?;
+    let wanted = wanted_delivery(request.headers());
     let Some(record) = front.flow.store.find(id) else {
-        return handed::reply(front, id, &workspace.name, offset).await;
+        return handed::reply(
+            front,
+            id,
+            &workspace.name,
+            offset,
+            wanted.unwrap_or(Delivery::Streamed),
+        )
+        .await;
     };
-    let streamed = {
+    let delivery = {
         let held = record.lock();
         // Another workspace's number is told apart from none at all by nobody.
         if held.workspace != workspace.name {
             return Err(not_found());
         }
         check_offset(&held.text, offset)?;
-        held.request.stream
+        wanted.unwrap_or(Delivery::of(held.request.stream))
     };
     let work = Work::resumed(workspace, &record.lock());
     let admitted = front.standing.admit(id, work).await?;
@@ -38,7 +74,7 @@
     if open {
         relay.begin().await?;
     }
-    model::reply(relay, id, streamed, offset, admitted).await
+    model::reply(relay, id, delivery, offset, admitted).await
 }
 
 fn offset<B>(request: &Request<B>) -> Result<usize, CallerError> {
--- a/crates/entry/src/front/sse.rs
+++ b/crates/entry/src/front/sse.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use engine::BodyError;
 use engine::chat::{AnswerHead, Choice, Usage};
-use futures_util::stream;
+use futures_util::{Stream, TryStreamExt, stream};
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
@@ -63,9 +63,18 @@
     };
     let frames = stream::unfold(state, |mut state| async move {
         let frame = state.next().await?;
-        Some((Ok::<_, BodyError>(Frame::data(frame)), state))
+        Some((Ok::<_, BodyError>(frame), state))
     });
-    let mut reply = Response::new(StreamBody::new(frames).boxed_unsync());
+    reply(frames)
+}
+
+/// A reply whose body is a stream of server-sent events.
+pub fn reply<S>(frames: S) -> Reply
+where
+    S: Stream<Item = Result<Bytes, BodyError>> + Send + 'static,
+{
+    let body = StreamBody::new(frames.map_ok(Frame::data));
+    let mut reply = Response::new(body.boxed_unsync());
     let headers = reply.headers_mut();
     headers.insert(
         header::CONTENT_TYPE,
@@ -95,9 +104,7 @@
             } => self.text(&text, choice.as_ref(), offset),
             Piece::Finish { reason, usage } => self.finish(&reason, usage),
             Piece::Moved => self.end(": moved\n\n".to_owned()),
-            Piece::Failed(error) => {
-                self.end(format!("event: error\ndata: {}\n\n", error.to_json()))
-            }
+            Piece::Failed(error) => self.end(failure(&error.to_json())),
         };
         Some(frame)
     }
@@ -125,11 +132,8 @@
     }
 
     fn finish(&mut self, reason: &str, usage: Usage) -> Bytes {
-        let mut out = event(self.offset, &self.head.chunk("", None, Some(reason)));
-        if self.usage == UsageReport::Wanted {
-            out.push_str(&event(self.offset, &self.head.usage_chunk(usage)));
-        }
-        out.push_str("data: [DONE]\n\n");
+        let usage = (self.usage == UsageReport::Wanted).then_some(usage);
+        let out = ending(&self.head, self.offset, reason, usage);
         self.admitted.finished();
         self.end(out)
     }
@@ -140,7 +144,23 @@
     }
 }
 
-fn event(offset: usize, data: &str) -> String {
+/// The events that end a whole answer.
+pub fn ending(head: &AnswerHead, offset: usize, reason: &str, usage: Option<Usage>) -> String {
+    let mut out = event(offset, &head.chunk("", None, Some(reason)));
+    if let Some(usage) = usage {
+        out.push_str(&event(offset, &head.usage_chunk(usage)));
+    }
+    out.push_str("data: [DONE]\n\n");
+    out
+}
+
+/// The event that ends an answer that was given up.
+pub fn failure(error_json: &str) -> String {
+    format!("event: error\ndata: {error_json}\n\n")
+}
+
+/// One event with a piece of the answer.
+pub fn event(offset: usize, data: &str) -> String {
     let mut out = String::with_capacity(data.len() + 32);
     let _ = write!(out, "id: {offset}\ndata: {data}\n\n");
     out
--- a/crates/entry/src/passage/non_idempotent.rs
+++ b/crates/entry/src/passage/non_idempotent.rs
@@ -166,7 +166,7 @@
     match begin {
         Begin::Run(_) => Err(unknown("a permit was not used")),
         Begin::Replay(result) => {
-            let body = Bytes::from(result.body.clone());
+            let body = result.body.clone();
             Ok(replay(&result, body))
         }
         Begin::TooLarge => Err(settled(
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -4,8 +4,8 @@
 
 use base::Name;
 use base::ids::RequestId;
-use fleet::{Fleet, StreamReader};
 use fleet::handover::{StreamEnd, StreamRecord};
+use fleet::{Fleet, StreamReader};
 
 use crate::flow::{Progress, Record, SharedRecord};
 
--- a/crates/entry/src/state/mod.rs
+++ b/crates/entry/src/state/mod.rs
@@ -57,9 +57,7 @@
             LifeState::Serving | LifeState::Starting => {
                 Some("This entry VM is learning the current configuration.")
             }
-            LifeState::HandingOver | LifeState::Stopped => {
-                Some("This entry VM is leaving.")
-            }
+            LifeState::HandingOver | LifeState::Stopped => Some("This entry VM is leaving."),
         };
         if let Some(reason) = reason {
             return Err(not_ready(reason));
--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -133,6 +133,10 @@
 pub struct StreamFound {
     /// The workspace it belongs to.
     pub workspace: Name,
+    /// The service asked for.
+    pub service: Name,
+    /// Path of the call.
+    pub path: String,
     /// What the copy is for.
     pub role: CopyRole,
     /// Epoch of the copy.
@@ -299,6 +303,8 @@
         let copy = self.copies.get(&id)?;
         Some(StreamFound {
             workspace: copy.record.workspace.clone(),
+            service: copy.record.service.clone(),
+            path: copy.record.path.clone(),
             role: copy.role,
             epoch: copy.record.epoch,
             owner: copy.record.owner.clone(),
--- a/crates/fleet/src/streams.rs
+++ b/crates/fleet/src/streams.rs
@@ -85,6 +85,7 @@
     workspace: Name,
     offset: usize,
     source: Option<Source>,
+    found: Option<StreamFound>,
 }
 
 enum Source {
@@ -123,11 +124,17 @@
             workspace,
             offset,
             source: None,
+            found: None,
         }
     }
 }
 
 impl StreamReader {
+    /// The copy that is read, once [`StreamReader::next`] has found one.
+    pub fn found(&self) -> Option<&StreamFound> {
+        self.found.as_ref()
+    }
+
     /// The next bytes; waits a little for them.
     ///
     /// # Errors
@@ -139,10 +146,13 @@
                 tokio::time::sleep(READ_RETRY).await;
             }
             if self.source.is_none() {
-                self.source = self
+                let located = self
                     .inner
                     .locate(self.id, &self.workspace, self.offset)
                     .await?;
+                let (source, found) = located.unzip();
+                self.source = source;
+                self.found = found.or(self.found.take());
             }
             let reply = match &self.source {
                 None => continue,
@@ -373,7 +383,7 @@
         id: RequestId,
         workspace: &Name,
         offset: usize,
-    ) -> Result<Option<Source>, StreamError> {
+    ) -> Result<Option<(Source, StreamFound)>, StreamError> {
         let mut copies: Vec<(Option<Name>, StreamFound)> = Vec::new();
         let mut silent = 0;
         if let Some(found) = self.lock().streams.find(id) {
@@ -424,7 +434,7 @@
             None => Some(Source::Here),
             Some(name) => self.address_of(&name).map(Source::Peer),
         };
-        Ok(source)
+        Ok(source.map(|source| (source, best)))
     }
 
     fn members_to_ask(&self, id: RequestId) -> Vec<Name> {
