--- a/crates/entry/src/backends/mod.rs
+++ b/crates/entry/src/backends/mod.rs
@@ -6,4 +6,4 @@
 
 pub use flight::{Flight, Leaving};
 pub use poller::{Poller, PollerOptions};
-pub use view::{Backends, Chosen, Known};
+pub use view::{Backends, Chosen, Known, Reporting};
--- a/crates/entry/src/backends/poller.rs
+++ b/crates/entry/src/backends/poller.rs
@@ -76,7 +76,7 @@
     seen: &mut Map<Name, u64>,
 ) {
     let mut polls = JoinSet::new();
-    for (target, _) in backends.targets() {
+    for target in backends.polled() {
         let after = seen.get(&target.id).copied().unwrap_or(0);
         polls.spawn(poll_one(backend.clone(), target, after, options.timeout_ms));
     }
--- a/crates/entry/src/backends/view.rs
+++ b/crates/entry/src/backends/view.rs
@@ -19,6 +19,15 @@
 use super::flight::{Flight, Leaving};
 use crate::clock::Clock;
 
+/// Whether a backend server reports its load and cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reporting {
+    /// A model engine, which is polled.
+    Polled,
+    /// A plain service, which gets nothing but its callers' requests.
+    Silent,
+}
+
 /// What the VM list and the configuration say of one backend server.
 #[derive(Clone, Debug)]
 pub struct Known {
@@ -32,12 +41,15 @@
     pub price_micros_per_h: u64,
     /// One-way latency from this entry VM, in microseconds.
     pub latency_us: u64,
+    /// Whether it reports.
+    pub reporting: Reporting,
     /// Whether it is leaving.
     pub leaving: Leaving,
 }
 
 struct Server {
     target: Target,
+    reporting: Reporting,
     leaving: watch::Sender<Leaving>,
 }
 
@@ -145,6 +157,7 @@
             let (load, old_state) = old_loads.remove(&id).unwrap_or((None, ServerState::Live));
             let server = inner.servers.remove(&id).unwrap_or_else(|| Server {
                 target: one.target.clone(),
+                reporting: one.reporting,
                 leaving: watch::channel(Leaving::No).0,
             });
             let leaving = merge_leaving(&server, one.leaving);
@@ -241,6 +254,18 @@
         targets
     }
 
+    /// The backend servers that report.
+    pub(super) fn polled(&self) -> Vec<Target> {
+        let inner = self.lock();
+        let mut polled = Vec::with_capacity(inner.servers.len());
+        for server in inner.servers.values() {
+            if server.reporting == Reporting::Polled {
+                polled.push(server.target.clone());
+            }
+        }
+        polled
+    }
+
     pub(super) fn on_first_token(&self, id: RequestId) {
         let now_ms = self.clock.now_ms();
         self.lock().local.on_first_token(id, now_ms);
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -17,7 +17,7 @@
 use serde::Serialize;
 use tokio::sync::watch;
 
-use crate::backends::{Known, Leaving};
+use crate::backends::{Known, Leaving, Reporting};
 use crate::flow::Flow;
 use crate::state::{InForce, LifeEvent, Standing};
 
@@ -141,6 +141,7 @@
                 failure_domain: vm.failure_domain.clone(),
                 price_micros_per_h: price_micros(&in_force.config, vm),
                 latency_us: latency_us(&in_force.config, own_domain, vm),
+                reporting: reporting(&in_force.config, service),
                 leaving: leaving(view, vm, now_ms),
             });
         }
@@ -219,6 +220,13 @@
     }
 }
 
+fn reporting(config: &Config, service: &str) -> Reporting {
+    match config.service(service).map(|s| &s.kind) {
+        Some(conf::ServiceKind::Model { .. }) => Reporting::Polled,
+        Some(conf::ServiceKind::Plain { .. }) | None => Reporting::Silent,
+    }
+}
+
 fn price_micros(config: &Config, vm: &Vm) -> u64 {
     let class = config.vm_classes.get(&vm.class);
     let price = class.and_then(|class| class.prices.get(&vm.failure_domain));
