--- /dev/null
+++ b/crates/proof/src/relay.rs
@@ -0,0 +1,151 @@
+//! TCP relay that delays, holds or cuts connections.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::units::Millisecond;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+
+/// What the relay does with bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Passes them on.
+    Pass,
+    /// Passes them on later.
+    Delay {
+        /// How much later, each way.
+        delay_ms: Millisecond,
+    },
+    /// Keeps connections open and passes nothing on.
+    Held,
+    /// Passes requests on and holds answers back.
+    AnswersHeld,
+    /// Closes every connection, also new ones.
+    Cut,
+}
+
+/// Which way bytes go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    Request,
+    Answer,
+}
+
+/// Running relay.
+#[derive(Debug)]
+pub struct Relay {
+    address: SocketAddr,
+    mode: watch::Sender<Mode>,
+    task: JoinHandle<()>,
+}
+
+impl Relay {
+    /// Listens on a free port and relays to `target`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no port is free.
+    pub async fn bind(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await;
+        let listener = listener.expect("a port is free");
+        let address = listener.local_addr().expect("a bound socket has one");
+        let (mode, seen) = watch::channel(Mode::Pass);
+        Self {
+            address,
+            mode,
+            task: tokio::spawn(accept(listener, target, seen)),
+        }
+    }
+
+    /// Where the relay listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what happens to bytes from now on, on open connections too.
+    pub fn set(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+
+    /// Closes all connections and ends.
+    pub async fn close(self) {
+        self.task.abort();
+        let _ = self.task.await;
+    }
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, mode: watch::Receiver<Mode>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                connections.spawn(connect(stream, target, mode.clone()));
+            }
+        }
+    }
+}
+
+async fn connect(near: TcpStream, target: SocketAddr, mode: watch::Receiver<Mode>) {
+    if *mode.borrow() == Mode::Cut {
+        return;
+    }
+    let Ok(far) = TcpStream::connect(target).await else {
+        return;
+    };
+    let _ = near.set_nodelay(true);
+    let _ = far.set_nodelay(true);
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let requests = pump(near_read, far_write, Way::Request, mode.clone());
+    let answers = pump(far_read, near_write, Way::Answer, mode.clone());
+    let both = async { tokio::join!(requests, answers) };
+    tokio::select! {
+        _ = both => {}
+        () = cut(mode) => {}
+    }
+}
+
+async fn cut(mut mode: watch::Receiver<Mode>) {
+    if mode.wait_for(|mode| *mode == Mode::Cut).await.is_err() {
+        std::future::pending().await
+    }
+}
+
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    way: Way,
+    mut mode: watch::Receiver<Mode>,
+) {
+    let mut buffer = vec![0; 16 << 10];
+    loop {
+        let read = from.read(&mut buffer).await.unwrap_or(0);
+        let Ok(mode) = mode.wait_for(|mode| flows(*mode, way)).await.map(|m| *m) else {
+            return;
+        };
+        if let Mode::Delay { delay_ms } = mode {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        if read == 0 {
+            let _ = to.shutdown().await;
+            return;
+        }
+        if to.write_all(&buffer[..read]).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn flows(mode: Mode, way: Way) -> bool {
+    match mode {
+        Mode::Pass | Mode::Delay { .. } => true,
+        Mode::Held | Mode::Cut => false,
+        Mode::AnswersHeld => way == Way::Request,
+    }
+}
--- a/crates/standin/src/engine/generate.rs
+++ b/crates/standin/src/engine/generate.rs
@@ -42,6 +42,7 @@
         Err(refusal) => return refusal,
     };
     engine.count_arrival(&request_id);
+    engine.options.journal.arrival(&request_id);
     let faults = engine.faults();
     if faults.refuse_new {
         engine.count(|stats| stats.refused += 1);
--- a/crates/standin/src/engine/options.rs
+++ b/crates/standin/src/engine/options.rs
@@ -6,6 +6,7 @@
 use bpaf::Bpaf;
 
 use super::message::Fencing;
+use crate::journal::Journal;
 
 /// Stand-in for a model engine.
 #[derive(Clone, Debug, Bpaf)]
@@ -40,6 +41,9 @@
     pub cache_event_lag_ms: Millisecond,
     /// Follow orders with an old fencing number
     pub ignore_fences: bool,
+    /// Write arrivals and effects to standard output
+    #[bpaf(long, flag(Journal::On, Journal::Off))]
+    pub journal: Journal,
 }
 
 impl Options {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod fault;
 pub mod hash;
+pub mod journal;
 pub mod plain;
 pub mod platform;
 pub mod server;
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -11,6 +11,7 @@
 
 use crate::fault::{Fault, FaultSwitch};
 use crate::hash::fnv_hex;
+use crate::journal::{Entry, Journal};
 use crate::server::{Answer, BindError, Server, header_text, json, read_body, read_json};
 
 /// Stand-in for a plain service.
@@ -20,6 +21,9 @@
     /// Address to listen on
     #[bpaf(argument("ADDR"), fallback(SocketAddr::from(([127, 0, 0, 1], 0))))]
     pub listen: SocketAddr,
+    /// Write arrivals and effects to standard output
+    #[bpaf(long, flag(Journal::On, Journal::Off))]
+    pub journal: Journal,
 }
 
 /// One call that took effect.
@@ -75,11 +79,15 @@
     log: Mutex<EffectLog>,
     fault: FaultSwitch,
     padding_bytes: Mutex<usize>,
+    journal: Journal,
 }
 
 /// Starts the service in the current runtime.
 pub async fn bind(options: &Options) -> Result<Server, BindError> {
-    let state = Arc::new(State::default());
+    let state = Arc::new(State {
+        journal: options.journal,
+        ..State::default()
+    });
     Server::bind(options.listen, |_| {
         move |request| handle(state.clone(), request)
     })
@@ -125,12 +133,15 @@
     effect.body_hash = fnv_hex(&body);
     effect.body_bytes = body.len() as ByteCount;
     state.log.lock().expect("no holder panics").received += 1;
+    let request_id = effect.request_id.as_deref();
+    state.journal.arrival(request_id.unwrap_or_default());
     state.fault.around(async || apply(state, effect)).await
 }
 
 fn apply(state: &State, mut effect: Effect) -> Answer {
     let mut log = state.log.lock().expect("no holder panics");
     effect.seq = log.effects.len() as u64 + 1;
+    state.journal.note(&Entry::Effect(effect.clone()));
     log.effects.push(effect.clone());
     let padding_bytes = *state.padding_bytes.lock().expect("no holder panics");
     let padding = "x".repeat(padding_bytes);
