--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code)]
 
+pub mod age_takeover;
+pub mod world;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex};
 
--- /dev/null
+++ b/crates/ledger/tests/support/world.rs
@@ -0,0 +1,441 @@
+//! A table, a backend server and callers of one key, moved one step at a time in random order.
+
+use std::collections::BTreeMap;
+
+use ledger::opening::{self, Doubt, Opening, Verdict};
+use ledger::settling::{self, End, Known, Settling};
+use ledger::{Owner, Progress, Record};
+use platform::{CommitError, Key, Row, Write};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::age_takeover::{self, Takeover};
+use super::{apply, fingerprint, request, result, scope};
+
+/// How calls are kept from running twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Protocol {
+    /// The product.
+    Ledger,
+    /// Takeover of a pending row by its age, with a generation number.
+    AgeTakeover,
+}
+
+/// What a history gave.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    pub steps: u64,
+    pub calls: u64,
+    pub runs: u64,
+    pub kills: u64,
+    pub pauses: u64,
+    pub outages: u64,
+    pub lost_answers: u64,
+    pub late_writes: u64,
+    pub late_runs: u64,
+    pub told_not_run: u64,
+    pub told_replay: u64,
+    pub told_in_progress: u64,
+    pub told_unknown: u64,
+    pub told_answer: u64,
+    /// Runs beyond the first.
+    pub runs_again: u64,
+    /// Calls told `not_run` that ran.
+    pub false_not_run: u64,
+    /// Replays of something else than the run's answer.
+    pub false_replay: u64,
+}
+
+impl Counts {
+    pub fn add(&mut self, other: &Self) {
+        let pairs = [
+            (&mut self.steps, other.steps),
+            (&mut self.calls, other.calls),
+            (&mut self.runs, other.runs),
+            (&mut self.kills, other.kills),
+            (&mut self.pauses, other.pauses),
+            (&mut self.outages, other.outages),
+            (&mut self.lost_answers, other.lost_answers),
+            (&mut self.late_writes, other.late_writes),
+            (&mut self.late_runs, other.late_runs),
+            (&mut self.told_not_run, other.told_not_run),
+            (&mut self.told_replay, other.told_replay),
+            (&mut self.told_in_progress, other.told_in_progress),
+            (&mut self.told_unknown, other.told_unknown),
+            (&mut self.told_answer, other.told_answer),
+            (&mut self.runs_again, other.runs_again),
+            (&mut self.false_not_run, other.false_not_run),
+            (&mut self.false_replay, other.false_replay),
+        ];
+        for (sum, value) in pairs {
+            *sum += value;
+        }
+    }
+}
+
+/// What a caller was told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    NotRun,
+    Answer,
+    Replay(String),
+    InProgress,
+    Unknown,
+}
+
+enum Stage {
+    Opening(opening::State, opening::Action),
+    Permitted { version: u64 },
+    Settling(Settling, settling::State, settling::Action),
+    Waiting(Settling),
+    Takeover(Takeover),
+    Finished,
+}
+
+struct Call {
+    record: Record,
+    opening: Opening,
+    stage: Stage,
+    asleep_until_ms: u64,
+    told: Option<Told>,
+}
+
+/// Outcome of handing a call to the backend server.
+pub enum Sending {
+    /// The connection could not be opened.
+    NotSent,
+    /// The answer arrived.
+    Answered(String),
+    /// Bytes left and no answer came; it may have run, or may yet.
+    Lost,
+}
+
+/// The world of one history.
+pub struct World {
+    pub rng: SmallRng,
+    pub now_ms: u64,
+    pub counts: Counts,
+    protocol: Protocol,
+    key: Key,
+    rows: BTreeMap<Key, Row>,
+    late_writes: Vec<Write>,
+    late_runs: Vec<usize>,
+    outage_until_ms: u64,
+    calls: Vec<Call>,
+    runs: Vec<usize>,
+}
+
+/// Plays one history of several callers of one key.
+pub fn play(protocol: Protocol, seed: u64, callers: usize, length: usize) -> Counts {
+    let mut world = World {
+        rng: SmallRng::seed_from_u64(seed),
+        now_ms: 0,
+        counts: Counts::default(),
+        protocol,
+        key: scope("coop", "k").row_key(),
+        rows: BTreeMap::new(),
+        late_writes: Vec::new(),
+        late_runs: Vec::new(),
+        outage_until_ms: 0,
+        calls: Vec::new(),
+        runs: Vec::new(),
+    };
+    for _ in 0..callers {
+        world.add_call();
+    }
+    for _ in 0..length {
+        world.step();
+    }
+    world.land_all();
+    world.judge();
+    world.counts
+}
+
+impl World {
+    fn add_call(&mut self) {
+        let number = self.calls.len();
+        let record = Record {
+            owner: Owner {
+                vm: format!("vm-{}", number % 3).into(),
+                request_id: request(number as u128),
+                nonce: number as u64,
+            },
+            fingerprint: fingerprint("body"),
+            day: 0,
+            progress: Progress::Sending,
+        };
+        let opening = Opening::new(self.key.clone(), record.clone());
+        let stage = match self.protocol {
+            Protocol::Ledger => {
+                let (state, action) = opening.start();
+                Stage::Opening(state, action)
+            }
+            Protocol::AgeTakeover => Stage::Takeover(Takeover::start()),
+        };
+        self.counts.calls += 1;
+        self.calls.push(Call {
+            record,
+            opening,
+            stage,
+            asleep_until_ms: 0,
+            told: None,
+        });
+    }
+
+    fn step(&mut self) {
+        self.counts.steps += 1;
+        self.now_ms += self.rng.random_range(0..1_000);
+        match self.rng.random_range(0..100) {
+            0..2 => self.kill(),
+            2..4 => self.begin_outage(),
+            4..8 => self.pause(),
+            8..14 => self.land_write(),
+            14..20 => self.land_run(),
+            20..30 if self.calls.len() < 12 => self.add_call(),
+            _ => self.advance(),
+        }
+    }
+
+    fn kill(&mut self) {
+        let number = self.rng.random_range(0..self.calls.len());
+        if matches!(self.calls[number].stage, Stage::Finished) {
+            return;
+        }
+        self.counts.kills += 1;
+        self.calls[number].stage = Stage::Finished;
+    }
+
+    fn begin_outage(&mut self) {
+        self.counts.outages += 1;
+        self.outage_until_ms = self.now_ms + self.rng.random_range(0..20_000);
+    }
+
+    fn pause(&mut self) {
+        let number = self.rng.random_range(0..self.calls.len());
+        self.counts.pauses += 1;
+        self.calls[number].asleep_until_ms = self.now_ms + self.rng.random_range(0..90_000);
+    }
+
+    fn land_write(&mut self) {
+        if self.late_writes.is_empty() {
+            return;
+        }
+        let number = self.rng.random_range(0..self.late_writes.len());
+        let write = self.late_writes.swap_remove(number);
+        let _ = apply(&mut self.rows, &[write]);
+    }
+
+    fn land_run(&mut self) {
+        if self.late_runs.is_empty() {
+            return;
+        }
+        let number = self.rng.random_range(0..self.late_runs.len());
+        let call = self.late_runs.swap_remove(number);
+        self.runs.push(call);
+    }
+
+    fn land_all(&mut self) {
+        while !self.late_writes.is_empty() {
+            self.land_write();
+        }
+        while !self.late_runs.is_empty() {
+            self.land_run();
+        }
+    }
+
+    /// Commits with a random fate.
+    pub fn commit(&mut self, write: Write) -> Result<(), CommitError> {
+        let reason = || "fault".to_string();
+        let fate = match self.now_ms < self.outage_until_ms {
+            true => self.rng.random_range(0..40),
+            false => self.rng.random_range(0..100),
+        };
+        match fate {
+            0..10 => Err(CommitError::NotApplied { reason: reason() }),
+            10..40 => {
+                self.counts.lost_answers += 1;
+                match self.rng.random_range(0..3) {
+                    0 => {}
+                    1 => {
+                        let _ = apply(&mut self.rows, &[write]);
+                    }
+                    _ => {
+                        self.counts.late_writes += 1;
+                        self.late_writes.push(write);
+                    }
+                }
+                Err(CommitError::Unknown { reason: reason() })
+            }
+            _ => apply(&mut self.rows, &[write]),
+        }
+    }
+
+    /// Reads the row, if the store answers.
+    pub fn read(&mut self) -> Option<Option<Row>> {
+        let down = self.now_ms < self.outage_until_ms || self.rng.random_range(0..10) == 0;
+        (!down).then(|| self.rows.get(&self.key).cloned())
+    }
+
+    pub fn key(&self) -> Key {
+        self.key.clone()
+    }
+
+    /// Hands a call to the backend server.
+    pub fn send(&mut self, call: usize) -> Sending {
+        match self.rng.random_range(0..10) {
+            0 => Sending::NotSent,
+            1 => Sending::Lost,
+            2 => {
+                self.counts.late_runs += 1;
+                self.late_runs.push(call);
+                Sending::Lost
+            }
+            3 => {
+                self.runs.push(call);
+                Sending::Lost
+            }
+            _ => {
+                self.runs.push(call);
+                Sending::Answered(answer(call))
+            }
+        }
+    }
+
+    pub fn tell(&mut self, call: usize, told: Told) {
+        self.calls[call].told.get_or_insert(told);
+    }
+
+    fn advance(&mut self) {
+        let call = self.rng.random_range(0..self.calls.len());
+        if self.calls[call].asleep_until_ms > self.now_ms {
+            return;
+        }
+        let stage = std::mem::replace(&mut self.calls[call].stage, Stage::Finished);
+        self.calls[call].stage = match stage {
+            Stage::Opening(state, action) => self.advance_opening(call, state, action),
+            Stage::Permitted { version } => self.advance_permitted(call, version),
+            Stage::Settling(settling, state, action) => {
+                self.advance_settling(settling, state, action)
+            }
+            Stage::Waiting(settling) => {
+                let (state, action) = settling.start(Known::Nothing);
+                Stage::Settling(settling, state, action)
+            }
+            Stage::Takeover(takeover) => match age_takeover::advance(takeover, call, self) {
+                Some(takeover) => Stage::Takeover(takeover),
+                None => Stage::Finished,
+            },
+            Stage::Finished => Stage::Finished,
+        };
+    }
+
+    fn advance_opening(
+        &mut self,
+        call: usize,
+        state: opening::State,
+        action: opening::Action,
+    ) -> Stage {
+        let event = match action {
+            opening::Action::Commit(write) => match self.commit(write) {
+                Ok(()) => opening::Event::Committed,
+                Err(error) => opening::Event::CommitFailed(error),
+            },
+            opening::Action::Read(_) => match self.read() {
+                Some(row) => opening::Event::Row(row),
+                None => opening::Event::ReadFailed,
+            },
+            opening::Action::Answer(verdict) => return self.opened(call, verdict),
+        };
+        let (state, action) = self.calls[call].opening.step(state, event);
+        Stage::Opening(state, action)
+    }
+
+    fn opened(&mut self, call: usize, verdict: Verdict) -> Stage {
+        let told = match verdict {
+            Verdict::Run { version } => return Stage::Permitted { version },
+            Verdict::Replay(stored) => {
+                Told::Replay(String::from_utf8_lossy(&stored.body).into_owned())
+            }
+            Verdict::InProgress { .. } => Told::InProgress,
+            Verdict::Unavailable(doubt) => {
+                self.tell(call, Told::NotRun);
+                return match doubt {
+                    Doubt::Settled => Stage::Finished,
+                    Doubt::MayLand => Stage::Waiting(self.settling(call, Progress::Released)),
+                };
+            }
+            _ => Told::Unknown,
+        };
+        self.tell(call, told);
+        Stage::Finished
+    }
+
+    fn advance_permitted(&mut self, call: usize, version: u64) -> Stage {
+        let (told, progress) = match self.send(call) {
+            Sending::NotSent => (Told::NotRun, Progress::Released),
+            Sending::Lost => (Told::Unknown, Progress::Unknown),
+            Sending::Answered(body) => {
+                let result = result(&body);
+                (Told::Answer, Progress::Done { result })
+            }
+        };
+        self.tell(call, told);
+        let settling = self.settling(call, progress);
+        let (state, action) = settling.start(Known::ClaimedAt(version));
+        Stage::Settling(settling, state, action)
+    }
+
+    fn settling(&self, call: usize, progress: Progress) -> Settling {
+        Settling::new(self.key.clone(), self.calls[call].record.with(progress))
+    }
+
+    fn advance_settling(
+        &mut self,
+        settling: Settling,
+        state: settling::State,
+        action: settling::Action,
+    ) -> Stage {
+        let event = match action {
+            settling::Action::Commit(write) => match self.commit(write) {
+                Ok(()) => settling::Event::Committed,
+                Err(error) => settling::Event::CommitFailed(error),
+            },
+            settling::Action::Read(_) => match self.read() {
+                Some(row) => settling::Event::Row(row),
+                None => settling::Event::StoreDown,
+            },
+            settling::Action::End(End::Recorded) => return Stage::Finished,
+            settling::Action::End(End::TryAgain) => return Stage::Waiting(settling),
+            settling::Action::End(End::Lost) => panic!("a call that ran lost its row"),
+        };
+        let (state, action) = settling.step(state, event);
+        Stage::Settling(settling, state, action)
+    }
+
+    fn judge(&mut self) {
+        self.counts.runs = self.runs.len() as u64;
+        self.counts.runs_again = self.counts.runs.saturating_sub(1);
+        for (number, call) in self.calls.iter().enumerate() {
+            let ran = self.runs.contains(&number);
+            match &call.told {
+                Some(Told::NotRun) => {
+                    self.counts.told_not_run += 1;
+                    self.counts.false_not_run += u64::from(ran);
+                }
+                Some(Told::Replay(body)) => {
+                    self.counts.told_replay += 1;
+                    let of_a_run = self.runs.iter().any(|run| answer(*run) == *body);
+                    self.counts.false_replay += u64::from(!of_a_run);
+                }
+                Some(Told::InProgress) => self.counts.told_in_progress += 1,
+                Some(Told::Unknown) => self.counts.told_unknown += 1,
+                Some(Told::Answer) => self.counts.told_answer += 1,
+                None => {}
+            }
+        }
+    }
+}
+
+fn answer(call: usize) -> String {
+    format!("answer to call {call}")
+}
