--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod reclaim;
 pub mod retry;
 pub mod route;
+pub mod suspect;
