Relay: stop at the caller's bound when an attempt breaks right after it

Cause: an attempt that broke after its last allowed token was resumed with room for one token more, so the caller got max_tokens + 1; found by a table of scripted attempts. Ruled out: asking the engine for zero tokens, which engines refuse. Change: a record at its bound is completed with the finish reason length and no further attempt. Result: the test gave "abcde" before and gives "abcd" now; 21 relay cases pass.

--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -199,6 +199,7 @@
 
     async fn advance(&mut self) {
         match self.phase() {
+            Phase::Routing if self.bound_is_reached() => self.complete_at_bound(),
             Phase::Routing => self.route(),
             Phase::Sending => self.send().await,
             Phase::Waiting => self.wait().await,
@@ -423,6 +424,28 @@
         }
     }
 
+    /// Whether the caller's bound on tokens was relayed by attempts that broke before they said so.
+    fn bound_is_reached(&self) -> bool {
+        let record = self.record.lock();
+        let bound = record.request.max_tokens;
+        record.tokens > 0 && bound.is_some_and(|max| record.tokens >= max)
+    }
+
+    fn complete_at_bound(&mut self) {
+        let mut record = self.record.lock();
+        if record.epoch != self.epoch {
+            drop(record);
+            return self.stop("superseded");
+        }
+        record.usage.completion_tokens = record.tokens;
+        record.usage.total_tokens = record.usage.prompt_tokens + record.tokens;
+        record.progress = Progress::Done {
+            finish_reason: "length".to_owned(),
+        };
+        drop(record);
+        self.phase.apply("complete");
+    }
+
     fn complete(&mut self) {
         let Some(live) = self.live.take() else {
             return;
--- /dev/null
+++ b/crates/entry/tests/relay.rs
@@ -0,0 +1,159 @@
+//! A relay gives its caller one whole answer, whatever its attempts do.
+
+mod support;
+
+use base::outcome::RunState;
+use entry::flow::{Drain, Piece, Relay};
+use entry::front::ErrorCode;
+use support::End::{Broken, NoMarker, NoReason, Silent, Truncated, Whole};
+use support::Script::{NotSent, Status, Unanswered, Words};
+use support::{Bench, Script, read_all};
+use test_case::test_case;
+
+const HEAD: &[&str] = &["a", "b"];
+const TAIL: &[&str] = &["c", "d"];
+const ALL: &[&str] = &["a", "b", "c", "d"];
+
+#[test_case(&[Words(ALL, Whole)]; "one attempt")]
+#[test_case(&[Words(ALL, NoMarker)]; "finished but for its end marker")]
+#[test_case(&[NotSent, Words(ALL, Whole)]; "no connection at first")]
+#[test_case(&[Unanswered, Words(ALL, Whole)]; "no head at first")]
+#[test_case(&[Status(503), Words(ALL, Whole)]; "overloaded at first")]
+#[test_case(&[Words(HEAD, Broken), Words(TAIL, Whole)]; "broken connection")]
+#[test_case(&[Words(HEAD, Truncated), Words(TAIL, Whole)]; "orderly end without a finish reason")]
+#[test_case(&[Words(HEAD, NoReason), Words(TAIL, Whole)]; "end marker without a finish reason")]
+#[test_case(&[Words(HEAD, Silent), Words(TAIL, Whole)]; "stalled stream")]
+#[test_case(&[Words(HEAD, Broken), NotSent, Words(&["c"], Broken), Words(&["d"], Whole)]; "three failures")]
+#[tokio::test(start_paused = true)]
+async fn the_answer_is_whole(scripts: &[Script]) {
+    let bench = Bench::open(4, scripts);
+    let mut relay = bench.relay(Some(16));
+    let (text, last) = read_all(&mut relay).await;
+    assert_eq!(text, "abcd");
+    assert!(matches!(last, Piece::Finish { .. }), "{last:?}");
+    assert_eq!(bench.backend.attempts().len(), scripts.len());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_resumed_attempt_goes_on_from_the_relayed_text() {
+    let bench = Bench::open(2, &[Words(HEAD, Broken), Words(TAIL, Whole)]);
+    read_all(&mut bench.relay(Some(16))).await;
+    let attempts = bench.backend.attempts();
+    assert_ne!(
+        attempts[0].0, attempts[1].0,
+        "the same server was used again"
+    );
+    let resumed = &attempts[1].1;
+    assert_eq!(resumed["max_tokens"], 14);
+    assert_eq!(resumed["continue_final_message"], true);
+    assert_eq!(resumed["messages"][1]["content"], "ab");
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_generated_beyond_the_callers_bound() {
+    let bench = Bench::open(2, &[Words(ALL, Broken), Words(&["e"], Whole)]);
+    let (text, last) = read_all(&mut bench.relay(Some(4))).await;
+    assert_eq!(text, "abcd");
+    let Piece::Finish { reason, .. } = last else {
+        panic!("not finished: {last:?}");
+    };
+    assert_eq!(reason, "length");
+    assert_eq!(bench.backend.attempts().len(), 1);
+}
+
+#[test_case(&[], ErrorCode::BackendFailed, RunState::NotRun; "no connection to any")]
+#[test_case(&[NotSent, Unanswered], ErrorCode::BackendFailed, RunState::Unknown; "one took it")]
+#[test_case(&[Status(400)], ErrorCode::BackendRejected, RunState::Ran; "refused for its content")]
+#[tokio::test(start_paused = true)]
+async fn a_request_given_up_says_what_ran(
+    scripts: &[Script],
+    code: ErrorCode,
+    run_state: RunState,
+) {
+    let bench = Bench::open(8, scripts);
+    let error = bench.relay(None).begin().await.expect_err("given up");
+    assert_eq!((error.code, error.run_state), (code, run_state));
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_a_server_the_refusal_is_immediate_and_not_run() {
+    let bench = Bench::open(0, &[]);
+    let before = tokio::time::Instant::now();
+    let error = bench.relay(None).begin().await.expect_err("given up");
+    assert_eq!(error.run_state, RunState::NotRun);
+    assert!(error.retry_after_ms.is_some());
+    assert_eq!(before.elapsed().as_millis(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leaving_server_costs_no_part_of_the_failure_budget() {
+    let mut scripts = vec![Words(&["a"], Silent); 8];
+    scripts.push(Words(&["b"], Whole));
+    let bench = Bench::open(9, &scripts);
+    let mut relay = bench.relay(None);
+    for _ in 0..8 {
+        assert!(matches!(relay.next().await, Piece::Text { .. }));
+        let now_at = bench
+            .backend
+            .attempts()
+            .last()
+            .expect("an attempt")
+            .0
+            .id
+            .clone();
+        bench.flow.backends.set_leaving(&now_at, 1);
+    }
+    let (text, last) = read_all(&mut relay).await;
+    assert_eq!(text, "b");
+    assert!(matches!(last, Piece::Finish { .. }), "{last:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leaving_server_gets_no_new_attempt() {
+    let bench = Bench::open(2, &[Words(ALL, Whole)]);
+    bench.flow.backends.set_leaving("runner-0", 60_000);
+    read_all(&mut bench.relay(None)).await;
+    assert_eq!(&*bench.backend.attempts()[0].0.id, "runner-1");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_superseded_relay_adds_nothing() {
+    let bench = Bench::open(2, &[Words(ALL, Whole), Words(&["c", "d"], Whole)]);
+    let mut first = bench.relay(None);
+    first.next().await;
+    first.next().await;
+    let record = first.record().clone();
+    let mut second = Relay::open(bench.flow.clone(), record.clone(), 0);
+    assert!(matches!(first.next().await, Piece::Moved));
+    let (text, _) = read_all(&mut second).await;
+    assert_eq!(text, "cd");
+    assert_eq!(record.lock().text, "abcd");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_drained_relay_ends_only_when_peers_have_its_record() {
+    let bench = Bench::open(1, &[Words(HEAD, Silent)]);
+    let mut relay = bench.relay(None);
+    relay.next().await;
+    relay.next().await;
+    bench.drain.send_replace(Drain::Cut);
+    let waited = tokio::time::timeout(std::time::Duration::from_secs(1), relay.next()).await;
+    assert!(waited.is_err(), "the relay ended before the handover");
+    bench.drain.send_replace(Drain::HandedOver);
+    assert!(matches!(relay.next().await, Piece::Moved));
+    assert_eq!(relay.record().lock().text, "ab");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_left_can_come_back() {
+    let bench = Bench::open(2, &[Words(HEAD, Silent), Words(TAIL, Whole)]);
+    let mut relay = bench.relay(None);
+    relay.next().await;
+    relay.next().await;
+    let id = relay.record().lock().id;
+    drop(relay);
+    let kept = bench.flow.store.find(id).expect("the record is kept");
+    let (text, last) = read_all(&mut Relay::open(bench.flow.clone(), kept, 0)).await;
+    assert_eq!(text, "cd");
+    assert!(matches!(last, Piece::Finish { .. }));
+}
