--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -12,9 +12,10 @@
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::fingerprint::Fingerprint;
+use crate::gate::{Entry, Gate};
 use crate::opening::{Action, Doubt, Event, Opening, Verdict};
 use crate::permit::{Claim, Permit};
 use crate::record::{Owner, Progress, Record, StoredResult};
@@ -96,6 +97,8 @@
     pub store: Arc<Store>,
     pub backlog: Arc<Backlog>,
     rng: Mutex<SmallRng>,
+    gate: Mutex<Gate>,
+    origin: Instant,
 }
 
 impl Inner {
@@ -132,6 +135,8 @@
             store,
             backlog,
             rng: Mutex::new(rng),
+            gate: Mutex::default(),
+            origin: Instant::now(),
         };
         Self {
             inner: Arc::new(inner),
@@ -207,6 +212,24 @@
         if self.store.reach() == Reach::Down {
             return UNAVAILABLE;
         }
+        if self.gate.lock().expect("no panic while held").enter() == Entry::Full {
+            return UNAVAILABLE;
+        }
+        let start = Instant::now();
+        let begin = self.clone().ask_store(scope, fingerprint, request_id).await;
+        let took_ms = start.elapsed().as_millis() as Millisecond;
+        let now_ms = self.origin.elapsed().as_millis() as Millisecond;
+        let mut gate = self.gate.lock().expect("no panic while held");
+        gate.leave(took_ms, now_ms);
+        begin
+    }
+
+    async fn ask_store(
+        self: Arc<Self>,
+        scope: &Scope,
+        fingerprint: Fingerprint,
+        request_id: RequestId,
+    ) -> Begin {
         let key = scope.row_key();
         let claim = self.claim(fingerprint, request_id);
         let opening = Opening::new(key.clone(), claim.clone());
