--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,26 @@
-//! Load and latency measurements.
+//! Measurements: slopes of the decisions, and figures of the running daemon.
 
-fn main() {}
+mod slope;
+
+use bpaf::Bpaf;
+
+/// What to measure.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+enum Command {
+    /// Cost of a decision or protocol against the size of what it works on
+    #[bpaf(command)]
+    Slope {
+        /// Seed of the random source
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+        #[bpaf(external(slope::subject))]
+        subject: slope::Subject,
+    },
+}
+
+fn main() {
+    match command().run() {
+        Command::Slope { seed, subject } => slope::run(subject, seed),
+    }
+}
