Apply: a lost answer is resolved by the history, never guessed from an empty difference

Cause: the tool took a conflict with an empty difference for its own success, but the daemon sent an empty difference also when it could not read the version that stands; and a success that a later version had replaced was reported as a conflict. Both would have told an operator something untrue. The difference is now absent when it is not known, and after an unanswered offer the tool compares its digest with the history's entry for base + 1. Ruled out: reading only the current version, which a later change may have replaced. A daemon that cannot tell the fate of a change gives exit code 3; the first document is applied on base 0; an entry VM that is leaving is not waited for.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use base::outcome::RunState;
 use base::secret::Secret;
 use bytes::Bytes;
 use conf::admin::ErrorReply;
@@ -17,7 +18,7 @@
 
 use crate::error::{
     AnsweredSnafu, BadKeySnafu, CliError, NoKeySnafu, NotFoundSnafu, OneDaemonSnafu,
-    UnauthorizedSnafu, UnreachableSnafu, UnreadableFileSnafu, UnreadableSnafu,
+    OutcomeUnknownSnafu, UnauthorizedSnafu, UnreachableSnafu, UnreadableFileSnafu, UnreadableSnafu,
 };
 use crate::options::Connection;
 
@@ -35,8 +36,19 @@
     timeout: Duration,
 }
 
+/// What became of a request at the daemons asked before the one that answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Earlier {
+    /// None was asked.
+    None,
+    /// Some were asked; the request may have taken effect there.
+    Unanswered,
+}
+
 /// A complete answer.
 pub struct Answer {
+    /// What became of the request at daemons asked before.
+    pub earlier: Earlier,
     address: SocketAddr,
     status: StatusCode,
     body: Bytes,
@@ -77,7 +89,12 @@
         for address in &self.addresses {
             let attempt = self.attempt(*address, &method, path, body.clone());
             match tokio::time::timeout(self.timeout, attempt).await {
-                Ok(Ok(answer)) => return answer.accept(),
+                Ok(Ok(mut answer)) => {
+                    if !reasons.is_empty() {
+                        answer.earlier = Earlier::Unanswered;
+                    }
+                    return answer.accept();
+                }
                 Ok(Err(reason)) => reasons.push(format!("{address}: {reason}")),
                 Err(_) => reasons.push(format!("{address}: no answer in time")),
             }
@@ -107,6 +124,7 @@
             .map_err(|error| error.to_string())?
             .to_bytes();
         Ok(Answer {
+            earlier: Earlier::None,
             address,
             status,
             body,
@@ -131,25 +149,30 @@
             StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN => {
                 UnauthorizedSnafu { address }.fail()
             }
-            StatusCode::NOT_FOUND => NotFoundSnafu {
-                address,
-                message: self.message(),
-            }
-            .fail(),
-            status => AnsweredSnafu {
-                address,
-                status: status.as_u16(),
-                message: self.message(),
-            }
-            .fail(),
+            status => self.fail(status),
         }
     }
 
-    fn message(&self) -> String {
-        match serde_json::from_slice::<ErrorReply>(&self.body) {
-            Ok(reply) => reply.error.message,
-            Err(_) => "no explanation was given.".to_owned(),
+    fn fail(self, status: StatusCode) -> Result<Self, CliError> {
+        let address = self.address;
+        let reply = serde_json::from_slice::<ErrorReply>(&self.body).ok();
+        let run_state = reply.as_ref().and_then(|reply| reply.error.run_state);
+        let message = match reply {
+            Some(reply) => reply.error.message,
+            None => "no explanation was given.".to_owned(),
+        };
+        if status == StatusCode::NOT_FOUND {
+            return NotFoundSnafu { address, message }.fail();
+        }
+        if run_state == Some(RunState::Unknown) {
+            return OutcomeUnknownSnafu { address, message }.fail();
+        }
+        AnsweredSnafu {
+            address,
+            status: status.as_u16(),
+            message,
         }
+        .fail()
     }
 }
 
--- a/crates/cli/src/commands/config_apply.rs
+++ b/crates/cli/src/commands/config_apply.rs
@@ -7,11 +7,11 @@
 use base::units::Millisecond;
 use bytes::Bytes;
 use conf::Config;
-use conf::admin::{ApplyReply, ConfigView};
+use conf::admin::{ApplyReply, ConfigView, History};
 use http::Method;
 
 use super::{config_check, read_file};
-use crate::client::Client;
+use crate::client::{Client, Earlier};
 use crate::error::CliError;
 use crate::exit::Exit;
 use crate::options::Connection;
@@ -25,16 +25,16 @@
     wait_ms: Millisecond,
     file: &Path,
 ) -> Result<Exit, CliError> {
-    let text = read_file(file)?;
-    if let Err(faults) = Config::parse(&text) {
-        return config_check::report(file, faults, format);
-    }
+    let config = match Config::parse(&read_file(file)?) {
+        Ok(config) => config,
+        Err(faults) => return config_check::report(file, faults, format),
+    };
     let client = Client::open(connection)?;
     let base = match base {
         Some(base) => base,
-        None => client.get::<ConfigView>("/admin/config").await?.version,
+        None => version_in_force(&client).await?,
     };
-    let (exit, applied) = match offer(&client, base, text).await? {
+    let (exit, applied) = match offer(&client, base, &config).await? {
         ApplyReply::Invalid { faults } => return config_check::report(file, faults, format),
         ApplyReply::Conflict {
             current_version,
@@ -55,19 +55,39 @@
     Ok(exit)
 }
 
+/// The version in force; 0 before the first one.
+async fn version_in_force(client: &Client) -> Result<u64, CliError> {
+    match client.get::<ConfigView>("/admin/config").await {
+        Ok(view) => Ok(view.version),
+        Err(CliError::NotFound { .. }) => Ok(0),
+        Err(error) => Err(error),
+    }
+}
+
 /// Offers the document. The base version makes the offer safe to repeat at another daemon when an
-/// answer is lost: if the first took effect, the second conflicts with a version that equals it.
-async fn offer(client: &Client, base: u64, text: String) -> Result<ApplyReply, CliError> {
+/// answer is lost: it takes effect once at most.
+async fn offer(client: &Client, base: u64, config: &Config) -> Result<ApplyReply, CliError> {
     let path = format!("/admin/config?base={base}");
-    let answer = client.send(Method::POST, &path, Bytes::from(text)).await?;
+    let body = Bytes::from(config.to_text());
+    let answer = client.send(Method::POST, &path, body).await?;
     let reply = answer.read()?;
-    match reply {
-        ApplyReply::Conflict {
-            current_version,
-            diff,
-        } if diff.is_empty() => Ok(ApplyReply::Accepted {
-            version: current_version,
-        }),
-        reply => Ok(reply),
+    let in_doubt = answer.earlier == Earlier::Unanswered;
+    if in_doubt
+        && matches!(reply, ApplyReply::Conflict { .. })
+        && took_effect(client, base + 1, config).await?
+    {
+        return Ok(ApplyReply::Accepted { version: base + 1 });
     }
+    Ok(reply)
+}
+
+/// Whether a version is the one offered: an offer without an answer may be what it lost against.
+async fn took_effect(client: &Client, version: u64, config: &Config) -> Result<bool, CliError> {
+    let history: History = client.get("/admin/config/history").await?;
+    let digest = config.digest_hex();
+    let entry = history
+        .entries
+        .iter()
+        .find(|entry| entry.version == version);
+    Ok(entry.is_some_and(|entry| entry.digest == digest))
 }
--- a/crates/cli/src/commands/config_apply/wait.rs
+++ b/crates/cli/src/commands/config_apply/wait.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use base::units::Millisecond;
-use conf::admin::Status;
+use conf::admin::{NodeState, Status};
 use tokio::time::Instant;
 
 use crate::client::Client;
@@ -51,10 +51,11 @@
     (Exit::NotInForce, lagging)
 }
 
+/// Entry VMs that take new work, or may, and have an older version.
 fn laggards(status: &Status, version: u64) -> Vec<Laggard> {
     let mut lagging = Vec::new();
     for vm in &status.entry_vms {
-        if vm.config_version >= version {
+        if vm.config_version >= version || vm.state == NodeState::Leaving {
             continue;
         }
         lagging.push(Laggard {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -70,6 +70,14 @@
         /// Its words.
         message: String,
     },
+    /// The daemon cannot tell whether the change took effect.
+    #[snafu(display("{address} cannot tell whether the change took effect: {message}"))]
+    OutcomeUnknown {
+        /// The daemon.
+        address: SocketAddr,
+        /// Its words.
+        message: String,
+    },
     /// The answer could not be read.
     #[snafu(display(
         "The answer of {address} could not be read: {source}. The tool and the daemon may be of different versions."
@@ -93,7 +101,7 @@
     pub fn exit(&self) -> Exit {
         match self {
             Self::NoKey | Self::BadKey | Self::OneDaemon => Exit::Usage,
-            Self::Unreachable { .. } => Exit::Unreachable,
+            Self::Unreachable { .. } | Self::OutcomeUnknown { .. } => Exit::Unreachable,
             Self::Unauthorized { .. } => Exit::Unauthorized,
             Self::NotFound { .. } => Exit::NotFound,
             Self::UnreadableFile { .. }
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -12,7 +12,7 @@
     Failed = 1,
     /// The command line is faulty.
     Usage = 2,
-    /// No daemon answered; for a change, it may have taken effect.
+    /// No daemon answered, or it could not tell; a change may have taken effect.
     Unreachable = 3,
     /// The daemon did not take the operator's key.
     Unauthorized = 4,
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -95,7 +95,7 @@
         /// The version that stands.
         current_version: u64,
         /// Changes from it to the document offered.
-        diff: Vec<Change>,
+        diff: Option<Vec<Change>>,
     },
 }
 
--- a/crates/cli/src/output/table.rs
+++ b/crates/cli/src/output/table.rs
@@ -66,14 +66,21 @@
         Applied::Conflict {
             current_version,
             diff,
-        } => format!(
-            "Nothing was changed: version {current_version} came first. Your document differs \
-             from it by:\n{}\nMerge the two, then apply with --base {current_version}.",
-            changes(diff)
-        ),
+        } => conflict(*current_version, diff.as_deref()),
     }
 }
 
+fn conflict(current_version: u64, diff: Option<&[Change]>) -> String {
+    let differences = match diff {
+        Some(diff) => format!("Your document differs from it by:\n{}\n", changes(diff)),
+        None => "It could not be read for comparison. ".to_owned(),
+    };
+    format!(
+        "Nothing was changed: version {current_version} came first. {differences}\
+         Merge the two, then apply with --base {current_version}."
+    )
+}
+
 fn laggards(entry_vms: &[Laggard]) -> String {
     let mut rows = Rows::new(&["entry VM", "state", "version"]);
     for vm in entry_vms {
--- a/crates/cli/tests/cli/config.rs
+++ b/crates/cli/tests/cli/config.rs
@@ -1,5 +1,6 @@
 //! Commands on the configuration.
 
+use conf::Config;
 use serde_json::{Value, json};
 use test_case::test_case;
 
@@ -7,6 +8,7 @@
 
 const SHOW: &str = "GET /admin/config";
 const STATUS: &str = "GET /admin/status";
+const HISTORY: &str = "GET /admin/config/history";
 const APPLY: &str = "POST /admin/config?base=7";
 
 fn view(version: u64) -> Value {
@@ -52,7 +54,11 @@
     );
     assert!(seen[2..].iter().all(|seen| seen.line == STATUS));
     let offered: Value = serde_json::from_str(&seen[1].body).expect("a document");
-    assert_eq!(offered, cooperative());
+    let offered = Config::parse(&offered.to_string()).expect("valid");
+    assert_eq!(
+        offered,
+        Config::parse(&cooperative().to_string()).expect("valid")
+    );
 }
 
 #[test]
@@ -91,18 +97,62 @@
     admin.close();
 }
 
-#[test]
-fn apply_whose_answer_is_lost_asks_the_next_daemon() {
-    let first = Admin::bind().cut(APPLY);
-    let reply = json!({"outcome": "conflict", "current_version": 8, "diff": []});
-    let second = Admin::bind().reply(APPLY, 409, reply);
-    let run = apply(&first, "--base 7 --wait-ms 0 --json")
-        .admin(&second)
-        .run();
-    let outcome = run.expect_code(0).json();
-    assert_eq!(outcome, json!({"outcome": "accepted", "version": 8}));
+#[test_case(true, 0, json!({"outcome": "accepted", "version": 8}); "the first offer took effect")]
+#[test_case(false, 5, json!({"outcome": "conflict", "current_version": 9, "diff": null}); "another came first")]
+fn apply_whose_answer_is_lost_asks_the_next_daemon(took_effect: bool, code: i32, expected: Value) {
+    let config = Config::parse(&cooperative().to_string()).expect("valid");
+    let digest = match took_effect {
+        true => config.digest_hex(),
+        false => "0".repeat(64),
+    };
+    let entry =
+        json!({"version": 8, "operator": "nino", "at_ms": 0, "digest": digest, "summary": ""});
+    let first = Admin::bind().cut(APPLY).cut(HISTORY);
+    let conflict = json!({"outcome": "conflict", "current_version": 9});
+    let second =
+        Admin::bind()
+            .reply(APPLY, 409, conflict)
+            .reply(HISTORY, 200, json!({"entries": [entry]}));
+    let tool = apply(&first, "--base 7 --wait-ms 0 --json").admin(&second);
+    assert_eq!(tool.run().expect_code(code).json(), expected);
     assert!(!first.close().is_empty());
-    assert_eq!(second.close().len(), 1);
+    assert_eq!(second.close().len(), 2);
+}
+
+#[test]
+fn apply_whose_fate_the_daemon_does_not_know_says_so() {
+    let error = json!({"code": "store_unavailable", "message": "It is not known.",
+                       "run_state": "unknown"});
+    let admin = Admin::bind().reply(APPLY, 503, json!({"error": error}));
+    let run = apply(&admin, "--base 7").run().expect_code(3);
+    assert!(
+        run.stderr
+            .contains("cannot tell whether the change took effect")
+    );
+    admin.close();
+}
+
+#[test]
+fn the_first_document_is_applied_on_base_0() {
+    let error = json!({"error": {"code": "not_found", "message": "None yet."}});
+    let admin = Admin::bind().reply(SHOW, 404, error).reply(
+        "POST /admin/config?base=0",
+        200,
+        json!({"outcome": "accepted", "version": 1}),
+    );
+    apply(&admin, "--wait-ms 0").run().expect_code(0);
+    admin.close();
+}
+
+#[test]
+fn apply_does_not_wait_for_an_entry_vm_that_leaves() {
+    let mut standing = status(&[("e1", 8), ("e2", 7)]);
+    standing["entry_vms"][1]["state"] = json!("leaving");
+    let admin = Admin::bind()
+        .reply(APPLY, 200, json!({"outcome": "accepted", "version": 8}))
+        .reply(STATUS, 200, standing);
+    apply(&admin, "--base 7").run().expect_code(0);
+    admin.close();
 }
 
 #[test]
--- a/crates/conf/src/admin.rs
+++ b/crates/conf/src/admin.rs
@@ -91,8 +91,10 @@
     Conflict {
         /// The version that stands.
         current_version: u64,
-        /// Changes from the version that stands to the document offered.
-        diff: Vec<Change>,
+        /// Changes from the version that stands to the document offered; absent when the former
+        /// could not be read.
+        #[serde(default)]
+        diff: Option<Vec<Change>>,
     },
     /// The document has faults; nothing was changed.
     Invalid {
@@ -182,4 +184,7 @@
     pub code: String,
     /// A sentence for people.
     pub message: String,
+    /// Whether what was asked for was done.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub run_state: Option<RunState>,
 }
--- a/crates/entry/src/admin/config.rs
+++ b/crates/entry/src/admin/config.rs
@@ -119,13 +119,13 @@
     offered: &Config,
 ) -> Result<Reply, CallerError> {
     let mut current_version = 0;
-    let mut changes = Vec::new();
+    let mut changes = None;
     if let Some(stored) = stored {
         current_version = stored.version;
         let document = fleet.config_store().document(&stored).await.ok();
         let current = document.and_then(|d| Config::parse(&d.text).ok());
         if let Some(current) = current {
-            changes = diff(&current, offered);
+            changes = Some(diff(&current, offered));
         }
     }
     let reply = ApplyReply::Conflict {
