--- a/crates/proof/src/deployment.rs
+++ b/crates/proof/src/deployment.rs
@@ -7,8 +7,9 @@
 use base::secret::key_digest_hex;
 use base::units::Millisecond;
 use serde_json::{Value, json};
+use standin::fault::Fault;
 use standin::journal::{self, Entry as JournalEntry, unix_ms};
-use standin::platform::{Control, Vm, VmRole};
+use standin::platform::{Area, Control, Vm, VmRole};
 
 use crate::caller::Caller;
 use crate::guard;
@@ -305,6 +306,37 @@
         }
     }
 
+    /// Sets switches of a backend server.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the backend server does not take them.
+    pub async fn set_faults(&self, backend: &Backend, faults: &Value) {
+        let reply = Call::post("/faults", faults).send(backend.address).await;
+        assert_eq!(reply.expect("the stand-in answers").status, 200);
+    }
+
+    /// Sets a fault of one of the platform's services.
+    pub async fn set_platform_fault(&self, area: Area, fault: Fault) {
+        self.control(&Control::Fault { area, fault }).await;
+    }
+
+    /// Waits until an engine has sent tokens of a running stream, and returns its index.
+    pub async fn busy_engine(&self) -> usize {
+        guard::until("an engine amid a stream", async || {
+            for (index, engine) in self.engines.iter().enumerate() {
+                let reply = Call::get("/load").send(engine.address).await.ok()?;
+                let stats = Call::get("/stats").send(engine.address).await.ok()?;
+                let generated = stats.json()["tokens_generated"].as_u64()?;
+                if reply.json()["running"].as_u64()? > 0 && generated > 10 {
+                    return Some(index);
+                }
+            }
+            None
+        })
+        .await
+    }
+
     /// A caller of a workspace, which reaches every entry VM.
     pub fn caller(&self, workspace: &str) -> Caller {
         Caller {
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod deployment;
 pub mod guard;
 pub mod history;
+pub mod load;
 pub mod process;
 pub mod programs;
 pub mod relay;
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -12,7 +12,7 @@
 use crate::fault::{Fault, FaultSwitch};
 use crate::hash::fnv_hex;
 use crate::journal::{Entry, Journal};
-use crate::server::{Answer, BindError, Server, header_text, json, read_body, read_json};
+use crate::server::{Answer, BindError, Server, detached, header_text, json, read_body, read_json};
 
 /// Stand-in for a plain service.
 #[derive(Clone, Debug, Bpaf)]
@@ -89,7 +89,7 @@
         ..State::default()
     });
     Server::bind(options.listen, |_| {
-        move |request| handle(state.clone(), request)
+        move |request| detached(handle(state.clone(), request))
     })
     .await
 }
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -13,7 +13,7 @@
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 
-use crate::server::{Answer, BindError, Server, json, text};
+use crate::server::{Answer, BindError, Server, detached, json, text};
 use control::Platform;
 pub use control::{Area, Control, PlatformStats};
 pub use vms::{Vm, VmRole};
@@ -45,7 +45,7 @@
 pub async fn bind(options: &Options) -> Result<Server, BindError> {
     let platform = Arc::new(Platform::new(options));
     Server::bind(options.listen, |_| {
-        move |request| handle(platform.clone(), request)
+        move |request| detached(handle(platform.clone(), request))
     })
     .await
 }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -132,6 +132,11 @@
     let _ = connection.await;
 }
 
+/// Answers in a task of its own, so that the effect does not depend on the caller staying.
+pub async fn detached(answer: impl Future<Output = Answer> + Send + 'static) -> Answer {
+    tokio::spawn(answer).await.unwrap_or(Err(Dropped))
+}
+
 /// A whole request body, or the refusal to send.
 pub async fn read_body(request: Request<Incoming>) -> Result<Bytes, Answer> {
     let limited = http_body_util::Limited::new(request.into_body(), REQUEST_LIMIT_BYTES);
