--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -31,3 +31,10 @@
         .duration_since(UNIX_EPOCH)
         .map_or(0, |since| since.as_secs())
 }
+
+/// Milliseconds since the Unix epoch, for what peers compare; never for what must be safe.
+pub fn unix_ms() -> Millisecond {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as Millisecond)
+}
--- a/crates/entry/src/flow/mod.rs
+++ b/crates/entry/src/flow/mod.rs
@@ -1,14 +1,20 @@
 //! The flow of an accepted model request: attempts, resumption and the answer so far.
 
+mod live;
 mod phase;
 mod record;
 mod relay;
+mod retries;
+mod setback;
 mod store;
+mod suspicion;
 
 pub use phase::Phase;
 pub use record::{Progress, Record, SharedRecord};
 pub use relay::{Piece, Relay};
+pub use retries::{Retries, Survivors};
 pub use store::{Store, StoreOptions, Taken};
+pub use suspicion::{OnServer, Suspicion, Vitals, vitals};
 
 use std::sync::Arc;
 
@@ -61,6 +67,10 @@
     pub backend: Arc<dyn Backend>,
     /// The choice among them.
     pub backends: Backends,
+    /// Retry budgets of the services.
+    pub retries: Retries,
+    /// Requests that may crash their backend servers.
+    pub suspicion: Suspicion,
     /// Records of accepted requests.
     pub store: Store,
     /// The request's state chart.
--- a/crates/entry/src/flow/record.rs
+++ b/crates/entry/src/flow/record.rs
@@ -48,6 +48,9 @@
     pub progress: Progress,
     /// Backend servers tried, in order.
     pub attempts: Vec<Name>,
+    /// Attempts that failed, whichever relay made them.
+    #[serde(default)]
+    pub failed: u32,
     /// Count of relays that have owned the record; only the newest may add to it.
     pub epoch: u64,
 }
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use base::Name;
-use base::backoff::Backoff;
 use base::ids::RequestId;
 use base::outcome::RunState;
 use base::units::Millisecond;
@@ -19,25 +18,20 @@
 use events::Code;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
-use policy::route::{self, RouteRequest};
+use policy::retry::{Cause, RequestBudget};
+use policy::route::{self, Effect, RouteRequest};
+use policy::suspect::{Digest, Treatment};
 use serde::Serialize;
 use tokio::sync::watch;
 
+use super::live::{Live, choice_text, route_request, total_usage};
 use super::phase::Phase;
 use super::record::{Progress, SharedRecord};
+use super::setback::Setback;
 use super::{Drain, Flow};
-use crate::backends::Flight;
+use crate::backends::Chosen;
 use crate::front::{CallerError, ErrorCode, RetrySafety};
 
-/// Delays between attempts.
-const RETRY_BACKOFF: Backoff = Backoff {
-    base_ms: 20,
-    cap_ms: 1_000,
-};
-
-/// When a caller whose request was given up may come back.
-const COME_BACK_MS: Millisecond = 1_000;
-
 /// Largest error body of a backend server that is read.
 const ERROR_MAX_BYTES: usize = 16 * 1024;
 
@@ -66,29 +60,20 @@
     Failed(CallerError),
 }
 
-struct Live {
-    flight: Flight,
-    stream: Option<ChunkStream>,
-    usage: Option<Usage>,
-    finish_reason: Option<String>,
-    tokens_before: u64,
-    got_token: bool,
-}
-
 /// Drives one answer for one reader.
 pub struct Relay {
-    flow: Arc<Flow>,
-    record: SharedRecord,
+    pub(super) flow: Arc<Flow>,
+    pub(super) record: SharedRecord,
     epoch: u64,
-    id: RequestId,
-    ask: RouteRequest,
-    deadline_ms: Millisecond,
-    phase: Instance,
-    live: Option<Live>,
-    failures: u32,
-    run_state: RunState,
-    error: Option<CallerError>,
-    drain: watch::Receiver<Drain>,
+    pub(super) id: RequestId,
+    pub(super) ask: RouteRequest,
+    pub(super) budget: RequestBudget,
+    pub(super) digest: Option<Digest>,
+    pub(super) phase: Instance,
+    pub(super) live: Option<Live>,
+    pub(super) setback: Option<Setback>,
+    pub(super) error: Option<CallerError>,
+    pub(super) drain: watch::Receiver<Drain>,
 }
 
 enum Outcome {
@@ -98,14 +83,6 @@
     Drained,
 }
 
-#[derive(Serialize)]
-struct AttemptLog<'a> {
-    request: RequestId,
-    server: &'a Name,
-    run_state: RunState,
-    reason: &'a str,
-}
-
 #[derive(Serialize)]
 struct ResumeLog<'a> {
     request: RequestId,
@@ -117,11 +94,14 @@
     /// Becomes the record's only writer.
     pub fn open(flow: Arc<Flow>, record: SharedRecord, priority: u8) -> Self {
         let epoch = record.take_over();
-        let (id, ask, remaining_ms) = {
+        let (id, ask, budget) = {
             let held = record.lock();
-            (held.id, route_request(&held, priority), held.remaining_ms)
+            let deadline_ms = flow.clock.now_ms() + held.remaining_ms;
+            let failed_limit = flow.options.failures_max + 1;
+            let mut budget = RequestBudget::new(Effect::Idempotent, failed_limit, deadline_ms);
+            budget.failed = held.failed;
+            (held.id, route_request(&held, priority), budget)
         };
-        let deadline_ms = flow.clock.now_ms() + remaining_ms;
         let phase = flow.chart.start();
         let drain = flow.drain.clone();
         Self {
@@ -130,11 +110,11 @@
             epoch,
             id,
             ask,
-            deadline_ms,
+            budget,
+            digest: None,
             phase,
             live: None,
-            failures: 0,
-            run_state: RunState::NotRun,
+            setback: None,
             error: None,
             drain,
         }
@@ -214,32 +194,36 @@
                 "The time for the answer is over.",
             );
         }
-        match self.flow.backends.choose(self.id, &self.ask) {
-            Ok(chosen) => {
-                let server = chosen.decision.server.clone();
-                self.record.lock().attempts.push(server);
-                self.live = Some(Live {
-                    flight: chosen.flight,
-                    stream: None,
-                    usage: None,
-                    finish_reason: None,
-                    tokens_before: self.record.lock().tokens,
-                    got_token: false,
-                });
-                self.phase.apply("routed");
-            }
+        let ask = match self.treatment() {
+            Treatment::Normal => self.ask.clone(),
+            Treatment::Apart => self.ask_apart(),
+            Treatment::Refuse => return self.quarantined(),
+        };
+        match self.flow.backends.choose(self.id, &ask) {
+            Ok(chosen) => self.chosen(chosen),
             Err(error) => self.no_server(&error.to_string()),
         }
     }
 
-    fn no_server(&mut self, reason: &str) {
-        self.ask.excluded.clear();
-        self.failures += 1;
-        let nothing_relayed = self.record.lock().tokens == 0;
-        if nothing_relayed || self.failures > self.flow.options.failures_max {
-            return self.give_up(ErrorCode::NoBackendServer, reason);
+    fn chosen(&mut self, chosen: Chosen) {
+        let server = chosen.decision.server;
+        let mut record = self.record.lock();
+        if record.attempts.is_empty() {
+            self.flow.retries.first_attempt(&record.service);
         }
-        self.phase.apply("no_server");
+        record.attempts.push(server.clone());
+        let tokens_before = record.tokens;
+        drop(record);
+        self.live = Some(Live {
+            flight: chosen.flight,
+            _on_server: self.enter(&server),
+            stream: None,
+            usage: None,
+            finish_reason: None,
+            tokens_before,
+            got_token: false,
+        });
+        self.phase.apply("routed");
     }
 
     async fn send(&mut self) {
@@ -260,8 +244,12 @@
         match result {
             Ok(answer) if answer.status == StatusCode::OK => self.head(answer),
             Ok(answer) => self.rejected(answer).await,
-            Err(SendError::NotSent { reason }) => self.broken(RunState::NotRun, &reason),
-            Err(SendError::Unanswered { reason }) => self.broken(RunState::Unknown, &reason),
+            Err(SendError::NotSent { reason }) => {
+                self.broken(Cause::ConnectFailed, RunState::NotRun, &reason);
+            }
+            Err(SendError::Unanswered { reason }) => {
+                self.broken(Cause::Broken, RunState::Unknown, &reason);
+            }
         }
     }
 
@@ -292,9 +280,13 @@
 
     async fn rejected(&mut self, answer: Answer) {
         let status = answer.status;
-        let try_elsewhere = status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS;
-        if try_elsewhere {
-            return self.broken(RunState::Ran, &format!("it answered {status}"));
+        let cause = match status {
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Cause::Overloaded,
+            status if status.is_server_error() => Cause::ServerError,
+            _ => Cause::BadRequest,
+        };
+        if cause != Cause::BadRequest {
+            return self.broken(cause, RunState::Ran, &format!("it answered {status}"));
         }
         let body = Limited::new(answer.body, ERROR_MAX_BYTES).collect().await;
         let text = body.map_or_else(|_| Bytes::new(), |whole| whole.to_bytes());
@@ -327,7 +319,7 @@
                 None
             }
             Outcome::Stalled => {
-                self.broken(RunState::Unknown, "the stream stalled");
+                self.broken(Cause::TimedOut, RunState::Unknown, "the stream stalled");
                 None
             }
             Outcome::Leaving(gone_ms) => {
@@ -409,7 +401,10 @@
             .is_some_and(|l| l.finish_reason.is_some());
         match finished {
             true => self.complete(),
-            false => self.broken(RunState::Ran, "the stream ended without a finish reason"),
+            false => {
+                let reason = "the stream ended without a finish reason";
+                self.broken(Cause::Broken, RunState::Ran, reason);
+            }
         }
     }
 
@@ -420,7 +415,7 @@
             .is_some_and(|l| l.finish_reason.is_some());
         match finished {
             true => self.complete(),
-            false => self.broken(RunState::Ran, reason),
+            false => self.broken(Cause::Broken, RunState::Ran, reason),
         }
     }
 
@@ -443,6 +438,7 @@
             finish_reason: "length".to_owned(),
         };
         drop(record);
+        self.ended_well();
         self.phase.apply("complete");
     }
 
@@ -465,84 +461,11 @@
             output_tokens: usage.completion_tokens - live.tokens_before,
             cached_tokens: live.usage.map(|u| u.prompt_tokens_details.cached_tokens),
         });
+        self.ended_well();
         self.phase.apply("complete");
     }
 
-    fn server_leaving(&mut self, gone_ms: Millisecond) {
-        let now_ms = self.flow.clock.now_ms();
-        let Some(live) = &self.live else {
-            return;
-        };
-        let server = live.flight.target().id.clone();
-        self.ask.excluded.push(server);
-        if self.finishes_before(gone_ms, now_ms) {
-            return;
-        }
-        self.run_state = self.run_state.after(RunState::Ran);
-        self.live = None;
-        self.phase.apply("broken");
-    }
-
-    fn finishes_before(&self, gone_ms: Millisecond, now_ms: Millisecond) -> bool {
-        let record = self.record.lock();
-        let Some(max_tokens) = record.request.max_tokens else {
-            return false;
-        };
-        let left = max_tokens.saturating_sub(record.tokens);
-        let margin_ms = self.flow.options.leaving_margin_ms;
-        now_ms + left * TOKEN_MS_ASSUMED + margin_ms < gone_ms
-    }
-
-    fn broken(&mut self, run_state: RunState, reason: &str) {
-        let Some(live) = self.live.take() else {
-            self.phase.apply("broken");
-            return;
-        };
-        let server = live.flight.target().id.clone();
-        self.run_state = self.run_state.after(run_state);
-        events::emit(
-            Code::AttemptFailed,
-            &AttemptLog {
-                request: self.id,
-                server: &server,
-                run_state,
-                reason,
-            },
-        );
-        if !live.flight.is_leaving() {
-            self.failures += 1;
-            self.flow.backends.set_suspect(&server);
-        }
-        self.ask.excluded.push(server);
-        if self.failures > self.flow.options.failures_max {
-            return self.give_up(ErrorCode::BackendFailed, reason);
-        }
-        self.phase.apply("broken");
-    }
-
-    async fn wait(&mut self) {
-        let delay_ms = match self.failures {
-            0 => 0,
-            failures => RETRY_BACKOFF.delay_ms(failures - 1, &mut rand::rng()),
-        };
-        let delay = Duration::from_millis(delay_ms.min(self.remaining_ms()));
-        tokio::select! {
-            () = tokio::time::sleep(delay) => { self.phase.apply("retry_due"); }
-            () = cut(&mut self.drain) => self.stop("drain"),
-        }
-    }
-
-    fn give_up(&mut self, code: ErrorCode, reason: &str) {
-        self.live = None;
-        self.error = Some(CallerError {
-            run_state: self.run_state,
-            message: format!("The request was given up: {reason}"),
-            ..CallerError::refusal(code, "", COME_BACK_MS)
-        });
-        self.phase.apply("given_up");
-    }
-
-    fn stop(&mut self, event: &str) {
+    pub(super) fn stop(&mut self, event: &str) {
         self.live = None;
         let remaining_ms = self.remaining_ms();
         {
@@ -569,8 +492,10 @@
         self.error.clone().unwrap_or_else(CallerError::moved)
     }
 
-    fn remaining_ms(&self) -> Millisecond {
-        self.deadline_ms.saturating_sub(self.flow.clock.now_ms())
+    pub(super) fn remaining_ms(&self) -> Millisecond {
+        self.budget
+            .deadline_ms
+            .saturating_sub(self.flow.clock.now_ms())
     }
 
     fn attempt(&self) -> Attempt {
@@ -615,53 +540,9 @@
     }
 }
 
-/// Decode time assumed when weighing whether a stream ends before its server does.
-const TOKEN_MS_ASSUMED: Millisecond = 40;
-
-async fn cut(drain: &mut watch::Receiver<Drain>) {
+pub(super) async fn cut(drain: &mut watch::Receiver<Drain>) {
     let closed = drain.wait_for(|drain| *drain != Drain::Open).await.is_err();
     if closed {
         std::future::pending::<()>().await;
     }
 }
-
-fn choice_text(choice: &mut Choice) -> String {
-    if let Some(text) = choice.text.take() {
-        return text;
-    }
-    match &mut choice.delta {
-        Some(delta) => delta.content.take().unwrap_or_default(),
-        None => String::new(),
-    }
-}
-
-fn total_usage(live: &Live, tokens: u64) -> Usage {
-    let last = live.usage.unwrap_or_default();
-    let prompt_tokens = last.prompt_tokens.saturating_sub(live.tokens_before);
-    let completion_tokens = match last.completion_tokens {
-        0 => tokens,
-        counted => counted + live.tokens_before,
-    };
-    Usage {
-        prompt_tokens,
-        completion_tokens,
-        total_tokens: prompt_tokens + completion_tokens,
-        prompt_tokens_details: last.prompt_tokens_details,
-    }
-}
-
-fn route_request(record: &super::Record, priority: u8) -> RouteRequest {
-    let prompt = record.request.prompt_text();
-    RouteRequest {
-        service: record.service.clone(),
-        blocks: route::blocks(&prompt),
-        prompt_tokens: prompt.split_whitespace().count() as u64,
-        output_tokens: record.request.max_tokens.unwrap_or(OUTPUT_TOKENS_ASSUMED),
-        priority,
-        effect: route::Effect::Idempotent,
-        excluded: Vec::new(),
-    }
-}
-
-/// Answer length assumed when the caller sets no bound.
-const OUTPUT_TOKENS_ASSUMED: u64 = 512;
--- /dev/null
+++ b/crates/entry/src/flow/setback.rs
@@ -0,0 +1,275 @@
+//! What a relay does when an attempt ends early: find out why, then go on elsewhere or give up.
+
+use std::time::Duration;
+
+use base::Name;
+use base::ids::RequestId;
+use base::outcome::RunState;
+use base::units::Millisecond;
+use engine::Target;
+use events::Code;
+use http::StatusCode;
+use policy::retry::{Cause, Failure, RetryDecision};
+use policy::route::{RouteRequest, ServerState};
+use policy::suspect::{Digest, Treatment};
+use serde::Serialize;
+
+use super::relay::{Relay, cut};
+use super::retries::Survivors;
+use super::suspicion::{OnServer, Vitals, vitals};
+use crate::front::{CallerError, ErrorCode, RetrySafety};
+
+/// When a caller whose request was given up may come back.
+const COME_BACK_MS: Millisecond = 1_000;
+
+/// Decode time assumed when weighing whether a stream ends before its server does.
+const TOKEN_MS_ASSUMED: Millisecond = 40;
+
+/// An attempt that ended early, of which nothing has been made yet.
+pub(super) struct Setback {
+    target: Option<Target>,
+    cause: Cause,
+    run_state: RunState,
+    reason: String,
+}
+
+#[derive(Serialize)]
+struct AttemptLog<'a> {
+    request: RequestId,
+    server: &'a Name,
+    run_state: RunState,
+    reason: &'a str,
+}
+
+impl Relay {
+    pub(super) fn no_server(&mut self, reason: &str) {
+        self.ask.excluded.clear();
+        let nothing_relayed = self.record.lock().tokens == 0;
+        if nothing_relayed {
+            return self.give_up(ErrorCode::NoBackendServer, reason);
+        }
+        self.setback = Some(Setback {
+            target: None,
+            cause: Cause::NoServer,
+            run_state: RunState::NotRun,
+            reason: reason.to_owned(),
+        });
+        self.phase.apply("no_server");
+    }
+
+    pub(super) fn server_leaving(&mut self, gone_ms: Millisecond) {
+        let now_ms = self.flow.clock.now_ms();
+        let Some(live) = &self.live else {
+            return;
+        };
+        let server = live.flight.target().id.clone();
+        self.ask.excluded.push(server);
+        if self.finishes_before(gone_ms, now_ms) {
+            return;
+        }
+        self.budget.run_state = self.budget.run_state.after(RunState::Ran);
+        self.live = None;
+        self.phase.apply("broken");
+    }
+
+    fn finishes_before(&self, gone_ms: Millisecond, now_ms: Millisecond) -> bool {
+        let record = self.record.lock();
+        let Some(max_tokens) = record.request.max_tokens else {
+            return false;
+        };
+        let left = max_tokens.saturating_sub(record.tokens);
+        let margin_ms = self.flow.options.leaving_margin_ms;
+        now_ms + left * TOKEN_MS_ASSUMED + margin_ms < gone_ms
+    }
+
+    pub(super) fn broken(&mut self, cause: Cause, run_state: RunState, reason: &str) {
+        let Some(live) = self.live.take() else {
+            self.phase.apply("broken");
+            return;
+        };
+        let target = live.flight.target().clone();
+        events::emit(
+            Code::AttemptFailed,
+            &AttemptLog {
+                request: self.id,
+                server: &target.id,
+                run_state,
+                reason,
+            },
+        );
+        let cause = match live.flight.is_leaving() {
+            true => Cause::Leaving,
+            false => cause,
+        };
+        if cause != Cause::Leaving {
+            self.flow.backends.set_suspect(&target.id);
+        }
+        self.ask.excluded.push(target.id.clone());
+        self.setback = Some(Setback {
+            target: Some(target),
+            cause,
+            run_state,
+            reason: reason.to_owned(),
+        });
+        self.phase.apply("broken");
+    }
+
+    /// Waits before the next attempt, or gives up at once.
+    pub(super) async fn wait(&mut self) {
+        let Some(setback) = self.setback.take() else {
+            self.phase.apply("retry_due");
+            return;
+        };
+        let cause = self.cause(&setback).await;
+        match self.decide(&setback, cause) {
+            RetryDecision::RetryAfter { delay_ms } => self.pause(delay_ms).await,
+            RetryDecision::GiveUp { retry_after_ms, .. } => {
+                let code = match cause {
+                    Cause::NoServer => ErrorCode::NoBackendServer,
+                    _ => ErrorCode::BackendFailed,
+                };
+                self.give_up(code, &setback.reason);
+                if let Some(error) = &mut self.error {
+                    error.retry_after_ms = retry_after_ms;
+                }
+            }
+        }
+    }
+
+    async fn pause(&mut self, delay_ms: Millisecond) {
+        let delay = Duration::from_millis(delay_ms);
+        tokio::select! {
+            () = tokio::time::sleep(delay) => { self.phase.apply("retry_due"); }
+            () = cut(&mut self.drain) => self.stop("drain"),
+        }
+    }
+
+    /// Tells a lost server from a broken connection, and takes note of a lost one.
+    async fn cause(&mut self, setback: &Setback) -> Cause {
+        let Some(target) = &setback.target else {
+            return setback.cause;
+        };
+        if setback.cause != Cause::Broken {
+            return setback.cause;
+        }
+        let backend = self.flow.backend.clone();
+        if vitals(&*backend, target).await == Vitals::Running {
+            return Cause::Broken;
+        }
+        // The mark may have come while the server was asked.
+        let view = self.flow.backends.view();
+        let server = view.iter().find(|view| view.server == target.id);
+        let Some(server) = server.filter(|s| s.state != ServerState::Leaving) else {
+            return Cause::Leaving;
+        };
+        let digest = self.digest();
+        let suspicion = &self.flow.suspicion;
+        suspicion.crashed(&target.id, &server.failure_domain, digest);
+        Cause::ServerLost
+    }
+
+    fn decide(&mut self, setback: &Setback, cause: Cause) -> RetryDecision {
+        let failure = Failure {
+            cause,
+            run_state: setback.run_state,
+            retry_after_ms: None,
+        };
+        let service = self.ask.service.clone();
+        let survivors = self.survivors(&service);
+        let now_ms = self.flow.clock.now_ms();
+        let retries = &self.flow.retries;
+        let decision = retries.decide(&service, &mut self.budget, failure, survivors, now_ms);
+        self.record.lock().failed = self.budget.failed;
+        decision
+    }
+
+    fn survivors(&self, service: &str) -> Survivors {
+        let mut survivors = Survivors { left: 0, before: 0 };
+        for server in self.flow.backends.view() {
+            if &*server.service != service || server.state == ServerState::Leaving {
+                continue;
+            }
+            survivors.before += 1;
+            survivors.left += u32::from(server.state == ServerState::Live);
+        }
+        survivors
+    }
+
+    pub(super) fn give_up(&mut self, code: ErrorCode, reason: &str) {
+        self.live = None;
+        self.error = Some(CallerError {
+            run_state: self.budget.run_state,
+            message: format!("The request was given up: {reason}"),
+            ..CallerError::refusal(code, "", COME_BACK_MS)
+        });
+        self.phase.apply("given_up");
+    }
+
+    /// How the request is to be run, by what its content did before.
+    pub(super) fn treatment(&mut self) -> Treatment {
+        if self.flow.suspicion.is_quiet() {
+            return Treatment::Normal;
+        }
+        let digest = self.digest();
+        self.flow.suspicion.treatment(digest)
+    }
+
+    /// The request for a route, kept off servers that a suspect must not join.
+    pub(super) fn ask_apart(&self) -> RouteRequest {
+        let mut ask = self.ask.clone();
+        let mut servers = Vec::new();
+        for server in self.flow.backends.view() {
+            let fit = server.service == ask.service
+                && server.state == ServerState::Live
+                && !ask.excluded.contains(&server.server);
+            if fit {
+                servers.push(server.server);
+            }
+        }
+        let avoided = self.flow.suspicion.servers_to_avoid(servers);
+        ask.excluded.extend(avoided);
+        ask
+    }
+
+    pub(super) fn quarantined(&mut self) {
+        self.error = Some(CallerError {
+            run_state: self.budget.run_state,
+            retry: RetrySafety::Unsafe,
+            ..CallerError::mistake(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                ErrorCode::Quarantined,
+                "Backend servers crashed twice while running this request, so it is not run for an hour; change its content.",
+            )
+        });
+        self.phase.apply("given_up");
+    }
+
+    pub(super) fn enter(&mut self, server: &Name) -> Option<OnServer> {
+        if self.flow.suspicion.is_quiet() {
+            return None;
+        }
+        let digest = self.digest();
+        Some(self.flow.suspicion.enter(server, digest))
+    }
+
+    pub(super) fn ended_well(&mut self) {
+        if self.flow.suspicion.is_quiet() {
+            return;
+        }
+        let digest = self.digest();
+        self.flow.suspicion.completed(digest);
+    }
+
+    /// Digest of the caller's own request; made when it is first needed, as it reads all of it.
+    fn digest(&mut self) -> Digest {
+        if let Some(digest) = self.digest {
+            return digest;
+        }
+        let record = self.record.lock();
+        let body = serde_json::to_vec(&record.request).unwrap_or_default();
+        let digest = Digest::of(&record.workspace, &record.service, &body);
+        drop(record);
+        self.digest = Some(digest);
+        digest
+    }
+}
--- /dev/null
+++ b/crates/entry/src/flow/suspicion.rs
@@ -0,0 +1,294 @@
+//! Requests suspected of crashing their backend servers, and what this entry VM runs where.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use base::units::Millisecond;
+use base::{Map, Name};
+use engine::{Attempt, Backend, Target};
+use events::Code;
+use fleet::bulletin::Fingerprint;
+use http::{HeaderMap, Method};
+use policy::suspect::{
+    Candidate, Digest, IncidentAge, Loss, Nature, Share, SuspectRecord, Suspects, Treatment,
+};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
+use crate::clock::unix_ms;
+
+/// Starts the key of a fingerprint that holds a [`Sighting`].
+const KEY_PREFIX: &str = "suspect/";
+
+/// How long a backend server may take to show that it still runs.
+const PROBE_MS: Millisecond = 250;
+
+/// What one entry VM saw of a request, as its peers get it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "saw")]
+enum Sighting {
+    /// It was on a server that crashed.
+    Crash {
+        digest: Digest,
+        server: Name,
+        at_unix_ms: Millisecond,
+    },
+    /// It ended well.
+    End {
+        digest: Digest,
+        at_unix_ms: Millisecond,
+    },
+}
+
+impl Sighting {
+    fn fingerprint(&self) -> Fingerprint {
+        let key = match self {
+            Self::Crash { digest, server, .. } => format!("{KEY_PREFIX}{digest}/{server}"),
+            Self::End { digest, .. } => format!("{KEY_PREFIX}{digest}"),
+        };
+        Fingerprint {
+            key,
+            blob: serde_json::to_string(self).unwrap_or_default(),
+        }
+    }
+
+    fn record(self, now_ms: Millisecond) -> SuspectRecord {
+        match self {
+            Self::Crash {
+                digest,
+                server,
+                at_unix_ms,
+            } => SuspectRecord {
+                digest,
+                incidents: vec![IncidentAge {
+                    server,
+                    age_ms: now_ms.saturating_sub(at_unix_ms),
+                    nature: Nature::Crash,
+                }],
+                cleared_age_ms: None,
+            },
+            Self::End { digest, at_unix_ms } => SuspectRecord {
+                digest,
+                incidents: Vec::new(),
+                cleared_age_ms: Some(now_ms.saturating_sub(at_unix_ms)),
+            },
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct SuspectLog<'a> {
+    digest: String,
+    server: &'a Name,
+    treatment: Treatment,
+}
+
+struct Inner {
+    suspects: Suspects,
+    on_server: Map<Name, Vec<Digest>>,
+    share: Share,
+    news: Vec<Fingerprint>,
+}
+
+/// Suspects and running requests of one entry VM; clones share them.
+#[derive(Clone)]
+pub struct Suspicion {
+    inner: Arc<Mutex<Inner>>,
+    made_news: Arc<Notify>,
+}
+
+impl Default for Suspicion {
+    fn default() -> Self {
+        Self {
+            inner: Arc::new(Mutex::new(Inner {
+                suspects: Suspects::default(),
+                on_server: Map::default(),
+                share: Share { rank: 0, of: 1 },
+                news: Vec::new(),
+            })),
+            made_news: Arc::default(),
+        }
+    }
+}
+
+impl Suspicion {
+    /// Whether nothing is suspected, so that requests need not be looked at.
+    pub fn is_quiet(&self) -> bool {
+        self.lock().suspects.is_empty()
+    }
+
+    /// Forgets what is too old.
+    pub fn expire(&self) {
+        self.lock().suspects.expire(unix_ms());
+    }
+
+    /// How a request is to be run.
+    pub fn treatment(&self, digest: Digest) -> Treatment {
+        self.lock().suspects.treatment(digest, unix_ms())
+    }
+
+    /// Of servers sorted by name, those that a suspect must not join.
+    pub fn servers_to_avoid(&self, servers: Vec<Name>) -> Vec<Name> {
+        let inner = self.lock();
+        let mut candidates = Vec::with_capacity(servers.len());
+        for server in &servers {
+            candidates.push(Candidate {
+                server: server.clone(),
+                digests: inner.on_server.get(server).cloned().unwrap_or_default(),
+            });
+        }
+        let apart = inner
+            .suspects
+            .servers_apart(&candidates, inner.share, unix_ms());
+        drop(inner);
+        let mut avoided = servers;
+        avoided.retain(|server| !apart.contains(server));
+        avoided
+    }
+
+    /// Notes that a request runs on a server until the guard is dropped.
+    pub fn enter(&self, server: &Name, digest: Digest) -> OnServer {
+        let mut inner = self.lock();
+        let digests = inner.on_server.entry(server.clone()).or_default();
+        digests.push(digest);
+        OnServer {
+            suspicion: self.clone(),
+            server: server.clone(),
+            digest,
+        }
+    }
+
+    /// A server that ran the request crashed.
+    pub fn crashed(&self, server: &Name, domain: &Name, digest: Digest) {
+        let now_ms = unix_ms();
+        let mut inner = self.lock();
+        let suspects = &mut inner.suspects;
+        suspects.server_lost(server, domain, Loss::Crash, &[digest], now_ms);
+        let treatment = suspects.treatment(digest, now_ms);
+        let sighting = Sighting::Crash {
+            digest,
+            server: server.clone(),
+            at_unix_ms: now_ms,
+        };
+        inner.news.push(sighting.fingerprint());
+        drop(inner);
+        self.made_news.notify_one();
+        let digest = digest.to_string();
+        events::emit(
+            Code::RequestSuspected,
+            &SuspectLog {
+                digest,
+                server,
+                treatment,
+            },
+        );
+    }
+
+    /// The request ended well.
+    pub fn completed(&self, digest: Digest) {
+        let now_ms = unix_ms();
+        let mut inner = self.lock();
+        if inner.suspects.treatment(digest, now_ms) == Treatment::Normal {
+            return;
+        }
+        inner.suspects.completed(digest, now_ms);
+        let sighting = Sighting::End {
+            digest,
+            at_unix_ms: now_ms,
+        };
+        inner.news.push(sighting.fingerprint());
+        drop(inner);
+        self.made_news.notify_one();
+    }
+
+    /// A server leaves as announced; if it was lost already, that blames nobody.
+    pub fn departed(&self, server: &Name) {
+        let mut inner = self.lock();
+        if !inner.suspects.is_empty() {
+            inner.suspects.departed(server, unix_ms());
+        }
+    }
+
+    /// Sets this entry VM's place among all.
+    pub fn set_share(&self, share: Share) {
+        self.lock().share = share;
+    }
+
+    /// Waits until there is news for the peers.
+    pub async fn made_news(&self) {
+        self.made_news.notified().await;
+    }
+
+    /// Takes the news for the peers.
+    pub fn take_news(&self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.lock().news)
+    }
+
+    /// Takes in what peers saw; what is known already changes nothing.
+    pub fn hear(&self, fingerprints: &[Fingerprint]) {
+        let now_ms = unix_ms();
+        let mut records = Vec::new();
+        for fingerprint in fingerprints {
+            if !fingerprint.key.starts_with(KEY_PREFIX) {
+                continue;
+            }
+            if let Ok(sighting) = serde_json::from_str::<Sighting>(&fingerprint.blob) {
+                records.push(sighting.record(now_ms));
+            }
+        }
+        if !records.is_empty() {
+            self.lock().suspects.merge(&records, now_ms);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request on a server, until it is dropped.
+pub struct OnServer {
+    suspicion: Suspicion,
+    server: Name,
+    digest: Digest,
+}
+
+impl Drop for OnServer {
+    fn drop(&mut self) {
+        let mut inner = self.suspicion.lock();
+        let Some(digests) = inner.on_server.get_mut(&self.server) else {
+            return;
+        };
+        if let Some(at) = digests.iter().position(|digest| *digest == self.digest) {
+            digests.swap_remove(at);
+        }
+        if digests.is_empty() {
+            inner.on_server.remove(&self.server);
+        }
+    }
+}
+
+/// Whether a server whose connection broke still runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Vitals {
+    /// It answers, or is slow to.
+    Running,
+    /// Its connections are refused or cut.
+    Gone,
+}
+
+/// Asks a server whether it still runs.
+pub async fn vitals(backend: &dyn Backend, target: &Target) -> Vitals {
+    let probe = Attempt {
+        method: Method::GET,
+        path: "/healthz".to_owned(),
+        headers: HeaderMap::new(),
+        body: bytes::Bytes::new(),
+        head_timeout_ms: 2 * PROBE_MS,
+    };
+    let answer = backend.send(target, probe);
+    match tokio::time::timeout(Duration::from_millis(PROBE_MS), answer).await {
+        Ok(Err(_)) => Vitals::Gone,
+        Ok(Ok(_)) | Err(_) => Vitals::Running,
+    }
+}
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -11,9 +11,11 @@
 use fleet::Fleet;
 use fleet::bulletin::Demand;
 use fleet::view::FleetView;
+use fleet::wire::Health;
 use platform::{Vm, VmRole, VmState};
 use policy::limit::{WorkspaceDemand, WorkspaceShare};
 use policy::route::ServerState;
+use policy::suspect::Share;
 use serde::Serialize;
 use tokio::sync::watch;
 
@@ -69,15 +71,30 @@
                         return;
                     }
                 }
+                () = self.flow.suspicion.made_news() => {}
                 _ = tick.tick() => {}
             }
             let view = views.borrow_and_update().clone();
+            self.exchange_suspects(&view);
             self.take_config(&view);
             self.take_servers(&view);
             self.exchange_demand();
         }
     }
 
+    fn exchange_suspects(&self, view: &FleetView) {
+        let suspicion = &self.flow.suspicion;
+        for fingerprint in suspicion.take_news() {
+            self.fleet.spread_fingerprint(fingerprint);
+        }
+        suspicion.hear(&view.fingerprints);
+        suspicion.expire();
+        for server in view.leaving.iter() {
+            suspicion.departed(server);
+        }
+        suspicion.set_share(share(view));
+    }
+
     fn take_config(&self, view: &FleetView) {
         let Some(document) = &view.config else {
             return;
@@ -205,6 +222,20 @@
     }
 }
 
+/// This entry VM's place among those that are alive.
+fn share(view: &FleetView) -> Share {
+    let mut rank = 0;
+    let mut of = 1;
+    for member in &view.members {
+        if member.record.health != Health::Alive {
+            continue;
+        }
+        of += 1;
+        rank += usize::from(member.record.name < view.me.name);
+    }
+    Share { rank, of }
+}
+
 fn units(demands: &[WorkspaceDemand], workspace: &str) -> u32 {
     let own = demands.iter().find(|d| &*d.workspace == workspace);
     own.map_or(0, |d| d.running + d.queued)
--- a/crates/entry/src/front/model.rs
+++ b/crates/entry/src/front/model.rs
@@ -135,6 +135,7 @@
         usage: Default::default(),
         progress: Progress::Open,
         attempts: Vec::new(),
+        failed: 0,
         epoch: 0,
     }
 }
--- /dev/null
+++ b/crates/entry/src/passage/attempts.rs
@@ -0,0 +1,112 @@
+//! Failed attempts of a plain call, booked in the budgets.
+
+use std::time::Duration;
+
+use base::outcome::RunState;
+use base::units::Millisecond;
+use engine::{SendError, Target};
+use policy::retry::{Cause, Failure, RequestBudget, RetryDecision};
+use policy::route::{Effect, RouteRequest};
+
+use super::{Call, given_up};
+use crate::flow::{Flow, Survivors};
+use crate::front::{CallerError, ErrorCode, RetrySafety};
+
+/// What follows a failed attempt.
+pub enum Next {
+    /// The delay is over; another attempt.
+    Again,
+    /// The final answer.
+    GiveUp(CallerError),
+}
+
+/// The attempts of one call.
+pub struct Attempts {
+    /// What is asked of routing; servers that failed are excluded.
+    pub ask: RouteRequest,
+    budget: RequestBudget,
+    reason: String,
+}
+
+impl Attempts {
+    /// Before the first attempt.
+    pub fn open(flow: &Flow, call: &Call, effect: Effect) -> Self {
+        let deadline_ms = flow.clock.now_ms() + call.timeout_ms;
+        flow.retries.first_attempt(&call.service);
+        Self {
+            ask: call.ask(effect),
+            budget: RequestBudget::new(effect, call.max_attempts, deadline_ms),
+            reason: String::new(),
+        }
+    }
+
+    /// Time left for the call.
+    pub fn left_ms(&self, flow: &Flow) -> Millisecond {
+        self.budget.deadline_ms.saturating_sub(flow.clock.now_ms())
+    }
+
+    /// The final answer when routing finds no server; an earlier failure says more than that.
+    pub fn no_server(&self, reason: &str) -> CallerError {
+        let reason = match self.reason.is_empty() {
+            true => reason,
+            false => &self.reason,
+        };
+        self.error(ErrorCode::NoBackendServer, reason, None)
+    }
+
+    /// An attempt had no answer.
+    pub async fn unanswered(&mut self, flow: &Flow, target: &Target, error: SendError) -> Next {
+        let (cause, run_state, reason) = match error {
+            SendError::NotSent { reason } => (Cause::ConnectFailed, RunState::NotRun, reason),
+            SendError::Unanswered { reason } => (Cause::Broken, RunState::Unknown, reason),
+        };
+        self.reason = reason;
+        flow.backends.set_suspect(&target.id);
+        self.failed(flow, target, cause, run_state).await
+    }
+
+    /// An attempt failed for `cause`.
+    pub async fn failed(
+        &mut self,
+        flow: &Flow,
+        target: &Target,
+        cause: Cause,
+        run_state: RunState,
+    ) -> Next {
+        self.ask.excluded.push(target.id.clone());
+        let failure = Failure {
+            cause,
+            run_state,
+            retry_after_ms: None,
+        };
+        let survivors = Survivors { left: 0, before: 0 };
+        let now_ms = flow.clock.now_ms();
+        let service = &self.ask.service;
+        let decision = flow
+            .retries
+            .decide(service, &mut self.budget, failure, survivors, now_ms);
+        match decision {
+            RetryDecision::RetryAfter { delay_ms } => {
+                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                Next::Again
+            }
+            RetryDecision::GiveUp { retry_after_ms, .. } => {
+                let code = ErrorCode::BackendFailed;
+                Next::GiveUp(self.error(code, &self.reason, retry_after_ms))
+            }
+        }
+    }
+
+    fn error(
+        &self,
+        code: ErrorCode,
+        reason: &str,
+        retry_after_ms: Option<Millisecond>,
+    ) -> CallerError {
+        let error = given_up(code, reason, self.budget.run_state, RetrySafety::Safe);
+        CallerError {
+            retry_after_ms: retry_after_ms.or(error.retry_after_ms),
+            ..error
+        }
+    }
+}
--- a/crates/entry/src/passage/idempotent.rs
+++ b/crates/entry/src/passage/idempotent.rs
@@ -6,16 +6,18 @@
 
 use base::outcome::RunState;
 use bytes::Bytes;
-use engine::{Answer, AnswerBody, BodyError, SendError};
-use http::Response;
+use engine::{Answer, AnswerBody, BodyError};
+use http::{Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
-use policy::route;
+use policy::retry::Cause;
+use policy::route::{self, Effect};
 
-use super::{Call, given_up};
+use super::Call;
+use super::attempts::{Attempts, Next};
 use crate::backends::Flight;
 use crate::flow::Flow;
-use crate::front::{CallerError, ErrorCode, Reply, RetrySafety};
+use crate::front::{CallerError, Reply};
 use crate::state::Admitted;
 
 /// Sends a call, elsewhere if an attempt fails before its answer begins, and passes the answer on.
@@ -24,47 +26,37 @@
     mut call: Call,
     admitted: Admitted,
 ) -> Result<Reply, CallerError> {
-    let mut ask = call.ask(route::Effect::Idempotent);
-    let deadline_ms = flow.clock.now_ms() + call.timeout_ms;
-    let mut run_state = RunState::NotRun;
-    let mut reason = String::new();
-    for _ in 0..call.max_attempts {
-        let left_ms = deadline_ms.saturating_sub(flow.clock.now_ms());
-        if left_ms == 0 {
-            break;
-        }
-        let chosen = match flow.backends.choose(call.id, &ask) {
+    let mut attempts = Attempts::open(flow, &call, Effect::Idempotent);
+    loop {
+        let chosen = match flow.backends.choose(call.id, &attempts.ask) {
             Ok(chosen) => chosen,
-            Err(error) if reason.is_empty() => {
-                let text = error.to_string();
-                return Err(given_up(
-                    ErrorCode::NoBackendServer,
-                    &text,
-                    run_state,
-                    RetrySafety::Safe,
-                ));
-            }
-            Err(_) => break,
+            Err(error) => return Err(attempts.no_server(&error.to_string())),
         };
-        call.attempt.head_timeout_ms = left_ms;
+        call.attempt.head_timeout_ms = attempts.left_ms(flow).max(1);
         let target = chosen.flight.target().clone();
-        match flow.backend.send(&target, call.attempt.clone()).await {
-            Ok(answer) => return Ok(pass_on(answer, chosen.flight, admitted)),
-            Err(SendError::NotSent { reason: text }) => reason = text,
-            Err(SendError::Unanswered { reason: text }) => {
-                run_state = RunState::Unknown;
-                reason = text;
+        let next = match flow.backend.send(&target, call.attempt.clone()).await {
+            Ok(answer) if is_overloaded(&answer) => {
+                let cause = Cause::Overloaded;
+                match attempts.failed(flow, &target, cause, RunState::Ran).await {
+                    Next::Again => Next::Again,
+                    // The server's own words say more than ours.
+                    Next::GiveUp(_) => return Ok(pass_on(answer, chosen.flight, admitted)),
+                }
             }
+            Ok(answer) => return Ok(pass_on(answer, chosen.flight, admitted)),
+            Err(error) => attempts.unanswered(flow, &target, error).await,
+        };
+        if let Next::GiveUp(error) = next {
+            return Err(error);
         }
-        flow.backends.set_suspect(&target.id);
-        ask.excluded.push(target.id);
     }
-    Err(given_up(
-        ErrorCode::BackendFailed,
-        &reason,
-        run_state,
-        RetrySafety::Safe,
-    ))
+}
+
+fn is_overloaded(answer: &Answer) -> bool {
+    matches!(
+        answer.status,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    )
 }
 
 fn pass_on(answer: Answer, flight: Flight, admitted: Admitted) -> Reply {
--- a/crates/entry/src/passage/mod.rs
+++ b/crates/entry/src/passage/mod.rs
@@ -1,5 +1,6 @@
 //! Attempts at plain services: repeated where that is harmless, sent at most once where it is not.
 
+mod attempts;
 mod idempotent;
 mod non_idempotent;
 
@@ -11,11 +12,11 @@
 use base::outcome::RunState;
 use base::units::Millisecond;
 use engine::Attempt;
-use policy::route::{self, RouteRequest};
+use policy::route::{Effect, RouteRequest};
 
 use crate::front::{CallerError, ErrorCode, RetrySafety};
 
-/// When a caller may come back after a failure of the backend servers.
+/// When a caller may come back that no backend server could serve.
 const COME_BACK_MS: Millisecond = 1_000;
 
 /// One call of a plain service.
@@ -34,7 +35,7 @@
 }
 
 impl Call {
-    fn ask(&self, effect: route::Effect) -> RouteRequest {
+    fn ask(&self, effect: Effect) -> RouteRequest {
         RouteRequest {
             service: self.service.clone(),
             effect,
--- a/crates/entry/src/passage/non_idempotent.rs
+++ b/crates/entry/src/passage/non_idempotent.rs
@@ -10,10 +10,11 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use ledger::{Begin, Fingerprint, Header, IdempotencyKey, Running, Scope, StoredResult};
-use policy::route;
+use policy::route::{self, Effect};
 
-use super::{Call, given_up};
-use crate::front::{CallerError, ErrorCode, Front, Reply, RetrySafety, full};
+use super::Call;
+use super::attempts::{Attempts, Next};
+use crate::front::{CallerError, ErrorCode, Front, Reply, full};
 use crate::state::Admitted;
 
 /// Largest answer of a non-idempotent call.
@@ -97,45 +98,36 @@
 /// The one instant after which `not_run` may not be said is within `Backend::send`; a
 /// [`SendError::NotSent`] comes from before it, everything else from after it.
 async fn send(front: &Front, call: Call, running: Running) -> Result<Reply, CallerError> {
-    let mut ask = call.ask(route::Effect::NonIdempotent);
-    let mut reason = String::new();
-    for _ in 0..call.max_attempts {
-        let chosen = match front.flow.backends.choose(call.id, &ask) {
+    let flow = &front.flow;
+    let mut attempts = Attempts::open(flow, &call, Effect::NonIdempotent);
+    let given_up = loop {
+        let chosen = match flow.backends.choose(call.id, &attempts.ask) {
             Ok(chosen) => chosen,
-            Err(error) => {
-                if reason.is_empty() {
-                    reason = error.to_string();
-                }
-                break;
-            }
+            Err(error) => break attempts.no_server(&error.to_string()),
         };
         let target = chosen.flight.target().clone();
-        match front.flow.backend.send(&target, call.attempt.clone()).await {
+        match flow.backend.send(&target, call.attempt.clone()).await {
             Ok(answer) => {
                 chosen.flight.first_token();
                 let result = answered(answer, running, call.timeout_ms).await;
                 chosen.flight.close(route::Usage::default());
                 return result;
             }
-            Err(SendError::NotSent { reason: text }) => {
-                front.flow.backends.set_suspect(&target.id);
-                ask.excluded.push(target.id);
-                reason = text;
+            Err(error @ SendError::NotSent { .. }) => {
+                let next = attempts.unanswered(flow, &target, error).await;
+                if let Next::GiveUp(error) = next {
+                    break error;
+                }
             }
             Err(SendError::Unanswered { reason }) => {
-                front.flow.backends.set_suspect(&target.id);
+                flow.backends.set_suspect(&target.id);
                 running.unknown().await;
                 return Err(unknown(&reason));
             }
         }
-    }
+    };
     running.not_sent().await;
-    Err(given_up(
-        ErrorCode::NoBackendServer,
-        &reason,
-        RunState::NotRun,
-        RetrySafety::Safe,
-    ))
+    Err(given_up)
 }
 
 async fn answered(answer: Answer, running: Running, timeout_ms: u64) -> Result<Reply, CallerError> {
@@ -182,7 +174,7 @@
             run_state: RunState::Unknown,
             ..CallerError::refusal(
                 ErrorCode::IdempotencyKeyInProgress,
-                "The first call with this key is still running; ask again with the same key.",
+                "Another request with this key was sent and its outcome is not recorded; ask again with the same key.",
                 retry_after_ms,
             )
         }),
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -137,6 +137,7 @@
         usage: Usage::default(),
         progress: Progress::Open,
         attempts: Vec::new(),
+        failed: 0,
         epoch: 0,
     })
 }
--- a/crates/entry/tests/relay.rs
+++ b/crates/entry/tests/relay.rs
@@ -6,7 +6,7 @@
 use entry::flow::{Drain, Piece, Relay};
 use entry::front::ErrorCode;
 use support::End::{Broken, NoMarker, NoReason, Silent, Truncated, Whole};
-use support::Script::{NotSent, Status, Unanswered, Words};
+use support::Script::{Crash, NotSent, Status, Unanswered, Words};
 use support::{Bench, Script, read_all};
 use test_case::test_case;
 
@@ -157,3 +157,33 @@
     assert_eq!(text, "cd");
     assert!(matches!(last, Piece::Finish { .. }));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_crashes_its_servers_takes_two_and_is_known_again() {
+    let bench = Bench::open(6, &[Crash, Crash, Words(ALL, Whole)]);
+    let error = bench
+        .relay_of(1, "deadly")
+        .begin()
+        .await
+        .expect_err("refused");
+    assert_eq!(error.code, ErrorCode::Quarantined);
+    assert_eq!(error.run_state, RunState::Unknown);
+    let again = bench
+        .relay_of(2, "deadly")
+        .begin()
+        .await
+        .expect_err("refused");
+    assert_eq!(again.code, ErrorCode::Quarantined);
+    assert_eq!(again.run_state, RunState::NotRun);
+    assert_eq!(bench.backend.attempts().len(), 2);
+    let (text, _) = read_all(&mut bench.relay_of(3, "harmless")).await;
+    assert_eq!(text, "abcd");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_broken_connection_of_a_server_that_runs_blames_nobody() {
+    let scripts = [Unanswered, Unanswered, Unanswered, Words(ALL, Whole)];
+    let bench = Bench::open(6, &scripts);
+    let (text, _) = read_all(&mut bench.relay_of(1, "harmless")).await;
+    assert_eq!(text, "abcd");
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -11,7 +11,10 @@
 use engine::{Answer, Attempt, Backend, BodyError, SendError, Target};
 use entry::backends::{Backends, Known, Leaving, Reporting};
 use entry::clock::Clock;
-use entry::flow::{Drain, Flow, FlowOptions, Piece, Progress, Record, Relay, Store, StoreOptions};
+use entry::flow::{
+    Drain, Flow, FlowOptions, Piece, Progress, Record, Relay, Retries, Store, StoreOptions,
+    Suspicion,
+};
 use futures_util::{StreamExt, stream};
 use http::{HeaderMap, StatusCode};
 use http_body::Frame;
@@ -28,6 +31,8 @@
     Unanswered,
     /// A whole answer with that status.
     Status(u16),
+    /// The request is taken and the server is gone with it.
+    Crash,
     /// Words, then an end.
     Words(&'static [&'static str], End),
 }
@@ -54,9 +59,18 @@
 pub struct FakeBackend {
     scripts: Mutex<VecDeque<Script>>,
     attempts: Mutex<Vec<(Target, serde_json::Value)>>,
+    gone: Mutex<Vec<Target>>,
 }
 
 impl FakeBackend {
+    fn health(&self, target: &Target) -> Result<Answer, SendError> {
+        if self.gone.lock().expect("not poisoned").contains(target) {
+            let reason = "gone".to_owned();
+            return Err(SendError::NotSent { reason });
+        }
+        Ok(answer(200, Vec::new(), false))
+    }
+
     /// The bodies sent, with where each went.
     pub fn attempts(&self) -> Vec<(Target, serde_json::Value)> {
         self.attempts.lock().expect("not poisoned").clone()
@@ -66,6 +80,9 @@
 #[async_trait]
 impl Backend for FakeBackend {
     async fn send(&self, target: &Target, attempt: Attempt) -> Result<Answer, SendError> {
+        if attempt.path == "/healthz" {
+            return self.health(target);
+        }
         let body = serde_json::from_slice(&attempt.body).unwrap_or_default();
         self.attempts
             .lock()
@@ -78,6 +95,11 @@
             Script::Unanswered => Err(SendError::Unanswered { reason }),
             Script::Status(status) => Ok(answer(status, vec![Ok(Bytes::from("{}"))], false)),
             Script::Words(words, end) => Ok(words_answer(words, end)),
+            Script::Crash => {
+                let mut gone = self.gone.lock().expect("not poisoned");
+                gone.push(target.clone());
+                Err(SendError::Unanswered { reason })
+            }
         }
     }
 }
@@ -140,6 +162,8 @@
         let flow = Arc::new(Flow {
             backend: backend.clone(),
             backends,
+            retries: Retries::default(),
+            suspicion: Suspicion::default(),
             store: Store::open(StoreOptions::default()),
             chart: chart.expect("valid chart"),
             clock,
@@ -153,6 +177,16 @@
         }
     }
 
+    /// Accepts a request with another number and prompt.
+    pub fn relay_of(&self, number: u128, prompt: &str) -> Relay {
+        let mut record = record(Some(16));
+        record.id = RequestId::from(number);
+        record.request.messages =
+            Some(vec![serde_json::json!({"role": "user", "content": prompt})]);
+        let record = self.flow.store.insert(record).expect("a new number");
+        Relay::open(self.flow.clone(), record, 0)
+    }
+
     /// Accepts a request for at most `max_tokens`.
     pub fn relay(&self, max_tokens: Option<u64>) -> Relay {
         let record = self
@@ -198,6 +232,7 @@
         usage: Default::default(),
         progress: Progress::Open,
         attempts: Vec::new(),
+        failed: 0,
         epoch: 0,
     }
 }
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -63,6 +63,7 @@
     RequestAccepted = 200, "request.accepted", Info, "A request passed admission and has its number.";
     RequestRefused = 201, "request.refused", Info, "A request was refused before it ran; fields give code and reason.";
     RequestFinished = 202, "request.finished", Info, "A request got its final answer.";
+    RequestSuspected = 203, "request.suspected", Warn, "A backend server crashed under a request; fields give the server and how the request is run from now on.";
     RouteChosen = 300, "route.chosen", Info, "A backend server was chosen; fields give the reason and the scores of the alternatives.";
     RouteNone = 301, "route.none", Warn, "No backend server could take the request.";
     AttemptFailed = 302, "attempt.failed", Warn, "An attempt at a backend server failed; fields say whether it may have run.";
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -10,6 +10,8 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
+use crate::route::Effect;
+
 /// Bounds of the delay before a retry.
 pub const BACKOFF: Backoff = Backoff {
     base_ms: 25,
@@ -33,21 +35,13 @@
 
 const RETRY_MILLI: u64 = 1_000;
 
-/// Whether a request may be run twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Effect {
-    /// Running it again does no harm.
-    Idempotent,
-    /// It may run at most once.
-    NonIdempotent,
-}
-
 /// Why an attempt ended without a whole answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
     /// The backend server is leaving, as announced.
     Leaving,
+    /// No backend server could take the request, and none was asked.
+    NoServer,
     /// The backend server was lost with everything on it.
     ServerLost,
     /// The connection could not be opened.
@@ -88,6 +82,8 @@
     pub deadline_ms: Millisecond,
     /// Shortest time in which an attempt could end well.
     pub useful_ms: Millisecond,
+    /// Times it has waited for a backend server to be there.
+    pub waits: u32,
     /// Whether any attempt so far may have run.
     pub run_state: RunState,
 }
@@ -101,6 +97,7 @@
             failed_limit,
             deadline_ms,
             useful_ms: 0,
+            waits: 0,
             run_state: RunState::NotRun,
         }
     }
@@ -151,7 +148,7 @@
     }
 
     fn withdraw(&mut self, cause: Cause, now_ms: Millisecond) -> Withdrawal {
-        if cause == Cause::Leaving {
+        if matches!(cause, Cause::Leaving | Cause::NoServer) {
             return Withdrawal::Paid;
         }
         let granted_milli = self.grant_at(now_ms);
@@ -216,9 +213,11 @@
     now_ms: Millisecond,
     rng: &mut impl Rng,
 ) -> RetryDecision {
-    request.run_state = worse(request.run_state, failure.run_state);
-    if failure.cause != Cause::Leaving {
-        request.failed += 1;
+    request.run_state = request.run_state.after(failure.run_state);
+    match failure.cause {
+        Cause::Leaving => {}
+        Cause::NoServer => request.waits += 1,
+        _ => request.failed += 1,
     }
     let delay_ms = delay_ms(request, failure, rng);
     match obstacle(
@@ -260,10 +259,12 @@
 }
 
 fn delay_ms(request: &RequestBudget, failure: Failure, rng: &mut impl Rng) -> Millisecond {
-    if failure.cause == Cause::Leaving {
-        return 0;
-    }
-    let backoff_ms = BACKOFF.delay_ms(request.failed - 1, rng);
+    let earlier = match failure.cause {
+        Cause::Leaving => return 0,
+        Cause::NoServer => request.waits - 1,
+        _ => request.failed - 1,
+    };
+    let backoff_ms = BACKOFF.delay_ms(earlier, rng);
     backoff_ms.max(failure.retry_after_ms.unwrap_or(0))
 }
 
@@ -286,12 +287,3 @@
         retry_after_ms,
     }
 }
-
-/// The stronger of two claims about whether a request ran.
-fn worse(left: RunState, right: RunState) -> RunState {
-    match (left, right) {
-        (RunState::Ran, _) | (_, RunState::Ran) => RunState::Ran,
-        (RunState::Unknown, _) | (_, RunState::Unknown) => RunState::Unknown,
-        (RunState::NotRun, RunState::NotRun) => RunState::NotRun,
-    }
-}
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -10,7 +10,7 @@
 mod record;
 
 pub use digest::Digest;
-pub use record::{Incident, Nature, SuspectRecord};
+pub use record::{IncidentAge, Nature, SuspectRecord};
 
 use std::collections::VecDeque;
 
@@ -18,7 +18,7 @@
 use base::{Map, Name};
 use serde::Serialize;
 
-use record::Entry;
+use record::{Entry, Incident};
 
 /// Crashes after which a request is refused.
 pub const CRASH_LIMIT: usize = 2;
@@ -198,6 +198,11 @@
         self.shrink(now_ms);
     }
 
+    /// Forgets what is too old.
+    pub fn expire(&mut self, now_ms: Millisecond) {
+        self.entries.retain(|_, entry| !entry.expired(now_ms));
+    }
+
     /// Records kept.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -234,7 +239,7 @@
         if self.entries.len() <= RECORD_LIMIT {
             return;
         }
-        self.entries.retain(|_, entry| !entry.expired(now_ms));
+        self.expire(now_ms);
         let surplus = self.entries.len().saturating_sub(RECORD_LIMIT);
         let mut by_worth: Vec<(bool, Millisecond, Digest)> = self
             .entries
--- a/crates/policy/src/suspect/digest.rs
+++ b/crates/policy/src/suspect/digest.rs
@@ -1,5 +1,7 @@
 //! Content of a request, as far as it can crash a server.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use sha2::{Digest as _, Sha256};
@@ -18,8 +20,8 @@
 
 /// Digest of a workspace, a service and a normalised body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Digest([u8; 16]);
+#[serde(try_from = "String", into = "String")]
+pub struct Digest(u128);
 
 impl Digest {
     /// Digests the caller's own body, never one that was rewritten to resume a stream.
@@ -32,7 +34,33 @@
         let whole: [u8; 32] = hasher.finalize().into();
         let mut half = [0; 16];
         half.copy_from_slice(&whole[..16]);
-        Self(half)
+        Self(u128::from_be_bytes(half))
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> Self {
+        digest.to_string()
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        let well_formed = text.len() == 32 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        if !well_formed {
+            return Err(format!("`{text}` is not 32 hexadecimal digits"));
+        }
+        u128::from_str_radix(&text, 16)
+            .map(Self)
+            .map_err(|e| e.to_string())
     }
 }
 
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -4,9 +4,9 @@
 
 use base::outcome::RunState;
 use policy::retry::{
-    BACKOFF, Cause, Effect, Failure, GiveUpReason, RequestBudget, RetryDecision, ServiceBudget,
-    decide,
+    BACKOFF, Cause, Failure, GiveUpReason, RequestBudget, RetryDecision, ServiceBudget, decide,
 };
+use policy::route::Effect;
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -93,6 +93,24 @@
     assert!(retry_after_ms >= Some(700));
 }
 
+#[test]
+fn a_request_waits_for_a_server_until_its_deadline() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut request = RequestBudget::new(IDEMPOTENT, 2, 30_000);
+    let mut service = ServiceBudget::default();
+    let none = failure(Cause::NoServer, RunState::NotRun);
+    let mut now_ms = 0;
+    let reason = loop {
+        match decide(&mut request, &mut service, none, now_ms, &mut rng) {
+            RetryDecision::RetryAfter { delay_ms } => now_ms += delay_ms,
+            RetryDecision::GiveUp { reason, .. } => break reason,
+        }
+    };
+    assert_eq!(reason, GiveUpReason::Deadline);
+    assert!(now_ms > 29_000, "{now_ms}");
+    assert_eq!(service, ServiceBudget::default());
+}
+
 #[test]
 fn requests_on_a_lost_server_are_all_retried_while_others_are_left() {
     let mut rng = SmallRng::seed_from_u64(1);
