Limits: a workspace's own limit and the bound on requests in flight are enforced

Cause: the configuration's `max_concurrent` and the setting `max_streams` were read and checked, but nothing used them; found by reading who uses each field. A workspace's want is cut to its limit before the division of the slots, so the limit holds over the fleet with the mechanism that the shares have. Ruled out: a counter at each entry VM, which would allow the limit once for each of them. `max_streams` is refused at the entry VM before queueing.

--- a/crates/bench/src/slope/limit.rs
+++ b/crates/bench/src/slope/limit.rs
@@ -55,6 +55,7 @@
 fn admission(workspaces: usize, peers: usize) -> Admission {
     let shares: Vec<WorkspaceShare> = (0..workspaces)
         .map(|n| WorkspaceShare {
+            max_slots: None,
             workspace: workspace(n),
             weight: 1.0,
         })
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -153,7 +153,12 @@
             node: settings.node.name.clone(),
             config: config_seen,
             life: Life::open(),
-            gate: Gate::open(settings.node.name.clone(), clock, rand::rng().random()),
+            gate: Gate::open(
+                settings.node.name.clone(),
+                clock,
+                settings.limits.max_streams,
+                rand::rng().random(),
+            ),
             peers: Peers::default(),
             metrics: Arc::new(Metrics::open()),
         });
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::Name;
 use base::units::Millisecond;
+use base::{Map, Name};
 use conf::Config;
 use engine::Target;
 use events::Code;
@@ -123,15 +123,11 @@
     }
 
     fn set_shares(&self, config: &Config) {
-        let services: Vec<Name> = config.services.keys().cloned().collect();
-        let mut shares = Vec::with_capacity(config.workspaces.len());
-        for workspace in config.workspaces.values() {
-            shares.push(WorkspaceShare {
-                workspace: workspace.name.clone(),
-                weight: f64::from(workspace.share),
-            });
+        let mut shares = Map::default();
+        for service in config.services.keys() {
+            shares.insert(service.clone(), service_shares(config, service));
         }
-        self.standing.gate.set_shares(&services, shares);
+        self.standing.gate.set_shares(&shares);
     }
 
     fn take_servers(&self, view: &FleetView) {
@@ -269,3 +265,17 @@
     let latency_ms = config.one_way_latency_ms(own_domain, &vm.failure_domain);
     (latency_ms.unwrap_or(0.0) * 1e3) as u64
 }
+
+/// What each workspace may use of one service.
+fn service_shares(config: &Config, service: &Name) -> Vec<WorkspaceShare> {
+    let mut shares = Vec::with_capacity(config.workspaces.len());
+    for workspace in config.workspaces.values() {
+        let limit = workspace.limits.get(service);
+        shares.push(WorkspaceShare {
+            workspace: workspace.name.clone(),
+            weight: f64::from(workspace.share),
+            max_slots: limit.map(|limit| limit.max_concurrent),
+        });
+    }
+    shares
+}
--- a/crates/entry/src/state/gate.rs
+++ b/crates/entry/src/state/gate.rs
@@ -23,6 +23,9 @@
 /// Time between looks at what waits.
 const TICK_MS: Millisecond = 50;
 
+/// When a caller is told to come back to an entry VM that is full.
+const FULL_RETRY_AFTER_MS: Millisecond = 1_000;
+
 enum Verdict {
     Start,
     Refuse(RefusalReason, Millisecond),
@@ -30,7 +33,6 @@
 
 struct Inner {
     own: Name,
-    shares: Vec<WorkspaceShare>,
     services: Map<Name, Admission>,
     waiting: Map<RequestId, oneshot::Sender<Verdict>>,
     rng: SmallRng,
@@ -40,6 +42,7 @@
 #[derive(Clone)]
 pub struct Gate {
     clock: Clock,
+    max_in_flight: u64,
     inner: Arc<Mutex<Inner>>,
     in_flight: Arc<watch::Sender<u64>>,
 }
@@ -82,17 +85,17 @@
 }
 
 impl Gate {
-    /// Admission without services.
-    pub fn open(own: Name, clock: Clock, seed: u64) -> Self {
+    /// Admission without services; at most `max_in_flight` requests hold or await a slot.
+    pub fn open(own: Name, clock: Clock, max_in_flight: u64, seed: u64) -> Self {
         let inner = Inner {
             own,
-            shares: Vec::new(),
             services: Map::default(),
             waiting: Map::default(),
             rng: SmallRng::seed_from_u64(seed),
         };
         Self {
             clock,
+            max_in_flight,
             inner: Arc::new(Mutex::new(inner)),
             in_flight: Arc::new(watch::channel(0).0),
         }
@@ -110,20 +113,19 @@
         })
     }
 
-    /// Puts services and shares in force.
-    pub fn set_shares(&self, services: &[Name], shares: Vec<WorkspaceShare>) {
+    /// Puts services, with the shares of each, in force.
+    pub fn set_shares(&self, services: &Map<Name, Vec<WorkspaceShare>>) {
         let mut inner = self.lock();
-        inner.services.retain(|name, _| services.contains(name));
+        inner.services.retain(|name, _| services.contains_key(name));
         let own = inner.own.clone();
         let mut actions = Vec::new();
-        for service in services {
+        for (service, shares) in services {
             let admission = inner
                 .services
                 .entry(service.clone())
-                .or_insert_with(|| Admission::new(own.clone(), LimitConfig::default(), &shares));
-            actions.extend(admission.on_shares(&shares));
+                .or_insert_with(|| Admission::new(own.clone(), LimitConfig::default(), shares));
+            actions.extend(admission.on_shares(shares));
         }
-        inner.shares = shares;
         carry_out(&mut inner, actions);
     }
 
@@ -171,6 +173,14 @@
 
     /// Asks for a slot and waits while the request is queued.
     pub async fn admit(&self, id: RequestId, work: Work) -> Result<Admitted, CallerError> {
+        if self.in_flight() >= self.max_in_flight {
+            return Err(refused(
+                id,
+                &work,
+                RefusalReason::TooManyInFlight,
+                FULL_RETRY_AFTER_MS,
+            ));
+        }
         let (sender, receiver) = oneshot::channel();
         let admitted = self.ask(id, &work, sender);
         match receiver.await {
@@ -284,6 +294,7 @@
     let message = match reason {
         RefusalReason::UnknownWorkspace => "The workspace has no share of this service.",
         RefusalReason::TargetOutOfReach => "The answer could not begin in time.",
+        RefusalReason::TooManyInFlight => "The entry VM has too many requests in flight.",
         RefusalReason::QueueFull => "The workspace's queue is full.",
     };
     CallerError::refusal(ErrorCode::Overloaded, message, retry_after_ms)
--- a/crates/policy/src/limit/admission.rs
+++ b/crates/policy/src/limit/admission.rs
@@ -26,6 +26,7 @@
 struct Workspace {
     name: Name,
     weight: f64,
+    max_slots: f64,
     running: u32,
     queue: Queue,
     peers: PeerSum,
@@ -39,6 +40,7 @@
         Self {
             name: share.workspace.clone(),
             weight: share.weight,
+            max_slots: max_slots(share),
             running: 0,
             queue: Queue::default(),
             peers: PeerSum::default(),
@@ -147,7 +149,8 @@
         for workspace in &mut self.workspaces {
             let share = shares.iter().find(|s| s.workspace == workspace.name);
             workspace.weight = share.map_or(0.0, |share| share.weight);
-            if share.is_some() {
+            if let Some(share) = share {
+                workspace.max_slots = max_slots(share);
                 continue;
             }
             while let Some(request) = workspace.queue.pop_first() {
@@ -308,7 +311,7 @@
             .iter()
             .map(|workspace| Claim {
                 weight: workspace.weight,
-                demand: workspace.total(),
+                demand: workspace.total().min(workspace.max_slots),
             })
             .collect();
         let amounts = allot(self.capacity_slots, &claims);
@@ -410,6 +413,10 @@
     }
 }
 
+fn max_slots(share: &WorkspaceShare) -> f64 {
+    share.max_slots.map_or(f64::INFINITY, f64::from)
+}
+
 fn wait_budget(priority: Priority) -> f64 {
     let last = WAIT_BUDGET.len() - 1;
     WAIT_BUDGET[usize::from(priority).min(last)]
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -26,6 +26,9 @@
     pub workspace: Name,
     /// Its weight; shares are proportional to weights.
     pub weight: f64,
+    /// Slots that it may hold over the whole fleet, however much is free.
+    #[serde(default)]
+    pub max_slots: Option<u32>,
 }
 
 /// Demand of one workspace at one entry VM.
@@ -84,6 +87,8 @@
     UnknownWorkspace,
     /// It would get its first token after it is due.
     TargetOutOfReach,
+    /// The entry VM has as many requests in flight as its settings allow.
+    TooManyInFlight,
     /// The workspace's queue is full of requests that go before it.
     QueueFull,
 }
--- a/crates/policy/tests/limit.rs
+++ b/crates/policy/tests/limit.rs
@@ -13,6 +13,7 @@
 
 fn share(workspace: &str, weight: f64) -> WorkspaceShare {
     WorkspaceShare {
+        max_slots: None,
         workspace: Name::from(workspace),
         weight,
     }
