--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -239,7 +239,8 @@
         &self.inner.store
     }
 
-    /// Asks every live peer for its configuration version and names those below `version`.
+    /// Asks every peer that is not gone for its configuration version, and names those below
+    /// `version`; a peer that does not answer is named too.
     pub async fn lagging(&self, version: u64) -> Vec<Name> {
         self.inner.lagging(version).await
     }
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -17,7 +17,7 @@
 /// Fresh peers that a node syncs with before it routes, or all if there are fewer.
 pub const QUORUM: usize = 3;
 /// Tries without any fresh peer before the platform's answers alone are enough.
-const TRIES_FOR_PLATFORM: u32 = 2;
+const TRIES_FOR_PLATFORM: u32 = 4;
 /// Tries without any answer before a node that already served goes on.
 const TRIES_MAX: u32 = 6;
 
@@ -62,6 +62,7 @@
     degraded: Set<Name>,
     config_read: bool,
     list_read: bool,
+    notices_read: bool,
 }
 
 impl Freshness {
@@ -164,6 +165,19 @@
         }
     }
 
+    /// The notices of all backend servers on the list were read, after [`Self::is_alone`].
+    pub fn notices_were_read(&mut self, span: SyncSpan, alive_others: usize) {
+        if span == self.span && self.answers.list_read && self.is_alone() {
+            self.answers.notices_read = true;
+            self.settle(alive_others);
+        }
+    }
+
+    /// Whether no fresh peer has answered for so long that the platform is to answer instead.
+    pub fn is_alone(&self) -> bool {
+        self.is_syncing() && self.tries > TRIES_FOR_PLATFORM && self.answers.fresh.is_empty()
+    }
+
     fn restart(&mut self) {
         self.chart.apply("gap");
         self.tries = 0;
@@ -182,7 +196,7 @@
         let wanted = QUORUM.min(alive_others).max(1);
         let patient = self.tries > TRIES_FOR_PLATFORM;
         if patient {
-            let by_platform = answers.config_read && answers.list_read;
+            let by_platform = answers.config_read && answers.notices_read;
             let by_degraded = self.tries > TRIES_MAX && answers.degraded.len() >= wanted;
             return by_platform || by_degraded || !answers.fresh.is_empty();
         }
--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -102,6 +102,8 @@
 pub struct Extension {
     /// The request's number.
     pub id: RequestId,
+    /// The owner.
+    pub owner: Name,
     /// Epoch of the owner.
     pub epoch: u32,
     /// Bytes of the answer before this part.
@@ -279,6 +281,7 @@
         }
         copy.record.answer.push_str(&part.answer);
         copy.record.generated.push_str(&part.generated);
+        copy.record.owner = part.owner.clone();
         copy.record.tokens = part.tokens;
         copy.record.end = part.end;
         self.size_bytes += part.answer.len() + part.generated.len();
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -13,7 +13,7 @@
 use chart::{Chart, Instance};
 use platform::{Vm, VmRole, VmState};
 use rand::Rng;
-use rand::seq::SliceRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 
 use crate::timing::Timing;
 use crate::wire::{Health, MemberRecord};
@@ -168,14 +168,17 @@
                 targets.push(suspect);
             }
         }
-        if !self.candidates.is_empty() {
-            let index = rng.random_range(0..self.candidates.len());
-            targets.push(Target::Candidate(self.candidates[index]));
-        }
+        targets.extend(self.candidates_to_call(1, rng));
         targets
     }
 
-    /// Draws up to `count` live members.
+    /// Draws addresses that have not answered yet.
+    pub fn candidates_to_call(&self, count: usize, rng: &mut impl Rng) -> Vec<Target> {
+        let drawn = self.candidates.choose_multiple(rng, count);
+        drawn.map(|address| Target::Candidate(*address)).collect()
+    }
+
+    /// Draws up to `count` members that are alive or only suspected.
     pub fn sample(&self, count: usize, rng: &mut impl Rng) -> Vec<(Name, SocketAddr)> {
         let mut drawn: Vec<(Name, SocketAddr)> = Vec::new();
         for _ in 0..count * 4 {
@@ -185,7 +188,7 @@
             let name = &self.order[rng.random_range(0..self.order.len())];
             let record = &self.peers[name].record;
             let taken = drawn.iter().any(|(drawn, _)| drawn == name);
-            if taken || record.health != Health::Alive {
+            if taken || record.health > Health::Suspect {
                 continue;
             }
             drawn.push((name.clone(), record.address));
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -28,7 +28,7 @@
 /// Time between two background syncs with a random peer.
 const ANTI_ENTROPY_MS: Millisecond = 10_000;
 /// Shortest time between two syncs that a differing digest causes.
-const DIGEST_SYNC_MS: Millisecond = 1_000;
+const DIGEST_SYNC_MS: Millisecond = 400;
 
 /// Input of a node.
 #[derive(Clone, Debug)]
@@ -49,7 +49,16 @@
     ConfigLearned(ConfigDocument),
     /// The VM list was read.
     ListRead(Vec<Vm>, SyncSpan),
-    /// A backend server is known to leave, by its notice or by this node's own decision.
+    /// Reclaim notices were read.
+    NoticesRead {
+        /// VMs whose notice, or lack of one, was read.
+        answered: Vec<Name>,
+        /// Those that are under notice.
+        leaving: Vec<Name>,
+        /// The span in which the read was asked for.
+        span: SyncSpan,
+    },
+    /// A backend server is known to leave, by this node's own observation.
     LeavingSeen(Name),
     /// A fingerprint was made here.
     FingerprintMade(Fingerprint),
@@ -71,7 +80,7 @@
     /// Read the VM list.
     ReadList(SyncSpan),
     /// Read the reclaim notices of these VMs, this node's own among them.
-    ReadNotices(Vec<Name>),
+    ReadNotices(Vec<Name>, SyncSpan),
     /// Something that readers of the view care about has changed.
     Publish,
     /// Tell the log.
@@ -211,6 +220,11 @@
             }
             Event::ConfigLearned(document) => self.adopt(document, rng),
             Event::ListRead(vms, span) => self.list_read(vms, span, now_ms, rng),
+            Event::NoticesRead {
+                answered,
+                leaving,
+                span,
+            } => self.notices_read(&answered, leaving, span, now_ms, rng),
             Event::LeavingSeen(vm) => self.mark_all([vm], now_ms, rng),
             Event::FingerprintMade(fingerprint) => self.add_fingerprints(vec![fingerprint], rng),
             Event::Closing => {
@@ -284,12 +298,12 @@
         let mut actions = Vec::new();
         match outcome {
             TickOutcome::Quiet => {}
-            TickOutcome::Try => actions.extend(self.sync_round(rng)),
+            TickOutcome::Try => actions.extend(self.sync_round(now_ms, rng)),
             TickOutcome::Woke { gap_ms } => {
                 self.members.restart_suspicions(now_ms);
                 actions.push(Action::Report(Report::Woke(gap_ms)));
                 actions.push(Action::Publish);
-                actions.extend(self.sync_round(rng));
+                actions.extend(self.sync_round(now_ms, rng));
             }
             TickOutcome::GaveUp => {
                 actions.push(Action::Report(Report::Degraded));
@@ -314,9 +328,16 @@
         actions
     }
 
-    fn sync_round(&mut self, rng: &mut impl Rng) -> Vec<Action> {
+    fn sync_round(&mut self, now_ms: Millisecond, rng: &mut impl Rng) -> Vec<Action> {
         let span = self.freshness.span();
         let mut actions = vec![Action::ReadConfig(span), Action::ReadList(span)];
+        if self.freshness.is_alone() {
+            actions.push(Action::ReadNotices(self.watched(), span));
+        }
+        for candidate in self.members.candidates_to_call(QUORUM, rng) {
+            let heartbeat = self.heartbeat(now_ms);
+            actions.push(Action::SendHeartbeat(candidate, heartbeat));
+        }
         for (name, address) in self.members.sample(QUORUM, rng) {
             actions.push(self.sync_with(&name, address));
         }
@@ -332,7 +353,7 @@
         if self.is_my_turn(self.timing.list_reads_per_s, rng) {
             actions.push(Action::ReadList(span));
         }
-        actions.push(Action::ReadNotices(self.watched()));
+        actions.push(Action::ReadNotices(self.watched(), span));
         actions
     }
 
@@ -346,13 +367,32 @@
         let mut watched = vec![self.members.me().name.clone()];
         for vm in self.vms.iter() {
             let live_backend = vm.role == VmRole::Backend && vm.state == VmState::Live;
-            if live_backend && !self.leaving.contains(&vm.id) && self.is_reader_of(&vm.id) {
+            if !live_backend || self.leaving.contains(&vm.id) {
+                continue;
+            }
+            if self.freshness.is_alone() || self.is_reader_of(&vm.id) {
                 watched.push(vm.id.clone());
             }
         }
         watched
     }
 
+    fn notices_read(
+        &mut self,
+        answered: &[Name],
+        leaving: Vec<Name>,
+        span: SyncSpan,
+        now_ms: Millisecond,
+        rng: &mut impl Rng,
+    ) -> Vec<Action> {
+        let actions = self.mark_all(leaving, now_ms, rng);
+        if self.watched().iter().all(|vm| answered.contains(vm)) {
+            self.freshness
+                .notices_were_read(span, self.members.alive_count() - 1);
+        }
+        actions
+    }
+
     fn is_reader_of(&self, vm: &str) -> bool {
         let key = u128::from(hash::stable(vm.as_bytes()));
         let mine = hash::rendezvous(&self.members.me().name, key);
--- a/crates/fleet/src/shell.rs
+++ b/crates/fleet/src/shell.rs
@@ -14,7 +14,7 @@
 use crate::node::{Action, Event};
 use crate::report;
 use crate::rpc::PeerClient;
-use crate::wire::{Heartbeat, Push, SyncRequest};
+use crate::wire::{Health, Heartbeat, MemberRecord, Push, SyncRequest};
 
 /// Notices or versions asked for at the same time.
 const CONCURRENT: usize = 16;
@@ -45,8 +45,8 @@
                 Action::ReadList(span) => {
                     self.tracker.spawn(inner.read_list(span));
                 }
-                Action::ReadNotices(vms) => {
-                    self.tracker.spawn(inner.read_notices(vms));
+                Action::ReadNotices(vms, span) => {
+                    self.tracker.spawn(inner.read_notices(vms, span));
                 }
             }
         }
@@ -105,55 +105,64 @@
         }
     }
 
-    async fn read_notices(self: Arc<Self>, vms: Vec<Name>) {
+    async fn read_notices(self: Arc<Self>, vms: Vec<Name>, span: SyncSpan) {
         let Ok(_one) = self.reads.notices.try_acquire() else {
             return;
         };
-        let reads = stream::iter(vms).for_each_concurrent(CONCURRENT, |vm| self.read_notice(vm));
-        reads.await;
-    }
-
-    async fn read_notice(self: &Arc<Self>, vm: Name) {
-        let notice = tokio::time::timeout(LIST_CALL, self.vms.notice(&vm)).await;
-        let Ok(Ok(Some(remaining_ms))) = notice else {
-            return;
-        };
-        if vm == self.me {
-            self.handlers.own_notice(remaining_ms);
-        } else {
-            self.handle(Event::LeavingSeen(vm));
+        let reads = stream::iter(vms).map(|vm| async {
+            let notice = tokio::time::timeout(LIST_CALL, self.vms.notice(&vm)).await;
+            (vm, notice)
+        });
+        let notices: Vec<_> = reads.buffer_unordered(CONCURRENT).collect().await;
+        let mut answered = Vec::new();
+        let mut leaving = Vec::new();
+        for (vm, notice) in notices {
+            let Ok(Ok(notice)) = notice else {
+                continue;
+            };
+            answered.push(vm.clone());
+            match notice {
+                Some(remaining_ms) if vm == self.me => self.handlers.own_notice(remaining_ms),
+                Some(_) => leaving.push(vm),
+                None => {}
+            }
         }
+        self.handle(Event::NoticesRead {
+            answered,
+            leaving,
+            span,
+        });
     }
 
     pub(crate) async fn lagging(self: &Arc<Self>, version: u64) -> Vec<Name> {
-        let behind: Vec<Target> = {
+        let behind: Vec<MemberRecord> = {
             let core = self.lock();
             let members = core.node.members();
             let behind = members
-                .alive_others()
+                .others()
                 .filter(|r| members.config_version_of(&r.name) < version);
-            behind
-                .map(|r| Target::Member(r.name.clone(), r.address))
-                .collect()
+            behind.cloned().collect()
         };
-        let asked = stream::iter(behind).map(|target| async move {
-            let answer = match self.peers.at(address_of(&target)) {
+        let asked = stream::iter(behind).map(|record| async move {
+            let answer = match self.peers.at(record.address) {
                 Ok(client) => client.config_version().await.ok(),
                 Err(_) => None,
             };
-            (target, answer)
+            (record, answer)
         });
         let answers: Vec<_> = asked.buffer_unordered(CONCURRENT).collect().await;
         let mut lagging = Vec::new();
-        for (target, answer) in answers {
-            let Target::Member(name, _) = target else {
+        for (record, answer) in answers {
+            // A peer held for gone may have woken; only if it is silent does it not count.
+            let silent = answer.is_none();
+            if silent && matches!(record.health, Health::Gone | Health::Left) {
                 continue;
-            };
+            }
             let known = answer.unwrap_or(0);
             let mut core = self.lock();
-            core.node.note_config_version(&name, known);
+            core.node.note_config_version(&record.name, known);
             if known < version {
-                lagging.push(name);
+                lagging.push(record.name);
             }
         }
         lagging.sort();
--- a/crates/fleet/src/streams.rs
+++ b/crates/fleet/src/streams.rs
@@ -194,6 +194,7 @@
             let found = core.streams.find(self.id).ok_or(Superseded)?;
             let part = Extension {
                 id: self.id,
+                owner: self.inner.me.clone(),
                 epoch: self.epoch,
                 offset_bytes: found.answer_bytes,
                 answer: answer.to_owned(),
@@ -269,46 +270,55 @@
     /// Gives one stream to two of `takers`, the standby first, so that an owner never starts alone.
     async fn give(&self, mut record: StreamRecord, takers: Vec<Name>) -> Given {
         record.epoch += 1;
-        let mut left = takers.into_iter();
-        let first = left.next();
-        let mut owner = first.clone();
-        let mut standby = None;
+        let mut takers = takers.into_iter();
+        let first = takers.next();
         record.owner = first.clone().unwrap_or_else(|| self.me.clone());
-        for name in left.by_ref() {
-            let reply = self.offer(&name, &record, CopyRole::Standby).await;
-            if reply == Some(TakeReply::Taken) {
-                standby = Some(name);
-                break;
-            }
-        }
-        record.standby = standby.clone();
-        while let Some(name) = owner.clone() {
-            record.owner = name.clone();
-            let reply = self.offer(&name, &record, CopyRole::Owner).await;
-            if reply == Some(TakeReply::Taken) {
-                break;
-            }
-            owner = left.next();
+        let rest = &mut takers;
+        record.standby = self.offer_first(&record, CopyRole::Standby, rest).await;
+        let mut left = first.into_iter().chain(takers);
+        let mut owner = self.offer_first(&record, CopyRole::Owner, &mut left).await;
+        if owner.is_none() {
+            // Nobody else is left: the standby goes on alone.
+            record.epoch += 1;
+            let mut standby = record.standby.take().into_iter();
+            owner = self
+                .offer_first(&record, CopyRole::Owner, &mut standby)
+                .await;
         }
+        let given = Given {
+            id: record.id,
+            owner,
+            standby: record.standby,
+        };
+        let (owner, standby) = (given.owner.as_ref(), given.standby.as_ref());
         let code = match owner {
             Some(_) => Code::StreamGiven,
             None => Code::StreamNotGiven,
         };
-        report::stream(
-            code,
-            record.id,
-            owner.as_ref(),
-            standby.as_ref(),
-            record.epoch,
-        );
-        if owner.is_some() || standby.is_some() {
-            self.lock().streams.drop_copy(record.id);
+        report::stream(code, given.id, owner, standby, record.epoch);
+        if owner.is_some() {
+            self.lock().streams.drop_copy(given.id);
         }
-        Given {
-            id: record.id,
-            owner,
-            standby,
+        given
+    }
+
+    /// Offers a copy to one after the other, and returns who took it.
+    async fn offer_first(
+        &self,
+        record: &StreamRecord,
+        role: CopyRole,
+        takers: &mut impl Iterator<Item = Name>,
+    ) -> Option<Name> {
+        for name in takers {
+            let mut record = record.clone();
+            if role == CopyRole::Owner {
+                record.owner = name.clone();
+            }
+            if self.offer(&name, &record, role).await == Some(TakeReply::Taken) {
+                return Some(name);
+            }
         }
+        None
     }
 
     /// Takes an offered copy, and goes on with it if this node is to own it.
--- /dev/null
+++ b/crates/fleet/tests/store_races.rs
@@ -0,0 +1,234 @@
+//! Racing operators and lease holders against a faulty table, by seeds.
+//!
+//! `FLEET_HISTORIES` sets the number of seeds.
+
+mod rows;
+
+use base::units::Millisecond;
+use fleet::apply::{self, Apply, Author, Content, Outcome, Proposal, Step};
+use fleet::clock::Reading;
+use fleet::lease::{Fence, Lease, LeaseAction, Terms};
+use platform::{CommitError, ReadError, Row};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rows::{Fate, Rows};
+
+const HISTORIES: u64 = 2_000;
+const OPERATORS: usize = 4;
+const ROUNDS: u64 = 5;
+
+fn histories() -> u64 {
+    let set = std::env::var("FLEET_HISTORIES").ok();
+    set.and_then(|n| n.parse().ok()).unwrap_or(HISTORIES)
+}
+
+fn draw_fate(rng: &mut StdRng) -> Fate {
+    match rng.random_range(0..10) {
+        0 => Fate::Refused,
+        1 | 2 => Fate::AppliedAnswerLost,
+        3 | 4 => Fate::AppliedLater,
+        5 => Fate::Vanished,
+        _ => Fate::Clean,
+    }
+}
+
+fn read(rows: &Rows, key: &platform::Key, rng: &mut StdRng) -> Result<Option<Row>, ReadError> {
+    if rng.random_ratio(1, 5) {
+        return Err(ReadError {
+            reason: "no answer".to_owned(),
+        });
+    }
+    Ok(rows.get(key))
+}
+
+struct Operator {
+    token: String,
+    apply: Apply,
+    step: Step,
+}
+
+fn operator(token: String, base: u64) -> Operator {
+    let author = Author {
+        operator: token.clone(),
+        token: token.clone(),
+        unix_ms: 0,
+    };
+    let content = Content::Text(token.clone());
+    let (apply, step) = Apply::start(Proposal::new(base, &token, content, author));
+    Operator { token, apply, step }
+}
+
+fn race(rows: &mut Rows, operators: &mut [Operator], rng: &mut StdRng) {
+    while operators.iter().any(|o| !matches!(o.step, Step::Done(_))) {
+        if rng.random_ratio(1, 6) {
+            let late = rng.random_range(0..4);
+            rows.apply_late(late);
+        }
+        let operator = &mut operators[rng.random_range(0..OPERATORS)];
+        operator.step = match operator.step.clone() {
+            Step::Done(outcome) => Step::Done(outcome),
+            Step::Wait(_) => operator.apply.resume(),
+            Step::Commit(writes) => {
+                let fate = draw_fate(rng);
+                operator.apply.committed(rows.commit(writes, fate), rng)
+            }
+            Step::ReadHistory(key) => {
+                let row = read(rows, &key, rng);
+                operator.apply.history_read(row, rng)
+            }
+            Step::ReadCurrent(key) => {
+                let row = read(rows, &key, rng);
+                operator.apply.current_read(row, rng)
+            }
+        };
+    }
+}
+
+#[test]
+fn exactly_one_operator_wins_a_base_version() {
+    let (mut accepted, mut lost, mut unsure, mut refused) = (0, 0, 0, 0);
+    for seed in 0..histories() {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut rows = Rows::default();
+        for round in 0..ROUNDS {
+            let current = rows.get(&apply::current_key());
+            let base = current.map_or(0, |row| row.version);
+            let mut operators: Vec<Operator> = (0..OPERATORS)
+                .map(|i| operator(format!("{round}-{i}"), base))
+                .collect();
+            race(&mut rows, &mut operators, &mut rng);
+            for _ in 0..100 {
+                rows.apply_late(0);
+            }
+            let history = rows.get(&apply::history_key(base + 1));
+            let winner = history.as_ref().and_then(apply::parse).map(|s| s.token);
+            for operator in &operators {
+                let won = winner.as_ref() == Some(&operator.token);
+                match &operator.step {
+                    Step::Done(Outcome::Accepted) => {
+                        accepted += 1;
+                        assert!(
+                            won,
+                            "seed {seed}: {} accepted, {winner:?} won",
+                            operator.token
+                        );
+                    }
+                    Step::Done(Outcome::Unknown(_)) => unsure += 1,
+                    Step::Done(Outcome::Lost(_)) => {
+                        lost += 1;
+                        assert!(
+                            !won,
+                            "seed {seed}: {} won and was told it lost",
+                            operator.token
+                        );
+                    }
+                    step => {
+                        refused += 1;
+                        assert!(!won, "seed {seed}: {} won, told {step:?}", operator.token);
+                    }
+                }
+            }
+        }
+    }
+    println!(
+        "races {}: accepted {accepted}, lost {lost}, unknown {unsure}, not accepted {refused}",
+        histories() * ROUNDS
+    );
+}
+
+struct Node {
+    lease: Lease,
+    next: Option<LeaseAction>,
+    answer: Option<Answer>,
+    paused_until_ms: Millisecond,
+    suspended_ms: Millisecond,
+    rate_percent: u64,
+}
+
+enum Answer {
+    Row(Result<Option<Row>, ReadError>),
+    Commit(Result<(), CommitError>),
+}
+
+impl Node {
+    /// Clocks that run up to 2 percent fast or slow; the certain one stands still while suspended.
+    fn now(&self, true_ms: Millisecond) -> Reading {
+        let possible_ms = true_ms * self.rate_percent / 100;
+        Reading {
+            certain_ms: (true_ms - self.suspended_ms) * self.rate_percent / 100,
+            possible_ms,
+        }
+    }
+
+    fn step(&mut self, rows: &mut Rows, true_ms: Millisecond, rng: &mut StdRng) {
+        let now = self.now(true_ms);
+        match (self.answer.take(), self.next.take()) {
+            (Some(Answer::Row(row)), _) => self.next = self.lease.row_read(row, now, rng),
+            (Some(Answer::Commit(result)), _) => self.next = self.lease.committed(result),
+            (None, Some(LeaseAction::Read(key))) => {
+                self.answer = Some(Answer::Row(read(rows, &key, rng)));
+            }
+            (None, Some(LeaseAction::Commit(write))) => {
+                let fate = match rng.random_ratio(1, 2) {
+                    true => Fate::Clean,
+                    false => draw_fate(rng),
+                };
+                self.answer = Some(Answer::Commit(rows.commit(vec![write], fate)));
+            }
+            (None, None) => self.next = self.lease.tick(now, rng),
+        }
+    }
+}
+
+#[test]
+fn only_the_holder_acts_and_fences_rise() {
+    let (mut orders, mut tenures, mut pauses) = (0_u64, 0_u64, 0_u64);
+    for seed in 0..histories() {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut rows = Rows::default();
+        let mut nodes: Vec<Node> = (0..3)
+            .map(|i| Node {
+                lease: Lease::new("placement", format!("n{i}").into(), Terms::default()),
+                next: None,
+                answer: None,
+                paused_until_ms: 0,
+                suspended_ms: 0,
+                rate_percent: [98, 100, 102][i],
+            })
+            .collect();
+        let mut highest = Fence(0);
+        for true_ms in (0..120_000).step_by(100) {
+            if rng.random_ratio(1, 40) {
+                rows.apply_late(0);
+            }
+            let mut acting = 0;
+            for node in &mut nodes {
+                if true_ms < node.paused_until_ms {
+                    continue;
+                }
+                if rng.random_ratio(1, 150) {
+                    let pause_ms = rng.random_range(1_000..30_000);
+                    node.paused_until_ms = true_ms + pause_ms;
+                    let suspended = rng.random_ratio(1, 2);
+                    node.suspended_ms += if suspended { pause_ms } else { 0 };
+                    pauses += 1;
+                    continue;
+                }
+                if let Some(permit) = node.lease.permit(node.now(true_ms)) {
+                    acting += 1;
+                    orders += 1;
+                    assert!(permit.fence >= highest, "seed {seed}: fence went back");
+                    tenures += u64::from(permit.fence > highest);
+                    highest = permit.fence;
+                }
+                node.step(&mut rows, true_ms, &mut rng);
+            }
+            assert!(acting <= 1, "seed {seed}: two holders at {true_ms} ms");
+        }
+    }
+    println!(
+        "lease histories {}: orders {orders}, tenures {tenures}, pauses {pauses}",
+        histories()
+    );
+    assert!(tenures > histories(), "the lease never changed hands");
+}
--- /dev/null
+++ b/crates/fleet/tests/support/mod.rs
@@ -0,0 +1,570 @@
+//! Nodes in memory, joined by a network that delays, drops and shuffles, with pauses and restarts.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+
+use base::units::Millisecond;
+use base::{Name, Set, secret};
+use fleet::freshness::SyncSpan;
+use fleet::member::{Target, draw_incarnation};
+use fleet::node::{Action, Event, Node};
+use fleet::timing::Timing;
+use fleet::wire::{ConfigDocument, Health, Heartbeat, MemberRecord, Push, SyncRequest};
+use platform::{Vm, VmRole, VmState};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// A leaving backend server gets no new work after this time.
+pub const LEAVING_BOUND_MS: Millisecond = 5_000;
+/// Backend servers on the VM list.
+const BACKENDS: usize = 40;
+
+/// Faults of one history.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    /// Calls lost, in a hundred.
+    pub drop_percent: u32,
+    /// Longest one-way delay.
+    pub delay_ms: Millisecond,
+    /// The VM list shows the past of so long ago.
+    pub list_lag_ms: Millisecond,
+}
+
+/// Counts over a history.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub messages: u64,
+    pub drops: u64,
+    pub pauses: u64,
+    pub restarts: u64,
+    pub outages: u64,
+    pub configs: u64,
+    pub marks: u64,
+    pub checks: u64,
+    /// Checks left out because no running node could know better.
+    pub unknowable: u64,
+}
+
+#[derive(Debug)]
+enum Request {
+    Heartbeat(Heartbeat),
+    Push(Push),
+    Sync(SyncRequest, SyncSpan),
+}
+
+#[derive(Debug)]
+enum Item {
+    Tick,
+    Serve {
+        from: usize,
+        life: u32,
+        call: u64,
+        request: Request,
+    },
+    Answer {
+        call: u64,
+        event: Event,
+    },
+    Timeout {
+        call: u64,
+        target: Target,
+    },
+    Input(Event),
+}
+
+struct Scheduled {
+    at_ms: Millisecond,
+    order: u64,
+    node: usize,
+    life: u32,
+    item: Item,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at_ms, self.order) == (other.at_ms, other.order)
+    }
+}
+impl Eq for Scheduled {}
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at_ms, self.order).cmp(&(other.at_ms, other.order))
+    }
+}
+
+pub struct Host {
+    pub node: Node,
+    pub life: u32,
+    pub paused_until_ms: Millisecond,
+    pending: Set<u64>,
+    version_seen: u64,
+}
+
+struct Marked {
+    vm: Name,
+    at_ms: Millisecond,
+    lost_ms: Millisecond,
+}
+
+pub struct World {
+    pub now_ms: Millisecond,
+    pub hosts: Vec<Host>,
+    pub counts: Counts,
+    pub violations: Vec<String>,
+    pub faults: Faults,
+    pub timing: Timing,
+    pub store_down_until_ms: Millisecond,
+    pub stored: Option<ConfigDocument>,
+    acknowledged: u64,
+    config_lost_ms: Millisecond,
+    marks: Vec<Marked>,
+    list_marks: Vec<Marked>,
+    queue: BinaryHeap<Reverse<Scheduled>>,
+    rng: StdRng,
+    order: u64,
+}
+
+pub fn address(index: usize) -> SocketAddr {
+    let [.., a, b] = (index as u32).to_be_bytes();
+    SocketAddr::from(([10, 0, a, b], 7))
+}
+
+pub fn document(version: u64) -> ConfigDocument {
+    let text = format!("configuration number {version}, with a common tail");
+    ConfigDocument {
+        version,
+        digest: secret::key_digest_hex(&text),
+        text: text.into(),
+    }
+}
+
+impl World {
+    pub fn new(size: usize, faults: Faults, seed: u64) -> Self {
+        let mut world = Self {
+            now_ms: 0,
+            hosts: Vec::new(),
+            counts: Counts::default(),
+            violations: Vec::new(),
+            faults,
+            timing: Timing::default(),
+            store_down_until_ms: 0,
+            stored: Some(document(1)),
+            acknowledged: 0,
+            config_lost_ms: 0,
+            marks: Vec::new(),
+            list_marks: Vec::new(),
+            queue: BinaryHeap::new(),
+            rng: StdRng::seed_from_u64(seed),
+            order: 0,
+        };
+        for index in 0..size {
+            let node = world.start(index);
+            world.hosts.push(Host {
+                node,
+                life: 0,
+                paused_until_ms: 0,
+                pending: Set::default(),
+                version_seen: 0,
+            });
+            let first_ms = world.rng.random_range(0..world.timing.tick_ms);
+            world.schedule(index, first_ms, Item::Tick);
+        }
+        world
+    }
+
+    pub fn draw(&mut self, below: u64) -> u64 {
+        self.rng.random_range(0..below)
+    }
+
+    pub fn run_until(&mut self, end_ms: Millisecond) {
+        while let Some(Reverse(next)) = self.queue.peek() {
+            if next.at_ms > end_ms {
+                break;
+            }
+            let Some(Reverse(next)) = self.queue.pop() else {
+                break;
+            };
+            self.now_ms = next.at_ms;
+            self.step(next);
+        }
+        self.now_ms = end_ms;
+    }
+
+    pub fn pause(&mut self, index: usize, for_ms: Millisecond) {
+        self.counts.pauses += 1;
+        self.hosts[index].paused_until_ms = self.now_ms + for_ms;
+    }
+
+    pub fn restart(&mut self, index: usize) {
+        self.counts.restarts += 1;
+        let node = self.start(index);
+        let host = &mut self.hosts[index];
+        host.node = node;
+        host.life += 1;
+        host.paused_until_ms = 0;
+        host.pending.clear();
+        host.version_seen = 0;
+        self.schedule(index, 0, Item::Tick);
+    }
+
+    pub fn outage(&mut self, for_ms: Millisecond) {
+        self.counts.outages += 1;
+        self.store_down_until_ms = self.now_ms + for_ms;
+    }
+
+    /// An operator's configuration is accepted at a node, if the store is up.
+    pub fn configure(&mut self, index: usize) {
+        if self.store_is_down() || self.is_paused(index) {
+            return;
+        }
+        self.counts.configs += 1;
+        let version = self.stored.as_ref().map_or(0, |d| d.version) + 1;
+        self.stored = Some(document(version));
+        self.schedule(
+            index,
+            1,
+            Item::Input(Event::ConfigLearned(document(version))),
+        );
+    }
+
+    /// A backend server leaves; a node sees the notice, or only the list shows it.
+    pub fn leave(&mut self, index: Option<usize>) {
+        let vm: Name = format!("backend-{}", self.counts.marks).into();
+        self.counts.marks += 1;
+        let at_ms = self.now_ms;
+        let listed = Marked {
+            vm: vm.clone(),
+            at_ms,
+            lost_ms: 0,
+        };
+        self.list_marks.push(listed);
+        let Some(index) = index.filter(|index| !self.is_paused(*index)) else {
+            return;
+        };
+        self.marks.push(Marked {
+            vm: vm.clone(),
+            at_ms,
+            lost_ms: 0,
+        });
+        self.schedule(index, 1, Item::Input(Event::LeavingSeen(vm)));
+    }
+
+    pub fn is_paused(&self, index: usize) -> bool {
+        self.hosts[index].paused_until_ms > self.now_ms
+    }
+
+    pub fn all_see_all_alive(&self) -> bool {
+        let size = self.hosts.len();
+        self.hosts.iter().all(|host| {
+            let others = host.node.members().others();
+            let alive = others.filter(|r| r.health == Health::Alive).count();
+            alive == size - 1
+        })
+    }
+
+    fn store_is_down(&self) -> bool {
+        self.store_down_until_ms > self.now_ms
+    }
+
+    fn start(&mut self, index: usize) -> Node {
+        let me = MemberRecord {
+            name: format!("n{index}").into(),
+            address: address(index),
+            failure_domain: format!("domain-{}", index % 3).into(),
+            incarnation: draw_incarnation(1_000_000 + self.now_ms, &mut self.rng),
+            health: Health::Alive,
+        };
+        let seeds = (0..3).map(address).collect();
+        Node::new(me, seeds, self.timing, self.now_ms)
+    }
+
+    fn schedule(&mut self, node: usize, in_ms: Millisecond, item: Item) {
+        let life = self.hosts[node].life;
+        self.schedule_life(node, life, in_ms, item);
+    }
+
+    fn schedule_life(&mut self, node: usize, life: u32, in_ms: Millisecond, item: Item) {
+        self.order += 1;
+        let at_ms = self.now_ms + in_ms;
+        let order = self.order;
+        self.queue.push(Reverse(Scheduled {
+            at_ms,
+            order,
+            node,
+            life,
+            item,
+        }));
+    }
+
+    fn delay(&mut self) -> Millisecond {
+        self.rng.random_range(1..=self.faults.delay_ms)
+    }
+
+    fn step(&mut self, next: Scheduled) {
+        let index = next.node;
+        let host = &mut self.hosts[index];
+        let from_caller = matches!(next.item, Item::Serve { .. });
+        if host.life != next.life && !from_caller {
+            return;
+        }
+        if host.paused_until_ms > self.now_ms {
+            let in_ms = host.paused_until_ms - self.now_ms + self.rng.random_range(0..20);
+            return self.schedule_life(index, next.life, in_ms, next.item);
+        }
+        match next.item {
+            Item::Tick => {
+                self.schedule(index, self.timing.tick_ms, Item::Tick);
+                self.input(index, Event::Tick);
+            }
+            Item::Input(event) => self.input(index, event),
+            Item::Answer { call, event } => {
+                if self.hosts[index].pending.remove(&call) {
+                    self.input(index, event);
+                }
+            }
+            Item::Timeout { call, target } => {
+                if self.hosts[index].pending.remove(&call) {
+                    self.input(index, Event::CallFailed(target));
+                }
+            }
+            Item::Serve {
+                from,
+                life,
+                call,
+                request,
+            } => {
+                self.serve(index, from, life, call, request);
+            }
+        }
+        self.check(index);
+    }
+
+    fn input(&mut self, index: usize, event: Event) {
+        let host = &mut self.hosts[index];
+        let actions = host.node.handle(event, self.now_ms, &mut self.rng);
+        self.carry_out(index, actions);
+    }
+
+    fn serve(&mut self, index: usize, from: usize, life: u32, call: u64, request: Request) {
+        let node = &mut self.hosts[index].node;
+        let (event, actions) = match request {
+            Request::Heartbeat(heartbeat) => {
+                let (answer, actions) =
+                    node.answer_heartbeat(heartbeat, self.now_ms, &mut self.rng);
+                (Event::HeartbeatAnswered(answer), actions)
+            }
+            Request::Push(push) => {
+                let (answer, actions) = node.answer_push(push, self.now_ms, &mut self.rng);
+                let name = node.members().me().name.clone();
+                (Event::PushAnswered(name, answer), actions)
+            }
+            Request::Sync(request, span) => {
+                let answer = node.answer_sync(request, self.now_ms);
+                (Event::SyncAnswered(answer, span), Vec::new())
+            }
+        };
+        self.carry_out(index, actions);
+        if self.is_lost() {
+            return;
+        }
+        let in_ms = self.delay();
+        self.schedule_life(from, life, in_ms, Item::Answer { call, event });
+    }
+
+    fn is_lost(&mut self) -> bool {
+        let lost = self.rng.random_ratio(self.faults.drop_percent, 100);
+        self.counts.drops += u64::from(lost);
+        lost
+    }
+
+    fn carry_out(&mut self, index: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::SendHeartbeat(target, message) => {
+                    self.call(index, target, Request::Heartbeat(message));
+                }
+                Action::SendPush(name, to, push) => {
+                    self.call(index, Target::Member(name, to), Request::Push(push));
+                }
+                Action::SendSync(name, to, request, span) => {
+                    self.call(
+                        index,
+                        Target::Member(name, to),
+                        Request::Sync(request, span),
+                    );
+                }
+                Action::ReadConfig(span) if !self.store_is_down() => {
+                    let event = Event::ConfigRead(self.stored.clone(), span);
+                    let in_ms = self.delay();
+                    self.schedule(index, in_ms, Item::Input(event));
+                }
+                Action::ReadList(span) if !self.store_is_down() => {
+                    let event = Event::ListRead(self.list(), span);
+                    let in_ms = self.delay();
+                    self.schedule(index, in_ms, Item::Input(event));
+                }
+                Action::ReadNotices(answered, span) if !self.store_is_down() => {
+                    let under_notice = |vm: &&Name| self.marks.iter().any(|m| m.vm == **vm);
+                    let leaving = answered.iter().filter(under_notice).cloned().collect();
+                    let event = Event::NoticesRead {
+                        answered,
+                        leaving,
+                        span,
+                    };
+                    let in_ms = self.delay();
+                    self.schedule(index, in_ms, Item::Input(event));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn call(&mut self, from: usize, target: Target, request: Request) {
+        self.counts.messages += 1;
+        let (Target::Member(_, to) | Target::Candidate(to)) = &target;
+        let to = (0..self.hosts.len()).find(|index| address(*index) == *to);
+        let to = to.expect("only hosts are called");
+        self.order += 1;
+        let call = self.order;
+        self.hosts[from].pending.insert(call);
+        self.schedule(from, self.timing.call_ms, Item::Timeout { call, target });
+        if self.is_lost() {
+            return;
+        }
+        let life = self.hosts[from].life;
+        let in_ms = self.delay();
+        self.schedule(
+            to,
+            in_ms,
+            Item::Serve {
+                from,
+                life,
+                call,
+                request,
+            },
+        );
+    }
+
+    fn list(&self) -> Vec<Vm> {
+        let mut vms = Vec::new();
+        for index in 0..self.hosts.len() {
+            vms.push(vm(
+                &format!("n{index}"),
+                address(index),
+                VmRole::Entry,
+                VmState::Live,
+            ));
+        }
+        for index in 0..BACKENDS {
+            let id = format!("backend-{index}");
+            let mark = self.list_marks.iter().find(|mark| *mark.vm == *id);
+            let listed = mark.filter(|m| m.at_ms + self.faults.list_lag_ms <= self.now_ms);
+            let state = match listed {
+                Some(_) => VmState::Leaving {
+                    remaining_ms: 1_000,
+                },
+                None => VmState::Live,
+            };
+            vms.push(vm(&id, address(999), VmRole::Backend, state));
+        }
+        vms
+    }
+
+    fn check(&mut self, index: usize) {
+        self.counts.checks += 1;
+        let version = self.hosts[index].node.config().version();
+        if version < self.hosts[index].version_seen {
+            self.violations
+                .push(format!("n{index} went back to version {version}"));
+        }
+        self.hosts[index].version_seen = version;
+        self.note_lost();
+        if !self.hosts[index].node.may_route(self.now_ms) {
+            return;
+        }
+        self.acknowledge(index);
+        if version < self.acknowledged && self.was_in_reach_since(self.config_lost_ms) {
+            let text = format!(
+                "n{index} routes under {version} after {}",
+                self.acknowledged
+            );
+            self.violations.push(text);
+        }
+        for mark in 0..self.marks.len() {
+            let vm = self.marks[mark].vm.clone();
+            let overdue = self.now_ms > self.marks[mark].at_ms + LEAVING_BOUND_MS;
+            let known = self.hosts[index].node.leaving().contains(&vm);
+            if overdue && !known && self.was_in_reach_since(self.marks[mark].lost_ms) {
+                let text = format!("n{index} routes to {vm} at {}", self.now_ms);
+                self.violations.push(text);
+            }
+        }
+    }
+
+    /// Notes what no running node could know: the store is down, and every node that knew is
+    /// stopped or replaced. Checks leave that out until it has been in reach again for a while.
+    fn note_lost(&mut self) {
+        if !self.store_is_down() {
+            return;
+        }
+        let acknowledged = self.acknowledged;
+        if !self.is_held(|node| node.config().version() >= acknowledged) {
+            self.config_lost_ms = self.now_ms;
+        }
+        for mark in 0..self.marks.len() {
+            let vm = self.marks[mark].vm.clone();
+            if !self.is_held(|node| node.leaving().contains(&vm)) {
+                self.marks[mark].lost_ms = self.now_ms;
+            }
+        }
+    }
+
+    fn is_held(&self, holds: impl Fn(&Node) -> bool) -> bool {
+        let hosts = self.hosts.iter().enumerate();
+        let mut running = hosts.filter(|(index, _)| !self.is_paused(*index));
+        running.any(|(_, host)| holds(&host.node))
+    }
+
+    fn was_in_reach_since(&mut self, lost_ms: Millisecond) -> bool {
+        let in_reach = lost_ms == 0 || self.now_ms > lost_ms + LEAVING_BOUND_MS;
+        self.counts.unknowable += u64::from(!in_reach);
+        in_reach
+    }
+
+    /// What an operator at this node would be told: the version that every member has which the
+    /// node does not hold for gone.
+    fn acknowledge(&mut self, index: usize) {
+        let members = self.hosts[index].node.members();
+        let mut lowest = self.hosts[index].node.config().version();
+        for (other, host) in self.hosts.iter().enumerate() {
+            let name = &host.node.members().me().name;
+            let counts = match members.get(name).map(|r| r.health) {
+                Some(Health::Alive | Health::Suspect) => true,
+                Some(Health::Gone | Health::Left) => !self.is_paused(other),
+                None => false,
+            };
+            if counts {
+                lowest = lowest.min(host.node.config().version());
+            }
+        }
+        self.acknowledged = self.acknowledged.max(lowest);
+    }
+}
+
+fn vm(id: &str, address: SocketAddr, role: VmRole, state: VmState) -> Vm {
+    Vm {
+        id: id.into(),
+        address,
+        failure_domain: "domain-0".into(),
+        class: "small".into(),
+        role,
+        service: None,
+        state,
+    }
+}
