--- a/crates/bench/src/slope/fleet.rs
+++ b/crates/bench/src/slope/fleet.rs
@@ -223,7 +223,7 @@
                 self.handle(from, Event::SyncAnswered(reply, span));
             }
             Action::ReadConfig(span) => self.handle(from, Event::ConfigRead(None, span)),
-            Action::ReadList(_) | Action::ReadNotices(_) | Action::Publish | Action::Report(_) => {}
+            Action::ReadList(_) | Action::ReadNotices(..) | Action::Publish | Action::Report(_) => {}
         }
     }
 }
