--- a/crates/bench/src/slope/fleet.rs
+++ b/crates/bench/src/slope/fleet.rs
@@ -142,10 +142,11 @@
 
     /// Accepts a document at one node; answers the time until the last node has it.
     fn spread_ms(&mut self) -> Millisecond {
+        let text = "x".repeat(DOCUMENT_BYTES);
         let document = ConfigDocument {
             version: 1,
-            digest: "0".repeat(64),
-            text: "x".repeat(DOCUMENT_BYTES).into(),
+            digest: base::secret::key_digest_hex(&text),
+            text: text.into(),
         };
         let start_ms = self.now_ms;
         self.handle(0, Event::ConfigLearned(document));
@@ -223,7 +224,8 @@
                 self.handle(from, Event::SyncAnswered(reply, span));
             }
             Action::ReadConfig(span) => self.handle(from, Event::ConfigRead(None, span)),
-            Action::ReadList(_) | Action::ReadNotices(..) | Action::Publish | Action::Report(_) => {}
+            Action::ReadList(_) | Action::ReadNotices(..) | Action::Publish | Action::Report(_) => {
+            }
         }
     }
 }
