Entry VM: callers that stop reading, and one thread for each core

Cause: `timeouts.caller_stall_ms` and `node.cores` were checked but not used. A caller that stopped reading a streamed reply kept its slot and its engine for ever: the relay is only polled when the connection has room, so no deadline of its own could fire. The connection's writes now time out by a library's stream. Ruled out: a timer in the relay, which is not polled while the reader stalls. `cores` sets the runtime's threads.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -44,7 +44,7 @@
     pub name: Name,
     /// The failure domain the VM stands in.
     pub failure_domain: Name,
-    /// Processor cores of the VM; its weight among entry VMs.
+    /// Processor cores of the VM; the daemon runs as many threads, rounded up.
     pub cores: f64,
 }
 
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -109,7 +109,11 @@
         LogFormat::Json => Format::Json,
     };
     let logger = Logger::open(&settings.log_level.to_string(), format).context(LogSnafu)?;
-    let runtime = tokio::runtime::Runtime::new().context(RuntimeSnafu)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(worker_threads(&settings))
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
     let result = runtime.block_on(async {
         let daemon = Daemon::spawn(settings).await?;
         println!(
@@ -310,6 +314,7 @@
     ServerOptions {
         head_timeout_ms: settings.timeouts.header_read_ms,
         max_head_bytes: settings.limits.max_header_bytes as usize,
+        stall_timeout_ms: settings.timeouts.caller_stall_ms,
     }
 }
 
@@ -362,3 +367,8 @@
         .await
         .context(ListenSnafu { key, address })
 }
+
+/// One thread for each core of the VM, which may be less than the machine shows.
+fn worker_threads(settings: &Settings) -> usize {
+    settings.node.cores.ceil() as usize
+}
--- a/crates/entry/src/front/server.rs
+++ b/crates/entry/src/front/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::time::Duration;
 
 use base::units::Millisecond;
@@ -14,6 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
+use tokio_io_timeout::TimeoutStream;
 
 use super::Reply;
 
@@ -27,6 +29,8 @@
     pub head_timeout_ms: Millisecond,
     /// Largest head.
     pub max_head_bytes: usize,
+    /// How long a reader may leave no room for more of its reply.
+    pub stall_timeout_ms: Millisecond,
 }
 
 /// The running listener.
@@ -101,6 +105,7 @@
             continue;
         };
         let _ = TcpStream::set_nodelay(&stream, true);
+        let stream = bounded(stream, options.stall_timeout_ms);
         let handler = TowerToHyperService::new(service.clone());
         let connection = http.serve_connection(TokioIo::new(stream), handler);
         let connection = graceful.watch(connection);
@@ -112,3 +117,10 @@
     drop(listener);
     graceful.shutdown().await;
 }
+
+/// A connection that breaks when its reader stalls, so that its request does not hold a slot for good.
+fn bounded(stream: TcpStream, stall_timeout_ms: Millisecond) -> Pin<Box<TimeoutStream<TcpStream>>> {
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(Duration::from_millis(stall_timeout_ms)));
+    Box::pin(stream)
+}
