--- a/crates/entry/src/admin/mod.rs
+++ b/crates/entry/src/admin/mod.rs
@@ -25,7 +25,7 @@
     pub standing: Arc<Standing>,
     /// The flow of model requests.
     pub flow: Arc<Flow>,
-    /// The peers' secret, which works as a key until a configuration names operators.
+    /// The peers' secret. It may read, and may write until a configuration names operators.
     pub bootstrap_key: Secret,
     /// Asks the daemon to drain.
     pub drain: mpsc::Sender<()>,
@@ -72,7 +72,8 @@
         {
             return Ok(operator.name.clone());
         }
-        if in_force.is_none() && self.bootstrap_key.matches(key) {
+        let only_reads = request.method() == Method::GET;
+        if (in_force.is_none() || only_reads) && self.bootstrap_key.matches(key) {
             return Ok("bootstrap".into());
         }
         Err(CallerError::mistake(
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -73,6 +73,29 @@
     finish_reason: Option<String>,
     tokens_before: u64,
     got_token: bool,
+    pace: Pace,
+}
+
+/// Time between tokens, as this attempt has shown it.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    first_ms: Option<Millisecond>,
+    tokens: u64,
+}
+
+impl Pace {
+    fn token(&mut self, now_ms: Millisecond) {
+        self.first_ms.get_or_insert(now_ms);
+        self.tokens += 1;
+    }
+
+    /// Time that `tokens` more will take.
+    fn time_for_ms(&self, tokens: u64, now_ms: Millisecond) -> Millisecond {
+        let Some(first_ms) = self.first_ms.filter(|_| self.tokens >= PACE_TOKENS_MIN) else {
+            return tokens * TOKEN_MS_ASSUMED;
+        };
+        tokens * (now_ms - first_ms) / (self.tokens - 1)
+    }
 }
 
 /// Drives one answer for one reader.
@@ -225,6 +248,7 @@
                     finish_reason: None,
                     tokens_before: self.record.lock().tokens,
                     got_token: false,
+                    pace: Pace::default(),
                 });
                 self.phase.apply("routed");
             }
@@ -376,6 +400,7 @@
         if text.is_empty() && !tool_calls {
             return None;
         }
+        live.pace.token(self.flow.clock.now_ms());
         if !live.got_token {
             live.got_token = true;
             live.flight.first_token();
@@ -490,7 +515,8 @@
         };
         let left = max_tokens.saturating_sub(record.tokens);
         let margin_ms = self.flow.options.leaving_margin_ms;
-        now_ms + left * TOKEN_MS_ASSUMED + margin_ms < gone_ms
+        let pace = self.live.as_ref().map(|live| live.pace).unwrap_or_default();
+        now_ms + pace.time_for_ms(left, now_ms) + margin_ms < gone_ms
     }
 
     fn broken(&mut self, run_state: RunState, reason: &str) {
@@ -615,7 +641,10 @@
     }
 }
 
-/// Decode time assumed when weighing whether a stream ends before its server does.
+/// Tokens after which an attempt's own pace is believed.
+const PACE_TOKENS_MIN: u64 = 4;
+
+/// Decode time assumed before, when weighing whether a stream ends before its server does.
 const TOKEN_MS_ASSUMED: Millisecond = 40;
 
 async fn cut(drain: &mut watch::Receiver<Drain>) {
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -7,14 +7,14 @@
 use base::units::Millisecond;
 use conf::Config;
 use engine::Target;
-use events::Code;
+
 use fleet::Fleet;
 use fleet::bulletin::Demand;
 use fleet::view::FleetView;
 use platform::{Vm, VmRole, VmState};
 use policy::limit::{WorkspaceDemand, WorkspaceShare};
 use policy::route::ServerState;
-use serde::Serialize;
+
 use tokio::sync::watch;
 
 use crate::backends::{Known, Leaving, Reporting};
@@ -25,7 +25,7 @@
 const TICK_MS: Millisecond = 250;
 
 /// Time left assumed of a leaving server whose notice gave none.
-const REMAINING_ASSUMED_MS: Millisecond = 10_000;
+const REMAINING_ASSUMED_MS: Millisecond = 1_500;
 
 /// Slots assumed of a model engine that has not reported.
 const MODEL_SLOTS_ASSUMED: u32 = 8;
@@ -39,11 +39,6 @@
 /// The peer under whose name the demand of all others is counted.
 const OTHERS: &str = "others";
 
-#[derive(Serialize)]
-struct ConfigLog {
-    version: u64,
-}
-
 /// Follows one fleet for one daemon.
 pub struct Follower {
     /// The fleet.
@@ -96,12 +91,7 @@
             version: document.version,
             config: Arc::new(config),
         }));
-        events::emit(
-            Code::ConfigInForce,
-            &ConfigLog {
-                version: document.version,
-            },
-        );
+
         self.standing.life.apply(LifeEvent::ConfigInForce);
     }
 
