--- a/crates/entry/src/flow/mod.rs
+++ b/crates/entry/src/flow/mod.rs
@@ -1,10 +1,13 @@
 //! The flow of an accepted model request: attempts, resumption and the answer so far.
 
+mod leaving;
 mod live;
 mod phase;
+mod reading;
 mod record;
 mod relay;
 mod retries;
+mod sending;
 mod setback;
 mod store;
 mod suspicion;
--- /dev/null
+++ b/crates/entry/src/flow/reading.rs
@@ -0,0 +1,183 @@
+//! How a relay reads an attempt's answer into its record.
+
+use std::time::Duration;
+
+use base::outcome::RunState;
+use base::units::Millisecond;
+use engine::chat::Chunk;
+use engine::stream::StreamEvent;
+use policy::retry::Cause;
+use policy::route::{self};
+
+use super::live::{choice_text, total_usage};
+use super::record::Progress;
+use super::relay::{Piece, Relay, cut};
+
+enum Outcome {
+    Event(Result<StreamEvent, engine::BodyError>),
+    Stalled,
+    Leaving(Millisecond),
+    Drained,
+}
+
+impl Relay {
+    pub(super) async fn read(&mut self) -> Option<Piece> {
+        let outcome = self.next_outcome().await;
+        match outcome {
+            Outcome::Event(Ok(StreamEvent::Chunk(chunk))) => self.chunk(chunk),
+            Outcome::Event(Ok(StreamEvent::Done)) => {
+                self.end_marker();
+                None
+            }
+            Outcome::Event(Err(error)) => {
+                self.ended_early(&error.reason);
+                None
+            }
+            Outcome::Stalled => {
+                self.broken(Cause::TimedOut, RunState::Unknown, "the stream stalled");
+                None
+            }
+            Outcome::Leaving(gone_ms) => {
+                self.server_leaving(gone_ms);
+                None
+            }
+            Outcome::Drained => {
+                self.stop("drain");
+                None
+            }
+        }
+    }
+
+    async fn next_outcome(&mut self) -> Outcome {
+        let stall = Duration::from_millis(self.flow.options.stall_timeout_ms);
+        let Some(live) = &mut self.live else {
+            return Outcome::Stalled;
+        };
+        let Some(stream) = &mut live.stream else {
+            return Outcome::Stalled;
+        };
+        let flight = &mut live.flight;
+        tokio::select! {
+            biased;
+            event = stream.next() => Outcome::Event(event),
+            gone_ms = flight.leaving(), if !self.ask.excluded.contains(&flight.target().id) => Outcome::Leaving(gone_ms),
+            () = cut(&mut self.drain) => Outcome::Drained,
+            () = tokio::time::sleep(stall) => Outcome::Stalled,
+        }
+    }
+
+    fn chunk(&mut self, chunk: Chunk) -> Option<Piece> {
+        let live = self.live.as_mut()?;
+        if let Some(usage) = chunk.usage {
+            live.usage = Some(usage);
+        }
+        let mut choice = chunk.choices.into_iter().next()?;
+        if let Some(reason) = choice.finish_reason.take() {
+            live.finish_reason = Some(reason);
+        }
+        let text = choice_text(&mut choice);
+        let tool_calls = choice
+            .delta
+            .as_ref()
+            .is_some_and(|d| d.tool_calls.is_some());
+        if text.is_empty() && !tool_calls {
+            return None;
+        }
+        live.pace.token(self.flow.clock.now_ms());
+        if !live.got_token {
+            live.got_token = true;
+            live.flight.first_token();
+        }
+        let Some(offset) = self.append(&text) else {
+            self.stop("superseded");
+            return None;
+        };
+        Some(Piece::Text {
+            text,
+            choice: Some(choice),
+            offset,
+        })
+    }
+
+    /// Adds text to the record, unless another relay has taken it over.
+    fn append(&mut self, text: &str) -> Option<usize> {
+        let mut record = self.record.lock();
+        if record.epoch != self.epoch {
+            return None;
+        }
+        record.text.push_str(text);
+        record.tokens += 1;
+        Some(record.text.len())
+    }
+
+    fn end_marker(&mut self) {
+        let finished = self
+            .live
+            .as_ref()
+            .is_some_and(|l| l.finish_reason.is_some());
+        match finished {
+            true => self.complete(),
+            false => {
+                let reason = "the stream ended without a finish reason";
+                self.broken(Cause::Broken, RunState::Ran, reason);
+            }
+        }
+    }
+
+    fn ended_early(&mut self, reason: &str) {
+        let finished = self
+            .live
+            .as_ref()
+            .is_some_and(|l| l.finish_reason.is_some());
+        match finished {
+            true => self.complete(),
+            false => self.broken(Cause::Broken, RunState::Ran, reason),
+        }
+    }
+
+    /// Whether the caller's bound on tokens was relayed by attempts that broke before they said so.
+    pub(super) fn bound_is_reached(&self) -> bool {
+        let record = self.record.lock();
+        let bound = record.request.max_tokens;
+        record.tokens > 0 && bound.is_some_and(|max| record.tokens >= max)
+    }
+
+    pub(super) fn complete_at_bound(&mut self) {
+        let mut record = self.record.lock();
+        if record.epoch != self.epoch {
+            drop(record);
+            return self.stop("superseded");
+        }
+        record.usage.completion_tokens = record.tokens;
+        record.usage.total_tokens = record.usage.prompt_tokens + record.tokens;
+        record.progress = Progress::Done {
+            finish_reason: "length".to_owned(),
+        };
+        drop(record);
+        self.ended_well();
+        self.phase.apply("complete");
+    }
+
+    fn complete(&mut self) {
+        let Some(live) = self.live.take() else {
+            return;
+        };
+        let mut record = self.record.lock();
+        if record.epoch != self.epoch {
+            drop(record);
+            return self.stop("superseded");
+        }
+        record.usage = total_usage(&live, record.tokens);
+        record.progress = Progress::Done {
+            finish_reason: live.finish_reason.unwrap_or_else(|| "stop".to_owned()),
+        };
+        let usage = record.usage;
+        drop(record);
+        live.flight.close(route::Usage {
+            output_tokens: usage.completion_tokens - live.tokens_before,
+            cached_tokens: live.usage.map(|u| u.prompt_tokens_details.cached_tokens),
+        });
+        self.ended_well();
+        self.phase.apply("complete");
+    }
+}
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::Name;
 use base::units::Millisecond;
+use base::{Map, Name};
 use conf::Config;
 use engine::Target;
-use events::Code;
+
 use fleet::Fleet;
 use fleet::bulletin::Demand;
 use fleet::view::FleetView;
@@ -16,7 +16,6 @@
 use policy::limit::{WorkspaceDemand, WorkspaceShare};
 use policy::route::ServerState;
 use policy::suspect::Share;
-use serde::Serialize;
 use tokio::sync::watch;
 
 use crate::backends::{Known, Leaving, Reporting};
@@ -27,7 +26,7 @@
 const TICK_MS: Millisecond = 250;
 
 /// Time left assumed of a leaving server whose notice gave none.
-const REMAINING_ASSUMED_MS: Millisecond = 10_000;
+const REMAINING_ASSUMED_MS: Millisecond = 1_500;
 
 /// Slots assumed of a model engine that has not reported.
 const MODEL_SLOTS_ASSUMED: u32 = 8;
@@ -41,11 +40,6 @@
 /// The peer under whose name the demand of all others is counted.
 const OTHERS: &str = "others";
 
-#[derive(Serialize)]
-struct ConfigLog {
-    version: u64,
-}
-
 /// Follows one fleet for one daemon.
 pub struct Follower {
     /// The fleet.
@@ -113,25 +107,16 @@
             version: document.version,
             config: Arc::new(config),
         }));
-        events::emit(
-            Code::ConfigInForce,
-            &ConfigLog {
-                version: document.version,
-            },
-        );
+
         self.standing.life.apply(LifeEvent::ConfigInForce);
     }
 
     fn set_shares(&self, config: &Config) {
-        let services: Vec<Name> = config.services.keys().cloned().collect();
-        let mut shares = Vec::with_capacity(config.workspaces.len());
-        for workspace in config.workspaces.values() {
-            shares.push(WorkspaceShare {
-                workspace: workspace.name.clone(),
-                weight: f64::from(workspace.share),
-            });
+        let mut shares = Map::default();
+        for service in config.services.keys() {
+            shares.insert(service.clone(), service_shares(config, service));
         }
-        self.standing.gate.set_shares(&services, shares);
+        self.standing.gate.set_shares(&shares);
     }
 
     fn take_servers(&self, view: &FleetView) {
@@ -269,3 +254,17 @@
     let latency_ms = config.one_way_latency_ms(own_domain, &vm.failure_domain);
     (latency_ms.unwrap_or(0.0) * 1e3) as u64
 }
+
+/// What each workspace may use of one service.
+fn service_shares(config: &Config, service: &Name) -> Vec<WorkspaceShare> {
+    let mut shares = Vec::with_capacity(config.workspaces.len());
+    for workspace in config.workspaces.values() {
+        let limit = workspace.limits.get(service);
+        shares.push(WorkspaceShare {
+            workspace: workspace.name.clone(),
+            weight: f64::from(workspace.share),
+            max_slots: limit.map(|limit| limit.max_concurrent),
+        });
+    }
+    shares
+}
