--- a/crates/entry/src/flow/setback.rs
+++ b/crates/entry/src/flow/setback.rs
@@ -22,9 +22,6 @@
 /// When a caller whose request was given up may come back.
 const COME_BACK_MS: Millisecond = 1_000;
 
-/// Decode time assumed when weighing whether a stream ends before its server does.
-const TOKEN_MS_ASSUMED: Millisecond = 40;
-
 /// An attempt that ended early, of which nothing has been made yet.
 pub(super) struct Setback {
     target: Option<Target>,
@@ -57,31 +54,6 @@
         self.phase.apply("no_server");
     }
 
-    pub(super) fn server_leaving(&mut self, gone_ms: Millisecond) {
-        let now_ms = self.flow.clock.now_ms();
-        let Some(live) = &self.live else {
-            return;
-        };
-        let server = live.flight.target().id.clone();
-        self.ask.excluded.push(server);
-        if self.finishes_before(gone_ms, now_ms) {
-            return;
-        }
-        self.budget.run_state = self.budget.run_state.after(RunState::Ran);
-        self.live = None;
-        self.phase.apply("broken");
-    }
-
-    fn finishes_before(&self, gone_ms: Millisecond, now_ms: Millisecond) -> bool {
-        let record = self.record.lock();
-        let Some(max_tokens) = record.request.max_tokens else {
-            return false;
-        };
-        let left = max_tokens.saturating_sub(record.tokens);
-        let margin_ms = self.flow.options.leaving_margin_ms;
-        now_ms + left * TOKEN_MS_ASSUMED + margin_ms < gone_ms
-    }
-
     pub(super) fn broken(&mut self, cause: Cause, run_state: RunState, reason: &str) {
         let Some(live) = self.live.take() else {
             self.phase.apply("broken");
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -7,7 +7,7 @@
 use base::{Map, Name};
 use conf::Config;
 use engine::Target;
-use events::Code;
+
 use fleet::Fleet;
 use fleet::bulletin::Demand;
 use fleet::view::FleetView;
@@ -16,7 +16,6 @@
 use policy::limit::{WorkspaceDemand, WorkspaceShare};
 use policy::route::ServerState;
 use policy::suspect::Share;
-use serde::Serialize;
 use tokio::sync::watch;
 
 use crate::backends::{Known, Leaving, Reporting};
@@ -27,7 +26,7 @@
 const TICK_MS: Millisecond = 250;
 
 /// Time left assumed of a leaving server whose notice gave none.
-const REMAINING_ASSUMED_MS: Millisecond = 10_000;
+const REMAINING_ASSUMED_MS: Millisecond = 1_500;
 
 /// Slots assumed of a model engine that has not reported.
 const MODEL_SLOTS_ASSUMED: u32 = 8;
@@ -41,11 +40,6 @@
 /// The peer under whose name the demand of all others is counted.
 const OTHERS: &str = "others";
 
-#[derive(Serialize)]
-struct ConfigLog {
-    version: u64,
-}
-
 /// Follows one fleet for one daemon.
 pub struct Follower {
     /// The fleet.
@@ -113,12 +107,7 @@
             version: document.version,
             config: Arc::new(config),
         }));
-        events::emit(
-            Code::ConfigInForce,
-            &ConfigLog {
-                version: document.version,
-            },
-        );
+
         self.standing.life.apply(LifeEvent::ConfigInForce);
     }
 
