--- a/crates/conf/src/model.rs
+++ b/crates/conf/src/model.rs
@@ -53,8 +53,8 @@
 impl Default for RetryLimits {
     fn default() -> Self {
         Self {
-            max_attempts: 3,
-            budget_percent: 10,
+            max_attempts: 5,
+            budget_percent: 6,
         }
     }
 }
--- a/crates/entry/src/flow/mod.rs
+++ b/crates/entry/src/flow/mod.rs
@@ -47,8 +47,6 @@
     pub head_timeout_ms: Millisecond,
     /// Longest silence within a streamed answer.
     pub stall_timeout_ms: Millisecond,
-    /// Failed attempts allowed for one request; those ended by a reclaim do not count.
-    pub failures_max: u32,
     /// Time kept back at the end of a leaving server's life.
     pub leaving_margin_ms: Millisecond,
 }
@@ -58,7 +56,6 @@
         Self {
             head_timeout_ms: 30_000,
             stall_timeout_ms: 10_000,
-            failures_max: 4,
             leaving_margin_ms: 500,
         }
     }
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -69,7 +69,7 @@
         let (id, ask, budget) = {
             let held = record.lock();
             let deadline_ms = flow.clock.now_ms() + held.remaining_ms;
-            let failed_limit = flow.options.failures_max + 1;
+            let failed_limit = flow.retries.max_attempts(&held.service);
             let mut budget = RequestBudget::new(Effect::Idempotent, failed_limit, deadline_ms);
             budget.failed = held.failed;
             (held.id, route_request(&held, priority), budget)
--- a/crates/entry/src/flow/retries.rs
+++ b/crates/entry/src/flow/retries.rs
@@ -4,6 +4,7 @@
 
 use base::units::Millisecond;
 use base::{Map, Name};
+use conf::RetryLimits;
 use policy::retry::{self, Cause, Failure, RequestBudget, RetryDecision, ServiceBudget};
 
 /// Backend servers of a service, those that are leaving not counted.
@@ -15,14 +16,37 @@
     pub before: u32,
 }
 
+/// Thousandths of a retry in a percent.
+const MILLI_PER_PERCENT: u64 = 10;
+
+#[derive(Debug, Default)]
+struct ServiceRetries {
+    limits: RetryLimits,
+    budget: ServiceBudget,
+}
+
 /// One budget for each service, shared by all requests at this entry VM.
 #[derive(Debug, Default)]
-pub struct Retries(Mutex<Map<Name, ServiceBudget>>);
+pub struct Retries(Mutex<Map<Name, ServiceRetries>>);
 
 impl Retries {
+    /// Puts a service's configured limits in force.
+    pub fn set_limits(&self, service: &Name, limits: RetryLimits) {
+        self.with(service, |retries| {
+            retries.limits = limits;
+            let percent = u64::from(limits.budget_percent);
+            retries.budget.set_deposit(percent * MILLI_PER_PERCENT);
+        });
+    }
+
+    /// Attempts for one request of a service, the first included.
+    pub fn max_attempts(&self, service: &Name) -> u32 {
+        self.with(service, |retries| retries.limits.max_attempts)
+    }
+
     /// Counts the first attempt of a request.
     pub fn first_attempt(&self, service: &Name) {
-        self.with(service, ServiceBudget::first_attempt);
+        self.with(service, |retries| retries.budget.first_attempt());
     }
 
     /// Decides what follows a failed attempt.
@@ -35,7 +59,8 @@
         now_ms: Millisecond,
     ) -> RetryDecision {
         let mut rng = rand::rng();
-        self.with(service, |budget| {
+        self.with(service, |retries| {
+            let budget = &mut retries.budget;
             if failure.cause == Cause::ServerLost {
                 budget.server_lost(1, survivors.left, survivors.before, now_ms);
             }
@@ -43,7 +68,7 @@
         })
     }
 
-    fn with<T>(&self, service: &Name, act: impl FnOnce(&mut ServiceBudget) -> T) -> T {
+    fn with<T>(&self, service: &Name, act: impl FnOnce(&mut ServiceRetries) -> T) -> T {
         let mut budgets = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         act(budgets.entry(service.clone()).or_default())
     }
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -103,6 +103,7 @@
             return;
         };
         self.set_shares(&config);
+        self.set_retries(&config);
         self.config.send_replace(Some(InForce {
             version: document.version,
             config: Arc::new(config),
@@ -111,6 +112,12 @@
         self.standing.life.apply(LifeEvent::ConfigInForce);
     }
 
+    fn set_retries(&self, config: &Config) {
+        for (name, service) in &config.services {
+            self.flow.retries.set_limits(name, service.retry);
+        }
+    }
+
     fn set_shares(&self, config: &Config) {
         let mut shares = Map::default();
         for service in config.services.keys() {
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -18,7 +18,8 @@
     cap_ms: 1_000,
 };
 
-/// Thousandths of a retry that a first attempt adds to its service's budget.
+/// Thousandths of a retry that a first attempt adds to its service's budget, where nothing else is
+/// configured.
 pub const DEPOSIT_MILLI: u64 = 60;
 
 /// Thousandths of a retry that a service's budget holds at most.
@@ -106,6 +107,7 @@
 /// Retries that a service may still cause at this entry VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServiceBudget {
+    deposit_milli: u64,
     earned_milli: u64,
     granted_milli: u64,
     grant_end_ms: Millisecond,
@@ -114,6 +116,7 @@
 impl Default for ServiceBudget {
     fn default() -> Self {
         Self {
+            deposit_milli: DEPOSIT_MILLI,
             earned_milli: BUDGET_CAP_MILLI,
             granted_milli: 0,
             grant_end_ms: 0,
@@ -122,9 +125,17 @@
 }
 
 impl ServiceBudget {
+    /// Sets the retries that a first attempt adds, in thousandths; with 0 none is ever earned.
+    pub fn set_deposit(&mut self, deposit_milli: u64) {
+        self.deposit_milli = deposit_milli;
+        if deposit_milli == 0 {
+            self.earned_milli = 0;
+        }
+    }
+
     /// Counts the first attempt of a request.
     pub fn first_attempt(&mut self) {
-        self.earned_milli = BUDGET_CAP_MILLI.min(self.earned_milli + DEPOSIT_MILLI);
+        self.earned_milli = BUDGET_CAP_MILLI.min(self.earned_milli + self.deposit_milli);
     }
 
     /// Grants one retry to each request that was on a lost backend server, to be used soon, if at
