Settings: routing policy and its weights, number of serving threads

Cause: the policies could not be compared over real daemons, nor one daemon measured on one thread. The example states the defaults and the test compares them; a bad policy name and zero threads are refused with key and mend (both cases seen failing before the schema had the keys).

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -3,6 +3,7 @@
 mod check;
 
 use std::net::SocketAddr;
+use std::num::NonZeroU64;
 use std::path::{Path, PathBuf};
 
 use base::Name;
@@ -10,7 +11,10 @@
 use base::units::{ByteCount, Millisecond};
 use snafu::{ResultExt, Snafu};
 
-pub use crate::settings_document::{LogSectionFormat as LogFormat, LogSectionLevel as LogLevel};
+pub use crate::settings_document::{
+    LogSectionFormat as LogFormat, LogSectionLevel as LogLevel, RoutingSection as Routing,
+    RoutingSectionPolicy as RoutingPolicy,
+};
 
 use crate::fault::Fault;
 use crate::schema;
@@ -31,6 +35,8 @@
     pub limits: Limits,
     /// Time limits.
     pub timeouts: Timeouts,
+    /// Choice of backend servers.
+    pub routing: Routing,
     /// Least severe level that is logged.
     pub log_level: LogLevel,
     /// Shape of log lines.
@@ -46,6 +52,8 @@
     pub failure_domain: Name,
     /// Processor cores of the VM; its weight among entry VMs.
     pub cores: f64,
+    /// Threads that serve; as many as the VM has cores where absent.
+    pub worker_threads: Option<NonZeroU64>,
 }
 
 /// Where a daemon listens; port 0 takes a free port.
@@ -202,6 +210,7 @@
             name: Name::from(document.node.name.as_str()),
             failure_domain: Name::from(document.node.failure_domain.as_str()),
             cores: document.node.cores,
+            worker_threads: document.node.worker_threads,
         },
         listen: checked.listen,
         platform: Platform {
@@ -214,6 +223,7 @@
         },
         limits: limits(&document.limits.unwrap_or_default()),
         timeouts: timeouts(&document.timeouts.unwrap_or_default()),
+        routing: document.routing.unwrap_or_default(),
         log_level: log.level,
         log_format: log.format,
     }
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -22,6 +22,7 @@
     let short = parse(head).expect("valid");
     assert_eq!(full.limits, short.limits);
     assert_eq!(full.timeouts, short.timeouts);
+    assert_eq!(full.routing, short.routing);
     assert_eq!(full.log_level, short.log_level);
     assert_eq!(full.log_format, short.log_format);
     assert_eq!(full.node.cores, 4.0);
@@ -44,6 +45,8 @@
 #[test_case("secret = \"replace-this-demo-secret\"", "", "peers: The peers' secret is not given exactly once."; "no secret")]
 #[test_case("secret = \"replace-this-demo-secret\"", "secret = \"short\"", "peers.secret: The peers' secret is too short."; "short secret")]
 #[test_case("level = \"info\"", "level = \"loud\"", "log.level: The value \"loud\" is not one of the choices."; "unknown level")]
+#[test_case("policy = \"cost\"", "policy = \"best\"", "routing.policy: The value \"best\" is not one of the choices."; "unknown routing policy")]
+#[test_case("cores = 4", "cores = 4\nworker_threads = 0", "node.worker_threads: The value 0 is too small."; "no threads")]
 #[test_case("[node]", "[node", "The file is not TOML"; "malformed")]
 fn fault_names_file_key_and_mend(part: &str, faulty: &str, expected: &str) {
     assert!(EXAMPLE.contains(part));
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -8,14 +8,14 @@
 use base::Name;
 use base::units::Millisecond;
 use chart::Chart;
-use conf::settings::{LogFormat, Settings, SettingsError};
+use conf::settings::{LogFormat, RoutingPolicy, Settings, SettingsError};
 use engine::{HttpBackend, HttpBackendOptions};
 use events::{Code, Format, LogError, Logger};
 use fleet::timing::Timing;
 use fleet::{Fleet, FleetError, FleetOptions};
 use ledger::Ledger;
 use platform::http::{Endpoint, HttpObjects, HttpTable, HttpVms};
-use policy::route::{RouteStateConfig, Routing};
+use policy::route::{RouteStateConfig, Routing, Weights};
 use rand::Rng;
 use serde::Serialize;
 use snafu::{ResultExt, Snafu};
@@ -109,7 +109,7 @@
         LogFormat::Json => Format::Json,
     };
     let logger = Logger::open(&settings.log_level.to_string(), format).context(LogSnafu)?;
-    let runtime = tokio::runtime::Runtime::new().context(RuntimeSnafu)?;
+    let runtime = open_runtime(&settings).context(RuntimeSnafu)?;
     let result = runtime.block_on(async {
         let daemon = Daemon::spawn(settings).await?;
         println!(
@@ -126,6 +126,14 @@
     result
 }
 
+fn open_runtime(settings: &Settings) -> std::io::Result<tokio::runtime::Runtime> {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    if let Some(threads) = settings.node.worker_threads {
+        builder.worker_threads(threads.get() as usize);
+    }
+    builder.enable_all().build()
+}
+
 /// A running daemon.
 pub struct Daemon {
     callers: Server,
@@ -245,11 +253,17 @@
         ..HttpBackendOptions::default()
     });
     let seed = rand::rng().random();
-    let routing = RouteStateConfig::default();
+    let routing = RouteStateConfig {
+        weights: Weights {
+            recompute_ms_per_token: settings.routing.recompute_ms_per_token,
+            ms_per_cent: settings.routing.ms_per_cent as f64,
+        },
+        ..RouteStateConfig::default()
+    };
     let chart = Chart::parse(include_str!("../charts/request.toml"));
     Arc::new(Flow {
         backend: Arc::new(backend),
-        backends: Backends::open(Routing::default(), routing, clock, seed),
+        backends: Backends::open(routing_of(settings.routing.policy), routing, clock, seed),
         store: Store::open(StoreOptions::default()),
         chart: chart.expect("the built-in request chart is valid"),
         clock,
@@ -258,6 +272,16 @@
     })
 }
 
+fn routing_of(policy: RoutingPolicy) -> Routing {
+    match policy {
+        RoutingPolicy::Random => Routing::Random,
+        RoutingPolicy::RoundRobin => Routing::RoundRobin,
+        RoutingPolicy::LeastOutstanding => Routing::LeastOutstanding,
+        RoutingPolicy::PrefixHash => Routing::PrefixHash,
+        RoutingPolicy::Cost => Routing::Cost,
+    }
+}
+
 fn endpoint(settings: &Settings) -> Result<Endpoint, DaemonError> {
     let url = &settings.platform.url;
     let address = url
