--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -255,7 +255,7 @@
     let seed = rand::rng().random();
     let routing = RouteStateConfig {
         weights: Weights {
-            recompute_ms_per_token: settings.routing.recompute_ms_per_token,
+            recompute_ms_per_token: settings.routing.recompute_us_per_token as f64 / 1_000.0,
             ms_per_cent: settings.routing.ms_per_cent as f64,
         },
         ..RouteStateConfig::default()
