--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Measurements: slopes of the decisions, and figures of the running daemon.
 
+mod load;
 mod slope;
 
 use bpaf::Bpaf;
@@ -17,10 +18,14 @@
         #[bpaf(external(slope::subject))]
         subject: slope::Subject,
     },
+    /// A named load over real daemons
+    #[bpaf(command)]
+    Load(#[bpaf(external(load::options))] load::Options),
 }
 
 fn main() {
     match command().run() {
         Command::Slope { seed, subject } => slope::run(subject, seed),
+        Command::Load(options) => load::run(&options),
     }
 }
