--- a/crates/entry/src/flow/live.rs
+++ b/crates/entry/src/flow/live.rs
@@ -4,6 +4,7 @@
 use engine::stream::ChunkStream;
 use policy::route::{self, RouteRequest};
 
+use super::leaving::Pace;
 use super::suspicion::OnServer;
 use crate::backends::Flight;
 
@@ -15,6 +16,7 @@
     pub(super) finish_reason: Option<String>,
     pub(super) tokens_before: u64,
     pub(super) got_token: bool,
+    pub(super) pace: Pace,
 }
 
 pub(super) fn choice_text(choice: &mut Choice) -> String {
