--- a/crates/bench/src/slope/fleet.rs
+++ b/crates/bench/src/slope/fleet.rs
@@ -8,11 +8,13 @@
 use std::time::Instant;
 
 use base::Name;
+use base::secret::key_digest_hex;
 use base::units::Millisecond;
 use fleet::member::Target;
 use fleet::node::{Action, Event, Node};
 use fleet::timing::Timing;
 use fleet::wire::{ConfigDocument, Health, MemberRecord};
+use platform::{Vm, VmRole, VmState};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
@@ -36,6 +38,7 @@
 
 struct Fleet {
     nodes: Vec<Node>,
+    vms: Vec<Vm>,
     queue: BTreeMap<Millisecond, Vec<(usize, Action)>>,
     now_ms: Millisecond,
     traffic: Traffic,
@@ -49,11 +52,12 @@
     let mut bytes = Vec::new();
     let mut busy = Vec::new();
     let mut spread = Vec::new();
+    let mut known = Vec::new();
     let mut memory = Vec::new();
-    for nodes in [6, 25, 75, 150] {
+    for nodes in [6, 50, 200, 400, 800] {
         let before_bytes = resident_bytes();
         let mut fleet = Fleet::start(nodes, seed);
-        fleet.run_until_known();
+        known.push((nodes as f64, fleet.run_until_known() as f64));
         let size = nodes as f64;
         memory.push((
             size,
@@ -67,6 +71,7 @@
         bytes.push((size, fleet.traffic.bytes as f64 / span));
         busy.push((size, fleet.traffic.busy_s * 1e6 / span));
         spread.push((size, fleet.spread_ms() as f64));
+        eprintln!("{nodes} nodes done");
     }
     report("fleet.messages_sent", "nodes", "1/s per node", messages);
     report("fleet.bytes_sent", "nodes", "bytes/s per node", bytes);
@@ -77,6 +82,7 @@
         "ms to the last node",
         spread,
     );
+    report("fleet.all_known", "nodes", "ms from a common start", known);
     report("fleet.memory", "nodes", "bytes per node", memory);
 }
 
@@ -84,6 +90,27 @@
     bytes as f64 / nodes as f64
 }
 
+fn document(version: u64) -> ConfigDocument {
+    let text = format!("{{\"version\":{version}}}{}", " ".repeat(DOCUMENT_BYTES));
+    ConfigDocument {
+        version,
+        digest: key_digest_hex(&text),
+        text: text.into(),
+    }
+}
+
+fn vm(record: &MemberRecord) -> Vm {
+    Vm {
+        id: record.name.clone(),
+        address: record.address,
+        failure_domain: record.failure_domain.clone(),
+        class: Name::from("entry"),
+        role: VmRole::Entry,
+        service: None,
+        state: VmState::Live,
+    }
+}
+
 fn address(number: usize) -> SocketAddr {
     let [_, _, high, low] = (number as u32).to_be_bytes();
     SocketAddr::from(([10, 0, high, low], 7000))
@@ -114,6 +141,7 @@
             nodes.push(Node::new(me, seeds.collect(), timing, 0));
         }
         Self {
+            vms: nodes.iter().map(|n| vm(n.members().me())).collect(),
             nodes,
             queue: BTreeMap::new(),
             now_ms: 0,
@@ -123,14 +151,17 @@
         }
     }
 
-    /// Runs until every node knows every other, and the news of that has been sent.
-    fn run_until_known(&mut self) {
+    /// Runs until every node knows every other, and the news of that has been sent; answers the
+    /// time that the first took.
+    fn run_until_known(&mut self) -> Millisecond {
         const SETTLE_MS: Millisecond = 30_000;
         let count = self.nodes.len();
         while self.nodes.iter().any(|n| n.members().alive_count() < count) {
             self.run_for(1_000);
         }
+        let known_ms = self.now_ms;
         self.run_for(SETTLE_MS);
+        known_ms
     }
 
     fn run_for(&mut self, time_ms: Millisecond) {
@@ -142,15 +173,9 @@
 
     /// Accepts a document at one node; answers the time until the last node has it.
     fn spread_ms(&mut self) -> Millisecond {
-        let text = "x".repeat(DOCUMENT_BYTES);
-        let document = ConfigDocument {
-            version: 1,
-            digest: base::secret::key_digest_hex(&text),
-            text: text.into(),
-        };
         let start_ms = self.now_ms;
-        self.handle(0, Event::ConfigLearned(document));
-        while self.nodes.iter().any(|node| node.config().version() < 1) {
+        self.handle(0, Event::ConfigLearned(document(2)));
+        while self.nodes.iter().any(|node| node.config().version() < 2) {
             self.step();
         }
         self.now_ms - start_ms
@@ -223,9 +248,22 @@
                 self.count(&reply);
                 self.handle(from, Event::SyncAnswered(reply, span));
             }
-            Action::ReadConfig(span) => self.handle(from, Event::ConfigRead(None, span)),
-            Action::ReadList(_) | Action::ReadNotices(..) | Action::Publish | Action::Report(_) => {
+            Action::ReadConfig(span) => {
+                self.handle(from, Event::ConfigRead(Some(document(1)), span));
+            }
+            Action::ReadList(span) => {
+                let list = Event::ListRead(self.vms.clone(), span);
+                self.handle(from, list);
+            }
+            Action::ReadNotices(answered, span) => {
+                let notices = Event::NoticesRead {
+                    answered,
+                    leaving: Vec::new(),
+                    span,
+                };
+                self.handle(from, notices);
             }
+            Action::Publish | Action::Report(_) => {}
         }
     }
 }
