Engine: prompt text in the engine's form

Cause: entry hashed the bare contents, the engine its rendered chat, so no cache event ever matched a block that routing knew; found when refusals and affinity were compared over real daemons.

--- a/crates/engine/src/chat.rs
+++ b/crates/engine/src/chat.rs
@@ -75,9 +75,12 @@
         }
         let mut text = String::new();
         for message in self.messages.iter().flatten() {
+            text.push_str(message["role"].as_str().unwrap_or_default());
+            text.push_str(": ");
             push_content(&mut text, &message["content"]);
             text.push('\n');
         }
+        text.push_str("assistant:");
         text
     }
 
