--- a/crates/entry/src/backends/view.rs
+++ b/crates/entry/src/backends/view.rs
@@ -144,6 +144,15 @@
         Ok(Chosen { flight, decision })
     }
 
+    /// Time to the first token that a request can expect when nothing waits; nothing when no
+    /// backend server can take it.
+    pub fn expected_first_token_ms(&self, request: &RouteRequest) -> Option<Millisecond> {
+        let mut guard = self.lock();
+        let inner = &mut *guard;
+        let (view, local) = (&inner.view, &inner.local);
+        route::expected_first_token_ms(view, request, local, &mut inner.rng).ok()
+    }
+
     /// Replaces the list of backend servers; reports and marks of those that stay are kept.
     pub fn set_known(&self, known: Vec<Known>) {
         let mut inner = self.lock();
--- a/crates/entry/src/flow/live.rs
+++ b/crates/entry/src/flow/live.rs
@@ -1,5 +1,6 @@
 //! One attempt of an answer under way, and what is read off requests and chunks.
 
+use base::units::Millisecond;
 use engine::chat::{Choice, Usage};
 use engine::stream::ChunkStream;
 use policy::route::{self, RouteRequest};
@@ -44,6 +45,15 @@
     }
 }
 
+impl super::Flow {
+    /// Time to the first token of an answer when nothing waits.
+    pub fn expected_first_token_ms(&self, record: &super::Record) -> Millisecond {
+        let request = route_request(record, 0);
+        let expected_ms = self.backends.expected_first_token_ms(&request);
+        expected_ms.unwrap_or(0)
+    }
+}
+
 pub(super) fn route_request(record: &super::Record, priority: u8) -> RouteRequest {
     let prompt = record.request.prompt_text();
     RouteRequest {
--- a/crates/entry/src/front/model.rs
+++ b/crates/entry/src/front/model.rs
@@ -41,9 +41,10 @@
     .await?;
     let completion = parse(call, &body)?;
     let service = model_service(&in_force.config, &completion.model)?;
-    let work = Work::model(workspace, service, &completion);
-    let admitted = front.standing.admit(id, work).await?;
     let record = new_record(id, workspace, service, call, completion);
+    let expected_ms = front.flow.expected_first_token_ms(&record);
+    let work = Work::model(workspace, service, expected_ms);
+    let admitted = front.standing.admit(id, work).await?;
     let delivery = Delivery::of(record.request.stream);
     let shared = front.flow.store.insert(record).map_err(|_| in_use(id))?;
     let mut relay = Relay::open(front.flow.clone(), shared, admitted.priority());
--- a/crates/entry/src/state/work.rs
+++ b/crates/entry/src/state/work.rs
@@ -3,16 +3,9 @@
 use base::Name;
 use base::units::Millisecond;
 use conf::{LatencyTarget, Priority, Service, Workspace};
-use engine::chat::CompletionRequest;
 
 use crate::flow::Record;
 
-/// Prompt tokens that a model engine is assumed to take in a millisecond.
-const PREFILL_TOKENS_PER_MS: u64 = 4;
-
-/// Bytes of prompt text assumed for a token.
-const BYTES_PER_TOKEN: u64 = 5;
-
 /// A request that asks to be started.
 #[derive(Clone, Debug)]
 pub struct Work {
@@ -30,14 +23,17 @@
 
 impl Work {
     /// A completion call.
-    pub fn model(workspace: &Workspace, service: &Service, request: &CompletionRequest) -> Self {
-        let prompt_tokens = request.prompt_text().len() as u64 / BYTES_PER_TOKEN;
+    pub fn model(
+        workspace: &Workspace,
+        service: &Service,
+        expected_first_token_ms: Millisecond,
+    ) -> Self {
         Self {
             workspace: workspace.name.clone(),
             service: service.name.clone(),
             priority: level(workspace.priority),
             first_token_due_in_ms: due_in_ms(service),
-            expected_first_token_ms: prompt_tokens / PREFILL_TOKENS_PER_MS,
+            expected_first_token_ms,
         }
     }
 
--- a/crates/policy/src/route/cost.rs
+++ b/crates/policy/src/route/cost.rs
@@ -72,6 +72,26 @@
     decide(chosen, reason, alternatives)
 }
 
+/// Time to the first token at the candidate where it comes soonest, when nothing waits there.
+pub(super) fn soonest_first_token_ms(
+    candidates: &[Candidate],
+    request: &RouteRequest,
+    local: &RouteState,
+) -> Millisecond {
+    let prior = ServerStats::default();
+    let mut soonest_ms = f64::INFINITY;
+    for candidate in candidates {
+        let stats = local.stats(&candidate.view.server).unwrap_or(&prior);
+        let new_tokens = request
+            .prompt_tokens
+            .saturating_sub(candidate.cached_tokens) as f64;
+        let prefill_ms = new_tokens / stats.prefill_tokens_per_ms.max(0.01);
+        let network_ms = 2.0 * candidate.view.latency_us as f64 / US_PER_MS;
+        soonest_ms = soonest_ms.min(prefill_ms + network_ms);
+    }
+    soonest_ms as Millisecond
+}
+
 fn score<'a>(
     candidate: &'a Candidate<'a>,
     request: &RouteRequest,
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -44,3 +44,15 @@
     };
     Ok(decision)
 }
+
+/// Time to the first token that a request can expect when nothing waits, from what this entry VM
+/// has learned of speeds and caches. `view` must be sorted by server name.
+pub fn expected_first_token_ms(
+    view: &[ServerView],
+    request: &RouteRequest,
+    local: &RouteState,
+    rng: &mut impl Rng,
+) -> Result<Millisecond, NoServer> {
+    let candidates = candidates::select(Routing::Cost, view, request, local, rng)?;
+    Ok(cost::soonest_first_token_ms(&candidates, request, local))
+}
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -4,7 +4,7 @@
 use base::ids::RequestId;
 use policy::route::{
     LoadReport, NoServer, Reason, RouteRequest, RouteState, RouteStateConfig, Routing, ServerState,
-    ServerView, Usage, blocks, choose,
+    ServerView, Usage, blocks, choose, expected_first_token_ms,
 };
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
@@ -208,6 +208,18 @@
     assert!(to_fast >= 38, "{to_fast} of 40 went to the fast server");
 }
 
+#[test]
+fn first_token_is_expected_sooner_where_the_prefix_is_cached() {
+    let view = [server("a", 0, 0), server("b", 0, 0)];
+    let mut local = state();
+    let request = request(&prompt(2_000));
+    let before = expected_first_token_ms(&view, &request, &local, &mut rng()).unwrap();
+    let decision = choose(Routing::Cost, &view, &request, &local, 0, &mut rng()).unwrap();
+    local.on_sent(RequestId::from(1), &request, &decision, 0);
+    let after = expected_first_token_ms(&view, &request, &local, &mut rng()).unwrap();
+    assert_eq!((before, after), (503, 7));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
 
