Reclaim: streams at a leaving server finish, move with their KV cache, or are computed again

Cause: a stream at a leaving server was always computed again elsewhere, unless a fixed decode time said that it would end in time; the plan of policy::reclaim was not carried out. Change: the first stream that hears of a leaving server plans for all of this entry VM's streams there, so that transfers queue and the work is spread; a transfer that fails is a recomputation at the same survivor. One log line (E310) per decision. Ruled out: one plan per stream, which would let all transfers claim the whole link; moving through the entry VM without a bound, so caches over 64 MiB are computed again. Tests: with the transfer step removed, the case "with its cache" fails on the missing export.

--- a/crates/entry/src/backends/view.rs
+++ b/crates/entry/src/backends/view.rs
@@ -8,8 +8,8 @@
 use engine::Target;
 use events::Code;
 use policy::route::{
-    self, CacheEvent, Decision, LoadReport, NoServer, RouteRequest, RouteState, RouteStateConfig,
-    Routing, ServerState, ServerView, Usage,
+    self, BlockHash, CacheEvent, Decision, LoadReport, NoServer, RouteRequest, RouteState,
+    RouteStateConfig, Routing, ServerState, ServerView, Usage,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -57,6 +57,7 @@
     view: Vec<ServerView>,
     servers: Map<Name, Server>,
     local: RouteState,
+    entries: u32,
     rng: SmallRng,
 }
 
@@ -101,6 +102,7 @@
                 view: Vec::new(),
                 servers: Map::default(),
                 local: RouteState::new(config),
+                entries: 1,
                 rng: SmallRng::seed_from_u64(seed),
             })),
         }
@@ -144,6 +146,37 @@
         Ok(Chosen { flight, decision })
     }
 
+    /// Chooses one named server, if it may take the request.
+    pub fn choose_at(
+        &self,
+        id: RequestId,
+        request: &RouteRequest,
+        server: &Name,
+    ) -> Result<Chosen, NoServer> {
+        let mut ask = request.clone();
+        for view in &self.lock().view {
+            if view.server != *server {
+                ask.excluded.push(view.server.clone());
+            }
+        }
+        self.choose(id, &ask)
+    }
+
+    /// Where a server listens.
+    pub fn target(&self, server: &Name) -> Option<Target> {
+        self.lock().servers.get(server).map(|s| s.target.clone())
+    }
+
+    /// Servers believed to hold leading blocks of a prompt, with how many.
+    pub fn holders(&self, blocks: &[BlockHash]) -> Vec<(Name, usize)> {
+        self.lock().local.index().matches(blocks)
+    }
+
+    /// How many entry VMs share the backend servers.
+    pub fn entries(&self) -> u32 {
+        self.lock().entries
+    }
+
     /// Replaces the list of backend servers; reports and marks of those that stay are kept.
     pub fn set_known(&self, known: Vec<Known>) {
         let mut inner = self.lock();
@@ -235,7 +268,9 @@
 
     /// Sets how many entry VMs share the backend servers.
     pub fn set_entries(&self, entries: u32) {
-        self.lock().local.set_entries(entries);
+        let mut inner = self.lock();
+        inner.entries = entries.max(1);
+        inner.local.set_entries(entries);
     }
 
     /// A copy of the view.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -26,7 +26,7 @@
 use crate::backends::{Backends, Poller, PollerOptions};
 use crate::clock::Clock;
 use crate::drain::{self, Draining};
-use crate::flow::{Drain, Flow, FlowOptions, Retries, Store, StoreOptions, Suspicion};
+use crate::flow::{Drain, Flow, FlowOptions, Reclaims, Retries, Store, StoreOptions, Suspicion};
 use crate::follow::Follower;
 use crate::front::{Front, FrontOptions, Server, ServerOptions};
 use crate::metrics::Metrics;
@@ -257,6 +257,7 @@
         backends: Backends::open(Routing::default(), routing, clock, seed),
         retries: Retries::default(),
         suspicion: Suspicion::default(),
+        reclaims: Reclaims::default(),
         store: Store::open(StoreOptions::default()),
         chart: chart.expect("the built-in request chart is valid"),
         clock,
--- a/crates/entry/src/flow/leaving.rs
+++ b/crates/entry/src/flow/leaving.rs
@@ -1,15 +1,25 @@
 //! What a stream does when its backend server is leaving.
 
+use base::Name;
+use base::ids::RequestId;
 use base::outcome::RunState;
 use base::units::Millisecond;
+use events::Code;
+use policy::reclaim::Fate;
+use serde::Serialize;
 
+use super::reclaim::Heard;
 use super::relay::Relay;
+use super::transfer::{Moved, move_kv};
 
 /// Tokens after which an attempt's own pace is believed.
 const PACE_TOKENS_MIN: u64 = 4;
 
 /// Decode time assumed before.
-const TOKEN_MS_ASSUMED: Millisecond = 40;
+const TOKEN_MS_ASSUMED: f64 = 40.0;
+
+/// Part of a leaving server's time that a transfer may take, as a divisor.
+const TRANSFER_DIVISOR: Millisecond = 2;
 
 /// Time between tokens, as one attempt has shown it.
 #[derive(Clone, Copy, Debug, Default)]
@@ -25,39 +35,93 @@
         self.tokens += 1;
     }
 
-    /// Time that `tokens` more will take.
-    pub(super) fn time_for_ms(&self, tokens: u64, now_ms: Millisecond) -> Millisecond {
+    /// Time for one token.
+    fn token_ms(&self, now_ms: Millisecond) -> f64 {
         let Some(first_ms) = self.first_ms.filter(|_| self.tokens >= PACE_TOKENS_MIN) else {
-            return tokens * TOKEN_MS_ASSUMED;
+            return TOKEN_MS_ASSUMED;
         };
-        tokens * (now_ms - first_ms) / (self.tokens - 1)
+        (now_ms - first_ms) as f64 / (self.tokens - 1) as f64
     }
 }
 
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Way {
+    Finish,
+    MoveKv,
+    Recompute,
+}
+
+#[derive(Serialize)]
+struct ReclaimLog<'a> {
+    request: RequestId,
+    server: &'a Name,
+    remaining_ms: Millisecond,
+    way: Way,
+    to: Option<&'a Name>,
+    relayed_tokens: u64,
+}
+
 impl Relay {
-    pub(super) fn server_leaving(&mut self, gone_ms: Millisecond) {
+    /// Finishes where it is, or goes on at another server, with its KV cache where that pays.
+    pub(super) async fn server_leaving(&mut self, gone_ms: Millisecond) {
         let now_ms = self.flow.clock.now_ms();
         let Some(live) = &self.live else {
             return;
         };
-        let server = live.flight.target().id.clone();
-        self.ask.excluded.push(server);
-        if self.finishes_before(gone_ms, now_ms) {
-            return;
-        }
+        let from = live.flight.target().clone();
+        let heard = Heard {
+            id: self.id,
+            server: &from.id,
+            remaining_ms: gone_ms.saturating_sub(now_ms),
+            token_ms: live.pace.token_ms(now_ms),
+        };
+        let fate = self.flow.reclaims.fate(&heard, &self.flow.backends);
+        let remaining_ms = heard.remaining_ms;
+        self.ask.excluded.push(from.id.clone());
+        let (way, to) = match fate {
+            Fate::Finish => {
+                self.log_reclaim(&from.id, remaining_ms, Way::Finish, None);
+                return;
+            }
+            Fate::MoveKv { to } => (self.transfer(&from, &to, remaining_ms).await, Some(to)),
+            Fate::Recompute { to, .. } => (Way::Recompute, Some(to)),
+            Fate::Stay => (Way::Recompute, None),
+        };
+        self.log_reclaim(&from.id, remaining_ms, way, to.as_ref());
+        self.next_server = to;
         self.budget.run_state = self.budget.run_state.after(RunState::Ran);
         self.live = None;
         self.phase.apply("broken");
     }
 
-    fn finishes_before(&self, gone_ms: Millisecond, now_ms: Millisecond) -> bool {
-        let record = self.record.lock();
-        let Some(max_tokens) = record.request.max_tokens else {
-            return false;
+    async fn transfer(
+        &mut self,
+        from: &engine::Target,
+        to: &Name,
+        remaining_ms: Millisecond,
+    ) -> Way {
+        let Some(to) = self.flow.backends.target(to) else {
+            return Way::Recompute;
         };
-        let left = max_tokens.saturating_sub(record.tokens);
-        let margin_ms = self.flow.options.leaving_margin_ms;
-        let pace = self.live.as_ref().map(|live| live.pace).unwrap_or_default();
-        now_ms + pace.time_for_ms(left, now_ms) + margin_ms < gone_ms
+        let limit_ms = remaining_ms / TRANSFER_DIVISOR;
+        match move_kv(&*self.flow.backend, from, &to, self.id, limit_ms).await {
+            Moved::Yes => Way::MoveKv,
+            Moved::No => Way::Recompute,
+        }
+    }
+
+    fn log_reclaim(&self, server: &Name, remaining_ms: Millisecond, way: Way, to: Option<&Name>) {
+        events::emit(
+            Code::ReclaimDecided,
+            &ReclaimLog {
+                request: self.id,
+                server,
+                remaining_ms,
+                way,
+                to,
+                relayed_tokens: self.record.lock().tokens,
+            },
+        );
     }
 }
--- a/crates/entry/src/flow/live.rs
+++ b/crates/entry/src/flow/live.rs
@@ -5,6 +5,7 @@
 use policy::route::{self, RouteRequest};
 
 use super::leaving::Pace;
+use super::reclaim::Listed;
 use super::suspicion::OnServer;
 use crate::backends::Flight;
 
@@ -17,6 +18,7 @@
     pub(super) tokens_before: u64,
     pub(super) got_token: bool,
     pub(super) pace: Pace,
+    pub(super) _listed: Option<Listed>,
 }
 
 pub(super) fn choice_text(choice: &mut Choice) -> String {
--- a/crates/entry/src/flow/mod.rs
+++ b/crates/entry/src/flow/mod.rs
@@ -4,6 +4,7 @@
 mod live;
 mod phase;
 mod reading;
+mod reclaim;
 mod record;
 mod relay;
 mod retries;
@@ -11,8 +12,10 @@
 mod setback;
 mod store;
 mod suspicion;
+mod transfer;
 
 pub use phase::Phase;
+pub use reclaim::Reclaims;
 pub use record::{Progress, Record, SharedRecord};
 pub use relay::{Piece, Relay};
 pub use retries::{Retries, Survivors};
@@ -70,6 +73,8 @@
     pub backend: Arc<dyn Backend>,
     /// The choice among them.
     pub backends: Backends,
+    /// Streams that leave their servers together.
+    pub reclaims: Reclaims,
     /// Retry budgets of the services.
     pub retries: Retries,
     /// Requests that may crash their backend servers.
--- a/crates/entry/src/flow/reading.rs
+++ b/crates/entry/src/flow/reading.rs
@@ -38,7 +38,7 @@
                 None
             }
             Outcome::Leaving(gone_ms) => {
-                self.server_leaving(gone_ms);
+                self.server_leaving(gone_ms).await;
                 None
             }
             Outcome::Drained => {
--- /dev/null
+++ b/crates/entry/src/flow/reclaim.rs
@@ -0,0 +1,172 @@
+//! Carries out `policy::reclaim` for the streams of this entry VM.
+//!
+//! The first stream that hears of a leaving server plans for all of them, so that transfers queue
+//! behind each other and the moved work is spread.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use base::ids::RequestId;
+use base::units::{Millisecond, TokenCount};
+use base::{Map, Name};
+use policy::reclaim::{self, Fate, KvExport, LeavingServer, StreamAtStake, Survivor};
+use policy::route::{BLOCK_TOKENS, RouteRequest, ServerState, ServerView, Weights};
+
+use super::record::SharedRecord;
+use crate::backends::Backends;
+
+/// Tokens whose KV cache an engine is taken to send in a millisecond.
+const EXPORT_TOKENS_PER_MS: f64 = 50.0;
+
+/// Answer length assumed when the caller sets no bound.
+const OUTPUT_TOKENS_ASSUMED: TokenCount = 512;
+
+/// Prompt tokens that an engine is taken to compute in a millisecond.
+const PREFILL_TOKENS_PER_MS: f64 = 4.0;
+
+/// Time that a request is taken to wait at an engine without a free slot.
+const SLOT_WAIT_MS: f64 = 500.0;
+
+struct AtStake {
+    server: Name,
+    record: SharedRecord,
+    ask: RouteRequest,
+}
+
+#[derive(Default)]
+struct Inner {
+    streams: Map<RequestId, AtStake>,
+    fates: Map<RequestId, Fate>,
+}
+
+/// Streams in flight by backend server; clones share them.
+#[derive(Clone, Default)]
+pub struct Reclaims {
+    inner: Arc<Mutex<Inner>>,
+}
+
+/// Takes a stream off the list when dropped.
+pub(super) struct Listed {
+    reclaims: Reclaims,
+    id: RequestId,
+}
+
+impl Drop for Listed {
+    fn drop(&mut self) {
+        let mut inner = self.reclaims.lock();
+        inner.streams.remove(&self.id);
+        inner.fates.remove(&self.id);
+    }
+}
+
+/// What a stream knows when it hears that its server leaves.
+pub(super) struct Heard<'a> {
+    /// The request.
+    pub id: RequestId,
+    /// The leaving server.
+    pub server: &'a Name,
+    /// Time until it is gone.
+    pub remaining_ms: Millisecond,
+    /// Time that it takes for a token.
+    pub token_ms: f64,
+}
+
+impl Reclaims {
+    /// Lists a stream whose answer has begun.
+    pub(super) fn list(&self, server: Name, record: SharedRecord, ask: RouteRequest) -> Listed {
+        let id = record.lock().id;
+        let stake = AtStake {
+            server,
+            record,
+            ask,
+        };
+        self.lock().streams.insert(id, stake);
+        Listed {
+            reclaims: self.clone(),
+            id,
+        }
+    }
+
+    /// What is to become of a stream; plans for all streams of its server if none has yet.
+    pub(super) fn fate(&self, heard: &Heard<'_>, backends: &Backends) -> Fate {
+        let view = backends.view();
+        let entries = backends.entries();
+        let mut inner = self.lock();
+        if let Some(fate) = inner.fates.remove(&heard.id) {
+            return fate;
+        }
+        let leaving = [leaving_server(heard, &view)];
+        let mut streams = Vec::new();
+        for (id, stake) in &inner.streams {
+            if stake.server == *heard.server {
+                streams.push(at_stake(*id, stake, heard.token_ms, backends));
+            }
+        }
+        let survivors = survivors(&view, heard.server, entries);
+        let plans = reclaim::plan(&leaving, &streams, &survivors, &Weights::default());
+        for plan in plans {
+            inner.fates.insert(plan.id, plan.fate);
+        }
+        inner.fates.remove(&heard.id).unwrap_or(Fate::Stay)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn leaving_server(heard: &Heard<'_>, view: &[ServerView]) -> LeavingServer {
+    let known = view.iter().find(|v| v.server == *heard.server);
+    LeavingServer {
+        server: heard.server.clone(),
+        failure_domain: known.map_or_else(|| "".into(), |v| v.failure_domain.clone()),
+        remaining_ms: heard.remaining_ms,
+        export: KvExport::Supported {
+            tokens_per_ms: EXPORT_TOKENS_PER_MS,
+        },
+    }
+}
+
+fn at_stake(id: RequestId, stake: &AtStake, token_ms: f64, backends: &Backends) -> StreamAtStake {
+    let record = stake.record.lock();
+    let bound = record.request.max_tokens.unwrap_or(OUTPUT_TOKENS_ASSUMED);
+    let mut cached_at = Vec::new();
+    for (server, blocks) in backends.holders(&stake.ask.blocks) {
+        cached_at.push((server, blocks as u64 * BLOCK_TOKENS));
+    }
+    StreamAtStake {
+        id,
+        server: stake.server.clone(),
+        priority: stake.ask.priority,
+        prompt_tokens: stake.ask.prompt_tokens,
+        relayed_tokens: record.tokens,
+        expected_tokens: bound.saturating_sub(record.tokens),
+        decode_ms_per_token: token_ms,
+        cached_at,
+    }
+}
+
+/// Survivors of the service, each with this entry VM's part of its free room.
+fn survivors(view: &[ServerView], leaving: &Name, entries: u32) -> Vec<Survivor> {
+    let service = view
+        .iter()
+        .find(|v| v.server == *leaving)
+        .map(|v| v.service.clone());
+    let mut survivors = Vec::new();
+    for one in view {
+        if Some(&one.service) != service.as_ref() || one.state != ServerState::Live {
+            continue;
+        }
+        let load = one.load;
+        let free_slots = load.map_or(0, |l| l.slots.saturating_sub(l.running + l.waiting));
+        let free_kv = load.map_or(0, |l| l.kv_total_tokens.saturating_sub(l.kv_used_tokens));
+        survivors.push(Survivor {
+            server: one.server.clone(),
+            failure_domain: one.failure_domain.clone(),
+            free_slots: free_slots.div_ceil(entries),
+            free_kv_tokens: free_kv,
+            prefill_tokens_per_ms: PREFILL_TOKENS_PER_MS,
+            slot_wait_ms: SLOT_WAIT_MS,
+        });
+    }
+    survivors
+}
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use base::Name;
 use base::ids::RequestId;
 use base::units::Millisecond;
 use chart::Instance;
@@ -59,6 +60,7 @@
     pub(super) live: Option<Live>,
     pub(super) setback: Option<Setback>,
     pub(super) error: Option<CallerError>,
+    pub(super) next_server: Option<Name>,
     pub(super) drain: watch::Receiver<Drain>,
 }
 
@@ -88,6 +90,7 @@
             live: None,
             setback: None,
             error: None,
+            next_server: None,
             drain,
         }
     }
--- a/crates/entry/src/flow/sending.rs
+++ b/crates/entry/src/flow/sending.rs
@@ -42,6 +42,11 @@
             Treatment::Apart => self.ask_apart(),
             Treatment::Refuse => return self.quarantined(),
         };
+        if let Some(to) = self.next_server.take()
+            && let Ok(chosen) = self.flow.backends.choose_at(self.id, &ask, &to)
+        {
+            return self.chosen(chosen);
+        }
         match self.flow.backends.choose(self.id, &ask) {
             Ok(chosen) => self.chosen(chosen),
             Err(error) => self.no_server(&error.to_string()),
@@ -66,6 +71,7 @@
             tokens_before,
             got_token: false,
             pace: Pace::default(),
+            _listed: None,
         });
         self.phase.apply("routed");
     }
@@ -100,6 +106,12 @@
     fn head(&mut self, answer: Answer) {
         if let Some(live) = &mut self.live {
             live.stream = Some(ChunkStream::open(answer.body));
+            let server = live.flight.target().id.clone();
+            let listed = self
+                .flow
+                .reclaims
+                .list(server, self.record.clone(), self.ask.clone());
+            live._listed = Some(listed);
             self.log_resumed();
         }
         self.phase.apply("head");
--- /dev/null
+++ b/crates/entry/src/flow/transfer.rs
@@ -0,0 +1,69 @@
+//! Moves the KV cache of one sequence from a leaving engine to another.
+
+use std::time::Duration;
+
+use base::ids::RequestId;
+use base::units::Millisecond;
+use bytes::Bytes;
+use engine::{Attempt, Backend, Target};
+use http::{HeaderMap, Method, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use serde::Serialize;
+
+/// Largest cache that is passed through an entry VM.
+const KV_MAX_BYTES: usize = 64 << 20;
+
+#[derive(Serialize)]
+struct ExportOrder {
+    request_id: RequestId,
+}
+
+/// Whether a cache arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Moved {
+    /// The other engine holds it.
+    Yes,
+    /// It does not; its tokens are computed again.
+    No,
+}
+
+/// Exports at `from` and imports at `to`, within `limit_ms`.
+pub(super) async fn move_kv(
+    backend: &dyn Backend,
+    from: &Target,
+    to: &Target,
+    request_id: RequestId,
+    limit_ms: Millisecond,
+) -> Moved {
+    let moving = async {
+        let order = serde_json::to_vec(&ExportOrder { request_id }).ok()?;
+        let cache = post(backend, from, "/kv/export", order.into(), limit_ms).await?;
+        post(backend, to, "/kv/import", cache, limit_ms).await
+    };
+    match tokio::time::timeout(Duration::from_millis(limit_ms), moving).await {
+        Ok(Some(_)) => Moved::Yes,
+        Ok(None) | Err(_) => Moved::No,
+    }
+}
+
+async fn post(
+    backend: &dyn Backend,
+    target: &Target,
+    path: &str,
+    body: Bytes,
+    limit_ms: Millisecond,
+) -> Option<Bytes> {
+    let attempt = Attempt {
+        method: Method::POST,
+        path: path.to_owned(),
+        headers: HeaderMap::new(),
+        body,
+        head_timeout_ms: limit_ms,
+    };
+    let answer = backend.send(target, attempt).await.ok()?;
+    if answer.status != StatusCode::OK {
+        return None;
+    }
+    let whole = Limited::new(answer.body, KV_MAX_BYTES).collect().await;
+    whole.ok().map(|body| body.to_bytes())
+}
--- a/crates/entry/tests/relay.rs
+++ b/crates/entry/tests/relay.rs
@@ -5,9 +5,10 @@
 use base::outcome::RunState;
 use entry::flow::{Drain, Piece, Relay};
 use entry::front::ErrorCode;
+use policy::route::LoadReport;
 use support::End::{Broken, NoMarker, NoReason, Silent, Truncated, Whole};
 use support::Script::{Crash, NotSent, Status, Unanswered, Words};
-use support::{Bench, Script, read_all};
+use support::{Bench, Kv, Script, read_all};
 use test_case::test_case;
 
 const HEAD: &[&str] = &["a", "b"];
@@ -187,3 +188,62 @@
     let (text, _) = read_all(&mut bench.relay_of(1, "harmless")).await;
     assert_eq!(text, "abcd");
 }
+
+/// Two tokens are relayed, then the server gets notice.
+async fn reclaim(bench: &Bench, max_tokens: u64, remaining_ms: u64) -> (String, Piece) {
+    for server in 0..3 {
+        let load = LoadReport {
+            running: 0,
+            waiting: 0,
+            kv_used_tokens: 0,
+            kv_total_tokens: 1_000_000,
+            tokens_per_s: 0.0,
+            slots: 8,
+            age_ms: 0,
+        };
+        let server = format!("runner-{server}");
+        bench.flow.backends.set_load(&server, Some(load), 0);
+    }
+    let prompt = "a line of the ledger ".repeat(2_000);
+    let mut relay = bench.relay_for(&prompt, Some(max_tokens));
+    relay.next().await;
+    relay.next().await;
+    let server = bench.backend.attempts()[0].0.id.clone();
+    let gone_ms = bench.flow.clock.now_ms() + remaining_ms;
+    bench.flow.backends.set_leaving(&server, gone_ms);
+    read_all(&mut relay).await
+}
+
+#[test_case(Kv::Moves; "with its cache")]
+#[test_case(Kv::Unsupported; "by computing it again")]
+#[tokio::test(start_paused = true)]
+async fn a_long_stream_goes_on_at_a_survivor(kv: Kv) {
+    let bench = Bench::open(3, &[Words(HEAD, Silent), Words(TAIL, Whole)]);
+    bench.backend.set_kv(kv);
+    let (text, last) = reclaim(&bench, 4_000, 5_000).await;
+    assert_eq!(text, "cd");
+    assert!(matches!(last, Piece::Finish { .. }), "{last:?}");
+    let attempts = bench.backend.attempts();
+    let transfers = bench.backend.transfers();
+    assert_eq!(
+        transfers[0],
+        (attempts[0].0.id.clone(), "/kv/export".to_owned())
+    );
+    match kv {
+        Kv::Moves => assert_eq!(
+            transfers[1],
+            (attempts[1].0.id.clone(), "/kv/import".to_owned())
+        ),
+        Kv::Unsupported => assert_eq!(transfers.len(), 1),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_short_stream_finishes_where_it_is() {
+    let bench = Bench::open(3, &[Words(ALL, Whole)]);
+    let (text, last) = reclaim(&bench, 4, 5_000).await;
+    assert_eq!(text, "cd");
+    assert!(matches!(last, Piece::Finish { .. }), "{last:?}");
+    assert_eq!(bench.backend.attempts().len(), 1);
+    assert!(bench.backend.transfers().is_empty());
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 use async_trait::async_trait;
+use base::Name;
 use base::ids::RequestId;
 use bytes::Bytes;
 use chart::Chart;
@@ -12,8 +13,8 @@
 use entry::backends::{Backends, Known, Leaving, Reporting};
 use entry::clock::Clock;
 use entry::flow::{
-    Drain, Flow, FlowOptions, Piece, Progress, Record, Relay, Retries, Store, StoreOptions,
-    Suspicion,
+    Drain, Flow, FlowOptions, Piece, Progress, Reclaims, Record, Relay, Retries, Store,
+    StoreOptions, Suspicion,
 };
 use futures_util::{StreamExt, stream};
 use http::{HeaderMap, StatusCode};
@@ -60,9 +61,41 @@
     scripts: Mutex<VecDeque<Script>>,
     attempts: Mutex<Vec<(Target, serde_json::Value)>>,
     gone: Mutex<Vec<Target>>,
+    transfers: Mutex<Vec<(Name, String)>>,
+    kv: Mutex<Kv>,
+}
+
+/// Whether the engines export and import KV cache.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Kv {
+    /// They do.
+    #[default]
+    Moves,
+    /// They answer 404.
+    Unsupported,
 }
 
 impl FakeBackend {
+    /// Exports and imports: the server and the path, in order.
+    pub fn transfers(&self) -> Vec<(Name, String)> {
+        self.transfers.lock().expect("not poisoned").clone()
+    }
+
+    /// Sets what engines do when asked for a KV cache.
+    pub fn set_kv(&self, kv: Kv) {
+        *self.kv.lock().expect("not poisoned") = kv;
+    }
+
+    fn transfer(&self, target: &Target, path: &str) -> Answer {
+        let mut transfers = self.transfers.lock().expect("not poisoned");
+        transfers.push((target.id.clone(), path.to_owned()));
+        let status = match *self.kv.lock().expect("not poisoned") {
+            Kv::Moves => 200,
+            Kv::Unsupported => 404,
+        };
+        answer(status, vec![Ok(Bytes::from("cache"))], false)
+    }
+
     fn health(&self, target: &Target) -> Result<Answer, SendError> {
         if self.gone.lock().expect("not poisoned").contains(target) {
             let reason = "gone".to_owned();
@@ -83,6 +116,9 @@
         if attempt.path == "/healthz" {
             return self.health(target);
         }
+        if attempt.path.starts_with("/kv/") {
+            return Ok(self.transfer(target, &attempt.path));
+        }
         let body = serde_json::from_slice(&attempt.body).unwrap_or_default();
         self.attempts
             .lock()
@@ -164,6 +200,7 @@
             backends,
             retries: Retries::default(),
             suspicion: Suspicion::default(),
+            reclaims: Reclaims::default(),
             store: Store::open(StoreOptions::default()),
             chart: chart.expect("valid chart"),
             clock,
@@ -179,7 +216,7 @@
 
     /// Accepts a request with another number and prompt.
     pub fn relay_of(&self, number: u128, prompt: &str) -> Relay {
-        let mut record = record(Some(16));
+        let mut record = record("a ledger", Some(16));
         record.id = RequestId::from(number);
         record.request.messages =
             Some(vec![serde_json::json!({"role": "user", "content": prompt})]);
@@ -189,10 +226,15 @@
 
     /// Accepts a request for at most `max_tokens`.
     pub fn relay(&self, max_tokens: Option<u64>) -> Relay {
+        self.relay_for("a ledger", max_tokens)
+    }
+
+    /// Accepts a request with that prompt.
+    pub fn relay_for(&self, prompt: &str, max_tokens: Option<u64>) -> Relay {
         let record = self
             .flow
             .store
-            .insert(record(max_tokens))
+            .insert(record(prompt, max_tokens))
             .expect("a new number");
         Relay::open(self.flow.clone(), record, 0)
     }
@@ -213,10 +255,10 @@
     }
 }
 
-fn record(max_tokens: Option<u64>) -> Record {
+fn record(prompt: &str, max_tokens: Option<u64>) -> Record {
     let body = serde_json::json!({
         "model": "drafting", "max_tokens": max_tokens, "stream": true,
-        "messages": [{"role": "user", "content": "a ledger"}],
+        "messages": [{"role": "user", "content": prompt}],
     });
     let request: CompletionRequest = serde_json::from_value(body).expect("valid request");
     Record {
