--- a/crates/bench/src/load/deploy.rs
+++ b/crates/bench/src/load/deploy.rs
@@ -161,7 +161,7 @@
         let seeds: Vec<String> = self.peers.iter().map(|peer| peer.to_string()).collect();
         let cores = ENTRY_CORES[number];
         let settings = format!(
-            "[node]\nname = \"{vm}\"\nfailure_domain = \"{}\"\ncores = {cores}\nworker_threads = {cores}\n\
+            "[node]\nname = \"{vm}\"\nfailure_domain = \"{}\"\ncores = {cores}\n\
              [listen]\ncallers = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
              [platform]\nurl = \"http://{}\"\nbucket = \"apricotledge\"\n\
              [peers]\nsecret = \"{SECRET}\"\nseeds = {seeds:?}\n\
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -3,7 +3,6 @@
 mod check;
 
 use std::net::SocketAddr;
-use std::num::NonZeroU64;
 use std::path::{Path, PathBuf};
 
 use base::Name;
@@ -50,10 +49,8 @@
     pub name: Name,
     /// The failure domain the VM stands in.
     pub failure_domain: Name,
-    /// Processor cores of the VM; its weight among entry VMs.
+    /// Processor cores of the VM; the daemon runs as many threads, rounded up.
     pub cores: f64,
-    /// Threads that serve; as many as the VM has cores where absent.
-    pub worker_threads: Option<NonZeroU64>,
 }
 
 /// Where a daemon listens; port 0 takes a free port.
@@ -210,7 +207,6 @@
             name: Name::from(document.node.name.as_str()),
             failure_domain: Name::from(document.node.failure_domain.as_str()),
             cores: document.node.cores,
-            worker_threads: document.node.worker_threads,
         },
         listen: checked.listen,
         platform: Platform {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -26,7 +26,7 @@
 use crate::backends::{Backends, Poller, PollerOptions};
 use crate::clock::Clock;
 use crate::drain::{self, Draining};
-use crate::flow::{Drain, Flow, FlowOptions, Retries, Store, StoreOptions, Suspicion};
+use crate::flow::{Drain, Flow, FlowOptions, Reclaims, Retries, Store, StoreOptions, Suspicion};
 use crate::follow::Follower;
 use crate::front::{Front, FrontOptions, Server, ServerOptions};
 use crate::metrics::Metrics;
@@ -109,7 +109,11 @@
         LogFormat::Json => Format::Json,
     };
     let logger = Logger::open(&settings.log_level.to_string(), format).context(LogSnafu)?;
-    let runtime = open_runtime(&settings).context(RuntimeSnafu)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(worker_threads(&settings))
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
     let result = runtime.block_on(async {
         let daemon = Daemon::spawn(settings).await?;
         println!(
@@ -126,14 +130,6 @@
     result
 }
 
-fn open_runtime(settings: &Settings) -> std::io::Result<tokio::runtime::Runtime> {
-    let mut builder = tokio::runtime::Builder::new_multi_thread();
-    if let Some(threads) = settings.node.worker_threads {
-        builder.worker_threads(threads.get() as usize);
-    }
-    builder.enable_all().build()
-}
-
 /// A running daemon.
 pub struct Daemon {
     callers: Server,
@@ -271,6 +267,7 @@
         backends: Backends::open(routing_of(settings.routing.policy), routing, clock, seed),
         retries: Retries::default(),
         suspicion: Suspicion::default(),
+        reclaims: Reclaims::default(),
         store: Store::open(StoreOptions::default()),
         chart: chart.expect("the built-in request chart is valid"),
         clock,
@@ -334,6 +331,7 @@
     ServerOptions {
         head_timeout_ms: settings.timeouts.header_read_ms,
         max_head_bytes: settings.limits.max_header_bytes as usize,
+        stall_timeout_ms: settings.timeouts.caller_stall_ms,
     }
 }
 
@@ -386,3 +384,8 @@
         .await
         .context(ListenSnafu { key, address })
 }
+
+/// One thread for each core of the VM, which may be less than the machine shows.
+fn worker_threads(settings: &Settings) -> usize {
+    settings.node.cores.ceil() as usize
+}
