--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -33,6 +33,7 @@
 use crate::options::{Action, Options};
 use crate::peers::Peers;
 use crate::state::{Gate, Life, Standing};
+use crate::sweep;
 use crate::takeover::Takeover;
 
 /// Name of the platform's table that holds all rows.
@@ -181,7 +182,11 @@
             flow: flow.clone(),
             config,
         };
-        let tasks = vec![tokio::spawn(follower.run()), standing.gate.spawn_ticks()];
+        let tasks = vec![
+            tokio::spawn(follower.run()),
+            standing.gate.spawn_ticks(),
+            sweep::spawn(ledger.clone(), standing.clone()),
+        ];
         let poller = Poller::spawn(
             flow.backend.clone(),
             flow.backends.clone(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod passage;
 pub mod peers;
 pub mod state;
+pub mod sweep;
 pub mod takeover;
--- /dev/null
+++ b/crates/entry/src/sweep.rs
@@ -0,0 +1,67 @@
+//! End of retention of non-idempotent calls' answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Name;
+use base::units::Millisecond;
+use events::Code;
+use ledger::Ledger;
+use rand::Rng;
+use serde::Serialize;
+use tokio::task::JoinHandle;
+
+use crate::state::Standing;
+
+/// Days for which the answer to a non-idempotent call is kept; its record stays.
+pub const KEPT_DAYS: u32 = 30;
+
+/// Bounds of the time between two sweeps of one entry VM.
+const PERIOD_MS: std::ops::Range<Millisecond> = 3_600_000..7_200_000;
+
+/// Pause between two pages, which keeps the sweep a small share of the store's writes.
+const PAGE_PAUSE_MS: Millisecond = 5_000;
+
+#[derive(Serialize)]
+struct SweptLog<'a> {
+    workspace: &'a str,
+    dropped: u32,
+}
+
+/// Sweeps all workspaces now and then, until aborted. Entry VMs need not agree on who does.
+pub fn spawn(ledger: Ledger, standing: Arc<Standing>) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        loop {
+            let period_ms = rand::rng().random_range(PERIOD_MS);
+            tokio::time::sleep(Duration::from_millis(period_ms)).await;
+            for workspace in workspaces(&standing) {
+                sweep(&ledger, &workspace).await;
+            }
+        }
+    })
+}
+
+fn workspaces(standing: &Standing) -> Vec<Name> {
+    let in_force = standing.config.borrow();
+    let Some(in_force) = &*in_force else {
+        return Vec::new();
+    };
+    in_force.config.workspaces.keys().cloned().collect()
+}
+
+/// Sweeps one workspace; a page that the store refuses ends it until the next time.
+async fn sweep(ledger: &Ledger, workspace: &str) {
+    let mut after = String::new();
+    let mut dropped = 0;
+    while let Ok(page) = ledger.sweep_page(workspace, &after, KEPT_DAYS).await {
+        dropped += page.dropped;
+        let Some(next) = page.next else {
+            break;
+        };
+        after = next;
+        tokio::time::sleep(Duration::from_millis(PAGE_PAUSE_MS)).await;
+    }
+    if dropped > 0 {
+        events::emit(Code::LedgerSwept, &SweptLog { workspace, dropped });
+    }
+}
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -93,6 +93,7 @@
     LedgerOutcomeDropped = 603, "ledger.outcome_dropped", Error, "Too many outcomes wait for the table service; this one is not recorded, and its key stays closed.";
     LedgerOutcomeLost = 604, "ledger.outcome_lost", Error, "The record of a call that ran belongs to another call; someone changed the row.";
     LedgerRecordDamaged = 605, "ledger.record_damaged", Error, "A record cannot be read; calls with its key are answered as unknown.";
+    LedgerSwept = 606, "ledger.swept", Info, "Answers older than their retention were dropped; their keys stay closed.";
 
     PlacementDecided = 700, "placement.decided", Info, "VMs were bought, returned or given a new role; fields give the reason and the alternatives.";
 }
--- a/crates/ledger/tests/faults.rs
+++ b/crates/ledger/tests/faults.rs
@@ -287,6 +287,9 @@
     table.overwrite(&row, &old.encode());
     assert_eq!(ledger.sweep_page("coop", "", 30).await.unwrap().dropped, 1);
     assert_eq!(name(&ask(&ledger, 3).await), "expired");
+    let kept_bytes = table.record(&row).unwrap().encode().len();
+    println!("a record without its result has {kept_bytes} bytes");
+    assert!(kept_bytes <= 256);
 }
 
 #[tokio::test(start_paused = true)]
