--- a/crates/bench/src/load/work.rs
+++ b/crates/bench/src/load/work.rs
@@ -61,13 +61,12 @@
 pub fn draw(user: User, scenario: Scenario, seconds: u64, seed: u64) -> Vec<Request> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let shape = shape(user);
-    let documents: Vec<Vec<String>> = (0..WORKSPACE_ODDS.len())
-        .map(|_| {
-            (0..shape.documents)
-                .map(|_| document(&shape, &mut rng))
-                .collect()
-        })
-        .collect();
+    let mut documents = Vec::with_capacity(WORKSPACE_ODDS.len());
+    for _ in WORKSPACE_ODDS {
+        let preamble = words(shape.preamble_words, &mut rng);
+        let of_workspace = (0..shape.documents).map(|_| document(&shape, &preamble, &mut rng));
+        documents.push(of_workspace.collect::<Vec<String>>());
+    }
     let rate_per_s = match scenario {
         Scenario::Overload => shape.overload_per_s,
         Scenario::Calm | Scenario::Reclaimed => shape.overload_per_s * CALM_PART,
@@ -93,10 +92,9 @@
 }
 
 /// A document after the workspace's preamble, which its documents share.
-fn document(shape: &Shape, rng: &mut SmallRng) -> String {
-    let preamble: Vec<String> = (0..shape.preamble_words).map(|n| format!("p{n}")).collect();
+fn document(shape: &Shape, preamble: &str, rng: &mut SmallRng) -> String {
     let length = rng.random_range(shape.document_words.clone());
-    format!("{} {}", preamble.join(" "), words(length, rng))
+    format!("{preamble} {}", words(length, rng))
 }
 
 fn words(count: usize, rng: &mut SmallRng) -> String {
