--- a/crates/ledger/tests/scope.rs
+++ b/crates/ledger/tests/scope.rs
@@ -72,3 +72,15 @@
 fn same_call(call: Call, same: bool) {
     assert_eq!(fingerprint(&call) == fingerprint(&CALL), same);
 }
+
+#[test]
+fn an_empty_header_is_not_an_absent_one() {
+    let with = |content_type| {
+        let call = Call {
+            content_type,
+            ..CALL
+        };
+        fingerprint(&call)
+    };
+    assert_ne!(with(None), with(Some("")));
+}
