--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -68,6 +68,7 @@
     RouteNone = 301, "route.none", Warn, "No backend server could take the request.";
     AttemptFailed = 302, "attempt.failed", Warn, "An attempt at a backend server failed; fields say whether it may have run.";
     StreamResumed = 303, "stream.resumed", Info, "A stream goes on at another backend server from the tokens already relayed.";
+    ReclaimDecided = 310, "reclaim.decided", Info, "A stream at a leaving backend server finishes there, moves with its KV cache, or is computed again elsewhere.";
 
     ConfigInForce = 400, "config.in_force", Info, "A configuration version is in force at this daemon.";
     ConfigDecided = 410, "config.decided", Info, "An operator's configuration was accepted or refused by the table; fields give the outcome.";
@@ -92,6 +93,7 @@
     LedgerOutcomeDropped = 603, "ledger.outcome_dropped", Error, "Too many outcomes wait for the table service; this one is not recorded, and its key stays closed.";
     LedgerOutcomeLost = 604, "ledger.outcome_lost", Error, "The record of a call that ran belongs to another call; someone changed the row.";
     LedgerRecordDamaged = 605, "ledger.record_damaged", Error, "A record cannot be read; calls with its key are answered as unknown.";
+    LedgerSwept = 606, "ledger.swept", Info, "Answers older than their retention were dropped; their keys stay closed.";
 
     PlacementDecided = 700, "placement.decided", Info, "VMs were bought, returned or given a new role; fields give the reason and the alternatives.";
 }
