Status: peers that may lag are asked, so that apply sees the end of the spread

Cause: `config apply` named entry VMs as lagging 10 s after a change that all of them had in force within 10 ms (their E400 lines). The daemon's view of its peers is only published when something else in it changes, so the version it had heard stayed unseen. Ruled out: the spread itself, by the logs; publishing the view on each version heard, which grows with the number of nodes. Status now asks the peers that are not known to have the daemon's version.

--- a/crates/entry/src/admin/mod.rs
+++ b/crates/entry/src/admin/mod.rs
@@ -47,7 +47,7 @@
         let path = request.uri().path().to_owned();
         let method = request.method().clone();
         match (&method, path.as_str()) {
-            (&Method::GET, "/admin/status") => json(StatusCode::OK, &status::of(self)),
+            (&Method::GET, "/admin/status") => json(StatusCode::OK, &status::of(self).await),
             (&Method::GET, "/admin/config") => config::show(self),
             (&Method::GET, "/admin/config/history") => config::history(self).await,
             (&Method::POST, "/admin/config") => config::apply(self, &operator, request).await,
--- a/crates/entry/src/admin/status.rs
+++ b/crates/entry/src/admin/status.rs
@@ -6,24 +6,26 @@
 
 use super::Admin;
 
-/// The answer of `GET /admin/status`.
-pub fn of(admin: &Admin) -> Status {
+/// The answer of `GET /admin/status`. Peers not known to have this daemon's configuration are asked.
+pub async fn of(admin: &Admin) -> Status {
     let standing = &admin.standing;
     let in_force = standing.config.borrow().as_ref().map(|c| c.version);
+    let own_version = in_force.unwrap_or(0);
     Status {
         node: standing.node.clone(),
         program_version: env!("CARGO_PKG_VERSION").to_owned(),
-        config_version: in_force.unwrap_or(0),
+        config_version: own_version,
         in_flight: standing.gate.in_flight(),
-        entry_vms: entry_vms(admin, in_force.unwrap_or(0)),
+        entry_vms: entry_vms(admin, own_version).await,
         backend_servers: backend_servers(admin),
     }
 }
 
-fn entry_vms(admin: &Admin, own_version: u64) -> Vec<EntryVm> {
+async fn entry_vms(admin: &Admin, own_version: u64) -> Vec<EntryVm> {
     let Some(fleet) = admin.standing.peers.fleet() else {
         return Vec::new();
     };
+    let lagging = fleet.lagging(own_version).await;
     let view = fleet.view();
     let mut vms = vec![EntryVm {
         name: view.me.name.clone(),
@@ -32,11 +34,13 @@
         config_version: own_version,
     }];
     for member in &view.members {
+        let has_own = is_present(member.record.health) && !lagging.contains(&member.record.name);
+        let known_version = if has_own { own_version } else { 0 };
         vms.push(EntryVm {
             name: member.record.name.clone(),
             incarnation: member.record.incarnation,
             state: node_state(member.record.health),
-            config_version: member.config_version,
+            config_version: member.config_version.max(known_version),
         });
     }
     vms.sort_by(|a, b| a.name.cmp(&b.name));
@@ -64,6 +68,11 @@
     servers
 }
 
+/// Whether a silent peer would be among those that lag.
+fn is_present(health: Health) -> bool {
+    matches!(health, Health::Alive | Health::Suspect)
+}
+
 fn node_state(health: Health) -> NodeState {
     match health {
         Health::Alive => NodeState::Live,
