--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node/mod.rs
@@ -2,108 +2,33 @@
 //!
 //! Every input is an [`Event`]; what has to be done about it comes back as [`Action`]s.
 
+mod event;
+mod news;
+mod reads;
+
+pub use event::{Action, Event, Report};
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use base::units::Millisecond;
 use base::{Map, Name};
-use platform::{Vm, VmRole, VmState};
+use platform::Vm;
 use rand::Rng;
 
-use crate::bulletin::{DemandSamples, Fingerprint, Fingerprints};
+use crate::bulletin::{DemandSamples, Fingerprints};
 use crate::freshness::{Freshness, QUORUM, SyncSpan, TickOutcome};
-use crate::hash;
 use crate::leaving::{Leaving, MARKS_PER_MESSAGE};
 use crate::member::{HealthChange, Membership, Target};
-use crate::spread::{Adoption, Spread};
+use crate::spread::Spread;
 use crate::timing::Timing;
-use crate::wire::{
-    ConfigDocument, Health, Heartbeat, MemberRecord, Part, Push, PushReply, SyncReply, SyncRequest,
-};
+use crate::wire::{Health, Heartbeat, MemberRecord, Part, Push, PushReply, SyncReply, SyncRequest};
 
-/// Peers that news is pushed to at once.
-const PUSH_FANOUT: usize = 4;
-/// Nodes that read the reclaim notice of one backend server.
-const NOTICE_READERS: usize = 2;
 /// Time between two background syncs with a random peer.
 const ANTI_ENTROPY_MS: Millisecond = 10_000;
 /// Shortest time between two syncs that a differing digest causes.
 const DIGEST_SYNC_MS: Millisecond = 400;
 
-/// Input of a node.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// Time has passed; to be given every `Timing::tick_ms`.
-    Tick,
-    /// A peer answered a heartbeat.
-    HeartbeatAnswered(Heartbeat),
-    /// A call to a peer gave no answer.
-    CallFailed(Target),
-    /// A peer answered a push.
-    PushAnswered(Name, PushReply),
-    /// A peer answered a sync that was asked in the span given.
-    SyncAnswered(SyncReply, SyncSpan),
-    /// The store gave its configuration, or has none.
-    ConfigRead(Option<ConfigDocument>, SyncSpan),
-    /// A document was accepted by the store, or seen there.
-    ConfigLearned(ConfigDocument),
-    /// The VM list was read.
-    ListRead(Vec<Vm>, SyncSpan),
-    /// Reclaim notices were read.
-    NoticesRead {
-        /// VMs whose notice, or lack of one, was read.
-        answered: Vec<Name>,
-        /// Those that are under notice.
-        leaving: Vec<Name>,
-        /// The span in which the read was asked for.
-        span: SyncSpan,
-    },
-    /// A backend server is known to leave, by this node's own observation.
-    LeavingSeen(Name),
-    /// A fingerprint was made here.
-    FingerprintMade(Fingerprint),
-    /// This node leaves.
-    Closing,
-}
-
-/// What is to be carried out.
-#[derive(Clone, Debug)]
-pub enum Action {
-    /// Call a peer with a heartbeat.
-    SendHeartbeat(Target, Heartbeat),
-    /// Call a peer with news.
-    SendPush(Name, SocketAddr, Push),
-    /// Ask a peer for what is lacking.
-    SendSync(Name, SocketAddr, SyncRequest, SyncSpan),
-    /// Read the configuration row.
-    ReadConfig(SyncSpan),
-    /// Read the VM list.
-    ReadList(SyncSpan),
-    /// Read the reclaim notices of these VMs, this node's own among them.
-    ReadNotices(Vec<Name>, SyncSpan),
-    /// Something that readers of the view care about has changed.
-    Publish,
-    /// Tell the log.
-    Report(Report),
-}
-
-/// What the log is told.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Report {
-    /// A member's health changed.
-    Health(HealthChange),
-    /// A configuration version is in force.
-    InForce(Arc<ConfigDocument>),
-    /// A backend server is newly marked.
-    Leaving(Name),
-    /// This node was paused.
-    Woke(Millisecond),
-    /// This node may route again.
-    Fresh,
-    /// Nothing answered after a pause.
-    Degraded,
-}
-
 /// State of one node.
 #[derive(Debug)]
 pub struct Node {
@@ -344,65 +269,6 @@
         actions
     }
 
-    fn platform_reads(&self, rng: &mut impl Rng) -> Vec<Action> {
-        let span = self.freshness.span();
-        let mut actions = Vec::new();
-        if self.is_my_turn(self.timing.store_reads_per_s, rng) {
-            actions.push(Action::ReadConfig(span));
-        }
-        if self.is_my_turn(self.timing.list_reads_per_s, rng) {
-            actions.push(Action::ReadList(span));
-        }
-        actions.push(Action::ReadNotices(self.watched(), span));
-        actions
-    }
-
-    fn is_my_turn(&self, fleet_reads_per_s: u32, rng: &mut impl Rng) -> bool {
-        let reads = f64::from(fleet_reads_per_s) * self.timing.heartbeat_ms as f64 / 1_000.0;
-        let share = reads / self.members.alive_count() as f64;
-        rng.random_bool(share.min(1.0))
-    }
-
-    fn watched(&self) -> Vec<Name> {
-        let mut watched = vec![self.members.me().name.clone()];
-        for vm in self.vms.iter() {
-            let live_backend = vm.role == VmRole::Backend && vm.state == VmState::Live;
-            if !live_backend || self.leaving.contains(&vm.id) {
-                continue;
-            }
-            if self.freshness.is_alone() || self.is_reader_of(&vm.id) {
-                watched.push(vm.id.clone());
-            }
-        }
-        watched
-    }
-
-    fn notices_read(
-        &mut self,
-        answered: &[Name],
-        leaving: Vec<Name>,
-        span: SyncSpan,
-        now_ms: Millisecond,
-        rng: &mut impl Rng,
-    ) -> Vec<Action> {
-        let actions = self.mark_all(leaving, now_ms, rng);
-        if self.watched().iter().all(|vm| answered.contains(vm)) {
-            self.freshness
-                .notices_were_read(span, self.members.alive_count() - 1);
-        }
-        actions
-    }
-
-    fn is_reader_of(&self, vm: &str) -> bool {
-        let key = u128::from(hash::stable(vm.as_bytes()));
-        let mine = hash::rendezvous(&self.members.me().name, key);
-        let above = self
-            .members
-            .alive_others()
-            .filter(|other| hash::rendezvous(&other.name, key) > mine);
-        above.take(NOTICE_READERS).count() < NOTICE_READERS
-    }
-
     fn heartbeats(&mut self, rng: &mut impl Rng, now_ms: Millisecond) -> Vec<Action> {
         let mut actions = Vec::new();
         for target in self.members.round(rng) {
@@ -501,108 +367,6 @@
         }
         actions
     }
-
-    fn list_read(
-        &mut self,
-        vms: Vec<Vm>,
-        span: SyncSpan,
-        now_ms: Millisecond,
-        rng: &mut impl Rng,
-    ) -> Vec<Action> {
-        self.members.hint(&vms, now_ms);
-        let leaving = vms
-            .iter()
-            .filter(|vm| vm.role == VmRole::Backend && matches!(vm.state, VmState::Leaving { .. }));
-        let leaving: Vec<Name> = leaving.map(|vm| vm.id.clone()).collect();
-        let mut actions = self.mark_all(leaving, now_ms, rng);
-        let listed = vms.iter().map(|vm| &vm.id);
-        self.leaving
-            .retain_listed(listed, now_ms, self.timing.forget_ms);
-        if *self.vms != *vms {
-            self.vms = vms.into();
-            actions.push(Action::Publish);
-        }
-        self.freshness
-            .list_was_read(span, self.members.alive_count() - 1);
-        actions
-    }
-
-    fn mark_all(
-        &mut self,
-        vms: impl IntoIterator<Item = Name>,
-        now_ms: Millisecond,
-        rng: &mut impl Rng,
-    ) -> Vec<Action> {
-        let mut news = Vec::new();
-        for vm in vms {
-            if self.leaving.mark(&vm, now_ms) {
-                news.push(vm);
-            }
-        }
-        if news.is_empty() {
-            return Vec::new();
-        }
-        let mut actions = vec![Action::Publish];
-        for vm in &news {
-            actions.push(Action::Report(Report::Leaving(vm.clone())));
-        }
-        for page in news.chunks(MARKS_PER_MESSAGE) {
-            actions.extend(self.push(page.to_vec(), Vec::new(), rng));
-        }
-        actions
-    }
-
-    fn add_fingerprints(&mut self, offered: Vec<Fingerprint>, rng: &mut impl Rng) -> Vec<Action> {
-        let mut news = Vec::new();
-        for fingerprint in offered {
-            if self.fingerprints.add(fingerprint.clone()) {
-                news.push(fingerprint);
-            }
-        }
-        if news.is_empty() {
-            return Vec::new();
-        }
-        let mut actions = self.push(Vec::new(), news, rng);
-        actions.push(Action::Publish);
-        actions
-    }
-
-    fn adopt(&mut self, document: ConfigDocument, rng: &mut impl Rng) -> Vec<Action> {
-        let adoption = self.config.adopt(document);
-        self.adopted(adoption, rng)
-    }
-
-    fn adopted(&mut self, adoption: Adoption, rng: &mut impl Rng) -> Vec<Action> {
-        let Some(document) = self.config.current().cloned() else {
-            return Vec::new();
-        };
-        if adoption != Adoption::Adopted {
-            return Vec::new();
-        }
-        let mut actions = self.push(Vec::new(), Vec::new(), rng);
-        actions.push(Action::Publish);
-        actions.push(Action::Report(Report::InForce(document)));
-        actions
-    }
-
-    fn push(
-        &self,
-        leaving: Vec<Name>,
-        fingerprints: Vec<Fingerprint>,
-        rng: &mut impl Rng,
-    ) -> Vec<Action> {
-        let push = Push {
-            from: self.members.me().clone(),
-            config_version: self.config.version(),
-            leaving,
-            fingerprints,
-        };
-        let peers = self.members.sample(PUSH_FANOUT, rng);
-        let sends = peers
-            .into_iter()
-            .map(|(name, address)| Action::SendPush(name, address, push.clone()));
-        sends.collect()
-    }
 }
 
 fn report_health(change: Option<HealthChange>) -> Vec<Action> {
--- /dev/null
+++ b/crates/fleet/src/node/news.rs
@@ -0,0 +1,97 @@
+//! News that this node has just learned, and its way on to peers.
+
+use base::Name;
+use base::units::Millisecond;
+use rand::Rng;
+
+use super::{Action, Node, Report};
+use crate::bulletin::Fingerprint;
+use crate::leaving::MARKS_PER_MESSAGE;
+use crate::spread::Adoption;
+use crate::wire::{ConfigDocument, Push};
+
+/// Peers that news is pushed to at once.
+const PUSH_FANOUT: usize = 4;
+
+impl Node {
+    pub(super) fn mark_all(
+        &mut self,
+        vms: impl IntoIterator<Item = Name>,
+        now_ms: Millisecond,
+        rng: &mut impl Rng,
+    ) -> Vec<Action> {
+        let mut news = Vec::new();
+        for vm in vms {
+            if self.leaving.mark(&vm, now_ms) {
+                news.push(vm);
+            }
+        }
+        if news.is_empty() {
+            return Vec::new();
+        }
+        let mut actions = vec![Action::Publish];
+        for vm in &news {
+            actions.push(Action::Report(Report::Leaving(vm.clone())));
+        }
+        for page in news.chunks(MARKS_PER_MESSAGE) {
+            actions.extend(self.push(page.to_vec(), Vec::new(), rng));
+        }
+        actions
+    }
+
+    pub(super) fn add_fingerprints(
+        &mut self,
+        offered: Vec<Fingerprint>,
+        rng: &mut impl Rng,
+    ) -> Vec<Action> {
+        let mut news = Vec::new();
+        for fingerprint in offered {
+            if self.fingerprints.add(fingerprint.clone()) {
+                news.push(fingerprint);
+            }
+        }
+        if news.is_empty() {
+            return Vec::new();
+        }
+        let mut actions = self.push(Vec::new(), news, rng);
+        actions.push(Action::Publish);
+        actions
+    }
+
+    pub(super) fn adopt(&mut self, document: ConfigDocument, rng: &mut impl Rng) -> Vec<Action> {
+        let adoption = self.config.adopt(document);
+        self.adopted(adoption, rng)
+    }
+
+    pub(super) fn adopted(&mut self, adoption: Adoption, rng: &mut impl Rng) -> Vec<Action> {
+        let Some(document) = self.config.current().cloned() else {
+            return Vec::new();
+        };
+        if adoption != Adoption::Adopted {
+            return Vec::new();
+        }
+        let mut actions = self.push(Vec::new(), Vec::new(), rng);
+        actions.push(Action::Publish);
+        actions.push(Action::Report(Report::InForce(document)));
+        actions
+    }
+
+    pub(super) fn push(
+        &self,
+        leaving: Vec<Name>,
+        fingerprints: Vec<Fingerprint>,
+        rng: &mut impl Rng,
+    ) -> Vec<Action> {
+        let push = Push {
+            from: self.members.me().clone(),
+            config_version: self.config.version(),
+            leaving,
+            fingerprints,
+        };
+        let peers = self.members.sample(PUSH_FANOUT, rng);
+        let sends = peers
+            .into_iter()
+            .map(|(name, address)| Action::SendPush(name, address, push.clone()));
+        sends.collect()
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/support/check.rs
@@ -0,0 +1,89 @@
+//! What must hold at every step of a history.
+
+use base::units::Millisecond;
+use fleet::node::Node;
+use fleet::wire::Health;
+
+use super::{LEAVING_BOUND_MS, World};
+
+impl World {
+    pub(super) fn check(&mut self, index: usize) {
+        self.counts.checks += 1;
+        let version = self.hosts[index].node.config().version();
+        if version < self.hosts[index].version_seen {
+            self.violations
+                .push(format!("n{index} went back to version {version}"));
+        }
+        self.hosts[index].version_seen = version;
+        self.note_lost();
+        if !self.hosts[index].node.may_route(self.now_ms) {
+            return;
+        }
+        self.acknowledge(index);
+        if version < self.acknowledged && self.was_in_reach_since(self.config_lost_ms) {
+            let text = format!(
+                "n{index} routes under {version} after {}",
+                self.acknowledged
+            );
+            self.violations.push(text);
+        }
+        for mark in 0..self.marks.len() {
+            let vm = self.marks[mark].vm.clone();
+            let overdue = self.now_ms > self.marks[mark].at_ms + LEAVING_BOUND_MS;
+            let known = self.hosts[index].node.leaving().contains(&vm);
+            if overdue && !known && self.was_in_reach_since(self.marks[mark].lost_ms) {
+                let text = format!("n{index} routes to {vm} at {}", self.now_ms);
+                self.violations.push(text);
+            }
+        }
+    }
+
+    /// Notes what no running node could know: the store is down, and every node that knew is
+    /// stopped or replaced. Checks leave that out until it has been in reach again for a while.
+    fn note_lost(&mut self) {
+        if !self.store_is_down() {
+            return;
+        }
+        let acknowledged = self.acknowledged;
+        if !self.is_held(|node| node.config().version() >= acknowledged) {
+            self.config_lost_ms = self.now_ms;
+        }
+        for mark in 0..self.marks.len() {
+            let vm = self.marks[mark].vm.clone();
+            if !self.is_held(|node| node.leaving().contains(&vm)) {
+                self.marks[mark].lost_ms = self.now_ms;
+            }
+        }
+    }
+
+    fn is_held(&self, holds: impl Fn(&Node) -> bool) -> bool {
+        let hosts = self.hosts.iter().enumerate();
+        let mut running = hosts.filter(|(index, _)| !self.is_paused(*index));
+        running.any(|(_, host)| holds(&host.node))
+    }
+
+    fn was_in_reach_since(&mut self, lost_ms: Millisecond) -> bool {
+        let in_reach = lost_ms == 0 || self.now_ms > lost_ms + LEAVING_BOUND_MS;
+        self.counts.unknowable += u64::from(!in_reach);
+        in_reach
+    }
+
+    /// What an operator at this node would be told: the version that every member has which the
+    /// node does not hold for gone.
+    fn acknowledge(&mut self, index: usize) {
+        let members = self.hosts[index].node.members();
+        let mut lowest = self.hosts[index].node.config().version();
+        for (other, host) in self.hosts.iter().enumerate() {
+            let name = &host.node.members().me().name;
+            let counts = match members.get(name).map(|r| r.health) {
+                Some(Health::Alive | Health::Suspect) => true,
+                Some(Health::Gone | Health::Left) => !self.is_paused(other),
+                None => false,
+            };
+            if counts {
+                lowest = lowest.min(host.node.config().version());
+            }
+        }
+        self.acknowledged = self.acknowledged.max(lowest);
+    }
+}
