--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -10,7 +10,10 @@
 use base::units::{ByteCount, Millisecond};
 use snafu::{ResultExt, Snafu};
 
-pub use crate::settings_document::{LogSectionFormat as LogFormat, LogSectionLevel as LogLevel};
+pub use crate::settings_document::{
+    LogSectionFormat as LogFormat, LogSectionLevel as LogLevel, RoutingSection as Routing,
+    RoutingSectionPolicy as RoutingPolicy,
+};
 
 use crate::fault::Fault;
 use crate::schema;
@@ -31,6 +34,8 @@
     pub limits: Limits,
     /// Time limits.
     pub timeouts: Timeouts,
+    /// Choice of backend servers.
+    pub routing: Routing,
     /// Least severe level that is logged.
     pub log_level: LogLevel,
     /// Shape of log lines.
@@ -44,7 +49,7 @@
     pub name: Name,
     /// The failure domain the VM stands in.
     pub failure_domain: Name,
-    /// Processor cores of the VM; its weight among entry VMs.
+    /// Processor cores of the VM; the daemon runs as many threads, rounded up.
     pub cores: f64,
 }
 
@@ -214,6 +219,7 @@
         },
         limits: limits(&document.limits.unwrap_or_default()),
         timeouts: timeouts(&document.timeouts.unwrap_or_default()),
+        routing: document.routing.unwrap_or_default(),
         log_level: log.level,
         log_format: log.format,
     }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -8,14 +8,14 @@
 use base::Name;
 use base::units::Millisecond;
 use chart::Chart;
-use conf::settings::{LogFormat, Settings, SettingsError};
+use conf::settings::{LogFormat, RoutingPolicy, Settings, SettingsError};
 use engine::{HttpBackend, HttpBackendOptions};
 use events::{Code, Format, LogError, Logger};
 use fleet::timing::Timing;
 use fleet::{Fleet, FleetError, FleetOptions};
 use ledger::Ledger;
 use platform::http::{Endpoint, HttpObjects, HttpTable, HttpVms};
-use policy::route::{RouteStateConfig, Routing};
+use policy::route::{RouteStateConfig, Routing, Weights};
 use rand::Rng;
 use serde::Serialize;
 use snafu::{ResultExt, Snafu};
@@ -26,13 +26,14 @@
 use crate::backends::{Backends, Poller, PollerOptions};
 use crate::clock::Clock;
 use crate::drain::{self, Draining};
-use crate::flow::{Drain, Flow, FlowOptions, Retries, Store, StoreOptions, Suspicion};
+use crate::flow::{Drain, Flow, FlowOptions, Reclaims, Retries, Store, StoreOptions, Suspicion};
 use crate::follow::Follower;
 use crate::front::{Front, FrontOptions, Server, ServerOptions};
 use crate::metrics::Metrics;
 use crate::options::{Action, Options};
 use crate::peers::Peers;
 use crate::state::{Gate, Life, Standing};
+use crate::sweep;
 use crate::takeover::Takeover;
 
 /// Name of the platform's table that holds all rows.
@@ -109,7 +110,11 @@
         LogFormat::Json => Format::Json,
     };
     let logger = Logger::open(&settings.log_level.to_string(), format).context(LogSnafu)?;
-    let runtime = tokio::runtime::Runtime::new().context(RuntimeSnafu)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(worker_threads(&settings))
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
     let result = runtime.block_on(async {
         let daemon = Daemon::spawn(settings).await?;
         println!(
@@ -153,7 +158,12 @@
             node: settings.node.name.clone(),
             config: config_seen,
             life: Life::open(),
-            gate: Gate::open(settings.node.name.clone(), clock, rand::rng().random()),
+            gate: Gate::open(
+                settings.node.name.clone(),
+                clock,
+                settings.limits.max_streams,
+                rand::rng().random(),
+            ),
             peers: Peers::default(),
             metrics: Arc::new(Metrics::open()),
         });
@@ -172,7 +182,11 @@
             flow: flow.clone(),
             config,
         };
-        let tasks = vec![tokio::spawn(follower.run()), standing.gate.spawn_ticks()];
+        let tasks = vec![
+            tokio::spawn(follower.run()),
+            standing.gate.spawn_ticks(),
+            sweep::spawn(ledger.clone(), standing.clone()),
+        ];
         let poller = Poller::spawn(
             flow.backend.clone(),
             flow.backends.clone(),
@@ -245,13 +259,20 @@
         ..HttpBackendOptions::default()
     });
     let seed = rand::rng().random();
-    let routing = RouteStateConfig::default();
+    let routing = RouteStateConfig {
+        weights: Weights {
+            recompute_ms_per_token: settings.routing.recompute_us_per_token as f64 / 1_000.0,
+            ms_per_cent: settings.routing.ms_per_cent as f64,
+        },
+        ..RouteStateConfig::default()
+    };
     let chart = Chart::parse(include_str!("../charts/request.toml"));
     Arc::new(Flow {
         backend: Arc::new(backend),
-        backends: Backends::open(Routing::default(), routing, clock, seed),
+        backends: Backends::open(routing_of(settings.routing.policy), routing, clock, seed),
         retries: Retries::default(),
         suspicion: Suspicion::default(),
+        reclaims: Reclaims::default(),
         store: Store::open(StoreOptions::default()),
         chart: chart.expect("the built-in request chart is valid"),
         clock,
@@ -260,6 +281,16 @@
     })
 }
 
+fn routing_of(policy: RoutingPolicy) -> Routing {
+    match policy {
+        RoutingPolicy::Random => Routing::Random,
+        RoutingPolicy::RoundRobin => Routing::RoundRobin,
+        RoutingPolicy::LeastOutstanding => Routing::LeastOutstanding,
+        RoutingPolicy::PrefixHash => Routing::PrefixHash,
+        RoutingPolicy::Cost => Routing::Cost,
+    }
+}
+
 fn endpoint(settings: &Settings) -> Result<Endpoint, DaemonError> {
     let url = &settings.platform.url;
     let address = url
@@ -305,6 +336,7 @@
     ServerOptions {
         head_timeout_ms: settings.timeouts.header_read_ms,
         max_head_bytes: settings.limits.max_header_bytes as usize,
+        stall_timeout_ms: settings.timeouts.caller_stall_ms,
     }
 }
 
@@ -357,3 +389,8 @@
         .await
         .context(ListenSnafu { key, address })
 }
+
+/// One thread for each core of the VM, which may be less than the machine shows.
+fn worker_threads(settings: &Settings) -> usize {
+    settings.node.cores.ceil() as usize
+}
