Retry: failed attempts travel with a handed-over stream

Cause: the peer that took a stream over gave it a new budget, so a request that failed everywhere had five attempts at each entry VM it came through. The handed-over record carries the count. Seen failing: count not taken over, the fourth attempt at the peer is made (1 of 27 fails); restored, 27 of 27 pass (tests/relay.rs). Older peers' records read as 0.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -58,7 +58,7 @@
 }
 
 /// The form in which a record is handed over. Offsets count bytes of text.
-fn to_stream(record: &Record) -> StreamRecord {
+pub fn to_stream(record: &Record) -> StreamRecord {
     StreamRecord {
         id: record.id,
         workspace: record.workspace.clone(),
@@ -68,6 +68,7 @@
         answer: record.text.clone(),
         generated: record.text.clone(),
         tokens: record.tokens,
+        failed: record.failed,
         remaining_ms: record.remaining_ms,
         priority: 0,
         epoch: 0,
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -121,7 +121,8 @@
     }
 }
 
-fn from_stream(stream: &StreamRecord) -> Option<Record> {
+/// The record under which a handed-over stream goes on; `None` if this program can't read it.
+pub fn from_stream(stream: &StreamRecord) -> Option<Record> {
     let call = Call::named(&stream.path)?;
     let request = serde_json::from_str(&stream.body).ok()?;
     Some(Record {
@@ -137,7 +138,7 @@
         usage: Usage::default(),
         progress: Progress::Open,
         attempts: Vec::new(),
-        failed: 0,
+        failed: stream.failed,
         epoch: 0,
     })
 }
--- a/crates/entry/tests/relay.rs
+++ b/crates/entry/tests/relay.rs
@@ -5,6 +5,8 @@
 use base::outcome::RunState;
 use entry::flow::{Drain, Piece, Relay};
 use entry::front::ErrorCode;
+use entry::peers::to_stream;
+use entry::takeover::from_stream;
 use policy::route::LoadReport;
 use support::End::{Broken, NoMarker, NoReason, Silent, Truncated, Whole};
 use support::Script::{Crash, NotSent, Status, Unanswered, Words};
@@ -247,3 +249,20 @@
     assert_eq!(bench.backend.attempts().len(), 1);
     assert!(bench.backend.transfers().is_empty());
 }
+
+#[tokio::test(start_paused = true)]
+async fn attempts_that_failed_here_count_where_the_stream_is_taken_over() {
+    let bench = Bench::open(8, &[NotSent, Unanswered, Words(HEAD, Silent)]);
+    let mut relay = bench.relay(Some(16));
+    relay.begin().await.expect("begun at the third attempt");
+    let handed = to_stream(&relay.record().lock());
+    let taken = from_stream(&handed).expect("a stream of this program");
+    assert_eq!(taken.failed, 2);
+    let peer = Bench::open(8, &[Unanswered, Unanswered, Unanswered, Words(ALL, Whole)]);
+    let record = peer.flow.store.insert(taken).expect("a new number");
+    let last = read_all(&mut Relay::open(peer.flow.clone(), record, 0))
+        .await
+        .1;
+    assert!(matches!(last, Piece::Failed(_)), "{last:?}");
+    assert_eq!(peer.backend.attempts().len(), 3);
+}
--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -53,6 +53,9 @@
     pub generated: String,
     /// Number of tokens in `generated`.
     pub tokens: u64,
+    /// Attempts that failed so far; the request's budget counts them wherever it goes on.
+    #[serde(default)]
+    pub failed: u32,
     /// Time left for the whole answer.
     pub remaining_ms: Millisecond,
     /// Priority; lower first.
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -26,6 +26,7 @@
         answer: answer.to_owned(),
         generated: answer.to_owned(),
         tokens: 0,
+        failed: 0,
         remaining_ms: 1_000,
         priority: 0,
         epoch,
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -156,6 +156,7 @@
         answer: TAIL[..relayed].to_owned(),
         generated: TAIL[..relayed].to_owned(),
         tokens: relayed as u64,
+        failed: 0,
         remaining_ms: 60_000,
         priority: 0,
         epoch: 0,
