Placement: the holder of a lease buys and returns VMs, and counts what the list does not show yet

Cause: the decisions of policy::place had no shell. Wiring it showed a fault: an order counted until its answer came, so with a VM list that lags by more than a round the same need was bought again. A bought VM counts as capacity until the list shows it, for 10 minutes at most. Releases keep the configured fewest VMs. Ruled out: waiting after each purchase, since a list that lags longer would still be believed.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -181,7 +181,7 @@
         for (service, demands) in &own {
             let mut others = Vec::new();
             for (key, total) in &totals {
-                let Some((of_service, workspace)) = key.split_once(DEMAND_SEPARATOR) else {
+                let Some((of_service, workspace)) = split_demand(key) else {
                     continue;
                 };
                 if of_service != &**service {
@@ -221,6 +221,11 @@
     Share { rank, of }
 }
 
+/// Service and workspace of a row of demand.
+pub fn split_demand(row: &str) -> Option<(&str, &str)> {
+    row.split_once(DEMAND_SEPARATOR)
+}
+
 fn units(demands: &[WorkspaceDemand], workspace: &str) -> u32 {
     let own = demands.iter().find(|d| &*d.workspace == workspace);
     own.map_or(0, |d| d.running + d.queued)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod options;
 pub mod passage;
 pub mod peers;
+pub mod placement;
 pub mod state;
 pub mod takeover;
--- /dev/null
+++ b/crates/entry/src/placement/input.rs
@@ -0,0 +1,195 @@
+//! What a placement decision reads, from the configuration, the fleet and the backend servers.
+
+use base::{Map, Name};
+use conf::{Config, LatencyTarget, Price, Service, VmClass};
+use platform::{Vm, VmRole, VmState};
+use policy::place::{
+    self, Kind, Offer, PlaceAction, PlaceInput, PlacePlan, PlaceState, PlacedVm, Purchase,
+    ServiceNeed,
+};
+
+use super::PlacementOptions;
+use crate::follow::split_demand;
+
+/// Requests at a time that a VM of relative speed 1 serves on time, until it has reported.
+const SLOTS_PER_SPEED: f64 = 8.0;
+
+/// Millionths in a unit of the currency.
+const MICROS: f64 = 1e6;
+
+/// What a decision reads, and the fewest VMs that each service keeps.
+#[derive(Clone, Debug, Default)]
+pub struct Facts {
+    /// What the decision reads.
+    pub input: PlaceInput,
+    /// Fewest VMs, by service.
+    pub fewest: Map<Name, usize>,
+}
+
+impl Facts {
+    /// Drops releases that would leave a service with too few VMs.
+    pub fn keep_fewest(&self, plan: &mut PlacePlan) {
+        let mut spare: Map<Name, usize> = Map::default();
+        for (service, fewest) in &self.fewest {
+            let held = staying(&self.input, service);
+            spare.insert(service.clone(), held.saturating_sub(*fewest));
+        }
+        plan.actions.retain(|action| {
+            let PlaceAction::Release { vm } = action else {
+                return true;
+            };
+            let placed = self.input.vms.iter().find(|placed| placed.vm == *vm);
+            let left = placed.and_then(|placed| spare.get_mut(&placed.service));
+            let Some(left) = left.filter(|left| **left > 0) else {
+                return false;
+            };
+            *left -= 1;
+            true
+        });
+    }
+}
+
+/// The facts of this moment, or nothing before the first configuration. A service at its greatest
+/// number of VMs is offered nothing.
+pub fn facts(options: &PlacementOptions, state: &PlaceState) -> Option<Facts> {
+    let in_force = options.standing.config.borrow().clone()?;
+    let config = &in_force.config;
+    let view = options.fleet.view();
+    let slots = reported_slots(options);
+    let mut facts = Facts::default();
+    for vm in view.vms.iter() {
+        facts.input.vms.extend(placed(config, vm, &slots));
+    }
+    for service in config.services.values() {
+        facts.input.needs.push(need(options, service));
+        let held = staying(&facts.input, &service.name) + ordered(state, &service.name);
+        if held < service.placement.max_vms as usize {
+            facts.input.offers.extend(offers(config, service));
+        }
+        let fewest = service.placement.min_vms as usize;
+        facts.fewest.insert(service.name.clone(), fewest);
+    }
+    Some(facts)
+}
+
+fn staying(input: &PlaceInput, service: &str) -> usize {
+    let stays = |vm: &&PlacedVm| &*vm.service == service && vm.state == place::VmState::Staying;
+    input.vms.iter().filter(stays).count()
+}
+
+fn ordered(state: &PlaceState, service: &str) -> usize {
+    state
+        .pending
+        .iter()
+        .filter(|order| &*order.service == service)
+        .count()
+}
+
+/// Tokens (or answers) a second that one request at a time stands for.
+fn rate_per_slot(service: &Service) -> f64 {
+    match service.latency_target {
+        LatencyTarget::Tokens {
+            between_tokens_ms, ..
+        } => 1_000.0 / between_tokens_ms as f64,
+        LatencyTarget::Whole { total_ms } => 1_000.0 / total_ms as f64,
+    }
+}
+
+/// The fleet's demand, in the unit of [`rate_per_slot`].
+fn need(options: &PlacementOptions, service: &Service) -> ServiceNeed {
+    let mut requests = 0;
+    for (row, units) in options.fleet.demand() {
+        let Some((of_service, _)) = split_demand(&row) else {
+            continue;
+        };
+        if of_service == &*service.name {
+            requests += units;
+        }
+    }
+    ServiceNeed {
+        service: service.name.clone(),
+        demand_per_s: requests as f64 * rate_per_slot(service),
+        on_demand_floor: 0.0,
+    }
+}
+
+fn offers(config: &Config, service: &Service) -> Vec<Offer> {
+    let mut offers = Vec::new();
+    for name in &service.placement.classes {
+        let Some(class) = config.vm_classes.get(name) else {
+            continue;
+        };
+        for (failure_domain, price) in &class.prices {
+            for (purchase, per_hour) in sold(price) {
+                offers.push(Offer {
+                    service: service.name.clone(),
+                    kind: Kind {
+                        class: class.name.clone(),
+                        failure_domain: failure_domain.clone(),
+                        purchase,
+                    },
+                    price_micros_per_h: (per_hour * MICROS) as u64,
+                    capacity_per_s: assumed_slots(class) * rate_per_slot(service),
+                });
+            }
+        }
+    }
+    offers
+}
+
+fn sold(price: &Price) -> Vec<(Purchase, f64)> {
+    let mut sold = Vec::new();
+    if let Some(per_hour) = price.reclaimable_per_hour {
+        sold.push((Purchase::Reclaimable, per_hour));
+    }
+    if let Some(per_hour) = price.on_demand_per_hour {
+        sold.push((Purchase::OnDemand, per_hour));
+    }
+    sold
+}
+
+fn assumed_slots(class: &VmClass) -> f64 {
+    SLOTS_PER_SPEED * class.relative_speed
+}
+
+/// Slots that backend servers report, by VM.
+fn reported_slots(options: &PlacementOptions) -> Map<Name, f64> {
+    let mut slots = Map::default();
+    for server in options.flow.backends.view() {
+        let Some(load) = server.load.filter(|load| load.slots > 0) else {
+            continue;
+        };
+        slots.insert(server.server, f64::from(load.slots));
+    }
+    slots
+}
+
+/// The VM list does not tell how a VM is paid for; all count as reclaimable.
+fn placed(config: &Config, vm: &Vm, slots: &Map<Name, f64>) -> Option<PlacedVm> {
+    if vm.role != VmRole::Backend {
+        return None;
+    }
+    let service = config.service(vm.service.as_deref()?)?;
+    let class = config.vm_classes.get(&vm.class)?;
+    let price = class.prices.get(&vm.failure_domain);
+    let per_hour = price.and_then(|p| p.reclaimable_per_hour.or(p.on_demand_per_hour));
+    let slots = slots
+        .get(&vm.id)
+        .copied()
+        .unwrap_or_else(|| assumed_slots(class));
+    Some(PlacedVm {
+        vm: vm.id.clone(),
+        service: service.name.clone(),
+        kind: Kind {
+            class: class.name.clone(),
+            failure_domain: vm.failure_domain.clone(),
+            purchase: Purchase::Reclaimable,
+        },
+        price_micros_per_h: (per_hour.unwrap_or(0.0) * MICROS) as u64,
+        capacity_per_s: slots * rate_per_slot(service),
+        state: match vm.state {
+            VmState::Live => place::VmState::Staying,
+            VmState::Leaving { .. } => place::VmState::Leaving,
+        },
+    })
+}
--- a/crates/policy/src/place/decide.rs
+++ b/crates/policy/src/place/decide.rs
@@ -57,6 +57,7 @@
     config: &PlaceConfig,
     now_ms: Millisecond,
 ) -> PlacePlan {
+    state.settle_arrivals(&input.vms, config.arrival_ms, now_ms);
     let mut plan = PlacePlan {
         actions: state.settle_actions(),
         ..PlacePlan::default()
--- a/crates/policy/src/place/mod.rs
+++ b/crates/policy/src/place/mod.rs
@@ -111,6 +111,8 @@
     pub release_headroom: f64,
     /// Time for which a surplus must last before VMs are returned.
     pub release_after_ms: Millisecond,
+    /// Time within which a bought VM comes onto the list, or counts as never come.
+    pub arrival_ms: Millisecond,
     /// VMs returned in one decision, for each service.
     pub max_releases: usize,
     /// First and longest time for which a refused kind is left alone.
@@ -125,6 +127,7 @@
             headroom: 1.1,
             release_headroom: 1.3,
             release_after_ms: 600_000,
+            arrival_ms: 600_000,
             max_releases: 2,
             refusal_base_ms: 30_000,
             refusal_cap_ms: 900_000,
--- a/crates/policy/src/place/orders.rs
+++ b/crates/policy/src/place/orders.rs
@@ -6,23 +6,33 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-use super::{Kind, PlaceAction, PlaceConfig};
+use super::{Kind, PlaceAction, PlaceConfig, PlacedVm};
 
 /// What is known of an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderStatus {
     /// Written down; it may or may not have been sent.
     Planned,
     /// Sent, and its answer was lost.
     Unsure,
+    /// Bought, and not yet on the VM list, which lags.
+    Arriving {
+        /// The VM.
+        vm: Name,
+        /// When it was bought.
+        since_ms: Millisecond,
+    },
 }
 
 /// What came of an action.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OrderOutcome {
-    /// The VM was bought; the fleet's list will show it.
-    Bought,
+    /// The VM was bought; it counts as capacity until the list shows it.
+    Bought {
+        /// The VM.
+        vm: Name,
+    },
     /// The cloud refused; nothing was bought.
     Refused,
     /// No answer came.
@@ -78,7 +88,9 @@
         self.epoch = epoch;
         self.next_slot = 0;
         for order in &mut self.pending {
-            order.status = OrderStatus::Unsure;
+            if order.status == OrderStatus::Planned {
+                order.status = OrderStatus::Unsure;
+            }
         }
     }
 
@@ -89,12 +101,29 @@
         token
     }
 
+    /// Forgets orders whose VM the list shows, and those whose VM never came.
+    pub(super) fn settle_arrivals(
+        &mut self,
+        vms: &[PlacedVm],
+        arrival_ms: Millisecond,
+        now_ms: Millisecond,
+    ) {
+        self.pending.retain(|order| match &order.status {
+            OrderStatus::Arriving { vm, since_ms } => {
+                let listed = vms.iter().any(|placed| placed.vm == *vm);
+                !listed && now_ms.saturating_sub(*since_ms) < arrival_ms
+            }
+            OrderStatus::Planned | OrderStatus::Unsure => true,
+        });
+    }
+
     /// Actions that settle open orders: planned ones are sent (again), unsure ones looked up.
     pub(super) fn settle_actions(&self) -> Vec<PlaceAction> {
         let mut actions = Vec::new();
         for order in &self.pending {
             let token = order.token.clone();
             let action = match order.status {
+                OrderStatus::Arriving { .. } => continue,
                 OrderStatus::Unsure => PlaceAction::Find { token },
                 OrderStatus::Planned => PlaceAction::Buy {
                     token,
@@ -120,9 +149,14 @@
             return;
         };
         match outcome {
-            OrderOutcome::Bought => {
-                let bought = self.pending.remove(position);
-                self.refusals.retain(|refusal| refusal.kind != bought.kind);
+            OrderOutcome::Bought { vm } => {
+                let bought = &mut self.pending[position];
+                bought.status = OrderStatus::Arriving {
+                    vm,
+                    since_ms: now_ms,
+                };
+                let kind = &bought.kind;
+                self.refusals.retain(|refusal| refusal.kind != *kind);
             }
             OrderOutcome::Refused => {
                 let refused = self.pending.remove(position);
