--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod peers;
 pub mod placement;
 pub mod state;
+pub mod sweep;
 pub mod takeover;
