Daemon: placement by setting, and a goodbye to the peers at the end

Cause: the placement was not started anywhere; and a daemon that ended said no goodbye, because another part held the fleet's handle, so its peers suspected it for five seconds instead of knowing that it left. Change: [placement] mode = "buy" starts it, off by default since it spends money; Fleet::leave does what close does for a shared handle. Ruled out: on by default, which would buy against a platform that the operator has not allowed. Result: entry, fleet and conf tests pass; the goodbye is not yet proved at process level.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -11,7 +11,8 @@
 use snafu::{ResultExt, Snafu};
 
 pub use crate::settings_document::{
-    LogSectionFormat as LogFormat, LogSectionLevel as LogLevel, RoutingSection as Routing,
+    LogSectionFormat as LogFormat, LogSectionLevel as LogLevel,
+    PlacementSectionMode as PlacementMode, RoutingSection as Routing,
     RoutingSectionPolicy as RoutingPolicy,
 };
 
@@ -36,6 +37,8 @@
     pub timeouts: Timeouts,
     /// Choice of backend servers.
     pub routing: Routing,
+    /// Whether this daemon takes part in buying VMs.
+    pub placement: PlacementMode,
     /// Least severe level that is logged.
     pub log_level: LogLevel,
     /// Shape of log lines.
@@ -220,6 +223,7 @@
         limits: limits(&document.limits.unwrap_or_default()),
         timeouts: timeouts(&document.timeouts.unwrap_or_default()),
         routing: document.routing.unwrap_or_default(),
+        placement: document.placement.unwrap_or_default().mode,
         log_level: log.level,
         log_format: log.format,
     }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -8,13 +8,13 @@
 use base::Name;
 use base::units::Millisecond;
 use chart::Chart;
-use conf::settings::{LogFormat, RoutingPolicy, Settings, SettingsError};
+use conf::settings::{LogFormat, PlacementMode, RoutingPolicy, Settings, SettingsError};
 use engine::{HttpBackend, HttpBackendOptions};
 use events::{Code, Format, LogError, Logger};
 use fleet::timing::Timing;
 use fleet::{Fleet, FleetError, FleetOptions};
 use ledger::Ledger;
-use platform::http::{Endpoint, HttpObjects, HttpTable, HttpVms};
+use platform::http::{Endpoint, HttpCloud, HttpObjects, HttpTable, HttpVms};
 use policy::route::{RouteStateConfig, Routing, Weights};
 use rand::Rng;
 use serde::Serialize;
@@ -32,6 +32,7 @@
 use crate::metrics::Metrics;
 use crate::options::{Action, Options};
 use crate::peers::Peers;
+use crate::placement::{Placement, PlacementOptions};
 use crate::state::{Gate, Life, Standing};
 use crate::sweep;
 use crate::takeover::Takeover;
@@ -144,6 +145,7 @@
     drain_asked: mpsc::Receiver<()>,
     notice: mpsc::Receiver<Millisecond>,
     poller: Poller,
+    placement: Option<Placement>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -187,6 +189,7 @@
             standing.gate.spawn_ticks(),
             sweep::spawn(ledger.clone(), standing.clone()),
         ];
+        let placement = spawn_placement(&settings, endpoint, &fleet, &standing, &flow);
         let poller = Poller::spawn(
             flow.backend.clone(),
             flow.backends.clone(),
@@ -216,6 +219,7 @@
             drain_asked,
             notice,
             poller,
+            placement,
             tasks,
         })
     }
@@ -242,14 +246,36 @@
         let report = draining.run(self.callers, signals).await;
         self.ledger.close(drain::LEDGER_CLOSE_MS).await;
         self.poller.close();
+        if let Some(placement) = self.placement {
+            placement.close().await;
+        }
         for task in self.tasks {
             task.abort();
         }
         self.admin.close().await;
         events::emit(Code::DaemonStopped, &report);
-        if let Some(fleet) = Arc::into_inner(self.fleet) {
-            fleet.close().await;
-        }
+        self.fleet.leave().await;
+    }
+}
+
+fn spawn_placement(
+    settings: &Settings,
+    endpoint: Endpoint,
+    fleet: &Arc<Fleet>,
+    standing: &Arc<Standing>,
+    flow: &Arc<Flow>,
+) -> Option<Placement> {
+    match settings.placement {
+        PlacementMode::Off => None,
+        PlacementMode::Buy => Some(Placement::spawn(PlacementOptions {
+            node: settings.node.name.clone(),
+            table: Arc::new(HttpTable::open(endpoint, TABLE_NAME)),
+            cloud: Arc::new(HttpCloud::open(endpoint)),
+            fleet: fleet.clone(),
+            standing: standing.clone(),
+            flow: flow.clone(),
+            seed: rand::rng().random(),
+        })),
     }
 }
 
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -248,13 +248,18 @@
     /// Says goodbye to the peers, stops listening and ends all tasks. Streams are to be handed over
     /// before.
     pub async fn close(self) {
+        self.leave().await;
+    }
+
+    /// Does what [`Fleet::close`] does, for a handle that others share.
+    pub async fn leave(&self) {
         self.inner.handle(Event::Closing);
         let grace = Duration::from_millis(self.inner.timing.call_ms);
         self.inner.stop.cancel();
         self.inner.tracker.close();
         let _ = tokio::time::timeout(grace, self.inner.tracker.wait()).await;
         let _ = self.server.stop();
-        let _ = tokio::time::timeout(grace, self.server.stopped()).await;
+        let _ = tokio::time::timeout(grace, self.server.clone().stopped()).await;
     }
 
     pub(crate) fn inner(&self) -> &Arc<Inner> {
