--- a/crates/proof/src/caller.rs
+++ b/crates/proof/src/caller.rs
@@ -1,6 +1,7 @@
 //! Callers that do as the interface asks of them: they reconnect through any entry VM.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use base::units::Millisecond;
@@ -19,6 +20,38 @@
 /// Pause between two attempts to reconnect.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Addresses that the platform's balancer knows; all holders see changes.
+#[derive(Clone, Debug, Default)]
+pub struct Balancer(Arc<Mutex<Vec<SocketAddr>>>);
+
+impl Balancer {
+    /// Adds an address.
+    pub fn add(&self, address: SocketAddr) {
+        self.0.lock().expect("no holder panics").push(address);
+    }
+
+    /// Takes an address out.
+    pub fn remove(&self, address: SocketAddr) {
+        let mut addresses = self.0.lock().expect("no holder panics");
+        addresses.retain(|known| *known != address);
+    }
+
+    /// All addresses.
+    pub fn all(&self) -> Vec<SocketAddr> {
+        self.0.lock().expect("no holder panics").clone()
+    }
+
+    /// One address; numbers beyond the last begin again.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is none.
+    pub fn pick(&self, number: usize) -> SocketAddr {
+        let addresses = self.0.lock().expect("no holder panics");
+        addresses[number % addresses.len()]
+    }
+}
+
 /// A caller of one workspace.
 #[derive(Clone, Debug)]
 pub struct Caller {
@@ -26,8 +59,8 @@
     pub workspace: String,
     /// Its bearer key.
     pub key: String,
-    /// Where the entry VMs listen, as the balancer knows them.
-    pub entries: Vec<SocketAddr>,
+    /// Where the entry VMs listen.
+    pub entries: Balancer,
     /// Where the caller records what it does.
     pub recorder: Recorder,
 }
@@ -169,7 +202,7 @@
     }
 
     fn entry(&self, entry: usize) -> SocketAddr {
-        self.entries[entry % self.entries.len()]
+        self.entries.pick(entry)
     }
 }
 
--- a/crates/proof/src/deployment.rs
+++ b/crates/proof/src/deployment.rs
@@ -11,7 +11,7 @@
 use standin::journal::{self, Entry as JournalEntry, unix_ms};
 use standin::platform::{Area, Control, Vm, VmRole};
 
-use crate::caller::Caller;
+use crate::caller::{Balancer, Caller};
 use crate::guard;
 use crate::history::{EffectSeen, Event, Recorder};
 use crate::process::Process;
@@ -81,6 +81,17 @@
     pub admin: SocketAddr,
     /// Where peers reach it.
     pub peers: SocketAddr,
+    /// Whether the platform lists it.
+    pub listing: Listing,
+}
+
+/// Whether the platform lists a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    /// It does.
+    Listed,
+    /// No more.
+    Removed,
 }
 
 /// A running deployment; everything ends when it is dropped.
@@ -96,6 +107,10 @@
     pub desks: Vec<Backend>,
     /// Entry VMs.
     pub entries: Vec<Entry>,
+    /// Where callers reach the entry VMs.
+    pub balancer: Balancer,
+    /// Where operators reach the entry VMs.
+    pub admins: Balancer,
     /// The history of the run.
     pub recorder: Recorder,
     platform_address: SocketAddr,
@@ -120,6 +135,8 @@
             engines: Vec::new(),
             desks: Vec::new(),
             entries: Vec::new(),
+            balancer: Balancer::default(),
+            admins: Balancer::default(),
             recorder: Recorder::default(),
             platform_address,
             plan: plan.clone(),
@@ -203,6 +220,7 @@
             peers: field(&line, "peers="),
             vm,
             process,
+            listing: Listing::Listed,
         };
         self.control(&Control::PutVm {
             vm: Vm {
@@ -215,9 +233,42 @@
             },
         })
         .await;
+        self.balancer.add(entry.callers);
+        self.admins.add(entry.admin);
         self.entries.push(entry);
     }
 
+    /// Asks an entry VM to leave; the balancer sends nothing more to it.
+    pub async fn retire_entry(&mut self, index: usize) {
+        let entry = &mut self.entries[index];
+        self.balancer.remove(entry.callers);
+        self.admins.remove(entry.admin);
+        entry.process.terminate();
+    }
+
+    /// Takes entry VMs that have ended off the platform's list.
+    pub async fn retire_ended_entries(&mut self) {
+        let mut ended = Vec::new();
+        for entry in &mut self.entries {
+            if !entry.process.is_running() && entry.listing == Listing::Listed {
+                entry.listing = Listing::Removed;
+                ended.push(entry.vm.clone());
+            }
+        }
+        for id in ended {
+            self.control(&Control::RemoveVm { id }).await;
+        }
+    }
+
+    /// Indices of the entry VMs that the balancer knows.
+    pub fn serving_entries(&self) -> Vec<usize> {
+        let known = self.balancer.all();
+        let entries = self.entries.iter().enumerate();
+        entries
+            .filter_map(|(index, entry)| known.contains(&entry.callers).then_some(index))
+            .collect()
+    }
+
     fn settings(&self, number: usize) -> String {
         let seeds: Vec<String> = self.entries.iter().map(|e| e.peers.to_string()).collect();
         format!(
@@ -342,7 +393,7 @@
         Caller {
             workspace: workspace.to_owned(),
             key: workspace_key(workspace),
-            entries: self.entries.iter().map(|entry| entry.callers).collect(),
+            entries: self.balancer.clone(),
             recorder: self.recorder.clone(),
         }
     }
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod guard;
 pub mod history;
 pub mod load;
+pub mod mixed;
 pub mod process;
 pub mod programs;
 pub mod relay;
