--- a/crates/proof/src/check/mod.rs
+++ b/crates/proof/src/check/mod.rs
@@ -73,6 +73,8 @@
     pub operations: usize,
     /// Operations with a whole answer.
     pub answered: usize,
+    /// Of these, streamed drafts.
+    pub drafts_answered: usize,
     /// Operations refused before acceptance.
     pub refused: usize,
     /// Effects at plain services.
@@ -89,7 +91,11 @@
             match event {
                 Event::Called { .. } => counts.operations += 1,
                 Event::Returned { outcome, .. } => match outcome {
-                    Outcome::Draft { .. } | Outcome::Filing { .. } => counts.answered += 1,
+                    Outcome::Draft { .. } => {
+                        counts.answered += 1;
+                        counts.drafts_answered += 1;
+                    }
+                    Outcome::Filing { .. } => counts.answered += 1,
                     Outcome::Refused { .. } => counts.refused += 1,
                     Outcome::Broken { .. } => {}
                 },
--- a/crates/proof/src/mixed/load.rs
+++ b/crates/proof/src/mixed/load.rs
@@ -1,5 +1,7 @@
 //! Callers of the mixed run.
 
+use std::time::Duration;
+
 use rand::Rng;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -19,6 +21,12 @@
 /// Times a filing without an answer is sent again.
 const FILING_RETRIES: usize = 3;
 
+/// Pause between two filings of one caller.
+const FILING_PAUSE: Duration = Duration::from_millis(20);
+
+/// Pause before another attempt.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Starts all callers; each ends after its last operation.
 pub(super) fn spawn(
     deployment: &Deployment,
@@ -54,6 +62,7 @@
 
 async fn file(caller: Caller, mut requests: Requests, stage: watch::Receiver<Stage>) {
     while *stage.borrow() == Stage::Running {
+        tokio::time::sleep(FILING_PAUSE).await;
         let entry = requests.rng().random_range(0..100);
         let filing = requests.filing();
         if requests.rng().random_bool(0.3) {
@@ -74,5 +83,5 @@
 }
 
 async fn pause() {
-    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    tokio::time::sleep(RETRY_PAUSE).await;
 }
--- a/crates/proof/tests/mixed.rs
+++ b/crates/proof/tests/mixed.rs
@@ -14,6 +14,7 @@
     .await;
     println!("{report}");
     assert_eq!(report.violations, []);
-    assert!(report.counts.answered > 20, "{report}");
+    assert!(report.counts.drafts_answered > 20, "{report}");
+    assert!(report.counts.effects > 20, "{report}");
     assert!(report.faults.values().sum::<u32>() > 5, "{report}");
 }
