--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -3,18 +3,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::Name;
 use base::units::Millisecond;
+use base::{Map, Name};
 use conf::Config;
 use engine::Target;
-use events::Code;
+
 use fleet::Fleet;
 use fleet::bulletin::Demand;
 use fleet::view::FleetView;
+use fleet::wire::Health;
 use platform::{Vm, VmRole, VmState};
 use policy::limit::{WorkspaceDemand, WorkspaceShare};
 use policy::route::ServerState;
-use serde::Serialize;
+use policy::suspect::Share;
 use tokio::sync::watch;
 
 use crate::backends::{Known, Leaving, Reporting};
@@ -25,7 +26,7 @@
 const TICK_MS: Millisecond = 250;
 
 /// Time left assumed of a leaving server whose notice gave none.
-const REMAINING_ASSUMED_MS: Millisecond = 10_000;
+const REMAINING_ASSUMED_MS: Millisecond = 1_500;
 
 /// Slots assumed of a model engine that has not reported.
 const MODEL_SLOTS_ASSUMED: u32 = 8;
@@ -39,11 +40,6 @@
 /// The peer under whose name the demand of all others is counted.
 const OTHERS: &str = "others";
 
-#[derive(Serialize)]
-struct ConfigLog {
-    version: u64,
-}
-
 /// Follows one fleet for one daemon.
 pub struct Follower {
     /// The fleet.
@@ -69,15 +65,30 @@
                         return;
                     }
                 }
+                () = self.flow.suspicion.made_news() => {}
                 _ = tick.tick() => {}
             }
             let view = views.borrow_and_update().clone();
+            self.exchange_suspects(&view);
             self.take_config(&view);
             self.take_servers(&view);
             self.exchange_demand();
         }
     }
 
+    fn exchange_suspects(&self, view: &FleetView) {
+        let suspicion = &self.flow.suspicion;
+        for fingerprint in suspicion.take_news() {
+            self.fleet.spread_fingerprint(fingerprint);
+        }
+        suspicion.hear(&view.fingerprints);
+        suspicion.expire();
+        for server in view.leaving.iter() {
+            suspicion.departed(server);
+        }
+        suspicion.set_share(share(view));
+    }
+
     fn take_config(&self, view: &FleetView) {
         let Some(document) = &view.config else {
             return;
@@ -96,25 +107,16 @@
             version: document.version,
             config: Arc::new(config),
         }));
-        events::emit(
-            Code::ConfigInForce,
-            &ConfigLog {
-                version: document.version,
-            },
-        );
+
         self.standing.life.apply(LifeEvent::ConfigInForce);
     }
 
     fn set_shares(&self, config: &Config) {
-        let services: Vec<Name> = config.services.keys().cloned().collect();
-        let mut shares = Vec::with_capacity(config.workspaces.len());
-        for workspace in config.workspaces.values() {
-            shares.push(WorkspaceShare {
-                workspace: workspace.name.clone(),
-                weight: f64::from(workspace.share),
-            });
+        let mut shares = Map::default();
+        for service in config.services.keys() {
+            shares.insert(service.clone(), service_shares(config, service));
         }
-        self.standing.gate.set_shares(&services, shares);
+        self.standing.gate.set_shares(&shares);
     }
 
     fn take_servers(&self, view: &FleetView) {
@@ -205,6 +207,20 @@
     }
 }
 
+/// This entry VM's place among those that are alive.
+fn share(view: &FleetView) -> Share {
+    let mut rank = 0;
+    let mut of = 1;
+    for member in &view.members {
+        if member.record.health != Health::Alive {
+            continue;
+        }
+        of += 1;
+        rank += usize::from(member.record.name < view.me.name);
+    }
+    Share { rank, of }
+}
+
 fn units(demands: &[WorkspaceDemand], workspace: &str) -> u32 {
     let own = demands.iter().find(|d| &*d.workspace == workspace);
     own.map_or(0, |d| d.running + d.queued)
@@ -238,3 +254,17 @@
     let latency_ms = config.one_way_latency_ms(own_domain, &vm.failure_domain);
     (latency_ms.unwrap_or(0.0) * 1e3) as u64
 }
+
+/// What each workspace may use of one service.
+fn service_shares(config: &Config, service: &Name) -> Vec<WorkspaceShare> {
+    let mut shares = Vec::with_capacity(config.workspaces.len());
+    for workspace in config.workspaces.values() {
+        let limit = workspace.limits.get(service);
+        shares.push(WorkspaceShare {
+            workspace: workspace.name.clone(),
+            weight: f64::from(workspace.share),
+            max_slots: limit.map(|limit| limit.max_concurrent),
+        });
+    }
+    shares
+}
