--- a/crates/entry/src/flow/mod.rs
+++ b/crates/entry/src/flow/mod.rs
@@ -4,6 +4,7 @@
 mod live;
 mod phase;
 mod reading;
+mod reclaim;
 mod record;
 mod relay;
 mod retries;
@@ -11,8 +12,10 @@
 mod setback;
 mod store;
 mod suspicion;
+mod transfer;
 
 pub use phase::Phase;
+pub use reclaim::Reclaims;
 pub use record::{Progress, Record, SharedRecord};
 pub use relay::{Piece, Relay};
 pub use retries::{Retries, Survivors};
@@ -47,8 +50,6 @@
     pub head_timeout_ms: Millisecond,
     /// Longest silence within a streamed answer.
     pub stall_timeout_ms: Millisecond,
-    /// Failed attempts allowed for one request; those ended by a reclaim do not count.
-    pub failures_max: u32,
     /// Time kept back at the end of a leaving server's life.
     pub leaving_margin_ms: Millisecond,
 }
@@ -58,7 +59,6 @@
         Self {
             head_timeout_ms: 30_000,
             stall_timeout_ms: 10_000,
-            failures_max: 4,
             leaving_margin_ms: 500,
         }
     }
@@ -70,6 +70,8 @@
     pub backend: Arc<dyn Backend>,
     /// The choice among them.
     pub backends: Backends,
+    /// Streams that leave their servers together.
+    pub reclaims: Reclaims,
     /// Retry budgets of the services.
     pub retries: Retries,
     /// Requests that may crash their backend servers.
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use base::Name;
 use base::ids::RequestId;
 use base::outcome::RunState;
 use base::units::Millisecond;
@@ -60,6 +61,7 @@
     pub(super) live: Option<Live>,
     pub(super) setback: Option<Setback>,
     pub(super) error: Option<CallerError>,
+    pub(super) next_server: Option<Name>,
     pub(super) drain: watch::Receiver<Drain>,
     pub(super) acceptance: Acceptance,
 }
@@ -80,7 +82,7 @@
         let (id, ask, budget) = {
             let held = record.lock();
             let deadline_ms = flow.clock.now_ms() + held.remaining_ms;
-            let failed_limit = flow.options.failures_max + 1;
+            let failed_limit = flow.retries.max_attempts(&held.service);
             let mut budget = RequestBudget::new(Effect::Idempotent, failed_limit, deadline_ms);
             budget.failed = held.failed;
             if held.tokens > 0 {
@@ -102,6 +104,7 @@
             live: None,
             setback: None,
             error: None,
+            next_server: None,
             drain,
             acceptance: Acceptance::Pending,
         }
