--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -7,6 +7,7 @@
 
 use base::Name;
 use base::ids::RequestId;
+use base::outcome::RunState;
 use base::units::Millisecond;
 use chart::Instance;
 use engine::chat::{Choice, Usage};
@@ -62,6 +63,16 @@
     pub(super) error: Option<CallerError>,
     pub(super) next_server: Option<Name>,
     pub(super) drain: watch::Receiver<Drain>,
+    pub(super) acceptance: Acceptance,
+}
+
+/// Whether the caller holds the head of its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Acceptance {
+    /// It does not, so that the request can still be refused.
+    Pending,
+    /// It does, so that the answer must come.
+    Accepted,
 }
 
 impl Relay {
@@ -74,6 +85,9 @@
             let failed_limit = flow.retries.max_attempts(&held.service);
             let mut budget = RequestBudget::new(Effect::Idempotent, failed_limit, deadline_ms);
             budget.failed = held.failed;
+            if held.tokens > 0 {
+                budget.run_state = RunState::Ran;
+            }
             (held.id, route_request(&held, priority), budget)
         };
         let phase = flow.chart.start();
@@ -92,6 +106,7 @@
             error: None,
             next_server: None,
             drain,
+            acceptance: Acceptance::Pending,
         }
     }
 
@@ -117,6 +132,7 @@
 
     /// The next piece of the answer; after [`Piece::Finish`], `Moved` or `Failed` there is none.
     pub async fn next(&mut self) -> Piece {
+        self.acceptance = Acceptance::Accepted;
         if let Some(whole) = self.finished() {
             return whole;
         }
