A whole answer that is moved or given up names its number

Cause: an accepted request without stream got its error without x-request-id, so a caller whose entry VM left could not ask another one for the rest; found by reading the path of a drain. Ruled out: caller-chosen numbers as the only way, which most callers do not send. Change: errors after acceptance carry the header and are counted like others.

--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -77,13 +77,16 @@
         let result = self.dispatch(request).await;
         match result {
             Ok(reply) => reply,
-            Err(error) => {
-                self.standing.metrics.refused(error.code);
-                error.into_reply()
-            }
+            Err(error) => self.failed(error),
         }
     }
 
+    /// Counts an error and makes it the reply.
+    fn failed(&self, error: CallerError) -> Reply {
+        self.standing.metrics.refused(error.code);
+        error.into_reply()
+    }
+
     async fn dispatch<B: RequestBody>(
         self: &Arc<Self>,
         request: Request<B>,
--- a/crates/entry/src/front/model.rs
+++ b/crates/entry/src/front/model.rs
@@ -60,22 +60,27 @@
             service: &service.name,
         },
     );
-    reply(relay, id, delivery, 0, admitted).await
+    Ok(reply(front, relay, id, delivery, 0, admitted).await)
 }
 
 /// The reply that a relay gives, from byte `offset` of the answer's text.
 pub async fn reply(
+    front: &Front,
     relay: Relay,
     id: RequestId,
     delivery: Delivery,
     offset: usize,
     admitted: Admitted,
-) -> Result<Reply, CallerError> {
+) -> Reply {
     let reply = match delivery {
         Delivery::Streamed => sse::streamed(relay, offset, admitted),
-        Delivery::Whole => sse::whole(relay, admitted).await?,
+        // An accepted request that fails names its number too, so that a moved one can be found.
+        Delivery::Whole => match sse::whole(relay, admitted).await {
+            Ok(reply) => reply,
+            Err(error) => front.failed(error),
+        },
     };
-    Ok(with_id(reply, id))
+    with_id(reply, id)
 }
 
 fn parse(call: Call, body: &[u8]) -> Result<CompletionRequest, CallerError> {
--- a/crates/entry/src/front/resume.rs
+++ b/crates/entry/src/front/resume.rs
@@ -74,7 +74,7 @@
     if open {
         relay.begin().await?;
     }
-    model::reply(relay, id, delivery, offset, admitted).await
+    Ok(model::reply(front, relay, id, delivery, offset, admitted).await)
 }
 
 fn offset<B>(request: &Request<B>) -> Result<usize, CallerError> {
--- a/crates/proof/src/wire.rs
+++ b/crates/proof/src/wire.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::rt::TokioIo;
@@ -92,6 +92,7 @@
         let response = response.map_err(NoAnswer::because)?;
         Ok(Opened {
             status: response.status(),
+            headers: response.headers().clone(),
             body: response.into_body(),
         })
     }
@@ -107,6 +108,7 @@
 pub struct Opened {
     /// Status.
     pub status: StatusCode,
+    headers: HeaderMap,
     body: Incoming,
 }
 
@@ -116,6 +118,7 @@
         let body = self.body.collect().await.map_err(NoAnswer::because)?;
         Ok(Reply {
             status: self.status,
+            headers: self.headers,
             body: body.to_bytes(),
         })
     }
@@ -134,6 +137,8 @@
 pub struct Reply {
     /// Status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
