Requests wait for a configuration that is known but not yet read

Cause: the fleet counts a version as taken when its text is held, and the daemon reads it some milliseconds later; a request in between was answered under the older version although apply may have been acknowledged. Change: a request waits, 500 ms at most, until the version that the fleet knows has been read. Result: entry tests and the five fleet proofs over real daemons pass; the gap itself has no proof of its own.

--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -94,7 +94,7 @@
         let path = request.uri().path().to_owned();
         match route(&path) {
             Route::Health => Ok(full(StatusCode::OK, "text/plain", "ok\n")),
-            Route::Ready => Ok(self.readiness()),
+            Route::Ready => Ok(self.readiness().await),
             Route::Model(call) => {
                 expect(&request, &Method::POST)?;
                 model::handle(self, call, request).await
@@ -112,8 +112,8 @@
         }
     }
 
-    fn readiness(&self) -> Reply {
-        match self.standing.readiness() {
+    async fn readiness(&self) -> Reply {
+        match self.standing.readiness().await {
             Ok(()) => full(StatusCode::OK, "text/plain", "ready\n"),
             Err(error) => error.into_reply(),
         }
--- a/crates/entry/src/front/model.rs
+++ b/crates/entry/src/front/model.rs
@@ -29,7 +29,7 @@
     call: Call,
     request: Request<B>,
 ) -> Result<Reply, CallerError> {
-    let in_force = front.standing.serving()?;
+    let in_force = front.standing.serving().await?;
     let workspace = auth::workspace(&in_force.config, request.headers())?;
     let id = request_id(&request)?;
     let options = front.options;
--- a/crates/entry/src/front/plain.rs
+++ b/crates/entry/src/front/plain.rs
@@ -31,7 +31,7 @@
     service: &str,
     request: Request<B>,
 ) -> Result<Reply, CallerError> {
-    let in_force = front.standing.serving()?;
+    let in_force = front.standing.serving().await?;
     let config = &in_force.config;
     let workspace = auth::workspace(config, request.headers())?;
     let service = config
--- a/crates/entry/src/front/resume.rs
+++ b/crates/entry/src/front/resume.rs
@@ -44,7 +44,7 @@
     id: RequestId,
     request: Request<B>,
 ) -> Result<Reply, CallerError> {
-    let in_force = front.standing.serving()?;
+    let in_force = front.standing.serving().await?;
     let workspace = auth::workspace(&in_force.config, request.headers())?;
     let offset = offset(&request)?;
     let wanted = wanted_delivery(request.headers());
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -32,6 +32,13 @@
         self.fleet().is_some_and(|fleet| fleet.may_route())
     }
 
+    /// Version of the newest configuration that this node has taken from store or peers.
+    pub fn config_version(&self) -> u64 {
+        let view = self.fleet().map(|fleet| fleet.view());
+        view.and_then(|view| view.config.as_ref().map(|c| c.version))
+            .unwrap_or(0)
+    }
+
     /// Opens a stream that was handed over.
     pub fn read_stream(
         &self,
--- a/crates/entry/src/state/mod.rs
+++ b/crates/entry/src/state/mod.rs
@@ -9,6 +9,7 @@
 pub use work::Work;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use base::Name;
 use base::ids::RequestId;
@@ -22,6 +23,9 @@
 /// When a caller that met a daemon without readiness may come back.
 const COME_BACK_MS: u64 = 500;
 
+/// How long a request waits while a new configuration is read.
+const READ_CONFIG_MS: u64 = 500;
+
 /// A configuration with its version.
 #[derive(Clone, Debug)]
 pub struct InForce {
@@ -49,7 +53,7 @@
 
 impl Standing {
     /// The configuration to serve under, or why nothing is served now.
-    pub fn serving(&self) -> Result<InForce, CallerError> {
+    pub async fn serving(&self) -> Result<InForce, CallerError> {
         let reason = match self.life.state() {
             LifeState::Serving if self.peers.may_serve() => None,
             // The balancer may not have seen yet that the daemon is not ready.
@@ -62,8 +66,20 @@
         if let Some(reason) = reason {
             return Err(not_ready(reason));
         }
-        let in_force = self.config.borrow().clone();
-        in_force.ok_or_else(|| not_ready("No configuration is in force yet."))
+        self.current().await
+    }
+
+    /// The configuration that the fleet knows, once it has been read here. A version that has been
+    /// acknowledged is never answered under an older one.
+    async fn current(&self) -> Result<InForce, CallerError> {
+        let known = self.peers.config_version();
+        let mut config = self.config.clone();
+        let reading = config.wait_for(|c| c.as_ref().is_some_and(|c| c.version >= known));
+        let limit = Duration::from_millis(READ_CONFIG_MS);
+        match tokio::time::timeout(limit, reading).await {
+            Ok(Ok(in_force)) => in_force.clone().ok_or_else(no_config),
+            Ok(Err(_)) | Err(_) => Err(no_config()),
+        }
     }
 
     /// Admits a request, or refuses it for good.
@@ -74,14 +90,18 @@
     }
 
     /// Whether the balancer may send new callers.
-    pub fn readiness(&self) -> Result<(), CallerError> {
+    pub async fn readiness(&self) -> Result<(), CallerError> {
         if self.life.state() == LifeState::Draining {
             return Err(not_ready("This entry VM is leaving."));
         }
-        self.serving().map(|_| ())
+        self.serving().await.map(|_| ())
     }
 }
 
+fn no_config() -> CallerError {
+    not_ready("No current configuration is in force yet.")
+}
+
 fn not_ready(reason: &str) -> CallerError {
     CallerError::refusal(
         ErrorCode::NotReady,
