--- a/crates/bench/src/load/mod.rs
+++ b/crates/bench/src/load/mod.rs
@@ -1,6 +1,6 @@
 //! Named loads over real daemons and unequal stand-ins, with the policies side by side.
 
-mod deploy;
+pub mod deploy;
 mod drive;
 mod plot;
 mod tally;
@@ -10,7 +10,7 @@
 
 use bpaf::Bpaf;
 
-use deploy::{Deployment, User};
+use deploy::{Deployment, Plan, User};
 use tally::Summary;
 
 /// What is sent.
@@ -89,7 +89,7 @@
 }
 
 async fn run_once(options: &Options, policy: &str, seed: u64) -> Summary {
-    let mut deployment = Deployment::open(options.load, policy).await;
+    let mut deployment = Deployment::open(options.load, policy, Plan::default()).await;
     let requests = work::draw(options.load, options.scenario, options.seconds, seed);
     let results = drive::run(
         &mut deployment,
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Measurements: slopes of the decisions, and figures of the running daemon.
 
+mod latency;
 mod load;
 mod slope;
 
@@ -18,6 +19,9 @@
         #[bpaf(external(slope::subject))]
         subject: slope::Subject,
     },
+    /// Added latency, throughput and memory of one daemon on one thread
+    #[bpaf(command)]
+    Latency,
     /// A named load over real daemons
     #[bpaf(command)]
     Load(#[bpaf(external(load::options))] load::Options),
@@ -26,6 +30,7 @@
 fn main() {
     match command().run() {
         Command::Slope { seed, subject } => slope::run(subject, seed),
+        Command::Latency => latency::run(),
         Command::Load(options) => load::run(&options),
     }
 }
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -49,6 +49,11 @@
         &self.name
     }
 
+    /// Its process identifier.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits for a line with this start, and returns the rest of it.
     pub async fn line(&mut self, start: &str) -> String {
         let what = format!("the line `{start}` of {}", self.name);
