--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -103,6 +103,7 @@
             return;
         };
         self.set_shares(&config);
+        self.set_retries(&config);
         self.config.send_replace(Some(InForce {
             version: document.version,
             config: Arc::new(config),
@@ -111,6 +112,12 @@
         self.standing.life.apply(LifeEvent::ConfigInForce);
     }
 
+    fn set_retries(&self, config: &Config) {
+        for (name, service) in &config.services {
+            self.flow.retries.set_limits(name, service.retry);
+        }
+    }
+
     fn set_shares(&self, config: &Config) {
         let mut shares = Map::default();
         for service in config.services.keys() {
@@ -181,7 +188,7 @@
         for (service, demands) in &own {
             let mut others = Vec::new();
             for (key, total) in &totals {
-                let Some((of_service, workspace)) = key.split_once(DEMAND_SEPARATOR) else {
+                let Some((of_service, workspace)) = split_demand(key) else {
                     continue;
                 };
                 if of_service != &**service {
@@ -221,6 +228,11 @@
     Share { rank, of }
 }
 
+/// Service and workspace of a row of demand.
+pub fn split_demand(row: &str) -> Option<(&str, &str)> {
+    row.split_once(DEMAND_SEPARATOR)
+}
+
 fn units(demands: &[WorkspaceDemand], workspace: &str) -> u32 {
     let own = demands.iter().find(|d| &*d.workspace == workspace);
     own.map_or(0, |d| d.running + d.queued)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,5 +12,7 @@
 pub mod options;
 pub mod passage;
 pub mod peers;
+pub mod placement;
 pub mod state;
+pub mod sweep;
 pub mod takeover;
