Relay: an accepted answer waits while its only server refuses connections

Cause: when the only backend server was lost without notice, the refused connections of the next attempts used up the request's budget before a replacement was listed, and an accepted answer ended in backend_failed. Ruled out: a larger budget, which only moves the moment. Change: a refused connection counts as no server at all while an accepted answer has no live server left; the request's deadline bounds the wait.

--- a/crates/entry/src/flow/setback.rs
+++ b/crates/entry/src/flow/setback.rs
@@ -120,6 +120,9 @@
         let Some(target) = &setback.target else {
             return setback.cause;
         };
+        if setback.cause == Cause::ConnectFailed && self.must_wait() {
+            return Cause::NoServer;
+        }
         if setback.cause != Cause::Broken {
             return setback.cause;
         }
@@ -139,6 +142,13 @@
         Cause::ServerLost
     }
 
+    /// Whether an accepted answer has no live server to go on at. Connections that a lost one refuses
+    /// cost it nothing then: no byte was sent, and a replacement is not listed yet.
+    fn must_wait(&self) -> bool {
+        let service = &self.ask.service;
+        self.acceptance == Acceptance::Accepted && self.survivors(service).left == 0
+    }
+
     fn decide(&mut self, setback: &Setback, cause: Cause) -> RetryDecision {
         let failure = Failure {
             cause,
--- a/crates/entry/tests/relay.rs
+++ b/crates/entry/tests/relay.rs
@@ -266,3 +266,14 @@
     assert!(matches!(last, Piece::Failed(_)), "{last:?}");
     assert_eq!(peer.backend.attempts().len(), 3);
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_accepted_answer_waits_while_its_only_server_refuses_connections() {
+    let mut scripts = vec![Words(HEAD, Broken)];
+    scripts.extend(vec![NotSent; 12]);
+    scripts.push(Words(TAIL, Whole));
+    let bench = Bench::open(1, &scripts);
+    let (text, last) = read_all(&mut bench.relay(None)).await;
+    assert_eq!(text, "abcd");
+    assert!(matches!(last, Piece::Finish { .. }), "{last:?}");
+}
