Bench: streams for the memory figure are opened together, and the latency figures are taken

Cause: bench latency never ended; a debugger showed it waiting for the head of one slow stream after another, half a second each for 500 streams. Ruled out: a hang of the daemon, which was idle. Change: 100 streams are opened at a time, at ten tokens a second.

--- a/crates/bench/src/latency.rs
+++ b/crates/bench/src/latency.rs
@@ -6,8 +6,9 @@
 
 use bytes::Bytes;
 use hdrhistogram::Histogram;
-use http::Request;
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
@@ -23,6 +24,8 @@
 const SHORT_TOKENS: u64 = 8;
 const LONG_TOKENS: u64 = 2_000;
 const OPEN_STREAMS: usize = 500;
+const OPENED_AT_ONCE: usize = 100;
+const SLOW_TOKENS_PER_S: f64 = 10.0;
 const PAGE_BYTES: u64 = 4_096;
 
 /// Figures of one daemon.
@@ -32,6 +35,7 @@
     first_token_added_us: Added,
     requests_per_s: f64,
     tokens_per_s: f64,
+    open_streams: usize,
     resident_bytes_per_stream: f64,
 }
 
@@ -71,7 +75,7 @@
     let streams = flood(through, Form::Streamed, LONG_TOKENS).await;
     figures.tokens_per_s = (streams * LONG_TOKENS) as f64 / span_s;
     deployment.close();
-    figures.resident_bytes_per_stream = memory(plan).await;
+    (figures.open_streams, figures.resident_bytes_per_stream) = memory(plan).await;
     figures
 }
 
@@ -165,33 +169,42 @@
     finished
 }
 
-/// Growth of the daemon's resident memory for each of many open streams.
-async fn memory(plan: Plan) -> f64 {
+/// Streams opened, and the growth of the daemon's resident memory for each.
+async fn memory(plan: Plan) -> (usize, f64) {
     let slow = Plan {
-        decode_tokens_per_s: 2.0,
+        decode_tokens_per_s: SLOW_TOKENS_PER_S,
         ..plan
     };
     let deployment = Deployment::open(User::Cooperative, "cost", slow).await;
     let pid = deployment.entry_pid(0);
     let before_bytes = resident_bytes(pid);
     let mut open = Vec::with_capacity(OPEN_STREAMS);
-    for _ in 0..OPEN_STREAMS {
-        let mut sender = connect(deployment.entries[0]).await;
-        let answer = sender
-            .send_request(request(Form::Streamed, LONG_TOKENS))
-            .await;
-        open.extend(
-            answer
-                .ok()
-                .filter(|a| a.status() == 200)
-                .map(|a| (sender, a)),
-        );
+    for _ in 0..OPEN_STREAMS / OPENED_AT_ONCE {
+        open.extend(open_streams(deployment.entries[0]).await);
     }
     tokio::time::sleep(Duration::from_secs(2)).await;
     let grown_bytes = resident_bytes(pid).saturating_sub(before_bytes);
     let per_stream = grown_bytes as f64 / open.len().max(1) as f64;
     deployment.close();
-    per_stream
+    (open.len(), per_stream)
+}
+
+/// Opens streams together, and keeps those that were accepted.
+async fn open_streams(address: SocketAddr) -> Vec<(SendRequest<Full<Bytes>>, Response<Incoming>)> {
+    let mut tasks = Vec::with_capacity(OPENED_AT_ONCE);
+    for _ in 0..OPENED_AT_ONCE {
+        tasks.push(tokio::spawn(async move {
+            let mut sender = connect(address).await;
+            let long = request(Form::Streamed, LONG_TOKENS);
+            let answer = sender.send_request(long).await.ok()?;
+            (answer.status() == 200).then_some((sender, answer))
+        }));
+    }
+    let mut open = Vec::with_capacity(OPENED_AT_ONCE);
+    for task in tasks {
+        open.extend(task.await.ok().flatten());
+    }
+    open
 }
 
 fn resident_bytes(pid: u32) -> u64 {
