--- a/crates/entry/src/flow/reading.rs
+++ b/crates/entry/src/flow/reading.rs
@@ -26,11 +26,11 @@
         match outcome {
             Outcome::Event(Ok(StreamEvent::Chunk(chunk))) => self.chunk(chunk),
             Outcome::Event(Ok(StreamEvent::Done)) => {
-                self.end_marker();
+                self.ended("the stream ended without a finish reason");
                 None
             }
             Outcome::Event(Err(error)) => {
-                self.ended_early(&error.reason);
+                self.ended(&error.reason);
                 None
             }
             Outcome::Stalled => {
@@ -110,21 +110,8 @@
         Some(record.text.len())
     }
 
-    fn end_marker(&mut self) {
-        let finished = self
-            .live
-            .as_ref()
-            .is_some_and(|l| l.finish_reason.is_some());
-        match finished {
-            true => self.complete(),
-            false => {
-                let reason = "the stream ended without a finish reason";
-                self.broken(Cause::Broken, RunState::Ran, reason);
-            }
-        }
-    }
-
-    fn ended_early(&mut self, reason: &str) {
+    /// The attempt's answer is over: whole if a finish reason came, broken for `reason` if not.
+    fn ended(&mut self, reason: &str) {
         let finished = self
             .live
             .as_ref()
