--- a/crates/bench/src/slope/fleet.rs
+++ b/crates/bench/src/slope/fleet.rs
@@ -14,7 +14,7 @@
 use fleet::node::{Action, Event, Node};
 use fleet::timing::Timing;
 use fleet::wire::{ConfigDocument, Health, MemberRecord};
-use platform::{Vm, VmRole, VmState};
+use outside::{Vm, VmRole, VmState};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
--- a/crates/bench/src/slope/watch.rs
+++ b/crates/bench/src/slope/watch.rs
@@ -7,7 +7,7 @@
 use fleet::node::{Action, Event, Node};
 use fleet::timing::Timing;
 use fleet::wire::{Health, Heartbeat, MemberRecord, SetDigest, Standing};
-use platform::{Vm, VmRole, VmState};
+use outside::{Vm, VmRole, VmState};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -14,7 +14,7 @@
 use fleet::timing::Timing;
 use fleet::{Fleet, FleetError, FleetOptions};
 use ledger::Ledger;
-use platform::http::{Endpoint, HttpCloud, HttpObjects, HttpTable, HttpVms};
+use outside::http::{Endpoint, HttpCloud, HttpObjects, HttpTable, HttpVms};
 use policy::route::{RouteStateConfig, Routing, Weights};
 use rand::Rng;
 use serde::Serialize;
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -12,7 +12,7 @@
 use fleet::bulletin::Demand;
 use fleet::view::FleetView;
 use fleet::wire::Health;
-use platform::{Vm, VmRole, VmState};
+use outside::{Vm, VmRole, VmState};
 use policy::limit::{WorkspaceDemand, WorkspaceShare};
 use policy::route::ServerState;
 use policy::suspect::Share;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod passage;
 pub mod peers;
 pub mod placement;
+pub mod routed;
 pub mod state;
 pub mod sweep;
 pub mod takeover;
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -1,6 +1,7 @@
 //! The daemon's command line.
 
 use std::path::PathBuf;
+use std::str::FromStr;
 
 use bpaf::{OptionParser, Parser, construct, long};
 
@@ -11,6 +12,32 @@
     pub settings: PathBuf,
     /// What to do with it.
     pub action: Action,
+    /// How callers and the platform are spoken to.
+    pub interface: Interface,
+}
+
+/// How callers and the platform are spoken to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Interface {
+    /// Completions and named services, on the product's own platform protocols.
+    #[default]
+    Completions,
+    /// Routes by host and path, on the users' platform.
+    Routed,
+}
+
+impl FromStr for Interface {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "completions" => Ok(Self::Completions),
+            "routed" => Ok(Self::Routed),
+            _ => Err(format!(
+                "`{text}` is no interface; give `completions` or `routed`"
+            )),
+        }
+    }
 }
 
 /// What the daemon does with its settings.
@@ -29,13 +56,22 @@
 
 fn parser() -> OptionParser<Options> {
     let settings = long("settings")
+        .env("APRICOTLEDGE_SETTINGS")
         .help("Settings file, in TOML")
         .argument::<PathBuf>("FILE");
     let action = long("check")
         .help("Check the settings and end")
         .flag(Action::Check, Action::Serve);
-    construct!(Options { settings, action })
-        .to_options()
-        .version(env!("CARGO_PKG_VERSION"))
-        .descr("Daemon of apricotledge: one per entry VM")
+    let interface = long("interface")
+        .help("What is spoken: `completions` (as it stands) or `routed`")
+        .argument::<Interface>("NAME")
+        .fallback(Interface::default());
+    construct!(Options {
+        settings,
+        action,
+        interface
+    })
+    .to_options()
+    .version(env!("CARGO_PKG_VERSION"))
+    .descr("Daemon of apricotledge: one per entry VM")
 }
--- a/crates/entry/src/placement/input.rs
+++ b/crates/entry/src/placement/input.rs
@@ -2,7 +2,7 @@
 
 use base::{Map, Name};
 use conf::{Config, LatencyTarget, Price, Service, VmClass};
-use platform::{Vm, VmRole, VmState};
+use outside::{Vm, VmRole, VmState};
 use policy::place::{
     self, Kind, Offer, PlaceAction, PlaceInput, PlacePlan, PlaceState, PlacedVm, Purchase,
     ServiceNeed,
--- a/crates/entry/src/placement/mod.rs
+++ b/crates/entry/src/placement/mod.rs
@@ -18,7 +18,7 @@
 use base::units::Millisecond;
 use fleet::lease::Terms;
 use fleet::{Fleet, LeaseHolder};
-use platform::{Cloud, Table};
+use outside::{Cloud, Table};
 use policy::place::PlaceConfig;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
--- a/crates/entry/src/placement/round.rs
+++ b/crates/entry/src/placement/round.rs
@@ -7,7 +7,7 @@
 use events::Code;
 use fleet::LeaseRight;
 use fleet::clock::unix_ms;
-use platform::{Cloud, CloudError, Table, VmOrder};
+use outside::{Cloud, CloudError, Table, VmOrder};
 use policy::place::{
     self, Kind, OrderOutcome, PlaceAction, PlaceConfig, PlacePlan, PlaceState, Shortfall,
 };
@@ -119,7 +119,7 @@
     }
 }
 
-fn found_outcome(found: Option<platform::VmPurchase>) -> OrderOutcome {
+fn found_outcome(found: Option<outside::VmPurchase>) -> OrderOutcome {
     match found {
         Some(purchase) => OrderOutcome::Bought { vm: purchase.vm },
         None => OrderOutcome::NotFound,
@@ -140,8 +140,8 @@
         class: kind.class.clone(),
         failure_domain: kind.failure_domain.clone(),
         purchase: match kind.purchase {
-            place::Purchase::Reclaimable => platform::Purchase::Reclaimable,
-            place::Purchase::OnDemand => platform::Purchase::OnDemand,
+            place::Purchase::Reclaimable => outside::Purchase::Reclaimable,
+            place::Purchase::OnDemand => outside::Purchase::OnDemand,
         },
         service: service.clone(),
     }
--- a/crates/entry/src/placement/store.rs
+++ b/crates/entry/src/placement/store.rs
@@ -1,7 +1,7 @@
 //! The stored state of the buying.
 
 use base::units::Millisecond;
-use platform::{CommitError, Condition, Key, Table, Write};
+use outside::{CommitError, Condition, Key, Table, Write};
 use policy::place::PlaceState;
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/entry/src/routed.rs
@@ -0,0 +1,65 @@
+//! The daemon with the routed interface, on the users' platform.
+
+use std::sync::Arc;
+
+use events::{Format, LogError, Logger};
+use gateway::daemon::{DaemonError, Platform};
+use gateway::settings::{Settings, SettingsError};
+use platform::{Cloud, DIALECT, Store};
+use snafu::Snafu;
+
+use crate::options::{Action, Options};
+
+/// Least severe level that is logged.
+const LOG_LEVEL: &str = "info";
+
+/// The daemon could not start.
+#[derive(Debug, Snafu)]
+pub enum RoutedError {
+    /// The settings cannot be used.
+    #[snafu(context(false), display("{source}"))]
+    Settings {
+        /// What is wrong with them.
+        source: SettingsError,
+    },
+    /// The logger could not start.
+    #[snafu(context(false), display("{source}"))]
+    Log {
+        /// The logger's error.
+        source: LogError,
+    },
+    /// The process could not start.
+    #[snafu(context(false), display("{source}"))]
+    Daemon {
+        /// Why.
+        source: DaemonError,
+    },
+}
+
+/// Runs the daemon until it has drained.
+///
+/// # Errors
+///
+/// It could not start.
+pub fn run(options: &Options) -> Result<(), RoutedError> {
+    let settings = Settings::open(&options.settings)?;
+    if options.action == Action::Check {
+        println!("{}: the settings are valid.", options.settings.display());
+        return Ok(());
+    }
+    let logger = Logger::open_queued(LOG_LEVEL, Format::Text)?;
+    let result = gateway::daemon::run(settings, connect);
+    logger.close();
+    Ok(result?)
+}
+
+fn connect(settings: &Settings) -> Platform {
+    let store = Arc::new(Store::open(settings.store.address));
+    let cloud = settings.duties.address.map(Cloud::open);
+    Platform {
+        dialect: DIALECT,
+        table: store.clone(),
+        feed: store,
+        duties: cloud.map(|cloud| Arc::new(cloud) as _),
+    }
+}
--- a/crates/entry/tests/placement.rs
+++ b/crates/entry/tests/placement.rs
@@ -10,7 +10,7 @@
 use fleet::lease::Terms;
 use http::{HeaderMap, Method, StatusCode};
 use http_body_util::BodyExt;
-use platform::http::{Endpoint, HttpCloud, HttpTable};
+use outside::http::{Endpoint, HttpCloud, HttpTable};
 use policy::place::{Kind, Offer, PlaceConfig, Purchase, ServiceNeed};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -60,6 +60,8 @@
     DaemonStarted = 100, "daemon.started", Info, "The daemon is listening; fields give its addresses.";
     DaemonDraining = 101, "daemon.draining", Info, "The daemon has left readiness and finishes what is in flight.";
     DaemonStopped = 102, "daemon.stopped", Info, "The daemon has ended; fields count finished and handed-over requests.";
+    LinesLeftOut = 103, "log.left_out", Warn, "Lines of ordinary events were left out of the log in the second before; fields count them.";
+    SettingsKept = 104, "settings.kept", Info, "The daemon was told to read its settings again; those that may change take effect at the next start.";
     RequestAccepted = 200, "request.accepted", Info, "A request passed admission and has its number.";
     RequestRefused = 201, "request.refused", Info, "A request was refused before it ran; fields give code and reason.";
     RequestFinished = 202, "request.finished", Info, "A request got its final answer.";
@@ -71,6 +73,10 @@
     ReclaimDecided = 310, "reclaim.decided", Info, "A stream at a leaving backend server finishes there, moves with its KV cache, or is computed again elsewhere.";
 
     ConfigInForce = 400, "config.in_force", Info, "A configuration version is in force at this daemon.";
+    BeliefPulled = 401, "belief.pulled", Info, "A newer configuration or registry was asked of another node.";
+    RowUnreadable = 402, "row.unreadable", Error, "A row of the store cannot be read; what was known before stays in force.";
+    StoreLost = 403, "store.lost", Warn, "The platform's store does not answer; the daemon goes on with what it knows and what other nodes tell.";
+    StoreRegained = 404, "store.regained", Info, "The platform's store answers again.";
     ConfigDecided = 410, "config.decided", Info, "An operator's configuration was accepted or refused by the table; fields give the outcome.";
 
     PeerSuspected = 500, "peer.suspected", Warn, "A peer has not been heard from and gets no handovers until it is.";
@@ -84,6 +90,8 @@
     StreamNotGiven = 508, "stream.not_given", Error, "No peer took an open stream.";
     StreamTaken = 509, "stream.taken", Info, "This daemon goes on with a stream that a peer handed over.";
     StreamActivated = 510, "stream.activated", Warn, "A stream's owner did not answer, and this daemon's copy replaces it.";
+    BackendAppeared = 513, "backend.appeared", Info, "A backend server has registered itself and takes work.";
+    BackendGone = 514, "backend.gone", Info, "A backend server's entry is gone.";
     LeaseHeld = 511, "lease.held", Info, "This daemon holds a lease; fields give its fencing number.";
     LeaseLost = 512, "lease.lost", Warn, "This daemon no longer holds a lease.";
 
@@ -95,5 +103,7 @@
     LedgerRecordDamaged = 605, "ledger.record_damaged", Error, "A record cannot be read; calls with its key are answered as unknown.";
     LedgerSwept = 606, "ledger.swept", Info, "Answers older than their retention were dropped; their keys stay closed.";
 
+    UsageReported = 611, "usage.reported", Info, "The usage of a window was reported to the platform; fields give the outcome.";
+
     PlacementDecided = 700, "placement.decided", Info, "VMs were bought, returned or given a new role; fields give the reason and the alternatives.";
 }
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod catalogue;
 mod logger;
+mod queue;
 
 pub use catalogue::{Code, Level};
 pub use logger::{Format, LogError, Logger};
--- a/crates/events/src/logger.rs
+++ b/crates/events/src/logger.rs
@@ -5,6 +5,8 @@
 use flexi_logger::{DeferredNow, FlexiLoggerError, LoggerHandle, Record};
 use snafu::{ResultExt, Snafu};
 
+use crate::queue::Queue;
+
 /// Shape of a log line.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Format {
@@ -25,7 +27,7 @@
     },
 }
 
-/// The running logger; lines go to standard error.
+/// The running logger; lines go to standard error, or through a queue to standard output.
 pub struct Logger {
     handle: LoggerHandle,
 }
@@ -46,6 +48,25 @@
         Ok(Self { handle })
     }
 
+    /// As [`Self::open`], but lines go to standard output by a thread of their own: a reader that
+    /// stops reading costs lines, which are counted, and holds up nothing.
+    ///
+    /// # Errors
+    ///
+    /// The logging library refused its set-up.
+    pub fn open_queued(level: &str, format: Format) -> Result<Self, LogError> {
+        let write = match format {
+            Format::Text => write_text,
+            Format::Json => write_json,
+        };
+        let handle = flexi_logger::Logger::try_with_str(level)
+            .context(StartSnafu)?
+            .log_to_writer(Box::new(Queue::spawn(write)))
+            .start()
+            .context(StartSnafu)?;
+        Ok(Self { handle })
+    }
+
     /// Flushes and ends the logger.
     pub fn close(self) {
         self.handle.flush();
--- a/crates/fleet/src/apply.rs
+++ b/crates/fleet/src/apply.rs
@@ -7,7 +7,7 @@
 use base::backoff::Backoff;
 use base::secret;
 use base::units::Millisecond;
-use platform::{CommitError, Condition, Key, ReadError, Row, Write};
+use outside::{CommitError, Condition, Key, ReadError, Row, Write};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -9,7 +9,7 @@
 use base::units::Millisecond;
 use base::{Map, Name};
 use jsonrpsee::server::{ServerConfig, ServerHandle};
-use platform::{Objects, Table, Vms};
+use outside::{Objects, Table, Vms};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use snafu::{ResultExt, Snafu, ensure};
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -5,7 +5,7 @@
 
 use base::Name;
 use events::Code;
-use platform::Table;
+use outside::Table;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde::Serialize;
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -10,7 +10,7 @@
 use base::Name;
 use base::units::Millisecond;
 use chart::{Chart, Instance};
-use platform::{CommitError, Condition, Key, ReadError, Row, Write};
+use outside::{CommitError, Condition, Key, ReadError, Row, Write};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
@@ -90,7 +90,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Tenure {
     fence: Fence,
-    row_version: u64,
+    /// Known once the row was read after the write that granted it.
+    row_version: Option<u64>,
     until_ms: Millisecond,
     renew_at_ms: Millisecond,
 }
@@ -99,7 +100,6 @@
 struct Tried {
     nonce: u64,
     fence: Fence,
-    row_version: u64,
     sent_ms: Millisecond,
 }
 
@@ -159,10 +159,13 @@
         match self.tenure {
             None => Some(LeaseAction::Read(self.key.clone())),
             Some(tenure) if now.possible_ms < tenure.renew_at_ms => None,
-            Some(tenure) => {
-                let condition = Condition::VersionIs(tenure.row_version);
-                Some(self.write(condition, tenure.fence, now, rng))
-            }
+            Some(tenure) => Some(match tenure.row_version {
+                Some(version) => {
+                    let condition = Condition::VersionIs(version);
+                    self.write(condition, tenure.fence, now, rng)
+                }
+                None => LeaseAction::Read(self.key.clone()),
+            }),
         }
     }
 
@@ -182,7 +185,7 @@
         };
         let own = self.find_tried(body.nonce);
         if let Some(tried) = own {
-            self.grant(tried);
+            self.grant(tried, Some(row.version));
             if self.permit(now).is_some() {
                 return None;
             }
@@ -199,14 +202,15 @@
         Some(self.write(Condition::VersionIs(row.version), fence, now, rng))
     }
 
-    /// Takes in the result of the last commit.
+    /// Takes in the result of the last commit. The row is read after it, as stores count versions
+    /// in different ways.
     pub fn committed(&mut self, result: Result<(), CommitError>) -> Option<LeaseAction> {
         match result {
             Ok(()) => {
                 if let Some(tried) = self.tried.back().copied() {
-                    self.grant(tried);
+                    self.grant(tried, None);
                 }
-                None
+                Some(LeaseAction::Read(self.key.clone()))
             }
             Err(CommitError::NotApplied { .. }) => None,
             Err(CommitError::Conflict | CommitError::Unknown { .. }) => {
@@ -226,7 +230,7 @@
             fence: tenure.fence,
             term_ms: self.terms.term_ms,
         };
-        let condition = Condition::VersionIs(tenure.row_version);
+        let condition = Condition::VersionIs(tenure.row_version?);
         Some(self.put(&body, condition))
     }
 
@@ -243,17 +247,12 @@
             fence,
             term_ms: self.terms.term_ms,
         };
-        let row_version = match condition {
-            Condition::VersionIs(version) => version + 1,
-            Condition::Absent | Condition::Any => 1,
-        };
         if self.tried.len() == TRIED_KEPT {
             self.tried.pop_front();
         }
         self.tried.push_back(Tried {
             nonce: body.nonce,
             fence,
-            row_version,
             sent_ms: now.possible_ms,
         });
         self.put(&body, condition)
@@ -267,7 +266,7 @@
         })
     }
 
-    fn grant(&mut self, tried: Tried) {
+    fn grant(&mut self, tried: Tried, row_version: Option<u64>) {
         let until_ms = tried.sent_ms + self.terms.term_ms - self.terms.margin_ms;
         let event = match self.tenure {
             Some(_) => "renewed",
@@ -276,7 +275,7 @@
         self.chart.apply(event);
         self.tenure = Some(Tenure {
             fence: tried.fence,
-            row_version: tried.row_version,
+            row_version,
             until_ms,
             renew_at_ms: tried.sent_ms + self.terms.term_ms / 3,
         });
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -11,7 +11,7 @@
 use base::units::Millisecond;
 use base::{Map, Name};
 use chart::{Chart, Instance};
-use platform::{Vm, VmRole, VmState};
+use outside::{Vm, VmRole, VmState};
 use rand::Rng;
 use rand::seq::{IndexedRandom, SliceRandom};
 
--- a/crates/fleet/src/node/event.rs
+++ b/crates/fleet/src/node/event.rs
@@ -5,7 +5,7 @@
 
 use base::Name;
 use base::units::Millisecond;
-use platform::Vm;
+use outside::Vm;
 
 use crate::bulletin::Fingerprint;
 use crate::freshness::SyncSpan;
--- a/crates/fleet/src/node/mod.rs
+++ b/crates/fleet/src/node/mod.rs
@@ -13,7 +13,7 @@
 
 use base::units::Millisecond;
 use base::{Map, Name};
-use platform::Vm;
+use outside::Vm;
 use rand::Rng;
 
 use crate::bulletin::{DemandSamples, Fingerprints};
--- a/crates/fleet/src/node/reads.rs
+++ b/crates/fleet/src/node/reads.rs
@@ -2,7 +2,7 @@
 
 use base::Name;
 use base::units::Millisecond;
-use platform::{Vm, VmRole, VmState};
+use outside::{Vm, VmRole, VmState};
 use rand::Rng;
 
 use super::{Action, Node};
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -5,7 +5,7 @@
 
 use base::units::Millisecond;
 use bytes::Bytes;
-use platform::{CommitError, Objects, ReadError, Row, Table, Write};
+use outside::{CommitError, Objects, ReadError, Row, Table, Write};
 use rand::Rng;
 use snafu::Snafu;
 
@@ -144,7 +144,7 @@
         }
     }
 
-    async fn get(&self, key: platform::Key) -> Result<Option<Row>, ReadError> {
+    async fn get(&self, key: outside::Key) -> Result<Option<Row>, ReadError> {
         get_row(&*self.table, &key).await
     }
 
@@ -156,7 +156,7 @@
 /// Reads a row within the bound of a call.
 pub(crate) async fn get_row(
     table: &dyn Table,
-    key: &platform::Key,
+    key: &outside::Key,
 ) -> Result<Option<Row>, ReadError> {
     let read = tokio::time::timeout(CALL, table.get(key)).await;
     read.unwrap_or_else(|_| {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use base::{Name, Set};
-use platform::Vm;
+use outside::Vm;
 
 use crate::bulletin::Fingerprint;
 use crate::node::Node;
--- a/crates/fleet/tests/rows/mod.rs
+++ b/crates/fleet/tests/rows/mod.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use platform::{CommitError, Condition, Key, Row, Write};
+use outside::{CommitError, Condition, Key, Row, Write};
 
 /// What happens to a commit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/fleet/tests/services/mod.rs
+++ b/crates/fleet/tests/services/mod.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use base::units::Millisecond;
 use bytes::Bytes;
-use platform::{
+use outside::{
     CommitError, Condition, Key, ObjectError, Objects, ReadError, Row, Table, Vm, VmListError, Vms,
     Write,
 };
--- a/crates/fleet/tests/store_races.rs
+++ b/crates/fleet/tests/store_races.rs
@@ -8,7 +8,7 @@
 use fleet::apply::{self, Apply, Author, Content, Outcome, Proposal, Step};
 use fleet::clock::Reading;
 use fleet::lease::{Fence, Lease, LeaseAction, Terms};
-use platform::{CommitError, ReadError, Row};
+use outside::{CommitError, ReadError, Row};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rows::{Fate, Rows};
@@ -32,7 +32,7 @@
     }
 }
 
-fn read(rows: &Rows, key: &platform::Key, rng: &mut StdRng) -> Result<Option<Row>, ReadError> {
+fn read(rows: &Rows, key: &outside::Key, rng: &mut StdRng) -> Result<Option<Row>, ReadError> {
     if rng.random_ratio(1, 5) {
         return Err(ReadError {
             reason: "no answer".to_owned(),
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -13,7 +13,7 @@
 use fleet::node::{Action, Event, Node};
 use fleet::timing::Timing;
 use fleet::wire::{ConfigDocument, Health, Heartbeat, MemberRecord, Push, SyncRequest};
-use platform::{Vm, VmRole, VmState};
+use outside::{Vm, VmRole, VmState};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
--- /dev/null
+++ b/crates/gateway/src/backend/attempt.rs
@@ -0,0 +1,231 @@
+//! One sending of a request to a server, counted for as long as it lasts.
+
+use std::rc::Rc;
+
+use base::Name;
+use base::units::{Millisecond, TokenCount};
+use policy::suspect::{Candidate as SuspectCandidate, Digest, Share, Treatment};
+
+use crate::belief::Server;
+use crate::belief::registry::ServerState;
+use crate::clock::unix_ms;
+use crate::decide::place::{Candidate, Choice, Demand, Home, Nearness, Trust, choose};
+use crate::front::job::Job;
+use crate::node::Node;
+
+/// Requests that may wait at a server beyond its slots, as a part of them.
+const QUEUE_SHARE: f64 = 0.25;
+
+/// Why no server was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoServer {
+    /// None is known that takes new work.
+    None,
+    /// All are full.
+    Full,
+}
+
+/// A request at a server, from the choice to the end of its answer.
+pub struct Attempt {
+    /// The server.
+    pub server: Rc<Server>,
+    /// When it was chosen.
+    pub started_ms: Millisecond,
+    /// Predicted time to the first byte.
+    pub predicted_ms: Millisecond,
+    /// Prompt tokens that had to be read before the first event, this request's own included.
+    pub tokens_ahead: TokenCount,
+    waiting_tokens: TokenCount,
+    node: Rc<Node>,
+}
+
+impl Attempt {
+    /// Chooses a server for `job` and counts the request there; `avoid` names servers that failed
+    /// it before.
+    ///
+    /// # Errors
+    ///
+    /// No server can take it.
+    pub fn place(node: &Rc<Node>, job: &Job<'_>, avoid: &[Name]) -> Result<Self, NoServer> {
+        let now_ms = node.now_ms();
+        let servers = usable(node, job, avoid);
+        if servers.is_empty() {
+            return Err(NoServer::None);
+        }
+        let demand = demand(job);
+        let home = home(job, &servers);
+        let candidates: Vec<Candidate> = servers
+            .iter()
+            .map(|server| candidate(node, job, server, home.as_ref(), now_ms))
+            .collect();
+        let choice = choose(&demand, &candidates).ok_or(NoServer::Full)?;
+        Ok(Self::begin(node, job, &servers[choice.place], choice))
+    }
+
+    fn begin(node: &Rc<Node>, job: &Job<'_>, server: &Rc<Server>, choice: Choice) -> Self {
+        let now_ms = node.now_ms();
+        server.running.set(server.running.get() + 1);
+        let ahead = server.load().waiting_tokens;
+        server
+            .waiting_tokens
+            .set(server.waiting_tokens.get() + choice.tokens_to_read);
+        if let Some(engine) = &job.service.engine {
+            let mut cache = server.cache.borrow_mut();
+            cache.note(&job.prompt, engine.memory_tokens, now_ms);
+        }
+        Self {
+            server: server.clone(),
+            started_ms: now_ms,
+            predicted_ms: choice.first_ms,
+            tokens_ahead: ahead + choice.tokens_to_read,
+            waiting_tokens: choice.tokens_to_read,
+            node: node.clone(),
+        }
+    }
+
+    /// Takes note of the first event, or of the answer.
+    pub fn first_byte(&mut self) {
+        let after_ms = self.node.now_ms() - self.started_ms;
+        let mut speed = self.server.speed.borrow_mut();
+        speed.saw_first(self.tokens_ahead, after_ms);
+        drop(speed);
+        self.prompt_read();
+    }
+
+    fn prompt_read(&mut self) {
+        let waiting = self.server.waiting_tokens.get();
+        self.server
+            .waiting_tokens
+            .set(waiting.saturating_sub(self.waiting_tokens));
+        self.waiting_tokens = 0;
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.prompt_read();
+        let running = self.server.running.get();
+        self.server.running.set(running.saturating_sub(1));
+        self.node.room.notify_one();
+    }
+}
+
+/// Servers that take new work and did not fail the request before; those that did if there are no
+/// others.
+fn usable(node: &Node, job: &Job<'_>, avoid: &[Name]) -> Vec<Rc<Server>> {
+    let registry = node.registry.borrow();
+    let ready: Vec<Rc<Server>> = registry
+        .of_service(&job.service.name)
+        .iter()
+        .filter(|s| s.record.state == ServerState::Ready)
+        .cloned()
+        .collect();
+    let ready = apart(node, job, ready);
+    let fresh: Vec<Rc<Server>> = ready
+        .iter()
+        .filter(|s| !avoid.contains(&s.record.id))
+        .cloned()
+        .collect();
+    match fresh.is_empty() {
+        true => ready,
+        false => fresh,
+    }
+}
+
+/// A suspected request is kept to servers that run no other suspect.
+fn apart(node: &Node, job: &Job<'_>, servers: Vec<Rc<Server>>) -> Vec<Rc<Server>> {
+    let suspects = node.suspects.borrow();
+    if suspects.is_empty() {
+        return servers;
+    }
+    let now_ms = unix_ms();
+    if suspects.treatment(job.digest(), now_ms) != Treatment::Apart {
+        return servers;
+    }
+    let mut candidates: Vec<SuspectCandidate> = servers
+        .iter()
+        .map(|server| SuspectCandidate {
+            server: server.record.id.clone(),
+            digests: Vec::<Digest>::new(),
+        })
+        .collect();
+    candidates.sort_by(|a, b| a.server.cmp(&b.server));
+    let share = node.peers.borrow().share(&node.settings.node.name);
+    let share = Share {
+        rank: share.0,
+        of: share.1,
+    };
+    let own = suspects.servers_apart(&candidates, share, now_ms);
+    let kept = servers.iter().filter(|s| own.contains(&s.record.id));
+    kept.cloned().collect()
+}
+
+fn demand(job: &Job<'_>) -> Demand {
+    let parts = &job.prompt.parts;
+    let shared = parts.len().saturating_sub(1).max(1);
+    Demand {
+        read_tokens: job.prompt.read_tokens(),
+        shared_tokens: parts.iter().take(shared).map(|p| p.tokens).sum(),
+        queue: queue(job),
+    }
+}
+
+fn queue(job: &Job<'_>) -> u32 {
+    let slots = job.service.engine.map_or(1, |engine| engine.slots);
+    (f64::from(slots) * QUEUE_SHARE).ceil() as u32
+}
+
+fn candidate(
+    node: &Node,
+    job: &Job<'_>,
+    server: &Rc<Server>,
+    home: Option<&Name>,
+    now_ms: Millisecond,
+) -> Candidate {
+    let record = &server.record;
+    Candidate {
+        load: server.load(),
+        slots: slots(node, job, server),
+        speed: *server.speed.borrow(),
+        known_tokens: server.cache.borrow().known_tokens(&job.prompt),
+        home: match home {
+            Some(home) if *home == record.id => Home::Own,
+            _ => Home::Other,
+        },
+        nearness: match record.failure_domain == node.settings.node.failure_domain {
+            true => Nearness::Near,
+            false => Nearness::Far,
+        },
+        trust: match server.doubted_until_ms.get() > now_ms {
+            true => Trust::Doubted,
+            false => Trust::Sound,
+        },
+    }
+}
+
+/// Places at a server: its slots, or its connections where this node's share of them is smaller.
+fn slots(node: &Node, job: &Job<'_>, server: &Server) -> u32 {
+    let share = job.service.connections_limit / node.nodes() as u32;
+    let free = share.max(1).saturating_sub(server.running.get());
+    match free {
+        0 => 0,
+        _ => server.record.slots,
+    }
+}
+
+/// The server to which all nodes send a prompt's shared parts: the highest of a hash of both.
+fn home(job: &Job<'_>, servers: &[Rc<Server>]) -> Option<Name> {
+    use std::hash::{Hash, Hasher};
+    let chain = job.prompt.shared_chain()?;
+    let rank = |server: &Rc<Server>| {
+        let mut hasher = rustc_hash::FxHasher::default();
+        (chain, &*server.record.id).hash(&mut hasher);
+        // The low bits of this hasher are weak.
+        hasher
+            .finish()
+            .rotate_left(26)
+            .wrapping_mul(0x9E37_79B9_7F4A_7C15)
+    };
+    let highest = servers.iter().max_by_key(|server| rank(server))?;
+    Some(highest.record.id.clone())
+}
--- /dev/null
+++ b/crates/gateway/src/backend/exchange.rs
@@ -0,0 +1,250 @@
+//! One request to one backend server, up to the head of its answer and event by event after it.
+
+use std::time::Duration;
+
+use base::units::Millisecond;
+use bytes::{Bytes, BytesMut};
+use tokio::io::AsyncWriteExt;
+use tokio::time::Instant;
+
+use super::pool::{Link, Origin};
+use crate::belief::Server;
+use crate::clock::Clock;
+use crate::decide::outcome::Cause;
+use crate::dialect::HeaderNames;
+use crate::http::{Body, Progress, ResponseHead, response_head};
+
+/// Longest head of an answer.
+const HEAD_LIMIT_BYTES: usize = 32 * 1024;
+
+/// Longest answer that is kept whole before it is passed on.
+pub const WHOLE_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+
+/// A request as it is sent.
+#[derive(Clone, Debug)]
+pub struct Outgoing<'a> {
+    /// Method.
+    pub method: &'a str,
+    /// Number that the answer must echo.
+    pub request_id: Option<&'a str>,
+    /// Head, ready to be written.
+    pub head: Bytes,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// An answer whose head has been read.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its head.
+    pub head: ResponseHead,
+    link: Link,
+    body: Body,
+    /// Whether the request was written to its end.
+    sent: Sent,
+}
+
+/// Whether a request was written to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sent {
+    /// It was.
+    Whole,
+    /// Not yet.
+    Partly,
+    /// The connection took no more of it.
+    Stopped,
+}
+
+/// Sends a request and reads the answer's head.
+///
+/// # Errors
+///
+/// Why there is no answer; the connection is closed.
+pub async fn send(
+    server: &Server,
+    request: &Outgoing<'_>,
+    names: &HeaderNames,
+    clock: Clock,
+) -> Result<Answer, Cause> {
+    let link = Link::open(server, clock.now_ms()).await;
+    let mut link = link.map_err(|_| Cause::Unreachable)?;
+    let (head, sent) = converse(&mut link, request, names).await?;
+    server.heard(clock.now_ms());
+    let body = Body::new(head.framing);
+    Ok(Answer {
+        head,
+        link,
+        body,
+        sent,
+    })
+}
+
+async fn converse(
+    link: &mut Link,
+    request: &Outgoing<'_>,
+    names: &HeaderNames,
+) -> Result<(ResponseHead, Sent), Cause> {
+    let origin = link.origin;
+    let (read, buf, write) = link.conn.parts();
+    let writing = async {
+        write.write_all(&request.head).await?;
+        write.write_all(&request.body).await
+    };
+    tokio::pin!(writing);
+    let mut sent = Sent::Partly;
+    let mut stray: Option<Body> = None;
+    loop {
+        if let Some(head) = next_head(buf, &mut stray, request, names, origin)? {
+            return Ok((head, sent));
+        }
+        tokio::select! {
+            biased;
+            result = &mut writing, if sent == Sent::Partly => match result {
+                Ok(()) => sent = Sent::Whole,
+                // The server may have answered before it closed.
+                Err(_) => sent = Sent::Stopped,
+            },
+            result = crate::http::fill(read, buf) => match result {
+                Ok(0) | Err(_) => return Err(Cause::Broken),
+                Ok(_) => {}
+            },
+        }
+    }
+}
+
+/// The next head that answers this request; heads of other requests are passed over with their
+/// bodies.
+fn next_head(
+    buf: &mut BytesMut,
+    stray: &mut Option<Body>,
+    request: &Outgoing<'_>,
+    names: &HeaderNames,
+    origin: Origin,
+) -> Result<Option<ResponseHead>, Cause> {
+    loop {
+        if let Some(body) = stray {
+            let mut dropped = BytesMut::new();
+            let progress = body.read(buf, &mut dropped).map_err(|_| Cause::Garbled)?;
+            if progress == Progress::More {
+                return Ok(None);
+            }
+            *stray = None;
+        }
+        let head = response_head(buf, HEAD_LIMIT_BYTES, request.method);
+        let Some(head) = head.map_err(|_| Cause::Garbled)? else {
+            return Ok(None);
+        };
+        if (100..200).contains(&head.status) {
+            continue;
+        }
+        match ownership(&head, request, names, origin) {
+            Ownership::Own => return Ok(Some(head)),
+            Ownership::Other => *stray = Some(Body::new(head.framing)),
+            Ownership::Unclear => return Err(Cause::Garbled),
+        }
+    }
+}
+
+/// Whose answer a head belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ownership {
+    Own,
+    Other,
+    Unclear,
+}
+
+fn ownership(
+    head: &ResponseHead,
+    request: &Outgoing<'_>,
+    names: &HeaderNames,
+    origin: Origin,
+) -> Ownership {
+    let echoed = head.fields.text(names.request_id);
+    match (echoed, request.request_id) {
+        (Some(echoed), Some(sent)) if echoed == sent => Ownership::Own,
+        (Some(_), Some(_)) => Ownership::Other,
+        (Some(_), None) => Ownership::Unclear,
+        // Refusals need no echo: the server has not looked at the request.
+        (None, _) if head.status >= 400 && origin == Origin::Fresh => Ownership::Own,
+        (None, _) if head.fields.get(names.not_run).is_some() || head.status == 421 => {
+            Ownership::Own
+        }
+        (None, None) => Ownership::Own,
+        (None, Some(_)) => Ownership::Unclear,
+    }
+}
+
+impl Answer {
+    /// The next bytes of the body; `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke or the framing is wrong before the end.
+    pub async fn next(&mut self) -> Result<Option<BytesMut>, Cause> {
+        let mut out = BytesMut::new();
+        loop {
+            let progress = self.body.read(&mut self.link.conn.buf, &mut out);
+            let progress = progress.map_err(|_| Cause::Garbled)?;
+            if !out.is_empty() {
+                return Ok(Some(out));
+            }
+            if progress == Progress::Done {
+                return Ok(None);
+            }
+            match self.link.conn.fill().await {
+                Ok(0) if self.body.ends_with_connection() => return Ok(None),
+                Ok(0) | Err(_) => return Err(Cause::Broken),
+                Ok(_) => {}
+            }
+        }
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// It breaks off or is too long to be kept.
+    pub async fn whole(&mut self) -> Result<Bytes, Cause> {
+        let mut whole = BytesMut::new();
+        while let Some(part) = self.next().await? {
+            if whole.is_empty() {
+                whole = part;
+            } else {
+                whole.extend_from_slice(&part);
+            }
+            if whole.len() > WHOLE_LIMIT_BYTES {
+                return Err(Cause::Garbled);
+            }
+        }
+        Ok(whole.freeze())
+    }
+
+    /// Keeps the connection for another request if it is clean.
+    pub fn finish(self, server: &Server, now_ms: Millisecond) {
+        let clean = self.sent == Sent::Whole
+            && self.body.is_done()
+            && self.link.conn.buf.is_empty()
+            && self.head.keeps_alive();
+        if clean {
+            let idle_ms = idle_ms(&self.head);
+            self.link.park(server, idle_ms, now_ms);
+        }
+    }
+}
+
+/// Time for which the server keeps an idle connection, if it names one.
+fn idle_ms(head: &ResponseHead) -> Option<Millisecond> {
+    let text = head.fields.text("keep-alive")?;
+    for word in text.split(',') {
+        let Some(seconds) = word.trim().strip_prefix("timeout=") else {
+            continue;
+        };
+        return seconds.trim().parse::<u64>().ok().map(|s| s * 1_000);
+    }
+    None
+}
+
+/// Instant `ms` from now.
+pub fn after(ms: Millisecond) -> Instant {
+    Instant::now() + Duration::from_millis(ms)
+}
--- /dev/null
+++ b/crates/gateway/src/backend/mod.rs
@@ -0,0 +1,6 @@
+//! Connections to backend servers, and single exchanges over them.
+
+pub mod attempt;
+pub mod exchange;
+pub mod lost;
+pub mod pool;
--- /dev/null
+++ b/crates/gateway/src/backend/pool.rs
@@ -0,0 +1,129 @@
+//! Connections to backend servers that are kept for further requests.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use base::units::Millisecond;
+
+use crate::belief::Server;
+use crate::http::{Conn, ConnOptions};
+
+/// How long a server may keep us waiting for a connection: the pages' callers wait one second.
+const CONNECT_TIMEOUT_MS: Millisecond = 700;
+
+/// Sent bytes that stay unacknowledged for so long end a connection; below the shortest time
+/// after which a caller leaves a stream.
+const UNACKNOWLEDGED_MS: Millisecond = 1_500;
+
+/// How long a connection waits for a request when the server names no time.
+const UNNAMED_IDLE_MS: Millisecond = 3_000;
+
+/// Taken off the time that a server names, as the request is on its way for a while.
+const IDLE_MARGIN_MS: Millisecond = 700;
+
+/// Connections kept waiting at one server.
+const IDLE_LIMIT: usize = 16;
+
+/// Counts a connection at its server for as long as it is open, or being opened.
+#[derive(Debug)]
+struct Counted(Rc<Cell<u32>>);
+
+impl Counted {
+    fn new(count: &Rc<Cell<u32>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// A connection that waits for a request.
+#[derive(Debug)]
+pub struct Idle {
+    conn: Conn,
+    counted: Counted,
+    usable_until_ms: Millisecond,
+}
+
+/// How a connection came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// It was opened for this request.
+    Fresh,
+    /// It has served others.
+    Kept,
+}
+
+/// A connection in use; closed when dropped.
+#[derive(Debug)]
+pub struct Link {
+    /// The connection.
+    pub conn: Conn,
+    /// How it came.
+    pub origin: Origin,
+    counted: Counted,
+}
+
+impl Link {
+    /// A connection to `server`, kept or fresh.
+    ///
+    /// # Errors
+    ///
+    /// None could be opened.
+    pub async fn open(server: &Server, now_ms: Millisecond) -> std::io::Result<Self> {
+        if let Some(idle) = kept(server, now_ms) {
+            return Ok(Self {
+                conn: idle.conn,
+                origin: Origin::Kept,
+                counted: idle.counted,
+            });
+        }
+        let options = ConnOptions {
+            connect_timeout_ms: CONNECT_TIMEOUT_MS,
+            unacknowledged_ms: UNACKNOWLEDGED_MS,
+        };
+        let counted = Counted::new(&server.connections);
+        let conn = Conn::open(server.record.address, options).await?;
+        Ok(Self {
+            conn,
+            origin: Origin::Fresh,
+            counted,
+        })
+    }
+
+    /// Keeps the connection for another request; `idle_ms` is the time that the server names.
+    pub fn park(self, server: &Server, idle_ms: Option<Millisecond>, now_ms: Millisecond) {
+        let named_ms = idle_ms.map(|ms| ms.saturating_sub(IDLE_MARGIN_MS));
+        let span_ms = named_ms.unwrap_or(UNNAMED_IDLE_MS);
+        let mut idle = server.idle.borrow_mut();
+        if span_ms == 0 || idle.len() >= IDLE_LIMIT {
+            return;
+        }
+        idle.push(Idle {
+            conn: self.conn,
+            counted: self.counted,
+            usable_until_ms: now_ms + span_ms,
+        });
+    }
+}
+
+/// Closes connections that have waited too long.
+pub fn sweep(server: &Server, now_ms: Millisecond) {
+    let mut idle = server.idle.borrow_mut();
+    idle.retain(|i| i.usable_until_ms > now_ms);
+}
+
+/// The connection used last: the others grow old and are closed.
+fn kept(server: &Server, now_ms: Millisecond) -> Option<Idle> {
+    sweep(server, now_ms);
+    loop {
+        let mut idle = server.idle.borrow_mut().pop()?;
+        if idle.conn.is_quiet() {
+            return Some(idle);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/belief/registry.rs
@@ -0,0 +1,284 @@
+//! The backend servers that are known, with what this node has seen of each.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use base::units::{Millisecond, TokenCount};
+use base::{Map, Name};
+use outside::Purchase;
+use policy::suspect::Digest;
+
+use crate::backend::pool::Idle;
+use crate::decide::cache::Cache;
+use crate::decide::speed::Speed;
+
+/// How long entries that vanish beside an outage of the store are still used, below the shortest
+/// drain bound of the pages.
+const VANISHED_GRACE_MS: Millisecond = 1_500;
+
+/// What a backend server says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerRecord {
+    /// Identifier.
+    pub id: Name,
+    /// Its service.
+    pub service: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub failure_domain: Name,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: ServerState,
+    /// How it is paid for.
+    pub purchase: Purchase,
+    /// Unix time of its start; a greater one under the same identifier is another life.
+    pub born_unix_ms: u64,
+}
+
+/// Whether a backend server takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerState {
+    /// It does.
+    Ready,
+    /// It leaves.
+    Draining,
+}
+
+/// One life of a backend server.
+#[derive(Debug)]
+pub struct Server {
+    /// What it says of itself.
+    pub record: ServerRecord,
+    /// This node's requests on it.
+    pub running: Cell<u32>,
+    /// Prompt tokens of this node's requests that have not begun to answer.
+    pub waiting_tokens: Cell<TokenCount>,
+    /// What the other nodes have there.
+    pub others: Cell<Load>,
+    /// Requests that it said it runs or keeps waiting, and when.
+    pub reported: Cell<(u32, Millisecond)>,
+    /// When a byte last came from it.
+    pub heard_ms: Cell<Millisecond>,
+    /// Until when it gets work only if no other server can take it.
+    pub doubted_until_ms: Cell<Millisecond>,
+    /// Failures in a row.
+    pub failures: Cell<u32>,
+    /// Requests whose connections broke, until it is known whether the server is down.
+    pub broken: RefCell<Vec<Digest>>,
+    /// Connections open to it.
+    pub connections: Rc<Cell<u32>>,
+    /// Connections that wait for a request.
+    pub idle: RefCell<Vec<Idle>>,
+    /// How fast it answers.
+    pub speed: RefCell<Speed>,
+    /// Prompt parts that it is thought to keep.
+    pub cache: RefCell<Cache>,
+}
+
+/// Requests and prompt tokens on a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run there.
+    pub running: u32,
+    /// Prompt tokens that wait to be read.
+    pub waiting_tokens: TokenCount,
+}
+
+impl Server {
+    /// A server of which nothing has been seen.
+    pub fn new(record: ServerRecord) -> Self {
+        Self {
+            record,
+            running: Cell::new(0),
+            waiting_tokens: Cell::new(0),
+            others: Cell::default(),
+            reported: Cell::default(),
+            heard_ms: Cell::new(0),
+            doubted_until_ms: Cell::new(0),
+            failures: Cell::new(0),
+            broken: RefCell::default(),
+            connections: Rc::default(),
+            idle: RefCell::default(),
+            speed: RefCell::default(),
+            cache: RefCell::default(),
+        }
+    }
+
+    /// Requests of all nodes on it, as far as is known.
+    pub fn load(&self) -> Load {
+        let others = self.others.get();
+        Load {
+            running: self.running.get() + others.running,
+            waiting_tokens: self.waiting_tokens.get() + others.waiting_tokens,
+        }
+    }
+
+    /// Takes note of an answer or an event.
+    pub fn heard(&self, now_ms: Millisecond) {
+        self.heard_ms.set(now_ms);
+        self.failures.set(0);
+    }
+
+    /// Takes note of a failure: the server is avoided for longer with each in a row.
+    pub fn failed(&self, now_ms: Millisecond) {
+        /// First span of avoidance; doubled with each failure in a row.
+        const DOUBT_MS: Millisecond = 250;
+        /// Longest span, near the time in which a crashed server is back.
+        const DOUBT_LIMIT_MS: Millisecond = 2_000;
+        let failures = self.failures.get() + 1;
+        self.failures.set(failures);
+        let span_ms = DOUBT_MS << failures.min(4).saturating_sub(1);
+        self.doubted_until_ms
+            .set(now_ms + span_ms.min(DOUBT_LIMIT_MS));
+    }
+}
+
+/// What a change of the registry did.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// A server is new, or lives again.
+    Appeared(Name),
+    /// A server leaves.
+    Leaving(Name),
+    /// A server's entry is gone.
+    Gone(Name),
+    /// Nothing that matters here.
+    None,
+}
+
+/// All backend servers known.
+#[derive(Debug, Default)]
+pub struct Registry {
+    /// Revision of the store up to which it is known.
+    pub revision: u64,
+    by_id: Map<Name, Rc<Server>>,
+    by_service: Map<Name, Vec<Rc<Server>>>,
+    /// Entries that vanished beside an outage, and until when they are used.
+    vanished: Map<Name, Millisecond>,
+    /// Entries as stored, for peers that the store turns away.
+    stored: Map<Name, Vec<u8>>,
+}
+
+/// How an absent entry is to be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Absence {
+    /// The server is gone.
+    Certain,
+    /// The store was away; the server may register itself again.
+    BesideOutage,
+}
+
+impl Registry {
+    /// The server of that identifier.
+    pub fn server(&self, id: &str) -> Option<&Rc<Server>> {
+        self.by_id.get(id)
+    }
+
+    /// All servers of a service, leaving ones too.
+    pub fn of_service(&self, service: &str) -> &[Rc<Server>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// All servers.
+    pub fn servers(&self) -> impl Iterator<Item = &Rc<Server>> {
+        self.by_id.values()
+    }
+
+    /// Entries as stored.
+    pub fn stored(&self) -> &Map<Name, Vec<u8>> {
+        &self.stored
+    }
+
+    /// Takes in an entry.
+    pub fn put(&mut self, record: ServerRecord, stored: Vec<u8>) -> Change {
+        let id = record.id.clone();
+        self.stored.insert(id.clone(), stored);
+        self.vanished.remove(&id);
+        let Some(known) = self.by_id.get(&id) else {
+            self.insert(Rc::new(Server::new(record)));
+            return Change::Appeared(id);
+        };
+        if known.record == record {
+            return Change::None;
+        }
+        let same_life = known.record.born_unix_ms == record.born_unix_ms
+            && known.record.address == record.address
+            && known.record.service == record.service;
+        if same_life && known.record.state == record.state {
+            return Change::None;
+        }
+        if record.born_unix_ms < known.record.born_unix_ms {
+            return Change::None;
+        }
+        let leaves = record.state == ServerState::Draining;
+        let next = match same_life {
+            true => moved(known, record),
+            false => Rc::new(Server::new(record)),
+        };
+        self.insert(next);
+        match leaves {
+            true => Change::Leaving(id),
+            false => Change::Appeared(id),
+        }
+    }
+
+    /// Takes in that an entry is absent.
+    pub fn remove(&mut self, id: &str, absence: Absence, now_ms: Millisecond) -> Change {
+        let Some((name, _)) = self.by_id.get_key_value(id) else {
+            return Change::None;
+        };
+        let name = name.clone();
+        if absence == Absence::BesideOutage {
+            let until_ms = now_ms + VANISHED_GRACE_MS;
+            self.vanished.entry(name).or_insert(until_ms);
+            return Change::None;
+        }
+        self.vanished.remove(&name);
+        self.stored.remove(&name);
+        if let Some(server) = self.by_id.remove(&name) {
+            self.unlist(&server);
+        }
+        Change::Gone(name)
+    }
+
+    /// Drops entries whose grace has ended.
+    pub fn expire(&mut self, now_ms: Millisecond) -> Vec<Change> {
+        let ended = |(_, until_ms): &(&Name, &Millisecond)| **until_ms <= now_ms;
+        let due: Vec<Name> = self
+            .vanished
+            .iter()
+            .filter(ended)
+            .map(|(id, _)| id.clone())
+            .collect();
+        due.iter()
+            .map(|id| self.remove(id, Absence::Certain, now_ms))
+            .collect()
+    }
+
+    fn insert(&mut self, server: Rc<Server>) {
+        let id = server.record.id.clone();
+        if let Some(before) = self.by_id.insert(id, server.clone()) {
+            self.unlist(&before);
+        }
+        let service = server.record.service.clone();
+        self.by_service.entry(service).or_default().push(server);
+    }
+
+    fn unlist(&mut self, server: &Rc<Server>) {
+        if let Some(listed) = self.by_service.get_mut(&server.record.service) {
+            listed.retain(|s| !Rc::ptr_eq(s, server));
+        }
+    }
+}
+
+/// The same life with another state; requests in flight keep counting at the old object, which is
+/// no longer chosen.
+fn moved(known: &Rc<Server>, record: ServerRecord) -> Rc<Server> {
+    let server = Server::new(record);
+    server.heard_ms.set(known.heard_ms.get());
+    *server.speed.borrow_mut() = known.speed.borrow().clone();
+    Rc::new(server)
+}
--- /dev/null
+++ b/crates/gateway/src/clock.rs
@@ -0,0 +1,32 @@
+//! Milliseconds since the process started.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use base::units::Millisecond;
+use tokio::time::Instant;
+
+/// Origin of all instants in beliefs and decisions.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+}
+
+impl Clock {
+    /// A clock that starts at 1 s, so that 0 is "long ago".
+    pub fn start() -> Self {
+        Self {
+            started: Instant::now(),
+        }
+    }
+
+    /// Now.
+    pub fn now_ms(self) -> Millisecond {
+        1_000 + self.started.elapsed().as_millis() as Millisecond
+    }
+}
+
+/// Milliseconds of the calendar clock, which may jump.
+pub fn unix_ms() -> Millisecond {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as Millisecond
+}
--- /dev/null
+++ b/crates/gateway/src/daemon.rs
@@ -0,0 +1,199 @@
+//! Start and end of a gateway process.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use events::Code;
+use outside::{Duties, Feed, Table, Topic};
+use serde::Serialize;
+use snafu::{ResultExt, Snafu};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep_until};
+
+use crate::backend::pool;
+use crate::dialect::Dialect;
+use crate::front::accept::{ListenError, Purpose, bind};
+use crate::node::{Node, Phase};
+use crate::peer::exchange::{self, ExchangeError};
+use crate::settings::{Settings, ms};
+use crate::{duty, follow, log};
+
+/// Time between two rounds of tidying up.
+const TIDY: Duration = Duration::from_millis(250);
+
+/// Least time between SIGTERM and the end: the balancer asks twice, a second apart.
+const LEAST_DRAIN: Duration = Duration::from_millis(2_800);
+
+/// Taken off the time to leave, so that the process ends before it is killed.
+const DRAIN_MARGIN_MS: u64 = 700;
+
+/// A process could not start.
+#[derive(Debug, Snafu)]
+pub enum DaemonError {
+    /// The runtime could not start.
+    #[snafu(display("The process could not start its thread: {source}."))]
+    Runtime {
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// An address is not free.
+    #[snafu(transparent)]
+    Listen {
+        /// Which, and why.
+        source: ListenError,
+    },
+    /// Other nodes cannot be spoken to.
+    #[snafu(transparent)]
+    Exchange {
+        /// Why.
+        source: ExchangeError,
+    },
+    /// Signals cannot be received.
+    #[snafu(display("Signals cannot be received: {source}."))]
+    Signals {
+        /// The system's error.
+        source: std::io::Error,
+    },
+}
+
+/// The platform as a process uses it.
+pub struct Platform {
+    /// How it speaks.
+    pub dialect: Dialect,
+    /// Its store, row by row.
+    pub table: Arc<dyn Table>,
+    /// Its store, as it changes.
+    pub feed: Arc<dyn Feed>,
+    /// Its calls for duties, if it has any.
+    pub duties: Option<Arc<dyn Duties>>,
+}
+
+#[derive(Serialize)]
+struct StartedFields<'a> {
+    node: &'a str,
+    boot: u64,
+    settings: String,
+}
+
+#[derive(Serialize)]
+struct DrainFields {
+    in_flight: u32,
+    connections: u32,
+}
+
+/// Runs a process until it has drained.
+///
+/// # Errors
+///
+/// It could not start.
+pub fn run(
+    settings: Settings,
+    connect: impl FnOnce(&Settings) -> Platform,
+) -> Result<(), DaemonError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, async {
+        let platform = connect(&settings);
+        let node = Node::new(settings, platform.dialect);
+        spawn(&node, platform).await?;
+        serve(&node).await
+    })
+}
+
+/// Starts all tasks of a process on the current local task set.
+///
+/// # Errors
+///
+/// An address is not free.
+pub async fn spawn(node: &Rc<Node>, platform: Platform) -> Result<(), DaemonError> {
+    let listen = node.settings.listen;
+    bind(node, Purpose::Ready, listen.ready)?;
+    bind(node, Purpose::Metrics, listen.metrics)?;
+    bind(node, Purpose::Peers, listen.peers)?;
+    exchange::spawn(node).await?;
+    let (table, feed) = (platform.table, platform.feed);
+    let directory = follow::directory::take_in;
+    spawn_local(follow::follow(
+        node.clone(),
+        feed.clone(),
+        Topic::Directory,
+        directory,
+    ));
+    let servers = follow::servers::take_in;
+    spawn_local(follow::follow(
+        node.clone(),
+        feed.clone(),
+        Topic::Servers,
+        servers,
+    ));
+    spawn_local(follow::nodes::keep(node.clone(), table.clone(), feed));
+    if let Some(duties) = platform.duties {
+        spawn_local(duty::keeper::keep(node.clone(), table, duties));
+    }
+    spawn_local(tidy(node.clone()));
+    bind(node, Purpose::Callers, listen.callers)?;
+    Ok(())
+}
+
+async fn serve(node: &Rc<Node>) -> Result<(), DaemonError> {
+    let mut term = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+    let mut hup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+    report_start(node);
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hup.recv() => log::emit(Code::SettingsKept, &()),
+        }
+    }
+    drain(node).await;
+    Ok(())
+}
+
+fn report_start(node: &Node) {
+    let listen = node.settings.listen;
+    let fields = StartedFields {
+        node: &node.settings.node.name,
+        boot: node.boot,
+        settings: format!("callers={} peers={}", listen.callers, listen.peers),
+    };
+    log::emit(Code::DaemonStarted, &fields);
+}
+
+/// Finishes what is in flight; new callers are served until the balancer sends none.
+async fn drain(node: &Node) {
+    let started = Instant::now();
+    log::emit(Code::DaemonDraining, &drain_fields(node));
+    node.phase.set(Phase::Draining);
+    node.phase_changed.notify_waiters();
+    let least = started + LEAST_DRAIN;
+    let most_ms = ms(node.settings.bounds.shutdown_s).saturating_sub(DRAIN_MARGIN_MS);
+    let most = started + Duration::from_millis(most_ms);
+    sleep_until(least.min(most)).await;
+    while Instant::now() < most && (node.in_flight.get() > 0 || node.callers.get() > 0) {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    log::emit(Code::DaemonStopped, &drain_fields(node));
+}
+
+fn drain_fields(node: &Node) -> DrainFields {
+    DrainFields {
+        in_flight: node.in_flight.get(),
+        connections: node.callers.get(),
+    }
+}
+
+async fn tidy(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(TIDY).await;
+        let now_ms = node.now_ms();
+        follow::servers::expire(&node);
+        for server in node.registry.borrow().servers() {
+            pool::sweep(server, now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decide/allowance.rs
@@ -0,0 +1,154 @@
+//! Allowances of workspaces over all nodes, without a call to the store.
+//!
+//! Each node keeps the whole bucket, charges its own requests at once and those of the others as
+//! it hears of them. A node that is not heard of is charged an even share of the rate, so that
+//! nodes which are cut off from each other together stay within the allowance.
+
+use base::units::Millisecond;
+use base::{Map, Name};
+
+use crate::belief::directory::Allowance;
+
+/// A node that was not heard of for so long is charged its share.
+const SILENCE_MS: Millisecond = 600;
+
+/// Seconds of the rate that are there when nothing is known of what was used before.
+const UNKNOWN_START_S: f64 = 0.5;
+
+/// What a node has used, by its own count.
+#[derive(Clone, Copy, Debug, Default)]
+struct Peer {
+    /// Its count when last heard.
+    used: f64,
+    /// Charged since it was last heard, for want of word.
+    presumed: f64,
+    heard_ms: Millisecond,
+}
+
+/// One workspace's bucket as one node sees it.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    allowance: Allowance,
+    level: f64,
+    filled_ms: Millisecond,
+    /// Units that this node has used since it started.
+    used: f64,
+    peers: Map<Name, Peer>,
+}
+
+/// Whether there is room for a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// There is, and it is charged.
+    Within,
+    /// There will be, after so long.
+    Beyond {
+        /// Time until there is room.
+        wait_ms: Millisecond,
+    },
+}
+
+/// What was used before a bucket began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Past {
+    /// Nothing.
+    Unused,
+    /// Not known.
+    Unknown,
+}
+
+impl Bucket {
+    /// A bucket that starts now.
+    pub fn new(allowance: Allowance, past: Past, now_ms: Millisecond) -> Self {
+        let level = match past {
+            Past::Unused => allowance.burst,
+            Past::Unknown => allowance.burst.min(allowance.rate_per_s * UNKNOWN_START_S),
+        };
+        Self {
+            allowance,
+            level,
+            filled_ms: now_ms,
+            used: 0.0,
+            peers: Map::default(),
+        }
+    }
+
+    /// Takes in another allowance; what is left stays, up to the new burst.
+    pub fn set_allowance(&mut self, allowance: Allowance) {
+        let grown = (allowance.burst - self.allowance.burst).max(0.0);
+        self.allowance = allowance;
+        self.level = (self.level + grown).min(allowance.burst);
+    }
+
+    /// Units that this node has used since it started.
+    pub fn used(&self) -> f64 {
+        self.used
+    }
+
+    /// What is left.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
+    /// Charges a request if there is room for it.
+    pub fn charge(&mut self, cost: f64, nodes: usize, now_ms: Millisecond) -> Verdict {
+        self.fill(nodes, now_ms);
+        let needed = cost.min(self.allowance.burst);
+        if self.level >= needed {
+            self.level -= cost;
+            self.used += cost;
+            return Verdict::Within;
+        }
+        let missing = needed - self.level;
+        let wait_ms = 1_000.0 * missing / self.allowance.rate_per_s.max(0.001);
+        Verdict::Beyond {
+            wait_ms: wait_ms.min(60_000.0) as Millisecond,
+        }
+    }
+
+    /// Gives back what a request was charged that did not run.
+    pub fn refund(&mut self, cost: f64) {
+        self.level = (self.level + cost).min(self.allowance.burst);
+        self.used -= cost;
+    }
+
+    /// Takes in what another life of a node has used since it started.
+    pub fn heard(&mut self, peer: &Name, used: f64, now_ms: Millisecond) {
+        let known = self.peers.entry(peer.clone()).or_insert(Peer {
+            used,
+            presumed: 0.0,
+            heard_ms: now_ms,
+        });
+        let since = (used - known.used) - known.presumed;
+        self.level = (self.level - since).min(self.allowance.burst);
+        // A burst that was heard of late is not to stop the workspace for long.
+        self.level = self
+            .level
+            .max(-self.allowance.burst - self.allowance.rate_per_s);
+        *known = Peer {
+            used,
+            presumed: 0.0,
+            heard_ms: now_ms,
+        };
+    }
+
+    /// A life of a node has ended.
+    pub fn gone(&mut self, peer: &Name) {
+        self.peers.remove(peer);
+    }
+
+    fn fill(&mut self, nodes: usize, now_ms: Millisecond) {
+        let span_s = now_ms.saturating_sub(self.filled_ms) as f64 / 1_000.0;
+        self.filled_ms = now_ms;
+        let rate = self.allowance.rate_per_s;
+        self.level += rate * span_s;
+        let share = rate * span_s / nodes.max(1) as f64;
+        for peer in self.peers.values_mut() {
+            if now_ms.saturating_sub(peer.heard_ms) > SILENCE_MS {
+                peer.presumed += share;
+                self.level -= share;
+            }
+        }
+        self.level = self.level.min(self.allowance.burst);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decide/mod.rs
@@ -0,0 +1,9 @@
+//! Decisions as plain code: no socket, clock or task.
+
+pub mod allowance;
+pub mod cache;
+pub mod outcome;
+pub mod place;
+pub mod prompt;
+pub mod repeats;
+pub mod speed;
--- /dev/null
+++ b/crates/gateway/src/decide/outcome.rs
@@ -0,0 +1,121 @@
+//! What follows a failed attempt, and what may be said of a request that is given up.
+
+use base::outcome::RunState;
+use base::units::Millisecond;
+
+use crate::belief::RouteKind;
+
+/// Why an attempt ended without a whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Cause {
+    /// No connection could be opened.
+    Unreachable,
+    /// The server said that it did not run the request.
+    Refused,
+    /// Another server has the address.
+    Misdirected,
+    /// The connection broke.
+    Broken,
+    /// The bytes were no answer to this request.
+    Garbled,
+    /// Nothing came from the server for too long.
+    Silent,
+    /// The server ran the request and failed.
+    Failed,
+}
+
+impl Cause {
+    /// Name in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Refused => "refused",
+            Self::Misdirected => "misdirected",
+            Self::Broken => "broken",
+            Self::Garbled => "garbled",
+            Self::Silent => "silent",
+            Self::Failed => "failed",
+        }
+    }
+
+    /// What it says of the request.
+    pub fn run_state(self) -> RunState {
+        match self {
+            Self::Unreachable | Self::Refused | Self::Misdirected => RunState::NotRun,
+            Self::Broken | Self::Garbled | Self::Silent => RunState::Unknown,
+            Self::Failed => RunState::Ran,
+        }
+    }
+
+    /// Whether the attempt reached the server and so counts as a send.
+    pub fn arrived(self) -> bool {
+        self != Self::Unreachable
+    }
+}
+
+/// Most sends of one request that may all be refused; each one counts against the service's repeats.
+pub const SENDS_LIMIT: u32 = 4;
+
+/// Where one request stands.
+#[derive(Clone, Copy, Debug)]
+pub struct Trail {
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Most servers that may run it.
+    pub runs_limit: u32,
+    /// Servers that may have run it.
+    pub runs: u32,
+    /// Sends that reached a server.
+    pub sends: u32,
+    /// Attempts of any kind.
+    pub attempts: u32,
+    /// What is known of it.
+    pub run_state: RunState,
+}
+
+/// What follows a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Another attempt, if the service's repeats allow it.
+    Again,
+    /// None.
+    GiveUp,
+}
+
+impl Trail {
+    /// A request that has not been sent.
+    pub fn new(kind: RouteKind, runs_limit: u32) -> Self {
+        Self {
+            kind,
+            runs_limit: runs_limit.max(1),
+            runs: 0,
+            sends: 0,
+            attempts: 0,
+            run_state: RunState::NotRun,
+        }
+    }
+
+    /// Takes in a failed attempt and says what follows; `left_ms` is the time that is left.
+    pub fn after(&mut self, cause: Cause, left_ms: Millisecond) -> Next {
+        /// Attempts that never reached a server; each costs its connect time.
+        const ATTEMPTS_LIMIT: u32 = 8;
+        /// With less time left no server can answer.
+        const LEAST_MS: Millisecond = 20;
+        self.attempts += 1;
+        self.run_state = self.run_state.after(cause.run_state());
+        if cause.arrived() {
+            self.sends += 1;
+        }
+        if cause.run_state() != RunState::NotRun {
+            self.runs += 1;
+        }
+        let may_run = self.run_state == RunState::NotRun || self.kind.repeats();
+        let room = self.runs < self.runs_limit
+            && self.sends < SENDS_LIMIT
+            && self.attempts < ATTEMPTS_LIMIT;
+        match may_run && room && left_ms >= LEAST_MS {
+            true => Next::Again,
+            false => Next::GiveUp,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decide/repeats.rs
@@ -0,0 +1,82 @@
+//! Budget of repeated sends to a service: a part of its requests in a sliding window.
+//!
+//! The bound holds over all nodes together. Each node keeps the ratio for its own requests and has
+//! an even share of the slack, so that no exchange is needed.
+
+use std::collections::VecDeque;
+
+use base::units::Millisecond;
+
+/// Spans into which the window is divided.
+const SPANS: u64 = 20;
+
+/// Part of the ratio and of the slack that is used; the rest covers restarts and unseen nodes.
+const USED_SHARE: f64 = 0.7;
+
+/// Terms of the budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Window of the ratio.
+    pub window_ms: Millisecond,
+    /// Repeats in a window beside the ratio, over all nodes.
+    pub slack: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Span {
+    index: u64,
+    requests: u32,
+    repeats: u32,
+}
+
+/// One service's budget at one node.
+#[derive(Clone, Debug, Default)]
+pub struct Repeats {
+    spans: VecDeque<Span>,
+}
+
+impl Repeats {
+    /// Counts the first send of a request.
+    pub fn requested(&mut self, terms: &Terms, now_ms: Millisecond) {
+        self.span(terms, now_ms).requests += 1;
+    }
+
+    /// Whether one more repeat fits, and counts it if so.
+    pub fn draw(&mut self, terms: &Terms, nodes: usize, now_ms: Millisecond) -> Draw {
+        self.span(terms, now_ms);
+        let requests: u32 = self.spans.iter().map(|s| s.requests).sum();
+        let repeats: u32 = self.spans.iter().map(|s| s.repeats).sum();
+        let earned = terms.ratio * f64::from(requests);
+        let allowed = USED_SHARE * (earned + terms.slack / nodes.max(1) as f64);
+        if f64::from(repeats + 1) > allowed {
+            return Draw::Exhausted;
+        }
+        self.span(terms, now_ms).repeats += 1;
+        Draw::Granted
+    }
+
+    fn span(&mut self, terms: &Terms, now_ms: Millisecond) -> &mut Span {
+        let index = now_ms * SPANS / terms.window_ms;
+        while self.spans.front().is_some_and(|s| s.index + SPANS < index) {
+            self.spans.pop_front();
+        }
+        if self.spans.back().is_none_or(|s| s.index < index) {
+            self.spans.push_back(Span {
+                index,
+                ..Span::default()
+            });
+        }
+        self.spans.back_mut().expect("a span was just added")
+    }
+}
+
+/// Whether a repeat may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Draw {
+    /// It may, and is counted.
+    Granted,
+    /// The service has used up its repeats.
+    Exhausted,
+}
--- /dev/null
+++ b/crates/gateway/src/decide/speed.rs
@@ -0,0 +1,70 @@
+//! How fast one backend server answers, learned from its answers.
+
+use base::units::{Millisecond, TokenCount};
+
+/// Weight of a new observation.
+const ALPHA: f64 = 0.15;
+
+/// Milliseconds to read a prompt token, until a server has shown its own.
+const READ_MS_PER_TOKEN: f64 = 0.01;
+
+/// Milliseconds to the first event of an empty prompt, until a server has shown its own.
+const START_MS: f64 = 15.0;
+
+/// Prompts with fewer tokens to read tell nothing of the reading speed.
+const TELLING_TOKENS: TokenCount = 500;
+
+/// Moving averages of one server.
+#[derive(Clone, Copy, Debug)]
+pub struct Speed {
+    read_ms_per_token: f64,
+    start_ms: f64,
+    gap_ms: f64,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Self {
+            read_ms_per_token: READ_MS_PER_TOKEN,
+            start_ms: START_MS,
+            gap_ms: 0.0,
+        }
+    }
+}
+
+impl Speed {
+    /// Time to the first event with `tokens` to be read before it, this request's own included.
+    pub fn first_ms(&self, tokens: TokenCount) -> f64 {
+        self.start_ms + tokens as f64 * self.read_ms_per_token
+    }
+
+    /// Time between two events; 0 while none was seen.
+    pub fn gap_ms(&self) -> f64 {
+        self.gap_ms
+    }
+
+    /// Takes in the time to a first event before which `tokens` had to be read.
+    pub fn saw_first(&mut self, tokens: TokenCount, after_ms: Millisecond) {
+        let after_ms = after_ms as f64;
+        if tokens < TELLING_TOKENS {
+            blend(&mut self.start_ms, after_ms);
+            return;
+        }
+        let reading_ms = (after_ms - self.start_ms).max(1.0);
+        blend(&mut self.read_ms_per_token, reading_ms / tokens as f64);
+    }
+
+    /// Takes in the time between two events.
+    pub fn saw_gap(&mut self, gap_ms: f64) {
+        match self.gap_ms > 0.0 {
+            true => blend(&mut self.gap_ms, gap_ms),
+            false => self.gap_ms = gap_ms,
+        }
+    }
+}
+
+fn blend(average: &mut f64, seen: f64) {
+    // One stall must not make a server look broken for seconds.
+    let seen = seen.min(*average * 4.0 + 1.0);
+    *average += ALPHA * (seen - *average);
+}
--- /dev/null
+++ b/crates/gateway/src/duty/keeper.rs
@@ -0,0 +1,162 @@
+//! The holder of the duties: a lease in the store, and the calls that are made under it.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::units::Millisecond;
+use base::{Map, Name, Set};
+use fleet::lease::{Permit, Terms};
+use fleet::{LeaseHolder, LeaseRight};
+use outside::{CommitError, Condition, Duties, DutyError, Holder, Key, Table, UsageReport, Write};
+use serde::Serialize;
+
+use crate::log;
+use crate::node::Node;
+
+/// Name of the lease.
+const LEASE: &str = "duties";
+
+/// Partition of the usage rows: what was reported for a window, kept before it is reported.
+const USAGE_PARTITION: &str = "usage";
+
+/// Time between two rounds.
+const ROUND: Duration = Duration::from_millis(500);
+
+/// A window is summed up so long after its end, when all nodes have told their counts.
+const SETTLE_MS: Millisecond = 2_000;
+
+/// Windows back to which reports are made up for.
+const WINDOWS_BACK: u64 = 3;
+
+/// Part of the lease's term that clocks and delays may take.
+const MARGIN_SHARE: u64 = 6;
+
+#[derive(Serialize)]
+struct UsageFields<'a> {
+    window: u64,
+    fence: u64,
+    counts: &'a Map<Name, u64>,
+    outcome: String,
+}
+
+/// Keeps the duties for as long as the process lives.
+pub async fn keep(node: Rc<Node>, table: Arc<dyn Table>, duties: Arc<dyn Duties>) {
+    let term_ms = node.settings.bounds.lease_ms;
+    let terms = Terms {
+        term_ms,
+        margin_ms: term_ms / MARGIN_SHARE,
+    };
+    let name = node.settings.node.name.clone();
+    let lease = LeaseHolder::spawn(LEASE, name, table.clone(), terms, node.boot);
+    let keeper = Keeper {
+        node,
+        table,
+        duties,
+        right: lease.right(),
+    };
+    keeper.run().await;
+}
+
+struct Keeper {
+    node: Rc<Node>,
+    table: Arc<dyn Table>,
+    duties: Arc<dyn Duties>,
+    right: LeaseRight,
+}
+
+impl Keeper {
+    async fn run(self) {
+        let mut reported: Set<u64> = Set::default();
+        loop {
+            tokio::time::sleep(ROUND).await;
+            let Some(window) = self.due(&reported) else {
+                continue;
+            };
+            if self.report(window).await == Reported::Yes {
+                reported.insert(window);
+                reported.retain(|w| w + 2 * WINDOWS_BACK > window);
+            }
+        }
+    }
+
+    /// The oldest window whose report is due.
+    fn due(&self, reported: &Set<u64>) -> Option<u64> {
+        let offset_ms = self.node.peers.borrow().clock_offset_ms();
+        let usage = self.node.usage.borrow();
+        let now = usage.window(offset_ms);
+        let recent = now.saturating_sub(WINDOWS_BACK)..now;
+        let settled = |w: &u64| usage.since_end_ms(*w, offset_ms) >= SETTLE_MS;
+        recent.filter(settled).find(|w| !reported.contains(w))
+    }
+
+    async fn report(&self, window: u64) -> Reported {
+        if self.permit().is_none() {
+            return Reported::No;
+        }
+        let Some(counts) = self.settle(window).await else {
+            return Reported::No;
+        };
+        // Asked for again: the store may have taken long.
+        let Some(permit) = self.permit() else {
+            return Reported::No;
+        };
+        let holder = self.holder(permit);
+        let report = UsageReport { window, counts };
+        let outcome = self.duties.report_usage(&holder, &report).await;
+        let fields = UsageFields {
+            window,
+            fence: holder.fence,
+            counts: &report.counts,
+            outcome: match &outcome {
+                Ok(()) => "taken".to_owned(),
+                Err(error) => error.to_string(),
+            },
+        };
+        log::emit(events::Code::UsageReported, &fields);
+        match outcome {
+            Ok(()) => Reported::Yes,
+            Err(DutyError::Refused | DutyError::NotTaken { .. } | DutyError::Unknown { .. }) => {
+                Reported::No
+            }
+        }
+    }
+
+    /// The counts of a window, kept in the store before they are reported, so that each holder
+    /// reports the same.
+    async fn settle(&self, window: u64) -> Option<Map<Name, u64>> {
+        let key = Key::new(USAGE_PARTITION, window.to_string());
+        let counts = self.node.usage.borrow().total(window);
+        let body = serde_json::to_string(&counts).ok()?;
+        let write = Write::Put {
+            key: key.clone(),
+            body,
+            condition: Condition::Absent,
+        };
+        match self.table.commit(vec![write]).await {
+            Ok(()) => Some(counts),
+            Err(CommitError::Conflict | CommitError::Unknown { .. }) => {
+                let row = self.table.get(&key).await.ok()??;
+                serde_json::from_str(&row.body).ok()
+            }
+            Err(CommitError::NotApplied { .. }) => None,
+        }
+    }
+
+    fn permit(&self) -> Option<Permit> {
+        self.right.permit()
+    }
+
+    fn holder(&self, permit: Permit) -> Holder {
+        Holder {
+            node: self.node.settings.node.name.clone(),
+            fence: permit.fence.0,
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Reported {
+    Yes,
+    No,
+}
--- /dev/null
+++ b/crates/gateway/src/follow/directory.rs
@@ -0,0 +1,62 @@
+//! The operator's directory.
+
+use std::rc::Rc;
+
+use outside::Batch;
+use serde::Serialize;
+
+use super::Extent;
+use crate::log;
+use crate::node::{Adoption, Node};
+
+#[derive(Serialize)]
+struct InForceFields {
+    version: u64,
+    workspaces: usize,
+    services: usize,
+}
+
+#[derive(Serialize)]
+struct UnreadableFields<'a> {
+    row: &'a str,
+    reason: String,
+}
+
+/// Takes in rows of the operator's table.
+pub fn take_in(node: &Rc<Node>, batch: Batch, _: Extent) {
+    for row in batch.rows {
+        let Some(body) = row.body else {
+            continue;
+        };
+        if row.key == node.dialect.directory_key {
+            offer(node, &body);
+        }
+    }
+}
+
+/// Puts a directory's row into force if it is newer; says its version and what became of it.
+pub fn offer(node: &Rc<Node>, body: &[u8]) -> (u64, &'static str) {
+    let directory = match (node.dialect.directory)(body) {
+        Ok(directory) => directory,
+        Err(error) => {
+            let fields = UnreadableFields {
+                row: node.dialect.directory_key,
+                reason: error.to_string(),
+            };
+            log::emit(events::Code::RowUnreadable, &fields);
+            return (0, "unreadable");
+        }
+    };
+    let fields = InForceFields {
+        version: directory.version,
+        workspaces: directory.workspaces.len(),
+        services: directory.services.len(),
+    };
+    match node.adopt(directory, body) {
+        Adoption::Older => (fields.version, "older"),
+        Adoption::InForce => {
+            log::emit(events::Code::ConfigInForce, &fields);
+            (fields.version, "in_force")
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follow/nodes.rs
@@ -0,0 +1,48 @@
+//! The list of nodes in the store: how a node finds others when the seeds are down.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use outside::{Condition, Feed, Key, Table, Topic, Write};
+
+use crate::node::Node;
+
+/// Time between two looks at the list.
+const PERIOD: Duration = Duration::from_secs(5);
+
+/// Time after which a write that failed is tried again.
+const AGAIN: Duration = Duration::from_secs(1);
+
+/// Partition of the list.
+pub const NODES_PARTITION: &str = "nodes";
+
+/// Keeps this node in the list, and learns of others from it.
+pub async fn keep(node: Rc<Node>, table: Arc<dyn Table>, feed: Arc<dyn Feed>) {
+    while enlist(&node, &*table).await.is_err() {
+        tokio::time::sleep(AGAIN).await;
+    }
+    loop {
+        if let Ok(batch) = feed.snapshot(Topic::Nodes).await {
+            let rows = batch.rows.into_iter().filter_map(|row| row.body);
+            let addresses = rows.filter_map(|body| address(&body));
+            let mut peers = node.peers.borrow_mut();
+            addresses.for_each(|address| peers.learn(address));
+        }
+        tokio::time::sleep(PERIOD).await;
+    }
+}
+
+async fn enlist(node: &Node, table: &dyn Table) -> Result<(), outside::CommitError> {
+    let write = Write::Put {
+        key: Key::new(NODES_PARTITION, &*node.settings.node.name),
+        body: node.settings.listen.peers.to_string(),
+        condition: Condition::Any,
+    };
+    table.commit(vec![write]).await
+}
+
+fn address(body: &[u8]) -> Option<SocketAddr> {
+    std::str::from_utf8(body).ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/follow/servers.rs
@@ -0,0 +1,127 @@
+//! The registry of backend servers.
+
+use std::rc::Rc;
+
+use base::units::Millisecond;
+use base::{Name, Set};
+use outside::{Batch, FeedRow};
+use serde::Serialize;
+
+use super::Extent;
+use crate::belief::registry::{Absence, Change};
+use crate::log;
+use crate::node::Node;
+use crate::peer::message::RegistryCopy;
+
+/// Entries that vanish so soon after the store failed to answer may be back: the pages give them
+/// two seconds from its return.
+const AFTER_OUTAGE_MS: Millisecond = 2_500;
+
+/// What became of another node's registry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Copy {
+    /// It is this node's now.
+    Taken,
+    /// This node knows as much or more.
+    Older,
+}
+
+#[derive(Serialize)]
+struct ServerFields<'a> {
+    server: &'a str,
+    revision: u64,
+}
+
+/// Takes in rows of the registry.
+pub fn take_in(node: &Rc<Node>, batch: Batch, extent: Extent) {
+    let revision = batch.revision;
+    if revision < node.registry.borrow().revision {
+        return;
+    }
+    let absence = absence(node);
+    apply(node, batch.rows, extent, absence);
+    seen(node, revision);
+}
+
+/// Takes over another node's registry if it is newer.
+pub fn adopt_copy(node: &Node, copy: RegistryCopy) -> Copy {
+    if copy.revision <= node.registry.borrow().revision {
+        return Copy::Older;
+    }
+    let rows = copy.rows.into_iter().map(|(id, row)| FeedRow {
+        key: id.to_string(),
+        body: Some(row),
+    });
+    // The other node has waited for entries that might come back.
+    apply(node, rows.collect(), Extent::All, Absence::Certain);
+    seen(node, copy.revision);
+    Copy::Taken
+}
+
+/// Drops entries that vanished beside an outage and have not come back.
+pub fn expire(node: &Node) {
+    let now_ms = node.now_ms();
+    let changes = node.registry.borrow_mut().expire(now_ms);
+    for change in changes {
+        report(node, &change);
+    }
+}
+
+fn absence(node: &Node) -> Absence {
+    let since_ms = node.now_ms().saturating_sub(node.store_failed_ms.get());
+    let failed = node.store_failed_ms.get() > 0 && since_ms < AFTER_OUTAGE_MS;
+    match failed {
+        true => Absence::BesideOutage,
+        false => Absence::Certain,
+    }
+}
+
+fn apply(node: &Node, rows: Vec<FeedRow>, extent: Extent, absence: Absence) {
+    let now_ms = node.now_ms();
+    let mut listed: Set<Name> = Set::default();
+    let mut changes = Vec::new();
+    for row in rows {
+        let Some(body) = row.body else {
+            let mut registry = node.registry.borrow_mut();
+            changes.push(registry.remove(&row.key, absence, now_ms));
+            continue;
+        };
+        listed.insert(row.key.as_str().into());
+        // A row of another writer names no server to use, and says nothing of the others.
+        let Ok(record) = (node.dialect.server)(&row.key, &body) else {
+            let mut registry = node.registry.borrow_mut();
+            changes.push(registry.remove(&row.key, Absence::Certain, now_ms));
+            continue;
+        };
+        changes.push(node.registry.borrow_mut().put(record, body));
+    }
+    if extent == Extent::All {
+        let mut registry = node.registry.borrow_mut();
+        let known: Vec<Name> = registry.servers().map(|s| s.record.id.clone()).collect();
+        for id in known {
+            if !listed.contains(&id) {
+                changes.push(registry.remove(&id, absence, now_ms));
+            }
+        }
+    }
+    for change in changes {
+        report(node, &change);
+    }
+}
+
+fn seen(node: &Node, revision: u64) {
+    node.registry.borrow_mut().revision = revision;
+    node.registry_seen_ms.set(node.now_ms());
+}
+
+fn report(node: &Node, change: &Change) {
+    let (code, server) = match change {
+        Change::None => return,
+        Change::Appeared(id) => (events::Code::BackendAppeared, id),
+        Change::Leaving(id) => (events::Code::BackendLeaving, id),
+        Change::Gone(id) => (events::Code::BackendGone, id),
+    };
+    let revision = node.registry.borrow().revision;
+    log::emit(code, &ServerFields { server, revision });
+    node.room.notify_one();
+}
--- /dev/null
+++ b/crates/gateway/src/front/accept.rs
@@ -0,0 +1,145 @@
+//! Listeners for callers, for the balancer's question, for metrics and for peers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::units::Millisecond;
+use bytes::{BufMut, BytesMut};
+use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::caller;
+use super::ready::{Readiness, readiness};
+use super::reply::reason;
+use crate::belief::directory::CallerLimits;
+use crate::front::request::read_head;
+use crate::http::{Conn, HeadWriter, tune};
+use crate::node::Node;
+use crate::peer::serve as serve_peer;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Pause after the system refused a connection, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Bytes to a caller that stay unacknowledged for so long end its connection.
+const UNACKNOWLEDGED_MS: Millisecond = 5_000;
+
+/// What a listener is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// Callers' requests.
+    Callers,
+    /// The balancer's question.
+    Ready,
+    /// Metrics, as text.
+    Metrics,
+    /// Other nodes' questions.
+    Peers,
+}
+
+impl Purpose {
+    /// The settings key.
+    fn key(self) -> &'static str {
+        match self {
+            Self::Callers => "listen.callers",
+            Self::Ready => "listen.ready",
+            Self::Metrics => "listen.metrics",
+            Self::Peers => "listen.peers",
+        }
+    }
+}
+
+/// An address cannot be listened on.
+#[derive(Debug, Snafu)]
+#[snafu(display("{key}: {address} cannot be listened on: {source}. Free it or name another."))]
+pub struct ListenError {
+    /// The settings key.
+    key: &'static str,
+    /// The address.
+    address: SocketAddr,
+    /// The system's error.
+    source: std::io::Error,
+}
+
+/// Listens at `address` and serves what comes, on the current local task set.
+///
+/// # Errors
+///
+/// The address cannot be listened on.
+pub fn bind(
+    node: &Rc<Node>,
+    purpose: Purpose,
+    address: SocketAddr,
+) -> Result<SocketAddr, ListenError> {
+    let key = purpose.key();
+    let listener = listen(address).context(ListenSnafu { key, address })?;
+    let bound = listener
+        .local_addr()
+        .context(ListenSnafu { key, address })?;
+    tokio::task::spawn_local(accept(node.clone(), purpose, listener));
+    Ok(bound)
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn accept(node: Rc<Node>, purpose: Purpose, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(_) => {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        tune(&stream, UNACKNOWLEDGED_MS);
+        let node = node.clone();
+        tokio::task::spawn_local(async move {
+            match purpose {
+                Purpose::Callers => caller::run(node, stream).await,
+                Purpose::Ready | Purpose::Metrics | Purpose::Peers => {
+                    questions(&node, purpose, stream).await;
+                }
+            }
+        });
+    }
+}
+
+/// Answers questions without a body until the connection ends.
+async fn questions(node: &Node, purpose: Purpose, stream: TcpStream) {
+    let limits = CallerLimits::default();
+    let mut conn = Conn::from_stream(stream);
+    while let Ok(head) = read_head(&mut conn, &limits).await {
+        let (status, body) = match purpose {
+            Purpose::Ready => ready(node),
+            Purpose::Metrics => (200, node.metrics.text(node).into_bytes()),
+            Purpose::Peers => serve_peer::answer(node, &head),
+            Purpose::Callers => (404, Vec::new()),
+        };
+        let mut out = BytesMut::with_capacity(256 + body.len());
+        HeadWriter::response(&mut out, status, reason(status))
+            .number("Content-Length", body.len() as u64)
+            .end();
+        out.put_slice(&body);
+        if conn.send(&out).await.is_err() || !head.keeps_alive() {
+            return;
+        }
+    }
+}
+
+fn ready(node: &Node) -> (u16, Vec<u8>) {
+    let (status, text) = match readiness(node) {
+        Readiness::Ready => (200, "ready"),
+        Readiness::Draining => (503, "draining"),
+        Readiness::NoDirectory => (503, "no configuration is known"),
+        Readiness::NoRegistry => (503, "no backend servers are known"),
+    };
+    (status, text.as_bytes().to_vec())
+}
--- /dev/null
+++ b/crates/gateway/src/front/attempts.rs
@@ -0,0 +1,203 @@
+//! The attempts of one request: choice of a server, and what follows a failure.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::Name;
+use base::outcome::RunState;
+use base::units::Millisecond;
+use serde::Serialize;
+use tokio::time::{Instant, timeout_at};
+
+use super::job::Job;
+use super::reply::Reply;
+use crate::backend::attempt::{Attempt, NoServer};
+use crate::backend::lost;
+use crate::decide::outcome::{Cause, Next, Trail};
+use crate::decide::repeats::Draw;
+use crate::node::Node;
+
+/// Part of the time owed for which a request may wait here for a place at a server: the pages
+/// charge nothing for it.
+const WAIT_SHARE: f64 = 0.125;
+
+/// Longest wait for a server to be known at all, such as while one is replaced.
+const NO_SERVER_WAIT_MS: Millisecond = 400;
+
+/// Bounds of the advice when to come back, drawn evenly so that returns are spread.
+const COME_BACK_MS: (Millisecond, Millisecond) = (250, 900);
+
+/// The attempts of one request.
+pub struct Attempts<'a, 'b> {
+    node: &'a Rc<Node>,
+    job: &'a Job<'b>,
+    trail: Trail,
+    avoid: Vec<Name>,
+    latest: Option<Cause>,
+}
+
+#[derive(Serialize)]
+struct FailedFields<'a> {
+    request: Option<&'a str>,
+    server: &'a str,
+    cause: &'static str,
+    run_state: RunState,
+    attempt: u32,
+    after_ms: Millisecond,
+    server_silent_ms: Millisecond,
+    running: u32,
+    left_ms: Millisecond,
+    next: &'static str,
+}
+
+#[derive(Serialize)]
+struct ChosenFields<'a> {
+    request: Option<&'a str>,
+    server: &'a str,
+    attempt: u32,
+    predicted_ms: Millisecond,
+    tokens_ahead: u64,
+    running: u32,
+    running_of_others: u32,
+    registry_age_ms: Millisecond,
+}
+
+impl<'a, 'b> Attempts<'a, 'b> {
+    /// A request that has not been sent.
+    pub fn new(node: &'a Rc<Node>, job: &'a Job<'b>) -> Self {
+        Self {
+            node,
+            job,
+            trail: Trail::new(job.route.kind, job.route.runs_limit),
+            avoid: Vec::new(),
+            latest: None,
+        }
+    }
+
+    /// Chooses a server; waits a little for a place, and refuses at once after that.
+    ///
+    /// # Errors
+    ///
+    /// The final answer.
+    pub async fn place(&mut self) -> Result<Attempt, Reply> {
+        let waits_ms = self.job.route.target_ms as f64 * WAIT_SHARE;
+        let started = Instant::now();
+        loop {
+            let lacking = match Attempt::place(self.node, self.job, &self.avoid) {
+                Ok(attempt) => {
+                    self.report_choice(&attempt);
+                    return Ok(attempt);
+                }
+                Err(lacking) => lacking,
+            };
+            let waits_ms = match lacking {
+                NoServer::Full => waits_ms as Millisecond,
+                NoServer::None => NO_SERVER_WAIT_MS,
+            };
+            let until = started + Duration::from_millis(waits_ms.min(self.job.left_ms() / 2));
+            if timeout_at(until, self.node.room.notified()).await.is_err() {
+                return Err(self.refusal(lacking));
+            }
+        }
+    }
+
+    /// Takes in a failed attempt.
+    ///
+    /// # Errors
+    ///
+    /// The final answer, if no other attempt follows.
+    pub fn failed(&mut self, attempt: &Attempt, cause: Cause) -> Result<(), Reply> {
+        let server = &attempt.server;
+        let now_ms = self.node.now_ms();
+        if cause != Cause::Refused && cause != Cause::Failed {
+            server.failed(now_ms);
+        }
+        if cause == Cause::Broken {
+            lost::note(self.node, server, self.job.digest());
+        }
+        self.avoid.push(server.record.id.clone());
+        self.latest = Some(cause);
+        let mut next = self.trail.after(cause, self.job.left_ms());
+        if next == Next::Again && self.trail.sends > 0 {
+            let drawn = self.node.draw_repeat(&self.job.service.name);
+            if drawn == Draw::Exhausted {
+                next = Next::GiveUp;
+            }
+        }
+        self.report_failure(attempt, cause, next);
+        match next {
+            Next::Again => Ok(()),
+            Next::GiveUp => Err(self.give_up()),
+        }
+    }
+
+    /// The final answer of a request whose time has run out while a server had it.
+    pub fn timed_out(&self) -> Reply {
+        let text = "No answer came in the time allowed.";
+        Reply::unknown(504, "timed_out", text)
+    }
+
+    fn give_up(&self) -> Reply {
+        if self.trail.run_state == RunState::NotRun {
+            let text = "No server took the request; it was not run.";
+            return Reply::later(503, "not_taken", text, self.come_back_ms());
+        }
+        let text = "The server's answer was lost; the request may have run.";
+        Reply::unknown(502, "answer_lost", text)
+    }
+
+    fn refusal(&self, lacking: NoServer) -> Reply {
+        if self.trail.run_state != RunState::NotRun {
+            return self.give_up();
+        }
+        let (code, text) = match lacking {
+            NoServer::None => ("no_server", "No server of the service is known."),
+            NoServer::Full => ("servers_full", "All servers of the service are full."),
+        };
+        Reply::later(503, code, text, self.come_back_ms())
+    }
+
+    fn come_back_ms(&self) -> Millisecond {
+        let (least, most) = COME_BACK_MS;
+        let span = (most - least) as f64;
+        least + (self.node.draw() * span) as Millisecond
+    }
+
+    fn report_choice(&self, attempt: &Attempt) {
+        let fields = ChosenFields {
+            request: self.job.id(),
+            server: &attempt.server.record.id,
+            attempt: self.trail.attempts + 1,
+            predicted_ms: attempt.predicted_ms,
+            tokens_ahead: attempt.tokens_ahead,
+            running: attempt.server.running.get(),
+            running_of_others: attempt.server.others.get().running,
+            registry_age_ms: attempt
+                .started_ms
+                .saturating_sub(self.node.registry_seen_ms.get()),
+        };
+        crate::log::emit(events::Code::RouteChosen, &fields);
+    }
+
+    fn report_failure(&self, attempt: &Attempt, cause: Cause, next: Next) {
+        let now_ms = self.node.now_ms();
+        let server = &attempt.server;
+        let fields = FailedFields {
+            request: self.job.id(),
+            server: &server.record.id,
+            cause: cause.label(),
+            run_state: cause.run_state(),
+            attempt: self.trail.attempts,
+            after_ms: now_ms - attempt.started_ms,
+            server_silent_ms: now_ms.saturating_sub(server.heard_ms.get()),
+            running: server.running.get(),
+            left_ms: self.job.left_ms(),
+            next: match next {
+                Next::Again => "again",
+                Next::GiveUp => "give_up",
+            },
+        };
+        self.node.metrics.attempt_failed(cause);
+        crate::log::emit(events::Code::AttemptFailed, &fields);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/http/body.rs
@@ -0,0 +1,151 @@
+//! Bodies taken apart by their framing.
+
+use bytes::{Buf, BytesMut};
+use snafu::Snafu;
+
+use super::head::Framing;
+
+/// Longest line of a chunk's size or of a trailer.
+const LINE_LIMIT_BYTES: usize = 4_096;
+
+/// Bytes that break the framing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("The chunks of the body are malformed."))]
+pub struct FramingError;
+
+/// How far a body has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// More bytes are needed.
+    More,
+    /// The body has ended; what follows belongs to another message.
+    Done,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Counted(u64),
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailer,
+    UntilClose,
+    Done,
+}
+
+/// Reader of one body.
+#[derive(Clone, Copy, Debug)]
+pub struct Body {
+    state: State,
+}
+
+impl Body {
+    /// A body that starts now.
+    pub fn new(framing: Framing) -> Self {
+        let state = match framing {
+            Framing::Empty | Framing::Length(0) => State::Done,
+            Framing::Length(bytes) => State::Counted(bytes),
+            Framing::Chunked => State::ChunkSize,
+            Framing::Close => State::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// Whether the body has ended.
+    pub fn is_done(&self) -> bool {
+        self.state == State::Done
+    }
+
+    /// Whether the end of the connection ends this body.
+    pub fn ends_with_connection(&self) -> bool {
+        matches!(self.state, State::UntilClose | State::Done)
+    }
+
+    /// Moves what belongs to the body from `buf` to `out`.
+    pub fn read(
+        &mut self,
+        buf: &mut BytesMut,
+        out: &mut BytesMut,
+    ) -> Result<Progress, FramingError> {
+        loop {
+            match self.state {
+                State::Done => return Ok(Progress::Done),
+                State::UntilClose => {
+                    out.extend_from_slice(&buf.split());
+                    return Ok(Progress::More);
+                }
+                State::Counted(left) => {
+                    let rest = left - take(buf, out, left);
+                    if rest > 0 {
+                        self.state = State::Counted(rest);
+                        return Ok(Progress::More);
+                    }
+                    self.state = State::Done;
+                }
+                State::ChunkSize => match line(buf)? {
+                    None => return Ok(Progress::More),
+                    Some(line) => self.state = chunk(&line)?,
+                },
+                State::ChunkData(left) => {
+                    let rest = left - take(buf, out, left);
+                    if rest > 0 {
+                        self.state = State::ChunkData(rest);
+                        return Ok(Progress::More);
+                    }
+                    self.state = State::ChunkEnd;
+                }
+                State::ChunkEnd => {
+                    if buf.len() < 2 {
+                        return Ok(Progress::More);
+                    }
+                    if &buf[..2] != b"\r\n" {
+                        return Err(FramingError);
+                    }
+                    buf.advance(2);
+                    self.state = State::ChunkSize;
+                }
+                State::Trailer => match line(buf)? {
+                    None => return Ok(Progress::More),
+                    Some(line) if line.is_empty() => self.state = State::Done,
+                    Some(_) => {}
+                },
+            }
+        }
+    }
+}
+
+fn take(buf: &mut BytesMut, out: &mut BytesMut, limit: u64) -> u64 {
+    let bytes = limit.min(buf.len() as u64);
+    out.extend_from_slice(&buf.split_to(bytes as usize));
+    bytes
+}
+
+fn line(buf: &mut BytesMut) -> Result<Option<BytesMut>, FramingError> {
+    let Some(end) = buf.iter().position(|b| *b == b'\n') else {
+        return match buf.len() > LINE_LIMIT_BYTES {
+            true => Err(FramingError),
+            false => Ok(None),
+        };
+    };
+    let mut line = buf.split_to(end + 1);
+    if !line.ends_with(b"\r\n") || line.len() > LINE_LIMIT_BYTES {
+        return Err(FramingError);
+    }
+    line.truncate(end - 1);
+    Ok(Some(line))
+}
+
+fn chunk(line: &[u8]) -> Result<State, FramingError> {
+    let digits = line.iter().take_while(|b| b.is_ascii_hexdigit()).count();
+    let tail = &line[digits..];
+    let extension = tail.iter().find(|b| !matches!(b, b' ' | b'\t'));
+    if digits == 0 || digits > 15 || extension.is_some_and(|b| *b != b';') {
+        return Err(FramingError);
+    }
+    let text = std::str::from_utf8(&line[..digits]).map_err(|_| FramingError)?;
+    let bytes = u64::from_str_radix(text, 16).map_err(|_| FramingError)?;
+    Ok(match bytes {
+        0 => State::Trailer,
+        bytes => State::ChunkData(bytes),
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/http/conn.rs
@@ -0,0 +1,102 @@
+//! One TCP connection with the bytes read ahead.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::units::Millisecond;
+use bytes::BytesMut;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+/// Bytes asked for with each read.
+const READ_BYTES: usize = 8 * 1024;
+
+/// Spacing of TCP's own probes; two unanswered ones end a connection.
+const KEEPALIVE_SPACING: Duration = Duration::from_secs(1);
+
+/// Bounds of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnOptions {
+    /// Bound of opening it.
+    pub connect_timeout_ms: Millisecond,
+    /// Sent bytes that stay unacknowledged for so long end it.
+    pub unacknowledged_ms: Millisecond,
+}
+
+/// An open connection.
+#[derive(Debug)]
+pub struct Conn {
+    /// Bytes read and not yet used.
+    pub buf: BytesMut,
+    read: OwnedReadHalf,
+    write: OwnedWriteHalf,
+}
+
+impl Conn {
+    /// Connects to `address`.
+    pub async fn open(address: SocketAddr, options: ConnOptions) -> io::Result<Self> {
+        let timeout = Duration::from_millis(options.connect_timeout_ms);
+        let stream = match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
+            Ok(stream) => stream?,
+            Err(_) => return Err(io::ErrorKind::TimedOut.into()),
+        };
+        tune(&stream, options.unacknowledged_ms);
+        Ok(Self::from_stream(stream))
+    }
+
+    /// Takes over an accepted connection.
+    pub fn from_stream(stream: TcpStream) -> Self {
+        let (read, write) = stream.into_split();
+        Self {
+            buf: BytesMut::new(),
+            read,
+            write,
+        }
+    }
+
+    /// Reads more bytes; 0 at the end of the connection.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        fill(&mut self.read, &mut self.buf).await
+    }
+
+    /// Writes all of `bytes`.
+    pub async fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.write.write_all(bytes).await
+    }
+
+    /// Both directions, to be used at once.
+    pub fn parts(&mut self) -> (&mut OwnedReadHalf, &mut BytesMut, &mut OwnedWriteHalf) {
+        (&mut self.read, &mut self.buf, &mut self.write)
+    }
+
+    /// Whether nothing has arrived, not even the end, since the last message.
+    pub fn is_quiet(&mut self) -> bool {
+        let mut byte = [0];
+        let nothing = |e: &io::Error| e.kind() == io::ErrorKind::WouldBlock;
+        self.buf.is_empty() && self.read.try_read(&mut byte).is_err_and(|e| nothing(&e))
+    }
+}
+
+/// Reads more bytes into `buf`; 0 at the end of the connection.
+pub(crate) async fn fill(read: &mut OwnedReadHalf, buf: &mut BytesMut) -> io::Result<usize> {
+    if buf.capacity() - buf.len() < READ_BYTES / 4 {
+        buf.reserve(READ_BYTES);
+    }
+    read.read_buf(buf).await
+}
+
+/// Sets the options of a connection that may go silent without a word.
+pub fn tune(stream: &TcpStream, unacknowledged_ms: Millisecond) {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(KEEPALIVE_SPACING)
+        .with_interval(KEEPALIVE_SPACING)
+        .with_retries(2);
+    // A connection without these options still serves; its loss is only noticed later.
+    let _ = stream.set_nodelay(true);
+    let _ = socket.set_tcp_keepalive(&probes);
+    let _ = socket.set_tcp_user_timeout(Some(Duration::from_millis(unacknowledged_ms)));
+}
--- /dev/null
+++ b/crates/gateway/src/http/fields.rs
@@ -0,0 +1,102 @@
+//! Header fields of one message, kept as the bytes that arrived.
+
+use std::ops::Range;
+
+use bytes::Bytes;
+
+/// Fields that concern one connection only.
+const CONNECTION_FIELDS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Header fields, in order of arrival.
+#[derive(Clone, Debug, Default)]
+pub struct Fields {
+    raw: Bytes,
+    ranges: Vec<(Range<u32>, Range<u32>)>,
+}
+
+impl Fields {
+    pub(super) fn new(raw: Bytes, headers: &[httparse::Header<'_>]) -> Self {
+        let base = raw.as_ptr() as usize;
+        let range = |part: &[u8]| {
+            let start = (part.as_ptr() as usize - base) as u32;
+            start..start + part.len() as u32
+        };
+        let ranges = headers
+            .iter()
+            .map(|h| (range(h.name.as_bytes()), range(h.value)))
+            .collect();
+        Self { raw, ranges }
+    }
+
+    /// All fields.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.ranges.iter().map(|(name, value)| {
+            let name = std::str::from_utf8(self.part(name)).unwrap_or_default();
+            (name, self.part(value))
+        })
+    }
+
+    /// Value of the first field of that name.
+    pub fn get(&self, name: &str) -> Option<&[u8]> {
+        self.iter()
+            .find(|(have, _)| have.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value)
+    }
+
+    /// Value of the first field of that name, as text without outer space.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        std::str::from_utf8(self.get(name)?).ok().map(str::trim)
+    }
+
+    /// Value of the first field of that name, as a number.
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.text(name)?.parse().ok()
+    }
+
+    /// Number of fields of that name.
+    pub fn count(&self, name: &str) -> usize {
+        let same = |(have, _): &(&str, &[u8])| have.eq_ignore_ascii_case(name);
+        self.iter().filter(same).count()
+    }
+
+    /// Whether a comma-separated field lists `word`.
+    pub fn lists(&self, name: &str, word: &str) -> bool {
+        for (have, value) in self.iter() {
+            if !have.eq_ignore_ascii_case(name) {
+                continue;
+            }
+            let Ok(value) = std::str::from_utf8(value) else {
+                continue;
+            };
+            if value
+                .split(',')
+                .any(|w| w.trim().eq_ignore_ascii_case(word))
+            {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Whether a field concerns this connection only and is not passed on.
+    pub fn is_of_connection(&self, name: &str) -> bool {
+        let fixed = CONNECTION_FIELDS
+            .iter()
+            .any(|f| name.eq_ignore_ascii_case(f));
+        fixed || self.lists("connection", name)
+    }
+
+    fn part(&self, range: &Range<u32>) -> &[u8] {
+        &self.raw[range.start as usize..range.end as usize]
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/log.rs
@@ -0,0 +1,58 @@
+//! Log events of the gateway, bounded in volume.
+//!
+//! Beyond the bound, lines of ordinary outcomes are left out and counted; lines of failures are not.
+
+use std::cell::RefCell;
+
+use events::{Code, Level};
+use serde::Serialize;
+use tokio::time::Instant;
+
+/// Lines of ordinary events in a second; the rest of a burst is counted.
+const LINES_PER_S: u32 = 150;
+
+thread_local! {
+    static BUDGET: RefCell<Budget> = RefCell::new(Budget::default());
+}
+
+#[derive(Default)]
+struct Budget {
+    second: Option<Instant>,
+    lines: u32,
+    left_out: u64,
+}
+
+#[derive(Serialize)]
+struct LeftOutFields {
+    lines: u64,
+}
+
+/// Writes one event, unless it is ordinary and the second's lines are used up.
+pub fn emit<F: Serialize>(code: Code, fields: &F) {
+    let ordinary = code.level() == Level::Info;
+    if ordinary && BUDGET.with_borrow_mut(Budget::refuses) {
+        return;
+    }
+    events::emit(code, fields);
+}
+
+impl Budget {
+    fn refuses(&mut self) -> bool {
+        let now = Instant::now();
+        let same = self
+            .second
+            .is_some_and(|s| now.duration_since(s).as_secs() == 0);
+        if !same {
+            self.second = Some(now);
+            self.lines = 0;
+            let lines = std::mem::take(&mut self.left_out);
+            if lines > 0 {
+                events::emit(Code::LinesLeftOut, &LeftOutFields { lines });
+            }
+        }
+        self.lines += 1;
+        let over = self.lines > LINES_PER_S;
+        self.left_out += u64::from(over);
+        over
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,168 @@
+//! Counters and histograms of one process, and what it believes at the moment.
+
+use std::fmt::Write;
+
+use base::Map;
+use base::units::Millisecond;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use crate::belief::RouteKind;
+use crate::decide::outcome::Cause;
+use crate::node::Node;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// With a server's whole answer.
+    Passed,
+    /// With an answer of our own.
+    Own,
+    /// In the midst of a server's answer.
+    BrokenOff,
+    /// The caller left.
+    CallerGone,
+}
+
+impl Outcome {
+    /// Name in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Passed => "passed",
+            Self::Own => "own",
+            Self::BrokenOff => "broken_off",
+            Self::CallerGone => "caller_gone",
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    kind: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DependencyLabels {
+    dependency: &'static str,
+    outcome: &'static str,
+}
+
+type Durations = Family<RequestLabels, Histogram, fn() -> Histogram>;
+
+/// Metrics of one process.
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    durations_s: Durations,
+    refusals: Family<ReasonLabels, Counter>,
+    failed_attempts: Family<ReasonLabels, Counter>,
+    calls: Family<DependencyLabels, Counter>,
+}
+
+impl Metrics {
+    /// Metrics that start at zero.
+    pub fn open() -> Self {
+        let mut registry = Registry::with_prefix("apricotledge");
+        let requests = Family::default();
+        let durations_s: Durations = Family::new_with_constructor(durations);
+        let refusals = Family::default();
+        let failed_attempts = Family::default();
+        let calls = Family::default();
+        registry.register("requests", "Requests that ended", requests.clone());
+        registry.register("request_seconds", "Time to the end", durations_s.clone());
+        registry.register("refusals", "Requests refused here", refusals.clone());
+        registry.register(
+            "failed_attempts",
+            "Sends that failed",
+            failed_attempts.clone(),
+        );
+        registry.register("platform_calls", "Calls to the platform", calls.clone());
+        Self {
+            registry,
+            requests,
+            durations_s,
+            refusals,
+            failed_attempts,
+            calls,
+        }
+    }
+
+    /// Counts a request that ended.
+    pub fn finished(&self, kind: RouteKind, outcome: Outcome, took_ms: Millisecond) {
+        let labels = RequestLabels {
+            kind: kind.label(),
+            outcome: outcome.label(),
+        };
+        self.requests.get_or_create(&labels).inc();
+        let took_s = took_ms as f64 / 1_000.0;
+        self.durations_s.get_or_create(&labels).observe(took_s);
+    }
+
+    /// Counts a request refused here.
+    pub fn refused(&self, reason: &'static str) {
+        self.refusals.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
+    /// Counts a send that failed.
+    pub fn attempt_failed(&self, cause: Cause) {
+        let reason = cause.label();
+        self.failed_attempts
+            .get_or_create(&ReasonLabels { reason })
+            .inc();
+    }
+
+    /// Counts a call to the platform.
+    pub fn called(&self, dependency: &'static str, outcome: &'static str) {
+        let labels = DependencyLabels {
+            dependency,
+            outcome,
+        };
+        self.calls.get_or_create(&labels).inc();
+    }
+
+    /// All metrics as text, with the ages of the node's beliefs.
+    pub fn text(&self, node: &Node) -> String {
+        let mut text = String::new();
+        for (name, value) in gauges(node) {
+            let _ = writeln!(text, "# TYPE apricotledge_{name} gauge");
+            let _ = writeln!(text, "apricotledge_{name} {value}");
+        }
+        // Writing to a string does not fail.
+        let _ = prometheus_client::encoding::text::encode(&mut text, &self.registry);
+        text
+    }
+}
+
+fn durations() -> Histogram {
+    Histogram::new(exponential_buckets(0.005, 2.0, 13))
+}
+
+fn gauges(node: &Node) -> Map<&'static str, f64> {
+    let now_ms = node.now_ms();
+    let age_s = |at_ms: Millisecond| now_ms.saturating_sub(at_ms) as f64 / 1_000.0;
+    let directory = node.directory();
+    let mut gauges = Map::default();
+    gauges.insert(
+        "directory_version",
+        directory.map_or(0.0, |d| d.version as f64),
+    );
+    gauges.insert(
+        "directory_age_seconds",
+        age_s(node.directory_since_ms.get()),
+    );
+    gauges.insert("registry_age_seconds", age_s(node.registry_seen_ms.get()));
+    gauges.insert("store_silence_seconds", age_s(node.store_ok_ms.get()));
+    gauges.insert("peers", (node.nodes() - 1) as f64);
+    gauges.insert("requests_in_flight", f64::from(node.in_flight.get()));
+    gauges.insert("caller_connections", f64::from(node.callers.get()));
+    gauges
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,229 @@
+//! State of one process, shared by its tasks on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use base::units::Millisecond;
+use base::{Map, Name};
+use policy::suspect::Suspects;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::Notify;
+
+use crate::belief::directory::Allowance;
+use crate::belief::{Directory, Registry, Workspace};
+use crate::clock::Clock;
+use crate::decide::allowance::{Bucket, Past, Verdict};
+use crate::decide::repeats::{Draw, Repeats, Terms};
+use crate::dialect::Dialect;
+use crate::duty::usage::Usage;
+use crate::metrics::Metrics;
+use crate::peer::Peers;
+use crate::settings::{FirstStart, Settings, ms};
+
+/// Where a process is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It takes requests.
+    Serving,
+    /// It finishes what it has and ends.
+    Draining,
+}
+
+/// State of one process.
+pub struct Node {
+    /// Its settings.
+    pub settings: Settings,
+    /// How the platform speaks.
+    pub dialect: Dialect,
+    /// Origin of all instants.
+    pub clock: Clock,
+    /// Number of this life of the process.
+    pub boot: u64,
+    /// The directory in force.
+    pub directory: RefCell<Option<Rc<Directory>>>,
+    /// Its row as stored, for peers.
+    pub directory_stored: RefCell<Vec<u8>>,
+    /// When it came into force.
+    pub directory_since_ms: Cell<Millisecond>,
+    /// Backend servers.
+    pub registry: RefCell<Registry>,
+    /// When the registry was last known to be whole and current.
+    pub registry_seen_ms: Cell<Millisecond>,
+    /// When the store last answered.
+    pub store_ok_ms: Cell<Millisecond>,
+    /// When the store last failed to answer.
+    pub store_failed_ms: Cell<Millisecond>,
+    /// Other nodes.
+    pub peers: RefCell<Peers>,
+    /// Allowances by workspace.
+    pub buckets: RefCell<Map<Name, Bucket>>,
+    /// Budgets of repeated sends by service.
+    pub repeats: RefCell<Map<Name, Repeats>>,
+    /// Requests begun by window.
+    pub usage: RefCell<Usage>,
+    /// Requests that may crash the servers that run them.
+    pub suspects: RefCell<Suspects>,
+    /// Where the process is in its life.
+    pub phase: Cell<Phase>,
+    /// Requests being served.
+    pub in_flight: Cell<u32>,
+    /// Callers' connections.
+    pub callers: Cell<u32>,
+    /// Told when the phase changes.
+    pub phase_changed: Notify,
+    /// Told when a request has left a server.
+    pub room: Notify,
+    /// Counters.
+    pub metrics: Metrics,
+    rng: RefCell<SmallRng>,
+}
+
+impl Node {
+    /// A process that knows nothing yet.
+    pub fn new(settings: Settings, dialect: Dialect) -> Rc<Self> {
+        let mut rng = SmallRng::from_os_rng();
+        Rc::new(Self {
+            clock: Clock::start(),
+            boot: rng.random(),
+            directory: RefCell::default(),
+            directory_stored: RefCell::default(),
+            directory_since_ms: Cell::new(0),
+            registry: RefCell::default(),
+            registry_seen_ms: Cell::new(0),
+            store_ok_ms: Cell::new(0),
+            store_failed_ms: Cell::new(0),
+            peers: RefCell::new(Peers::new(&settings)),
+            buckets: RefCell::default(),
+            repeats: RefCell::default(),
+            usage: RefCell::new(Usage::new(ms(settings.bounds.usage_window_s))),
+            suspects: RefCell::default(),
+            phase: Cell::new(Phase::Serving),
+            in_flight: Cell::new(0),
+            callers: Cell::new(0),
+            phase_changed: Notify::new(),
+            room: Notify::new(),
+            metrics: Metrics::open(),
+            rng: RefCell::new(rng),
+            settings,
+            dialect,
+        })
+    }
+
+    /// Now, on the process's clock.
+    pub fn now_ms(&self) -> Millisecond {
+        self.clock.now_ms()
+    }
+
+    /// The directory in force.
+    pub fn directory(&self) -> Option<Rc<Directory>> {
+        self.directory.borrow().clone()
+    }
+
+    /// A number drawn evenly from 0 to 1.
+    pub fn draw(&self) -> f64 {
+        self.rng.borrow_mut().random()
+    }
+
+    /// Nodes that share bounds with this one, itself included.
+    pub fn nodes(&self) -> usize {
+        self.peers.borrow().count() + 1
+    }
+
+    /// Charges a workspace for a request.
+    pub fn charge(&self, workspace: &Workspace, cost: f64) -> Verdict {
+        let Some(allowance) = workspace.allowance else {
+            return Verdict::Within;
+        };
+        let now_ms = self.now_ms();
+        let nodes = self.nodes();
+        let mut buckets = self.buckets.borrow_mut();
+        let bucket = buckets
+            .entry(workspace.name.clone())
+            .or_insert_with(|| self.bucket(allowance, now_ms));
+        bucket.charge(cost, nodes, now_ms)
+    }
+
+    /// Gives back what a request was charged that did not run.
+    pub fn refund(&self, workspace: &Workspace, cost: f64) {
+        if let Some(bucket) = self.buckets.borrow_mut().get_mut(&workspace.name) {
+            bucket.refund(cost);
+        }
+    }
+
+    /// A bucket for a workspace that had none.
+    pub fn bucket(&self, allowance: Allowance, now_ms: Millisecond) -> Bucket {
+        let past = match self.settings.node.first_start {
+            FirstStart::Yes => Past::Unused,
+            FirstStart::No => Past::Unknown,
+        };
+        Bucket::new(allowance, past, now_ms)
+    }
+
+    /// Counts the first send of a request to a service.
+    pub fn requested(&self, service: &Name) {
+        let now_ms = self.now_ms();
+        let mut repeats = self.repeats.borrow_mut();
+        let of_service = repeats.entry(service.clone()).or_default();
+        of_service.requested(&self.repeat_terms(), now_ms);
+    }
+
+    /// Whether a repeated send to a service fits, and counts it if so.
+    pub fn draw_repeat(&self, service: &Name) -> Draw {
+        let now_ms = self.now_ms();
+        let nodes = self.nodes();
+        let mut repeats = self.repeats.borrow_mut();
+        let of_service = repeats.entry(service.clone()).or_default();
+        of_service.draw(&self.repeat_terms(), nodes, now_ms)
+    }
+
+    /// Puts a directory into force if it is newer; says whether it was.
+    pub fn adopt(&self, directory: Directory, stored: &[u8]) -> Adoption {
+        let known = self.directory.borrow().as_ref().map(|d| d.version);
+        if known.is_some_and(|version| version >= directory.version) {
+            return Adoption::Older;
+        }
+        let workspaces = directory.workspaces.clone();
+        self.set_allowances(&workspaces);
+        *self.directory_stored.borrow_mut() = stored.to_vec();
+        *self.directory.borrow_mut() = Some(Rc::new(directory));
+        self.directory_since_ms.set(self.now_ms());
+        Adoption::InForce
+    }
+
+    fn set_allowances(&self, workspaces: &Map<Name, Arc<Workspace>>) {
+        let mut buckets = self.buckets.borrow_mut();
+        for (name, bucket) in buckets.iter_mut() {
+            if let Some(allowance) = workspaces.get(name).and_then(|w| w.allowance) {
+                bucket.set_allowance(allowance);
+            }
+        }
+        for (name, workspace) in workspaces {
+            let Some(allowance) = workspace.allowance else {
+                continue;
+            };
+            if !buckets.contains_key(name) {
+                buckets.insert(name.clone(), self.bucket(allowance, self.now_ms()));
+            }
+        }
+    }
+
+    fn repeat_terms(&self) -> Terms {
+        let bounds = &self.settings.bounds;
+        Terms {
+            ratio: bounds.retry_ratio,
+            window_ms: ms(bounds.retry_window_s),
+            slack: bounds.retry_slack,
+        }
+    }
+}
+
+/// What became of a directory that was offered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Adoption {
+    /// It is in force.
+    InForce,
+    /// The one in force is as new or newer.
+    Older,
+}
--- /dev/null
+++ b/crates/gateway/src/peer/exchange.rs
@@ -0,0 +1,191 @@
+//! Datagrams between nodes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::Map;
+use base::units::Millisecond;
+use serde::Serialize;
+use snafu::{ResultExt, Snafu};
+use tokio::net::UdpSocket;
+
+use super::message::Hello;
+use super::{FRESH_MS, News, pull};
+use crate::belief::registry::Load;
+use crate::clock::unix_ms;
+use crate::log;
+use crate::node::Node;
+
+/// Time between two datagrams: how old the loads are on which servers are chosen.
+const PERIOD: Duration = Duration::from_millis(120);
+
+/// Most bytes of a datagram.
+const DATAGRAM_BYTES: usize = 60 * 1024;
+
+/// Suspects are told for so long; each datagram repeats them.
+const SUSPECTS_MS: Millisecond = 3_000;
+
+/// Most suspects in a datagram.
+const SUSPECTS_LIMIT: usize = 64;
+
+/// The socket for other nodes cannot be opened.
+#[derive(Debug, Snafu)]
+#[snafu(display("listen.peers: {address} cannot be used for datagrams: {source}."))]
+pub struct ExchangeError {
+    address: SocketAddr,
+    source: std::io::Error,
+}
+
+#[derive(Serialize)]
+struct PeerFields<'a> {
+    peer: &'a str,
+    address: SocketAddr,
+    boot: u64,
+}
+
+#[derive(Serialize)]
+struct GoneFields {
+    peers: Vec<base::Name>,
+}
+
+/// Starts telling and hearing, on the current local task set.
+///
+/// # Errors
+///
+/// The socket cannot be opened.
+pub async fn spawn(node: &Rc<Node>) -> Result<(), ExchangeError> {
+    let address = node.settings.listen.peers;
+    let socket = UdpSocket::bind(address).await;
+    let socket = Rc::new(socket.context(ExchangeSnafu { address })?);
+    tokio::task::spawn_local(tell(node.clone(), socket.clone()));
+    tokio::task::spawn_local(hear(node.clone(), socket));
+    Ok(())
+}
+
+async fn tell(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let started_unix_ms = unix_ms();
+    let mut number = 0;
+    loop {
+        number += 1;
+        let hello = hello(&node, number, started_unix_ms);
+        let datagram = serde_json::to_vec(&hello).unwrap_or_default();
+        let addresses = node.peers.borrow().addresses().to_vec();
+        for address in addresses {
+            // A datagram may be lost in any case; the next one repeats all.
+            let _ = socket.try_send_to(&datagram, address);
+        }
+        tokio::time::sleep(PERIOD).await;
+        let gone = node.peers.borrow_mut().expire(node.now_ms());
+        if gone.is_empty() {
+            continue;
+        }
+        for bucket in node.buckets.borrow_mut().values_mut() {
+            for key in &gone {
+                bucket.gone(key);
+            }
+        }
+        log::emit(events::Code::PeerGone, &GoneFields { peers: gone });
+    }
+}
+
+fn hello(node: &Node, number: u64, started_unix_ms: u64) -> Hello {
+    let now_ms = node.now_ms();
+    let registry = node.registry.borrow();
+    let busy = registry.servers().filter(|s| s.running.get() > 0);
+    let loads = busy
+        .map(|s| (s.record.id.clone(), s.running.get(), s.waiting_tokens.get()))
+        .collect();
+    let buckets = node.buckets.borrow();
+    let mut suspects = node.suspects.borrow().export(SUSPECTS_MS, unix_ms());
+    suspects.truncate(SUSPECTS_LIMIT);
+    Hello {
+        node: node.settings.node.name.clone(),
+        boot: node.boot,
+        started_unix_ms,
+        number,
+        unix_ms: unix_ms(),
+        directory: node.directory.borrow().as_ref().map_or(0, |d| d.version),
+        registry: registry.revision,
+        registry_age_ms: now_ms.saturating_sub(node.registry_seen_ms.get()),
+        loads,
+        used: buckets
+            .iter()
+            .map(|(name, b)| (name.clone(), b.used().round()))
+            .collect(),
+        begun: node.usage.borrow().recent(),
+        suspects,
+    }
+}
+
+async fn hear(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut datagram = vec![0; DATAGRAM_BYTES];
+    loop {
+        let Ok((bytes, from)) = socket.recv_from(&mut datagram).await else {
+            tokio::time::sleep(PERIOD).await;
+            continue;
+        };
+        let Ok(hello) = serde_json::from_slice::<Hello>(&datagram[..bytes]) else {
+            continue;
+        };
+        take_in(&node, hello, from);
+    }
+}
+
+/// Takes in what a node says of itself.
+pub fn take_in(node: &Rc<Node>, hello: Hello, from: SocketAddr) {
+    let now_ms = node.now_ms();
+    let news = node.peers.borrow_mut().heard(hello.clone(), from, now_ms);
+    match news {
+        News::Stale => return,
+        News::Continued => {}
+        News::Appeared => appeared(&hello, from),
+        News::Restarted(before) => {
+            appeared(&hello, from);
+            for bucket in node.buckets.borrow_mut().values_mut() {
+                bucket.gone(&before);
+            }
+        }
+    }
+    let key = hello.key();
+    for (workspace, used) in &hello.used {
+        if let Some(bucket) = node.buckets.borrow_mut().get_mut(workspace) {
+            bucket.heard(&key, *used, now_ms);
+        }
+    }
+    node.usage.borrow_mut().heard(&key, &hello.begun);
+    if !hello.suspects.is_empty() {
+        node.suspects.borrow_mut().merge(&hello.suspects, unix_ms());
+    }
+    sum_loads(node, now_ms);
+    pull::consider(node, &hello, from);
+}
+
+fn appeared(hello: &Hello, from: SocketAddr) {
+    let fields = PeerFields {
+        peer: &hello.node,
+        address: from,
+        boot: hello.boot,
+    };
+    log::emit(events::Code::PeerAlive, &fields);
+}
+
+/// Sets what the other nodes have at each server.
+fn sum_loads(node: &Node, now_ms: Millisecond) {
+    let mut sums: Map<base::Name, Load> = Map::default();
+    let peers = node.peers.borrow();
+    for (_, peer) in peers.iter() {
+        if now_ms.saturating_sub(peer.heard_ms) > FRESH_MS {
+            continue;
+        }
+        for (server, running, waiting_tokens) in &peer.hello.loads {
+            let sum = sums.entry(server.clone()).or_default();
+            sum.running += running;
+            sum.waiting_tokens += waiting_tokens;
+        }
+    }
+    for server in node.registry.borrow().servers() {
+        let sum = sums.get(&server.record.id).copied();
+        server.others.set(sum.unwrap_or_default());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peer/message.rs
@@ -0,0 +1,57 @@
+//! What nodes tell each other, as JSON.
+
+use base::Name;
+use base::units::{Millisecond, TokenCount};
+use policy::suspect::SuspectRecord;
+use serde::{Deserialize, Serialize};
+
+/// State of one node, sent whole in one datagram.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Hello {
+    /// The node.
+    pub node: Name,
+    /// Number of its life.
+    pub boot: u64,
+    /// Unix time of its start.
+    pub started_unix_ms: u64,
+    /// Number of the datagram in this life.
+    pub number: u64,
+    /// Its calendar clock.
+    pub unix_ms: u64,
+    /// Version of its directory; 0 without one.
+    pub directory: u64,
+    /// Revision of its registry; 0 without one.
+    pub registry: u64,
+    /// Time since it last knew its registry to be current.
+    pub registry_age_ms: Millisecond,
+    /// Its requests at each backend server.
+    pub loads: Vec<(Name, u32, TokenCount)>,
+    /// Units used by workspace since it started.
+    pub used: Vec<(Name, f64)>,
+    /// Requests begun by window and workspace.
+    pub begun: Vec<(u64, Vec<(Name, u64)>)>,
+    /// Requests that may crash servers.
+    pub suspects: Vec<SuspectRecord>,
+}
+
+impl Hello {
+    /// Key of this life of the node.
+    pub fn key(&self) -> Name {
+        format!("{}/{}", self.node, self.boot).into()
+    }
+}
+
+/// A registry as one node knows it, for nodes that the store turns away.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RegistryCopy {
+    /// Revision of the store up to which it is known.
+    pub revision: u64,
+    /// Identifiers and rows, as stored.
+    pub rows: Vec<(Name, Vec<u8>)>,
+}
+
+/// Path at which a node gives its directory's row.
+pub const DIRECTORY_PATH: &str = "/directory";
+
+/// Path at which a node gives its registry.
+pub const REGISTRY_PATH: &str = "/registry";
--- /dev/null
+++ b/crates/gateway/src/peer/mod.rs
@@ -0,0 +1,160 @@
+//! The other nodes: what they say of themselves several times a second, and what is asked of them.
+//!
+//! Nothing here needs agreement. Each node repeats its whole state in every datagram, so that a
+//! lost one costs a moment.
+
+pub mod exchange;
+pub mod message;
+pub mod pull;
+pub mod serve;
+
+use std::net::SocketAddr;
+
+use base::units::Millisecond;
+use base::{Map, Name};
+
+use crate::clock::unix_ms;
+use crate::settings::Settings;
+use message::Hello;
+
+/// What a node says is used for so long.
+pub const FRESH_MS: Millisecond = 1_000;
+
+/// A node that is not heard of for so long has ended, if most of the others are heard.
+const GONE_MS: Millisecond = 15_000;
+
+/// One life of another node.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Where it is asked.
+    pub address: SocketAddr,
+    /// What it said last.
+    pub hello: Hello,
+    /// When.
+    pub heard_ms: Millisecond,
+    /// Its calendar clock less ours.
+    clock_ahead_ms: i64,
+}
+
+/// The other nodes.
+#[derive(Debug)]
+pub struct Peers {
+    by_name: Map<Name, Peer>,
+    /// Addresses to which word is sent: seeds, and nodes listed in the store or named by others.
+    known: Vec<SocketAddr>,
+    own: SocketAddr,
+}
+
+/// What a datagram told of its sender.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// The sender was not known.
+    Appeared,
+    /// It has started again; this was its key before.
+    Restarted(Name),
+    /// It has said more of itself.
+    Continued,
+    /// The datagram is older than one that has come.
+    Stale,
+}
+
+impl Peers {
+    /// Knows the seeds only.
+    pub fn new(settings: &Settings) -> Self {
+        let own = settings.listen.peers;
+        let mut peers = Self {
+            by_name: Map::default(),
+            known: Vec::new(),
+            own,
+        };
+        for seed in &settings.peers.seeds {
+            // All nodes listen for each other at the same port.
+            peers.learn(SocketAddr::new(seed.ip(), own.port()));
+        }
+        peers
+    }
+
+    /// Adds an address to which word is sent.
+    pub fn learn(&mut self, address: SocketAddr) {
+        if address != self.own && !self.known.contains(&address) {
+            self.known.push(address);
+        }
+    }
+
+    /// Addresses to which word is sent.
+    pub fn addresses(&self) -> &[SocketAddr] {
+        &self.known
+    }
+
+    /// Nodes that count for shared bounds.
+    pub fn count(&self) -> usize {
+        self.by_name.len()
+    }
+
+    /// All other nodes.
+    pub fn iter(&self) -> impl Iterator<Item = (&Name, &Peer)> {
+        self.by_name.iter()
+    }
+
+    /// Takes in what a node says.
+    pub fn heard(&mut self, hello: Hello, address: SocketAddr, now_ms: Millisecond) -> News {
+        let clock_ahead_ms = hello.unix_ms as i64 - unix_ms() as i64;
+        let known = self.by_name.get(&hello.node);
+        let news = match known {
+            None => News::Appeared,
+            Some(known) if known.hello.boot != hello.boot => {
+                let older = hello.started_unix_ms < known.hello.started_unix_ms;
+                match older {
+                    true => return News::Stale,
+                    false => News::Restarted(known.hello.key()),
+                }
+            }
+            Some(known) if known.hello.number >= hello.number => return News::Stale,
+            Some(_) => News::Continued,
+        };
+        self.learn(address);
+        let peer = Peer {
+            address,
+            clock_ahead_ms,
+            heard_ms: now_ms,
+            hello,
+        };
+        self.by_name.insert(peer.hello.node.clone(), peer);
+        news
+    }
+
+    /// Drops nodes that have ended and gives back their keys.
+    pub fn expire(&mut self, now_ms: Millisecond) -> Vec<Name> {
+        let silent = |peer: &Peer| now_ms.saturating_sub(peer.heard_ms) > GONE_MS;
+        let ended = self.by_name.values().filter(|p| silent(p)).count();
+        // A node that hears few others is itself cut off, and the others may be well.
+        if ended == 0 || ended * 2 > self.by_name.len() {
+            return Vec::new();
+        }
+        let gone: Vec<Peer> = self
+            .by_name
+            .values()
+            .filter(|p| silent(p))
+            .cloned()
+            .collect();
+        for peer in &gone {
+            self.by_name.remove(&peer.hello.node);
+            self.known.retain(|address| *address != peer.address);
+        }
+        gone.iter().map(|peer| peer.hello.key()).collect()
+    }
+
+    /// Place of a node among all by name, and their number.
+    pub fn share(&self, own: &Name) -> (usize, usize) {
+        let before = self.by_name.keys().filter(|name| *name < own).count();
+        (before, self.by_name.len() + 1)
+    }
+
+    /// What to add to our calendar clock for the median of all clocks: single clocks may jump.
+    pub fn clock_offset_ms(&self) -> i64 {
+        let mut ahead: Vec<i64> = self.by_name.values().map(|p| p.clock_ahead_ms).collect();
+        ahead.push(0);
+        ahead.sort_unstable();
+        ahead[(ahead.len() - 1) / 2]
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peer/pull.rs
@@ -0,0 +1,138 @@
+//! Takes a newer directory or registry from another node.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::units::Millisecond;
+use bytes::{Bytes, BytesMut};
+use serde::Serialize;
+
+use super::message::{DIRECTORY_PATH, Hello, REGISTRY_PATH, RegistryCopy};
+use crate::http::{Body, Conn, ConnOptions, HeadWriter, Progress, response_head};
+use crate::node::Node;
+use crate::{follow, log};
+
+/// Bound of one question.
+const QUESTION: Duration = Duration::from_millis(1_000);
+
+/// Bounds of the connection.
+const CONNECTION: ConnOptions = ConnOptions {
+    connect_timeout_ms: 400,
+    unacknowledged_ms: 800,
+};
+
+/// Most bytes of an answer.
+const ANSWER_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+
+/// A registry is taken from others when the store has not answered for so long.
+const STORE_SILENT_MS: Millisecond = 700;
+
+thread_local! {
+    static ASKING: Cell<Asking> = const { Cell::new(Asking::No) };
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Asking {
+    Yes,
+    No,
+}
+
+#[derive(Serialize)]
+struct PulledFields<'a> {
+    from: SocketAddr,
+    what: &'a str,
+    version: u64,
+    outcome: &'a str,
+}
+
+/// Asks the sender of `hello` for what it knows and this node does not; one question at a time.
+pub fn consider(node: &Rc<Node>, hello: &Hello, address: SocketAddr) {
+    let wanted = wanted(node, hello);
+    if wanted.is_empty() || ASKING.get() == Asking::Yes {
+        return;
+    }
+    ASKING.set(Asking::Yes);
+    let node = node.clone();
+    tokio::task::spawn_local(async move {
+        for path in wanted {
+            take(&node, address, path).await;
+        }
+        ASKING.set(Asking::No);
+    });
+}
+
+fn wanted(node: &Node, hello: &Hello) -> Vec<&'static str> {
+    let mut wanted = Vec::new();
+    let version = node.directory.borrow().as_ref().map_or(0, |d| d.version);
+    if hello.directory > version {
+        wanted.push(DIRECTORY_PATH);
+    }
+    let silent_ms = node.now_ms().saturating_sub(node.store_ok_ms.get());
+    let revision = node.registry.borrow().revision;
+    if hello.registry > revision && silent_ms > STORE_SILENT_MS {
+        wanted.push(REGISTRY_PATH);
+    }
+    wanted
+}
+
+async fn take(node: &Rc<Node>, address: SocketAddr, path: &'static str) {
+    let answer = tokio::time::timeout(QUESTION, ask(address, path)).await;
+    let (version, outcome) = match answer {
+        Ok(Ok(body)) => match path {
+            DIRECTORY_PATH => follow::directory::offer(node, &body),
+            _ => registry(node, &body),
+        },
+        Ok(Err(_)) | Err(_) => (0, "no_answer"),
+    };
+    let fields = PulledFields {
+        from: address,
+        what: path,
+        version,
+        outcome,
+    };
+    log::emit(events::Code::BeliefPulled, &fields);
+}
+
+fn registry(node: &Node, body: &[u8]) -> (u64, &'static str) {
+    let Ok(copy) = serde_json::from_slice::<RegistryCopy>(body) else {
+        return (0, "unreadable");
+    };
+    let revision = copy.revision;
+    match follow::servers::adopt_copy(node, copy) {
+        follow::servers::Copy::Taken => (revision, "taken"),
+        follow::servers::Copy::Older => (revision, "older"),
+    }
+}
+
+async fn ask(address: SocketAddr, path: &str) -> std::io::Result<Bytes> {
+    let mut conn = Conn::open(address, CONNECTION).await?;
+    let mut head = BytesMut::new();
+    HeadWriter::request(&mut head, "GET", path)
+        .field("Host", address.to_string().as_bytes())
+        .field("Connection", b"close")
+        .end();
+    conn.send(&head).await?;
+    let malformed = || std::io::Error::from(std::io::ErrorKind::InvalidData);
+    let head = loop {
+        let head = response_head(&mut conn.buf, ANSWER_LIMIT_BYTES, "GET");
+        if let Some(head) = head.map_err(|_| malformed())? {
+            break head;
+        }
+        if conn.fill().await? == 0 {
+            return Err(malformed());
+        }
+    };
+    let mut body = Body::new(head.framing);
+    let mut whole = BytesMut::new();
+    loop {
+        let progress = body.read(&mut conn.buf, &mut whole);
+        if progress.map_err(|_| malformed())? == Progress::Done {
+            return Ok(whole.freeze());
+        }
+        if whole.len() > ANSWER_LIMIT_BYTES || conn.fill().await? == 0 {
+            return Err(malformed());
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,222 @@
+//! Settings of one gateway process, read from a TOML file.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use base::Name;
+use base::units::{ByteCount, Millisecond};
+use serde::Deserialize;
+use snafu::{ResultExt, Snafu, ensure};
+
+/// Settings of one process.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    /// Who the process is.
+    pub node: Node,
+    /// Where it listens.
+    pub listen: Listen,
+    /// Other nodes that may be asked first.
+    #[serde(default)]
+    pub peers: Peers,
+    /// The platform's store.
+    pub store: Store,
+    /// The platform's calls for duties.
+    #[serde(default)]
+    pub duties: Duties,
+    /// What the operators' rules allow.
+    pub bounds: Bounds,
+}
+
+/// Who a process is.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Node {
+    /// Name of the entry VM.
+    pub name: Name,
+    /// Where it stands.
+    pub failure_domain: Name,
+    /// Memory of the process.
+    pub memory_mb: ByteCount,
+    /// Whether the whole system starts for the first time.
+    #[serde(default)]
+    pub first_start: FirstStart,
+}
+
+/// Whether the whole system starts for the first time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FirstStart {
+    /// It does: nothing has been used of any allowance.
+    Yes,
+    /// It may have run before.
+    #[default]
+    No,
+}
+
+/// Where a process listens.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's question.
+    pub ready: SocketAddr,
+    /// For other nodes: datagrams and streams.
+    pub peers: SocketAddr,
+    /// For metrics.
+    pub metrics: SocketAddr,
+}
+
+/// Other nodes.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Peers {
+    /// Addresses of a few other nodes, of which only the IP number is used; some may be down.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// The platform's store.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Store {
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// The platform's calls for duties.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Duties {
+    /// Where they are taken; no duties without it.
+    pub address: Option<SocketAddr>,
+    /// Which there are.
+    #[serde(default)]
+    pub kinds: Vec<DutyKind>,
+}
+
+/// A duty.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DutyKind {
+    /// Reports what workspaces used.
+    Usage,
+    /// Orders backend servers.
+    Scaling,
+    /// One that this program does not know.
+    #[serde(other)]
+    Unknown,
+}
+
+/// What the operators' rules allow; defaults are those of the rules' example.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub struct Bounds {
+    /// Time to leave after SIGTERM.
+    pub shutdown_s: f64,
+    /// Repeated sends as a part of a service's requests, over all nodes.
+    pub retry_ratio: f64,
+    /// Window of that ratio.
+    pub retry_window_s: f64,
+    /// Repeated sends in a window beside the ratio, over all nodes.
+    pub retry_slack: f64,
+    /// Two nodes never act as holder of a duty within so long of each other.
+    pub lease_ms: Millisecond,
+    /// Window of the usage reports.
+    pub usage_window_s: f64,
+    /// A window's report is due so long after its end.
+    pub usage_due_s: f64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            shutdown_s: 8.0,
+            retry_ratio: 0.2,
+            retry_window_s: 10.0,
+            retry_slack: 52.0,
+            lease_ms: 3_000,
+            usage_window_s: 5.0,
+            usage_due_s: 10.0,
+        }
+    }
+}
+
+/// Settings that cannot be used.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[snafu(display("The settings file {} cannot be read: {source}.", path.display()))]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// The file is not as it should be.
+    #[snafu(display("The settings file {} cannot be used: {}", path.display(), source.message()))]
+    Syntax {
+        /// The file.
+        path: PathBuf,
+        /// What the TOML reader said.
+        source: Box<toml::de::Error>,
+    },
+    /// A value is out of its range.
+    #[snafu(display("{key}: {value} is out of range; give {range}."))]
+    Range {
+        /// The key.
+        key: &'static str,
+        /// What it holds.
+        value: f64,
+        /// What it may hold.
+        range: &'static str,
+    },
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read, is not TOML of this shape, or holds a value out of range.
+    pub fn open(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
+        Self::parse(&text, path)
+    }
+
+    /// Reads and checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The text is not TOML of this shape, or holds a value out of range.
+    pub fn parse(text: &str, path: &Path) -> Result<Self, SettingsError> {
+        let parsed: Result<Self, _> = toml::from_str(text).map_err(Box::new);
+        let settings = parsed.context(SyntaxSnafu { path })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let bounds = &self.bounds;
+        let positive = [
+            ("bounds.shutdown_s", bounds.shutdown_s),
+            ("bounds.retry_window_s", bounds.retry_window_s),
+            ("bounds.lease_ms", bounds.lease_ms as f64),
+            ("bounds.usage_window_s", bounds.usage_window_s),
+            ("bounds.usage_due_s", bounds.usage_due_s),
+            ("node.memory_mb", self.node.memory_mb as f64),
+        ];
+        for (key, value) in positive {
+            let range = "a number above 0";
+            ensure!(value > 0.0, RangeSnafu { key, value, range });
+        }
+        let value = bounds.retry_ratio;
+        let range = "a number from 0 to 1";
+        let key = "bounds.retry_ratio";
+        ensure!(
+            (0.0..=1.0).contains(&value),
+            RangeSnafu { key, value, range }
+        );
+        Ok(())
+    }
+}
+
+/// Whole milliseconds of a time in seconds.
+pub fn ms(seconds: f64) -> Millisecond {
+    (seconds * 1_000.0) as Millisecond
+}
--- a/crates/ledger/examples/capacity.rs
+++ b/crates/ledger/examples/capacity.rs
@@ -10,7 +10,7 @@
 use async_trait::async_trait;
 use base::ids::RequestId;
 use ledger::{Begin, Fingerprint, Ledger, Options, Scope, StoredResult};
-use platform::{CommitError, Condition, Key, ReadError, Row, Table, Write};
+use outside::{CommitError, Condition, Key, ReadError, Row, Table, Write};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -7,7 +7,7 @@
 use base::ids::RequestId;
 use base::units::{ByteCount, Millisecond};
 use events::Code;
-use platform::{Key, Table};
+use outside::{Key, Table};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
--- a/crates/ledger/src/opening.rs
+++ b/crates/ledger/src/opening.rs
@@ -4,7 +4,7 @@
 //! so the same conditional write is tried again: it lands once or not at all, and the owner token in
 //! the row tells whose it was.
 
-use platform::{CommitError, Condition, Key, Row, Write};
+use outside::{CommitError, Condition, Key, Row, Write};
 
 use crate::record::{Owner, Progress, Record, StoredResult};
 
--- a/crates/ledger/src/permit.rs
+++ b/crates/ledger/src/permit.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use platform::Key;
+use outside::Key;
 
 use crate::ledger::Inner;
 use crate::record::{Progress, Record, StoredResult};
--- a/crates/ledger/src/scope.rs
+++ b/crates/ledger/src/scope.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 
 use base::Name;
-use platform::Key;
+use outside::Key;
 use snafu::Snafu;
 
 /// Longest `Idempotency-Key` that is taken.
--- a/crates/ledger/src/settler.rs
+++ b/crates/ledger/src/settler.rs
@@ -6,7 +6,7 @@
 
 use base::units::{ByteCount, Millisecond};
 use events::Code;
-use platform::Key;
+use outside::Key;
 use serde::Serialize;
 use tokio::sync::Notify;
 use tokio::time::sleep;
--- a/crates/ledger/src/settling.rs
+++ b/crates/ledger/src/settling.rs
@@ -3,7 +3,7 @@
 //! A row is never deleted, so its version only grows and a late write of an earlier owner cannot
 //! match it.
 
-use platform::{CommitError, Condition, Key, Row, Write};
+use outside::{CommitError, Condition, Key, Row, Write};
 
 use crate::record::{Progress, Record};
 
--- a/crates/ledger/src/store.rs
+++ b/crates/ledger/src/store.rs
@@ -5,7 +5,7 @@
 
 use base::units::Millisecond;
 use events::Code;
-use platform::{CommitError, Key, ReadError, Row, Table, Write};
+use outside::{CommitError, Key, ReadError, Row, Table, Write};
 use rand::rngs::SmallRng;
 use serde::Serialize;
 use tokio::sync::{Notify, watch};
--- a/crates/ledger/src/sweep.rs
+++ b/crates/ledger/src/sweep.rs
@@ -1,6 +1,6 @@
 //! End of retention: results are dropped, their rows stay, so that no key runs a second time.
 
-use platform::{CommitError, Condition, ReadError, Row, Write};
+use outside::{CommitError, Condition, ReadError, Row, Write};
 
 use crate::ledger::Ledger;
 use crate::record::{Progress, Record};
--- a/crates/ledger/tests/scope.rs
+++ b/crates/ledger/tests/scope.rs
@@ -14,7 +14,7 @@
     assert_eq!(text.parse::<IdempotencyKey>().err(), want);
 }
 
-fn row(workspace: &str, service: &str, key: &str) -> platform::Key {
+fn row(workspace: &str, service: &str, key: &str) -> outside::Key {
     let scope = Scope {
         workspace: workspace.into(),
         service: service.into(),
--- a/crates/ledger/tests/support/age_takeover.rs
+++ b/crates/ledger/tests/support/age_takeover.rs
@@ -1,7 +1,7 @@
 //! Baseline: a pending row older than its time to live is taken over under a new generation, after
 //! `Idempotency-Key Ledger on D1`, with one clock for all and the row's version as generation.
 
-use platform::{Condition, Write};
+use outside::{Condition, Write};
 
 use super::world::{Sending, Told, World};
 
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use base::ids::RequestId;
 use bytes::Bytes;
 use ledger::{Fingerprint, Ledger, Options, Record, Scope, StoredResult};
-use platform::{CommitError, Condition, Key, ReadError, Row, Table, Write};
+use outside::{CommitError, Condition, Key, ReadError, Row, Table, Write};
 
 /// What happens to one operation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/ledger/tests/support/world.rs
+++ b/crates/ledger/tests/support/world.rs
@@ -5,7 +5,7 @@
 use ledger::opening::{self, Doubt, Opening, Verdict};
 use ledger::settling::{self, End, Known, Settling};
 use ledger::{Owner, Progress, Record};
-use platform::{CommitError, Key, Row, Write};
+use outside::{CommitError, Key, Row, Write};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
--- a/crates/platform/src/http/client.rs
+++ b/crates/outside/src/http/client.rs
@@ -1,5 +1,6 @@
 //! One HTTP attempt that says truthfully whether the request may have arrived.
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,6 +16,12 @@
 /// How long an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Spacing of TCP's own probes: a connection may go silent without a word.
+const KEEPALIVE_SPACING: Duration = Duration::from_secs(1);
+
+/// Unanswered probes that end a connection.
+const KEEPALIVE_RETRIES: u32 = 2;
+
 /// Unused connections kept.
 const IDLE_LIMIT: usize = 16;
 
@@ -31,53 +38,83 @@
 
 /// Whole answer of a service.
 #[derive(Clone, Debug)]
-pub(super) struct Reply {
-    pub(super) status: StatusCode,
-    pub(super) body: Bytes,
+pub struct Reply {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its whole body.
+    pub body: Bytes,
 }
 
 impl Reply {
     /// Names a status that the protocol does not expect here.
-    pub(super) fn unexpected(&self) -> String {
+    pub fn unexpected(&self) -> String {
         format!("unexpected status {}", self.status.as_u16())
     }
 }
 
 /// Why there is no whole answer.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
-pub(super) enum SendError {
+pub enum SendError {
     /// No connection could be opened, so no byte of the request was sent.
     #[snafu(display("no connection to {address}: {reason}"))]
-    NotSent { address: SocketAddr, reason: String },
+    NotSent {
+        /// Where to.
+        address: SocketAddr,
+        /// What was seen.
+        reason: String,
+    },
     /// The request may have arrived.
     #[snafu(display("no whole answer from {address}: {reason}"))]
-    Unanswered { address: SocketAddr, reason: String },
+    Unanswered {
+        /// Where from.
+        address: SocketAddr,
+        /// What was seen.
+        reason: String,
+    },
+}
+
+/// Header fields of a call.
+pub type CallHeaders = Vec<(&'static str, Cow<'static, str>)>;
+
+/// Header fields that are the same in each call.
+pub fn fixed_headers(headers: &[(&'static str, &'static str)]) -> CallHeaders {
+    let owned = headers
+        .iter()
+        .map(|(name, value)| (*name, Cow::Borrowed(*value)));
+    owned.collect()
 }
 
 /// Call to send.
-pub(super) struct Call {
-    pub(super) method: Method,
+pub struct Call {
+    /// Method.
+    pub method: Method,
     /// Path and query, starting with a slash.
-    pub(super) path: String,
-    pub(super) headers: &'static [(&'static str, &'static str)],
-    pub(super) body: Bytes,
+    pub path: String,
+    /// Header fields beside those of the framing.
+    pub headers: CallHeaders,
+    /// Body.
+    pub body: Bytes,
     /// Bound of the answer's body.
-    pub(super) answer_limit_bytes: ByteCount,
+    pub answer_limit_bytes: ByteCount,
 }
 
 /// Client of one endpoint; connections are reused.
 #[derive(Clone, Debug)]
-pub(super) struct Client {
+pub struct Client {
     endpoint: Endpoint,
     pool: PooledClient<HttpConnector, Full<Bytes>>,
 }
 
 impl Client {
-    pub(super) fn open(endpoint: Endpoint) -> Self {
+    /// A client of `endpoint`; connections are opened when needed.
+    pub fn open(endpoint: Endpoint) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         let connect_timeout = Duration::from_millis(endpoint.connect_timeout_ms);
         connector.set_connect_timeout(Some(connect_timeout));
+        connector.set_keepalive(Some(KEEPALIVE_SPACING));
+        connector.set_keepalive_interval(Some(KEEPALIVE_SPACING));
+        connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
         // The pool repeats a request only when its connection closed before a byte was written.
         let pool = PooledClient::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
@@ -88,7 +125,7 @@
     }
 
     /// Makes one attempt.
-    pub(super) async fn send(&self, call: Call) -> Result<Reply, SendError> {
+    pub async fn send(&self, call: Call) -> Result<Reply, SendError> {
         let timeout = Duration::from_millis(self.endpoint.call_timeout_ms);
         match tokio::time::timeout(timeout, self.attempt(call)).await {
             Ok(outcome) => outcome,
@@ -114,7 +151,7 @@
         let uri = format!("http://{}{}", self.endpoint.address, call.path);
         let mut builder = Request::builder().method(call.method).uri(uri);
         for (name, value) in call.headers {
-            builder = builder.header(*name, *value);
+            builder = builder.header(name, &*value);
         }
         let request = builder.body(Full::new(call.body));
         request.map_err(|e| self.not_sent(&e.to_string()))
--- a/crates/platform/src/http/cloud.rs
+++ b/crates/outside/src/http/cloud.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 
-use super::client::{Call, Client, Endpoint, Reply, SendError};
+use super::client::{Call, Client, Endpoint, Reply, SendError, fixed_headers};
 use super::is_url_safe;
 use crate::{Cloud, CloudError, VmOrder, VmPurchase};
 
@@ -32,7 +32,7 @@
         let call = Call {
             method,
             path,
-            headers: JSON,
+            headers: fixed_headers(JSON),
             body,
             answer_limit_bytes: ANSWER_LIMIT_BYTES,
         };
--- a/crates/platform/src/http/objects.rs
+++ b/crates/outside/src/http/objects.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 
-use super::client::{Call, Client, Endpoint, Reply};
+use super::client::{Call, CallHeaders, Client, Endpoint, Reply};
 use super::is_url_safe;
 use crate::{ObjectError, Objects};
 
@@ -35,7 +35,7 @@
         let call = Call {
             method,
             path: format!("/{}/{path}", self.bucket),
-            headers: &[],
+            headers: CallHeaders::new(),
             body,
             answer_limit_bytes: OBJECT_LIMIT_BYTES,
         };
--- a/crates/platform/src/http/table.rs
+++ b/crates/outside/src/http/table.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use super::client::{Call, Client, Endpoint, Reply, SendError};
+use super::client::{Call, Client, Endpoint, Reply, SendError, fixed_headers};
 use super::dynamo::{
     GetItem, GotItem, Query, QueryPage, Refusal, RefusalKind, TransactItem, Transaction,
 };
@@ -58,7 +58,7 @@
         let call = Call {
             method: Method::POST,
             path: "/".into(),
-            headers: operation.headers(),
+            headers: fixed_headers(operation.headers()),
             body: body.into(),
             answer_limit_bytes: ANSWER_LIMIT_BYTES,
         };
--- a/crates/platform/src/http/vms.rs
+++ b/crates/outside/src/http/vms.rs
@@ -6,7 +6,7 @@
 use http::{Method, StatusCode};
 use serde::Deserialize;
 
-use super::client::{Call, Client, Endpoint, Reply};
+use super::client::{Call, CallHeaders, Client, Endpoint, Reply};
 use super::is_url_safe;
 use crate::{Vm, VmListError, Vms};
 
@@ -41,7 +41,7 @@
         let call = Call {
             method: Method::GET,
             path,
-            headers: &[],
+            headers: CallHeaders::new(),
             body: Bytes::new(),
             answer_limit_bytes: LIST_LIMIT_BYTES,
         };
--- a/crates/platform/tests/services.rs
+++ b/crates/outside/tests/services.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use bytes::Bytes;
-use platform::{Cloud, CloudError, Objects, Purchase, VmOrder, VmRole, VmState, Vms};
+use outside::{Cloud, CloudError, Objects, Purchase, VmOrder, VmRole, VmState, Vms};
 use serde_json::json;
 use support::Start;
 use test_case::test_case;
--- a/crates/platform/tests/table.rs
+++ b/crates/outside/tests/table.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use platform::{CommitError, Condition, Key, Table, Write};
+use outside::{CommitError, Condition, Key, Table, Write};
 use serde_json::json;
 use support::{Outcome, Start, endpoint, outcome, put};
 use test_case::test_case;
@@ -170,7 +170,7 @@
 #[tokio::test]
 async fn a_broken_answer_is_unknown(answer: &'static str, expected: Outcome) {
     let address = support::raw_server(answer).await;
-    let table = platform::http::HttpTable::open(endpoint(address), "t");
+    let table = outside::http::HttpTable::open(endpoint(address), "t");
     let result = table.commit(vec![put("a", "1", Condition::Any)]).await;
     assert_eq!(outcome(&result), expected);
 }
@@ -178,7 +178,7 @@
 #[tokio::test]
 async fn an_answer_without_end_is_bounded() {
     let address = support::endless_server().await;
-    let table = platform::http::HttpTable::open(endpoint(address), "t");
+    let table = outside::http::HttpTable::open(endpoint(address), "t");
     let result = table.commit(vec![put("a", "1", Condition::Any)]).await;
     let Err(CommitError::Unknown { reason }) = result else {
         panic!("{result:?}");
