A node that ends takes nothing new once the balancer has had time to notice

Ruled out: slow streams of before SIGTERM (the trace shows the cut request was sent 6.2 s after it). Change: a third phase, Closing, 2.8 s after SIGTERM: the callers' listener is closed and new requests on open connections are refused as not run, with 50 ms to come back.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -164,7 +164,8 @@
     log::emit(Code::DaemonStarted, &fields);
 }
 
-/// Finishes what is in flight; new callers are served until the balancer sends none.
+/// Finishes what is in flight; new callers are served until the balancer should send none. What
+/// came later could be cut off by the end of the process and is refused.
 async fn drain(node: &Node) {
     let started = Instant::now();
     log::emit(Code::DaemonDraining, &drain_fields(node));
@@ -174,6 +175,8 @@
     let most_ms = ms(node.settings.bounds.shutdown_s).saturating_sub(DRAIN_MARGIN_MS);
     let most = started + Duration::from_millis(most_ms);
     sleep_until(least.min(most)).await;
+    node.phase.set(Phase::Closing);
+    node.phase_changed.notify_waiters();
     while Instant::now() < most && (node.in_flight.get() > 0 || node.callers.get() > 0) {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -15,7 +15,7 @@
 use crate::belief::directory::CallerLimits;
 use crate::front::request::read_head;
 use crate::http::{Conn, HeadWriter, tune};
-use crate::node::Node;
+use crate::node::{Node, Phase};
 use crate::peer::serve as serve_peer;
 
 /// Connections that wait to be accepted.
@@ -92,12 +92,13 @@
 
 async fn accept(node: Rc<Node>, purpose: Purpose, listener: TcpListener) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(_) => {
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing(&node), if purpose == Purpose::Callers => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
         };
         tune(&stream, UNACKNOWLEDGED_MS);
         let node = node.clone();
@@ -112,6 +113,13 @@
     }
 }
 
+/// Ends when no more callers are taken.
+async fn closing(node: &Node) {
+    while node.phase.get() != Phase::Closing {
+        node.phase_changed.notified().await;
+    }
+}
+
 /// Answers questions without a body until the connection ends.
 async fn questions(node: &Node, purpose: Purpose, stream: TcpStream) {
     let limits = CallerLimits::default();
--- a/crates/gateway/src/front/ready.rs
+++ b/crates/gateway/src/front/ready.rs
@@ -17,7 +17,7 @@
 
 /// Judges a node.
 pub fn readiness(node: &Node) -> Readiness {
-    if node.phase.get() == Phase::Draining {
+    if node.phase.get() != Phase::Serving {
         return Readiness::Draining;
     }
     if node.directory.borrow().is_none() {
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -25,6 +25,9 @@
 /// When a caller may come back to a node that does not know the directory yet.
 const NO_DIRECTORY_MS: Millisecond = 500;
 
+/// When a caller may come back, to another node, if this one ends.
+const CLOSING_MS: Millisecond = 50;
+
 /// When a caller may come back if no server of its service is known.
 const NO_SERVER_MS: Millisecond = 700;
 
@@ -123,6 +126,10 @@
 }
 
 fn admit(node: &Rc<Node>, request: &Request) -> Result<Admitted, Refusal> {
+    if node.phase.get() == Phase::Closing {
+        let text = "This node ends; another one takes the request.";
+        return Err(Reply::later(503, "closing", text, CLOSING_MS).into());
+    }
     let Some(directory) = node.directory() else {
         let text = "This node does not know the configuration yet.";
         return Err(Reply::later(503, "no_configuration", text, NO_DIRECTORY_MS).into());
@@ -349,6 +356,6 @@
 pub fn afterwards(node: &Node, request: &Request) -> Afterwards {
     match node.phase.get() {
         Phase::Serving if request.head.keeps_alive() => Afterwards::Keep,
-        Phase::Serving | Phase::Draining => Afterwards::Close,
+        Phase::Serving | Phase::Draining | Phase::Closing => Afterwards::Close,
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -27,8 +27,10 @@
 pub enum Phase {
     /// It takes requests.
     Serving,
-    /// It finishes what it has and ends.
+    /// It ends; callers that the balancer still sends are served.
     Draining,
+    /// It finishes what it has, and takes nothing new.
+    Closing,
 }
 
 /// State of one process.
