Backend servers are ordered: on demand for the work alone, reclaimable ones for room

Change: decide::scale holds a goal of three sums, from the peak of the work read and of the places taken: alone on demand, tight while reclaimable ones are refused, comfortable after the loss of any domain (policy::place::cheapest_additions). Speeds are low quantiles, which waiting does not move. Every node watches the need, so that a new holder gives nothing back too early.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -104,6 +104,7 @@
     LedgerSwept = 606, "ledger.swept", Info, "Answers older than their retention were dropped; their keys stay closed.";
 
     UsageReported = 611, "usage.reported", Info, "The usage of a window was reported to the platform; fields give the outcome.";
+    ServersOrdered = 612, "servers.ordered", Info, "A number of backend servers was ordered; fields give the need that it answers and the outcome.";
 
     PlacementDecided = 700, "placement.decided", Info, "VMs were bought, returned or given a new role; fields give the reason and the alternatives.";
 }
--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -35,6 +35,8 @@
     pub predicted_ms: Millisecond,
     /// Prompt tokens that had to be read before the first event, this request's own included.
     pub tokens_ahead: TokenCount,
+    /// Prompt tokens that the server must read for this request.
+    pub tokens_to_read: TokenCount,
     waiting_tokens: TokenCount,
     node: Rc<Node>,
 }
@@ -72,12 +74,16 @@
         if let Some(engine) = &job.service.engine {
             let mut cache = server.cache.borrow_mut();
             cache.note(&job.prompt, engine.memory_tokens, now_ms);
+            let speed = server.speed.borrow();
+            let reading_ms = speed.reading_ms(choice.tokens_to_read);
+            node.worked(&job.service.name, reading_ms);
         }
         Self {
             server: server.clone(),
             started_ms: now_ms,
             predicted_ms: choice.first_ms,
             tokens_ahead: ahead + choice.tokens_to_read,
+            tokens_to_read: choice.tokens_to_read,
             waiting_tokens: choice.tokens_to_read,
             node: node.clone(),
         }
--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -279,6 +279,6 @@
 fn moved(known: &Rc<Server>, record: ServerRecord) -> Rc<Server> {
     let server = Server::new(record);
     server.heard_ms.set(known.heard_ms.get());
-    *server.speed.borrow_mut() = known.speed.borrow().clone();
+    *server.speed.borrow_mut() = *known.speed.borrow();
     Rc::new(server)
 }
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -6,4 +6,6 @@
 pub mod place;
 pub mod prompt;
 pub mod repeats;
+pub mod scale;
 pub mod speed;
+pub mod work;
--- a/crates/gateway/src/decide/speed.rs
+++ b/crates/gateway/src/decide/speed.rs
@@ -5,6 +5,13 @@
 /// Weight of a new observation.
 const ALPHA: f64 = 0.15;
 
+/// Steps of a running quantile, as parts of it. It settles where a step down is as likely as three
+/// up: requests that waited for others tell little of the server.
+const STEP_UP: f64 = 0.01;
+
+/// See [`STEP_UP`].
+const STEP_DOWN: f64 = 0.03;
+
 /// Milliseconds to read a prompt token, until a server has shown its own.
 const READ_MS_PER_TOKEN: f64 = 0.01;
 
@@ -38,6 +45,11 @@
         self.start_ms + tokens as f64 * self.read_ms_per_token
     }
 
+    /// Time to read `tokens`.
+    pub fn reading_ms(&self, tokens: TokenCount) -> f64 {
+        tokens as f64 * self.read_ms_per_token
+    }
+
     /// Time between two events; 0 while none was seen.
     pub fn gap_ms(&self) -> f64 {
         self.gap_ms
@@ -47,11 +59,11 @@
     pub fn saw_first(&mut self, tokens: TokenCount, after_ms: Millisecond) {
         let after_ms = after_ms as f64;
         if tokens < TELLING_TOKENS {
-            blend(&mut self.start_ms, after_ms);
+            step(&mut self.start_ms, after_ms);
             return;
         }
         let reading_ms = (after_ms - self.start_ms).max(1.0);
-        blend(&mut self.read_ms_per_token, reading_ms / tokens as f64);
+        step(&mut self.read_ms_per_token, reading_ms / tokens as f64);
     }
 
     /// Takes in the time between two events.
@@ -63,6 +75,13 @@
     }
 }
 
+fn step(quantile: &mut f64, seen: f64) {
+    *quantile *= match seen > *quantile {
+        true => 1.0 + STEP_UP,
+        false => 1.0 - STEP_DOWN,
+    };
+}
+
 fn blend(average: &mut f64, seen: f64) {
     // One stall must not make a server look broken for seconds.
     let seen = seen.min(*average * 4.0 + 1.0);
--- a/crates/gateway/src/duty/keeper.rs
+++ b/crates/gateway/src/duty/keeper.rs
@@ -11,6 +11,7 @@
 use outside::{CommitError, Condition, Duties, DutyError, Holder, Key, Table, UsageReport, Write};
 use serde::Serialize;
 
+use super::scaling::Scaler;
 use crate::log;
 use crate::node::Node;
 
@@ -50,9 +51,10 @@
     let name = node.settings.node.name.clone();
     let lease = LeaseHolder::spawn(LEASE, name, table.clone(), terms, node.boot);
     let keeper = Keeper {
-        node,
         table,
+        scaler: Scaler::new(node.clone(), duties.clone()),
         duties,
+        node,
         right: lease.right(),
     };
     keeper.run().await;
@@ -62,6 +64,7 @@
     node: Rc<Node>,
     table: Arc<dyn Table>,
     duties: Arc<dyn Duties>,
+    scaler: Scaler,
     right: LeaseRight,
 }
 
@@ -70,6 +73,15 @@
         let mut reported: Set<u64> = Set::default();
         loop {
             tokio::time::sleep(ROUND).await;
+            self.scaler.observe();
+            match self.permit() {
+                None => self.scaler.forget_orders(),
+                Some(_) => {
+                    self.scaler
+                        .round(|| self.permit().map(|p| self.holder(p)))
+                        .await
+                }
+            }
             let Some(window) = self.due(&reported) else {
                 continue;
             };
--- a/crates/gateway/src/duty/mod.rs
+++ b/crates/gateway/src/duty/mod.rs
@@ -1,4 +1,5 @@
 //! What one node at a time does for all.
 
 pub mod keeper;
+pub mod scaling;
 pub mod usage;
--- /dev/null
+++ b/crates/gateway/src/duty/scaling.rs
@@ -0,0 +1,195 @@
+//! Orders of backend servers.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use base::units::Millisecond;
+use base::{Map, Name};
+use outside::{Duties, DutyError, Holder, Purchase, ServerOrder};
+use serde::Serialize;
+
+use crate::belief::Service;
+use crate::belief::registry::ServerState;
+use crate::decide::scale::{Need, Order, Present, Scale};
+use crate::log;
+use crate::node::Node;
+use crate::peer::FRESH_MS;
+
+/// Servers register themselves within so long of their start.
+const SETTLE_MS: Millisecond = 5_000;
+
+/// Work that tells nothing yet, in servers.
+const TELLING_WORK: f64 = 0.05;
+
+/// Orders of all services.
+pub struct Scaler {
+    node: Rc<Node>,
+    duties: Arc<dyn Duties>,
+    scales: RefCell<Map<Name, Scale>>,
+}
+
+#[derive(Serialize)]
+struct OrderedFields<'a> {
+    service: &'a str,
+    failure_domain: &'a str,
+    purchase: Purchase,
+    wanted: u32,
+    busy: Option<f64>,
+    present: u32,
+    fence: u64,
+    outcome: String,
+}
+
+impl Scaler {
+    /// A scaler that has ordered nothing.
+    pub fn new(node: Rc<Node>, duties: Arc<dyn Duties>) -> Self {
+        Self {
+            node,
+            duties,
+            scales: RefCell::default(),
+        }
+    }
+
+    /// Takes in what each service needs now.
+    pub fn observe(&self) {
+        let Some(directory) = self.node.directory() else {
+            return;
+        };
+        for service in directory.services.values() {
+            let need = self.need(service);
+            let mut scales = self.scales.borrow_mut();
+            let scale = scales.entry(service.name.clone()).or_default();
+            scale.observe(need, self.node.now_ms());
+        }
+    }
+
+    /// Forgets what was ordered: another node may have ordered since.
+    pub fn forget_orders(&self) {
+        for scale in self.scales.borrow_mut().values_mut() {
+            scale.forget_orders();
+        }
+    }
+
+    /// Orders what is due; `holder` gives the right to do so, asked for before each order.
+    pub async fn round(&self, holder: impl Fn() -> Option<Holder>) {
+        let Some(directory) = self.node.directory() else {
+            return;
+        };
+        for service in directory.services.values() {
+            let need = self.need(service);
+            for order in self.orders(service) {
+                let Some(holder) = holder() else {
+                    return;
+                };
+                self.give(&holder, service, need, &order).await;
+            }
+        }
+    }
+
+    fn orders(&self, service: &Service) -> Vec<Order> {
+        let Some(scaling) = &service.scaling else {
+            return Vec::new();
+        };
+        let present = self.present(&service.name);
+        if present.is_empty() || !self.is_settled() {
+            return Vec::new();
+        }
+        let mut scales = self.scales.borrow_mut();
+        let scale = scales.entry(service.name.clone()).or_default();
+        scale.plan(scaling, &present, self.node.now_ms())
+    }
+
+    async fn give(&self, holder: &Holder, service: &Service, need: Need, order: &Order) {
+        let asked = ServerOrder {
+            service: service.name.clone(),
+            failure_domain: order.failure_domain.clone(),
+            purchase: order.purchase,
+            wanted: order.wanted,
+        };
+        let outcome = self.duties.order_servers(holder, &asked).await;
+        let mut scales = self.scales.borrow_mut();
+        let scale = scales.entry(service.name.clone()).or_default();
+        match &outcome {
+            Ok(()) => {}
+            Err(DutyError::Refused) => scale.refused(order, self.node.now_ms()),
+            Err(DutyError::NotTaken { .. } | DutyError::Unknown { .. }) => scale.unanswered(order),
+        }
+        let fields = OrderedFields {
+            service: &service.name,
+            failure_domain: &order.failure_domain,
+            purchase: order.purchase,
+            wanted: order.wanted,
+            present: self
+                .present(&service.name)
+                .values()
+                .map(|p| p.reclaimable + p.on_demand)
+                .sum(),
+            busy: match need {
+                Need::Busy(servers) => Some(servers),
+                Need::Unknown => None,
+            },
+            fence: holder.fence,
+            outcome: match &outcome {
+                Ok(()) => "taken".to_owned(),
+                Err(error) => error.to_string(),
+            },
+        };
+        log::emit(events::Code::ServersOrdered, &fields);
+    }
+
+    /// Servers that stay, by failure domain.
+    fn present(&self, service: &Name) -> Map<Name, Present> {
+        let mut present: Map<Name, Present> = Map::default();
+        for server in self.node.registry.borrow().of_service(service) {
+            let record = &server.record;
+            let here = present.entry(record.failure_domain.clone()).or_default();
+            if record.state == ServerState::Draining {
+                continue;
+            }
+            match record.purchase {
+                Purchase::Reclaimable => here.reclaimable += 1,
+                Purchase::OnDemand => here.on_demand += 1,
+            }
+        }
+        present
+    }
+
+    /// Servers whose places the requests that run now would fill.
+    fn batches(&self, service: &Service) -> f64 {
+        let registry = self.node.registry.borrow();
+        let servers = registry.of_service(&service.name).iter();
+        servers
+            .map(|s| f64::from(s.load().running) / f64::from(s.record.slots))
+            .sum()
+    }
+
+    /// Whether servers have had time to register themselves since this process started.
+    fn is_settled(&self) -> bool {
+        self.node.now_ms() > SETTLE_MS
+    }
+
+    fn need(&self, service: &Service) -> Need {
+        let now_ms = self.node.now_ms();
+        let mut busy = busy_of(&self.node.busy_servers(), &service.name);
+        for (_, peer) in self.node.peers.borrow().iter() {
+            if fresh(now_ms, peer.heard_ms) {
+                busy += busy_of(&peer.hello.busy, &service.name);
+            }
+        }
+        let busy = busy.max(self.batches(service));
+        match busy > TELLING_WORK {
+            true => Need::Busy(busy),
+            false => Need::Unknown,
+        }
+    }
+}
+
+fn fresh(now_ms: Millisecond, heard_ms: Millisecond) -> bool {
+    now_ms.saturating_sub(heard_ms) <= FRESH_MS
+}
+
+fn busy_of(all: &[(Name, f64)], service: &Name) -> f64 {
+    let found = all.iter().find(|(name, _)| name == service);
+    found.map_or(0.0, |(_, servers)| *servers)
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::decide::allowance::{Bucket, Past, Verdict};
 use crate::decide::repeats::{Draw, Repeats, Terms};
+use crate::decide::work::Work;
 use crate::dialect::Dialect;
 use crate::duty::usage::Usage;
 use crate::metrics::Metrics;
@@ -63,6 +64,8 @@
     pub buckets: RefCell<Map<Name, Bucket>>,
     /// Budgets of repeated sends by service.
     pub repeats: RefCell<Map<Name, Repeats>>,
+    /// Work that comes in at this node, by service.
+    pub work: RefCell<Map<Name, Work>>,
     /// Requests begun by window.
     pub usage: RefCell<Usage>,
     /// Requests that may crash the servers that run them.
@@ -99,6 +102,7 @@
             peers: RefCell::new(Peers::new(&settings)),
             buckets: RefCell::default(),
             repeats: RefCell::default(),
+            work: RefCell::default(),
             usage: RefCell::new(Usage::new(ms(settings.bounds.usage_window_s))),
             suspects: RefCell::default(),
             phase: Cell::new(Phase::Serving),
@@ -180,6 +184,24 @@
         of_service.draw(&self.repeat_terms(), nodes, now_ms)
     }
 
+    /// Takes in work of a service.
+    pub fn worked(&self, service: &Name, cost_ms: f64) {
+        let now_ms = self.now_ms();
+        let mut work = self.work.borrow_mut();
+        work.entry(service.clone())
+            .or_default()
+            .add(cost_ms, now_ms);
+    }
+
+    /// Servers that this node's work keeps busy, by service.
+    pub fn busy_servers(&self) -> Vec<(Name, f64)> {
+        let now_ms = self.now_ms();
+        let mut work = self.work.borrow_mut();
+        let busy = work.iter_mut();
+        busy.map(|(name, work)| (name.clone(), work.servers(now_ms)))
+            .collect()
+    }
+
     /// Puts a directory into force if it is newer; says whether it was.
     pub fn adopt(&self, directory: Directory, stored: &[u8]) -> Adoption {
         let known = self.directory.borrow().as_ref().map(|d| d.version);
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -109,6 +109,7 @@
         registry: registry.revision,
         registry_age_ms: now_ms.saturating_sub(node.registry_seen_ms.get()),
         loads,
+        busy: node.busy_servers(),
         used: buckets
             .iter()
             .map(|(name, b)| (name.clone(), b.used().round()))
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -26,6 +26,8 @@
     pub registry_age_ms: Millisecond,
     /// Its requests at each backend server.
     pub loads: Vec<(Name, u32, TokenCount)>,
+    /// Backend servers that its work keeps busy, by service.
+    pub busy: Vec<(Name, f64)>,
     /// Units used by workspace since it started.
     pub used: Vec<(Name, f64)>,
     /// Requests begun by window and workspace.
--- /dev/null
+++ b/crates/gateway/tests/http_heads.rs
@@ -0,0 +1,79 @@
+//! Heads: what is taken, and what two readers could frame differently is refused.
+
+use bytes::BytesMut;
+use gateway::http::{Framing, HeadError, request_head, response_head};
+use test_case::test_case;
+
+const LIMIT_BYTES: usize = 1_024;
+
+fn request(text: &str) -> Result<Option<Framing>, HeadError> {
+    let mut buf = BytesMut::from(text);
+    request_head(&mut buf, LIMIT_BYTES).map(|head| head.map(|h| h.framing))
+}
+
+#[test_case("GET /a HTTP/1.1\r\nHost: h\r\n\r\n" => Ok(Some(Framing::Empty)); "no body")]
+#[test_case("POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\n" => Ok(Some(Framing::Length(5))); "length")]
+#[test_case("POST /a HTTP/1.1\r\nContent-Length: 0\r\n\r\n" => Ok(Some(Framing::Empty)); "length zero")]
+#[test_case("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" => Ok(Some(Framing::Chunked)); "chunks")]
+#[test_case("POST /a HTTP/1.1\r\nTransfer-Encoding: CHUNKED\r\n\r\n" => Ok(Some(Framing::Chunked)); "chunks in capitals")]
+#[test_case("POST /a HTTP/1.1\r\nHost: h" => Ok(None); "not whole")]
+#[test_case("\r\n\r\nGET / HTTP/1.1\r\n\r\n" => Ok(Some(Framing::Empty)); "empty lines before")]
+#[test_case("POST /a HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" => Err(HeadError::Ambiguous); "length before chunks")]
+#[test_case("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n" => Err(HeadError::Ambiguous); "chunks before length")]
+#[test_case("POST /a HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\n" => Err(HeadError::Ambiguous); "two lengths")]
+#[test_case("POST /a HTTP/1.1\r\nContent-Length: 5, 5\r\n\r\n" => Err(HeadError::Ambiguous); "a list of lengths")]
+#[test_case("POST /a HTTP/1.1\r\nContent-Length: +5\r\n\r\n" => Err(HeadError::Ambiguous); "a signed length")]
+#[test_case("POST /a HTTP/1.1\r\nContent-Length: 0x5\r\n\r\n" => Err(HeadError::Ambiguous); "a length that is no number")]
+#[test_case("POST /a HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n" => Err(HeadError::Ambiguous); "another coding")]
+#[test_case("POST /a HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n" => Err(HeadError::Ambiguous); "a coding that looks like chunks")]
+#[test_case("POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n" => Err(HeadError::Ambiguous); "chunks before they were known")]
+#[test_case("POST /a HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n" => Err(HeadError::Malformed); "space before a colon")]
+#[test_case("POST /a HTTP/1.1\r\nA: b\r\n c\r\n\r\n" => Err(HeadError::Malformed); "a folded field")]
+#[test_case("nonsense\r\n\r\n" => Err(HeadError::Malformed); "no request line")]
+fn requests(text: &str) -> Result<Option<Framing>, HeadError> {
+    request(text)
+}
+
+#[test]
+fn a_long_head_is_refused_before_it_is_whole() {
+    let text = format!("GET / HTTP/1.1\r\nA: {}", "x".repeat(2 * LIMIT_BYTES));
+    assert_eq!(request(&text), Err(HeadError::TooLarge));
+}
+
+#[test]
+fn what_follows_a_head_stays() {
+    let mut buf = BytesMut::from("GET /a HTTP/1.1\r\n\r\nGET /b");
+    let head = request_head(&mut buf, LIMIT_BYTES).unwrap().unwrap();
+    assert_eq!((head.target.as_str(), &buf[..]), ("/a", &b"GET /b"[..]));
+}
+
+#[test]
+fn fields_are_found_without_regard_to_case() {
+    let mut buf = BytesMut::from("GET /a?q HTTP/1.1\r\nX-One:  1 \r\nx-one: 2\r\n\r\n");
+    let head = request_head(&mut buf, LIMIT_BYTES).unwrap().unwrap();
+    assert_eq!(head.fields.text("X-ONE"), Some("1"));
+    assert_eq!(head.fields.count("x-one"), 2);
+    assert_eq!(head.path(), "/a");
+}
+
+#[test]
+fn fields_of_the_connection_include_those_it_names() {
+    let mut buf = BytesMut::from("GET / HTTP/1.1\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\n\r\n");
+    let head = request_head(&mut buf, LIMIT_BYTES).unwrap().unwrap();
+    assert!(head.fields.is_of_connection("x-hop"));
+    assert!(head.fields.is_of_connection("Connection"));
+    assert!(!head.fields.is_of_connection("host"));
+    assert!(!head.keeps_alive());
+}
+
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "GET" => Ok(Some(Framing::Length(3))); "length")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\n", "GET" => Ok(Some(Framing::Close)); "until the connection ends")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "HEAD" => Ok(Some(Framing::Empty)); "to HEAD")]
+#[test_case("HTTP/1.1 204 No\r\nContent-Length: 3\r\n\r\n", "GET" => Ok(Some(Framing::Empty)); "no content")]
+#[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n", "GET" => Err(HeadError::Ambiguous); "chunks and length")]
+#[test_case("garbage\r\n\r\n", "GET" => Err(HeadError::Malformed); "garbage")]
+fn responses(text: &str, method: &str) -> Result<Option<Framing>, HeadError> {
+    let mut buf = BytesMut::from(text);
+    let head = response_head(&mut buf, LIMIT_BYTES, method);
+    head.map(|head| head.map(|h| h.framing))
+}
--- /dev/null
+++ b/crates/gateway/tests/placing.rs
@@ -0,0 +1,128 @@
+//! Choice of a server.
+
+use gateway::belief::registry::Load;
+use gateway::decide::cache::Cache;
+use gateway::decide::place::{Candidate, Demand, Home, Nearness, Trust, choose};
+use gateway::decide::prompt::Prompt;
+use gateway::decide::speed::Speed;
+
+fn candidate() -> Candidate {
+    Candidate {
+        load: Load::default(),
+        slots: 4,
+        speed: Speed::default(),
+        known_tokens: 0,
+        home: Home::Other,
+        nearness: Nearness::Near,
+        trust: Trust::Sound,
+    }
+}
+
+fn running(running: u32, waiting_tokens: u64) -> Load {
+    Load {
+        running,
+        waiting_tokens,
+    }
+}
+
+const PROMPT: Demand = Demand {
+    read_tokens: 9_000,
+    shared_tokens: 6_000,
+    queue: 1,
+};
+
+fn chosen(candidates: &[Candidate]) -> Option<usize> {
+    choose(&PROMPT, candidates).map(|choice| choice.place)
+}
+
+#[test]
+fn the_server_that_keeps_the_prompt() {
+    let keeps = Candidate {
+        known_tokens: 6_000,
+        load: running(2, 0),
+        ..candidate()
+    };
+    assert_eq!(chosen(&[candidate(), keeps]), Some(1));
+}
+
+#[test]
+fn the_home_of_the_shared_parts() {
+    let home = Candidate {
+        home: Home::Own,
+        ..candidate()
+    };
+    assert_eq!(chosen(&[candidate(), home]), Some(1));
+}
+
+#[test]
+fn another_server_when_the_home_has_much_to_read() {
+    let home = Candidate {
+        home: Home::Own,
+        load: running(3, 40_000),
+        ..candidate()
+    };
+    assert_eq!(chosen(&[home, candidate()]), Some(1));
+}
+
+#[test]
+fn the_near_one_of_two_that_are_alike() {
+    let far = Candidate {
+        nearness: Nearness::Far,
+        ..candidate()
+    };
+    assert_eq!(chosen(&[far, candidate()]), Some(1));
+}
+
+#[test]
+fn a_doubted_server_only_when_no_other_has_room() {
+    let doubted = Candidate {
+        trust: Trust::Doubted,
+        known_tokens: 9_000,
+        ..candidate()
+    };
+    let full = Candidate {
+        load: running(5, 0),
+        ..candidate()
+    };
+    assert_eq!(chosen(&[doubted, candidate()]), Some(1));
+    assert_eq!(chosen(&[doubted, full]), Some(0));
+}
+
+#[test]
+fn none_when_all_are_full() {
+    let full = Candidate {
+        load: running(5, 0),
+        ..candidate()
+    };
+    assert_eq!(chosen(&[full, full]), None);
+}
+
+#[test]
+fn prompts_are_read_from_their_fields() {
+    let prompt = Prompt::parse(Some("5c1e:800,91bd:410,e440:250"), Some("1460,80"));
+    assert_eq!(prompt.used_tokens(), Some(1_540));
+    assert_eq!(prompt.read_tokens(), 1_460);
+    assert_eq!(prompt.shared_chain(), Some(prompt.parts[1].chain));
+    assert_eq!(Prompt::parse(Some("x,y:z"), None), Prompt::default());
+}
+
+#[test]
+fn a_part_counts_only_behind_the_same_parts() {
+    let mut cache = Cache::default();
+    cache.note(&Prompt::parse(Some("a:100,b:50"), None), 10_000, 0);
+    let known = |parts| cache.known_tokens(&Prompt::parse(Some(parts), None));
+    assert_eq!(known("a:100,b:50,c:7"), 150);
+    assert_eq!(known("a:100,c:7"), 100);
+    assert_eq!(known("b:50"), 0);
+}
+
+#[test]
+fn the_least_recently_used_parts_are_forgotten() {
+    let mut cache = Cache::default();
+    for n in 0..100_u64 {
+        let parts = format!("part{n}:100");
+        cache.note(&Prompt::parse(Some(&parts), None), 2_000, n);
+    }
+    let known = |n: u64| cache.known_tokens(&Prompt::parse(Some(&format!("part{n}:100")), None));
+    assert_eq!((known(0), known(99)), (0, 100));
+}
--- /dev/null
+++ b/crates/gateway/tests/repeats.rs
@@ -0,0 +1,62 @@
+//! Repeated sends stay a part of a service's requests.
+
+use base::units::Millisecond;
+use gateway::decide::repeats::{Draw, Repeats, Terms};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const TERMS: Terms = Terms {
+    ratio: 0.2,
+    window_ms: 10_000,
+    slack: 52.0,
+};
+
+#[test]
+fn a_few_repeats_are_there_without_any_request() {
+    let mut repeats = Repeats::default();
+    assert_eq!(repeats.draw(&TERMS, 6, 0), Draw::Granted);
+}
+
+#[test]
+fn repeats_return_when_the_window_has_passed() {
+    let mut repeats = Repeats::default();
+    while repeats.draw(&TERMS, 6, 0) == Draw::Granted {}
+    assert_eq!(repeats.draw(&TERMS, 6, 5_000), Draw::Exhausted);
+    assert_eq!(repeats.draw(&TERMS, 6, 11_000), Draw::Granted);
+}
+
+#[test]
+fn all_nodes_together_keep_the_bound_though_everything_fails() {
+    const NODES: usize = 6;
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut nodes = vec![Repeats::default(); NODES];
+        let mut requests: Vec<Millisecond> = Vec::new();
+        let mut repeated: Vec<Millisecond> = Vec::new();
+        for now_ms in (0..60_000).step_by(5) {
+            // Traffic comes and goes, and each node has its own part of it.
+            let busy = (now_ms / 10_000) % 2 == 0;
+            if !busy && rng.random_bool(0.9) {
+                continue;
+            }
+            let node = rng.random_range(0..NODES).min(rng.random_range(0..NODES));
+            nodes[node].requested(&TERMS, now_ms);
+            requests.push(now_ms);
+            for _ in 0..3 {
+                if nodes[node].draw(&TERMS, NODES, now_ms) == Draw::Granted {
+                    repeated.push(now_ms);
+                }
+            }
+        }
+        for start_ms in (0..50_000).step_by(250) {
+            let window = start_ms..start_ms + TERMS.window_ms;
+            let asked = requests.iter().filter(|at| window.contains(at)).count();
+            let again = repeated.iter().filter(|at| window.contains(at)).count();
+            let bound = TERMS.ratio * asked as f64 + TERMS.slack;
+            assert!(
+                again as f64 <= bound,
+                "seed {seed}, {start_ms} ms: {again} of {bound}"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/usage.rs
@@ -0,0 +1,32 @@
+//! Usage counts over several nodes.
+
+use base::Name;
+use gateway::duty::usage::Usage;
+
+const WINDOW_MS: u64 = 5_000;
+
+#[test]
+fn own_and_others_requests_are_summed() {
+    let (a, b) = (Name::from("a"), Name::from("b"));
+    let mut usage = Usage::new(WINDOW_MS);
+    let window = usage.window(0);
+    usage.count(&a, 0);
+    usage.heard(
+        &"n/1".into(),
+        &[(window, vec![(a.clone(), 2), (b.clone(), 1)])],
+    );
+    // A datagram that was overtaken by a later one takes nothing away.
+    usage.heard(&"n/1".into(), &[(window, vec![(a.clone(), 1)])]);
+    usage.heard(&"n/2".into(), &[(window, vec![(a.clone(), 4)])]);
+    let total = usage.total(window);
+    assert_eq!((total[&a], total[&b]), (7, 1));
+}
+
+#[test]
+fn a_clock_that_is_off_counts_in_the_window_of_the_others() {
+    let mut usage = Usage::new(WINDOW_MS);
+    let ahead = usage.window(WINDOW_MS as i64);
+    usage.count(&"a".into(), WINDOW_MS as i64);
+    assert_eq!(usage.total(ahead).len(), 1);
+    assert_eq!(usage.since_end_ms(ahead, 0), 0);
+}
