Allowances: a silent node is charged its part of what is left

Ruled out: the rate's share, which was charged already; the loss is the burst that each side holds. Change: when a node falls silent its even part of the level is set aside, and given back less what it says it used; silence is noticed after 300 ms, two and a half datagrams.

--- a/crates/gateway/src/decide/allowance.rs
+++ b/crates/gateway/src/decide/allowance.rs
@@ -1,16 +1,17 @@
 //! Allowances of workspaces over all nodes, without a call to the store.
 //!
 //! Each node keeps the whole bucket, charges its own requests at once and those of the others as
-//! it hears of them. A node that is not heard of is charged an even share of the rate, so that
-//! nodes which are cut off from each other together stay within the allowance.
+//! it hears of them. A node that is not heard of is charged an even share of what is left and of
+//! the rate, so that nodes which are cut off from each other together stay within the allowance.
 
 use base::units::Millisecond;
 use base::{Map, Name};
 
 use crate::belief::directory::Allowance;
 
-/// A node that was not heard of for so long is charged its share.
-const SILENCE_MS: Millisecond = 600;
+/// A node that was not heard of for so long is charged its share: two datagrams in a row were lost,
+/// or more.
+const SILENCE_MS: Millisecond = 300;
 
 /// Seconds of the rate that are there when nothing is known of what was used before.
 const UNKNOWN_START_S: f64 = 0.5;
@@ -142,13 +143,21 @@
         self.filled_ms = now_ms;
         let rate = self.allowance.rate_per_s;
         self.level += rate * span_s;
-        let share = rate * span_s / nodes.max(1) as f64;
+        self.level = self.level.min(self.allowance.burst);
+        let nodes = nodes.max(self.peers.len() + 1) as f64;
+        let share_of_rate = rate * span_s / nodes;
+        let share_of_level = self.level.max(0.0) / nodes;
         for peer in self.peers.values_mut() {
-            if now_ms.saturating_sub(peer.heard_ms) > SILENCE_MS {
-                peer.presumed += share;
-                self.level -= share;
+            if now_ms.saturating_sub(peer.heard_ms) <= SILENCE_MS {
+                continue;
             }
+            // The first time, the peer may take its part of what is left.
+            let share = match peer.presumed > 0.0 {
+                true => share_of_rate,
+                false => share_of_rate + share_of_level,
+            };
+            peer.presumed += share;
+            self.level -= share;
         }
-        self.level = self.level.min(self.allowance.burst);
     }
 }
