Listeners are bound before a process exists, and events stand in order

Change: Listeners::bind takes port 0 and reports addresses; daemon::spawn gives back the running node.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -90,10 +90,10 @@
     StreamNotGiven = 508, "stream.not_given", Error, "No peer took an open stream.";
     StreamTaken = 509, "stream.taken", Info, "This daemon goes on with a stream that a peer handed over.";
     StreamActivated = 510, "stream.activated", Warn, "A stream's owner did not answer, and this daemon's copy replaces it.";
-    BackendAppeared = 513, "backend.appeared", Info, "A backend server has registered itself and takes work.";
-    BackendGone = 514, "backend.gone", Info, "A backend server's entry is gone.";
     LeaseHeld = 511, "lease.held", Info, "This daemon holds a lease; fields give its fencing number.";
     LeaseLost = 512, "lease.lost", Warn, "This daemon no longer holds a lease.";
+    BackendAppeared = 513, "backend.appeared", Info, "A backend server has registered itself and takes work.";
+    BackendGone = 514, "backend.gone", Info, "A backend server's entry is gone.";
 
     LedgerRefused = 600, "ledger.refused", Info, "A non-idempotent call was not run because of its record.";
     LedgerStoreDown = 601, "ledger.store_down", Warn, "The table service does not answer; non-idempotent calls are refused at once until a probe succeeds.";
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -14,9 +14,8 @@
 
 use crate::backend::pool;
 use crate::dialect::Dialect;
-use crate::front::accept::{ListenError, Purpose, bind};
+use crate::front::accept::{ListenError, Listeners};
 use crate::node::{Node, Phase};
-use crate::peer::exchange::{self, ExchangeError};
 use crate::settings::{Settings, ms};
 use crate::{duty, follow, log};
 
@@ -44,12 +43,6 @@
         /// Which, and why.
         source: ListenError,
     },
-    /// Other nodes cannot be spoken to.
-    #[snafu(transparent)]
-    Exchange {
-        /// Why.
-        source: ExchangeError,
-    },
     /// Signals cannot be received.
     #[snafu(display("Signals cannot be received: {source}."))]
     Signals {
@@ -99,23 +92,20 @@
     let local = LocalSet::new();
     local.block_on(&runtime, async {
         let platform = connect(&settings);
-        let node = Node::new(settings, platform.dialect);
-        spawn(&node, platform).await?;
+        let node = spawn(settings, platform).await?;
         serve(&node).await
     })
 }
 
-/// Starts all tasks of a process on the current local task set.
+/// Listens at all addresses and starts all tasks of a process, on the current local task set.
 ///
 /// # Errors
 ///
 /// An address is not free.
-pub async fn spawn(node: &Rc<Node>, platform: Platform) -> Result<(), DaemonError> {
-    let listen = node.settings.listen;
-    bind(node, Purpose::Ready, listen.ready)?;
-    bind(node, Purpose::Metrics, listen.metrics)?;
-    bind(node, Purpose::Peers, listen.peers)?;
-    exchange::spawn(node).await?;
+pub async fn spawn(mut settings: Settings, platform: Platform) -> Result<Rc<Node>, DaemonError> {
+    let listeners = Listeners::bind(&settings.listen).await?;
+    settings.listen = listeners.addresses();
+    let node = Node::new(settings, platform.dialect);
     let (table, feed) = (platform.table, platform.feed);
     let directory = follow::directory::take_in;
     spawn_local(follow::follow(
@@ -136,8 +126,8 @@
         spawn_local(duty::keeper::keep(node.clone(), table, duties));
     }
     spawn_local(tidy(node.clone()));
-    bind(node, Purpose::Callers, listen.callers)?;
-    Ok(())
+    listeners.serve(&node);
+    Ok(node)
 }
 
 async fn serve(node: &Rc<Node>) -> Result<(), DaemonError> {
--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -7,7 +7,7 @@
 use base::units::Millisecond;
 use bytes::{BufMut, BytesMut};
 use snafu::{ResultExt, Snafu};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use super::caller;
 use super::ready::{Readiness, readiness};
@@ -16,7 +16,8 @@
 use crate::front::request::read_head;
 use crate::http::{Conn, HeadWriter, tune};
 use crate::node::{Node, Phase};
-use crate::peer::serve as serve_peer;
+use crate::peer::{exchange, serve as serve_peer};
+use crate::settings::Listen;
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -29,7 +30,7 @@
 
 /// What a listener is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Purpose {
+enum Purpose {
     /// Callers' requests.
     Callers,
     /// The balancer's question.
@@ -40,18 +41,6 @@
     Peers,
 }
 
-impl Purpose {
-    /// The settings key.
-    fn key(self) -> &'static str {
-        match self {
-            Self::Callers => "listen.callers",
-            Self::Ready => "listen.ready",
-            Self::Metrics => "listen.metrics",
-            Self::Peers => "listen.peers",
-        }
-    }
-}
-
 /// An address cannot be listened on.
 #[derive(Debug, Snafu)]
 #[snafu(display("{key}: {address} cannot be listened on: {source}. Free it or name another."))]
@@ -64,23 +53,75 @@
     source: std::io::Error,
 }
 
-/// Listens at `address` and serves what comes, on the current local task set.
-///
-/// # Errors
-///
-/// The address cannot be listened on.
-pub fn bind(
-    node: &Rc<Node>,
-    purpose: Purpose,
-    address: SocketAddr,
-) -> Result<SocketAddr, ListenError> {
-    let key = purpose.key();
+/// Sockets of a process that serves nobody yet.
+#[derive(Debug)]
+pub struct Listeners {
+    callers: TcpListener,
+    ready: TcpListener,
+    metrics: TcpListener,
+    peers: TcpListener,
+    datagrams: UdpSocket,
+    addresses: Listen,
+}
+
+impl Listeners {
+    /// Listens at all addresses; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be listened on.
+    pub async fn bind(listen: &Listen) -> Result<Self, ListenError> {
+        let (callers, callers_at) = bind("listen.callers", listen.callers)?;
+        let (ready, ready_at) = bind("listen.ready", listen.ready)?;
+        let (metrics, metrics_at) = bind("listen.metrics", listen.metrics)?;
+        let key = "listen.peers";
+        let (peers, peers_at) = bind(key, listen.peers)?;
+        let datagrams = UdpSocket::bind(peers_at).await;
+        let datagrams = datagrams.context(ListenSnafu {
+            key,
+            address: peers_at,
+        })?;
+        Ok(Self {
+            callers,
+            ready,
+            metrics,
+            peers,
+            datagrams,
+            addresses: Listen {
+                callers: callers_at,
+                ready: ready_at,
+                metrics: metrics_at,
+                peers: peers_at,
+            },
+        })
+    }
+
+    /// Where they listen.
+    pub fn addresses(&self) -> Listen {
+        self.addresses
+    }
+
+    /// Serves what comes, on the current local task set.
+    pub fn serve(self, node: &Rc<Node>) {
+        let listeners = [
+            (Purpose::Ready, self.ready),
+            (Purpose::Metrics, self.metrics),
+            (Purpose::Peers, self.peers),
+            (Purpose::Callers, self.callers),
+        ];
+        for (purpose, listener) in listeners {
+            tokio::task::spawn_local(accept(node.clone(), purpose, listener));
+        }
+        exchange::spawn(node, self.datagrams);
+    }
+}
+
+fn bind(key: &'static str, address: SocketAddr) -> Result<(TcpListener, SocketAddr), ListenError> {
     let listener = listen(address).context(ListenSnafu { key, address })?;
     let bound = listener
         .local_addr()
         .context(ListenSnafu { key, address })?;
-    tokio::task::spawn_local(accept(node.clone(), purpose, listener));
-    Ok(bound)
+    Ok((listener, bound))
 }
 
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -7,7 +7,6 @@
 use base::Map;
 use base::units::Millisecond;
 use serde::Serialize;
-use snafu::{ResultExt, Snafu};
 use tokio::net::UdpSocket;
 
 use super::message::Hello;
@@ -29,14 +28,6 @@
 /// Most suspects in a datagram.
 const SUSPECTS_LIMIT: usize = 64;
 
-/// The socket for other nodes cannot be opened.
-#[derive(Debug, Snafu)]
-#[snafu(display("listen.peers: {address} cannot be used for datagrams: {source}."))]
-pub struct ExchangeError {
-    address: SocketAddr,
-    source: std::io::Error,
-}
-
 #[derive(Serialize)]
 struct PeerFields<'a> {
     peer: &'a str,
@@ -50,17 +41,10 @@
 }
 
 /// Starts telling and hearing, on the current local task set.
-///
-/// # Errors
-///
-/// The socket cannot be opened.
-pub async fn spawn(node: &Rc<Node>) -> Result<(), ExchangeError> {
-    let address = node.settings.listen.peers;
-    let socket = UdpSocket::bind(address).await;
-    let socket = Rc::new(socket.context(ExchangeSnafu { address })?);
+pub fn spawn(node: &Rc<Node>, socket: UdpSocket) {
+    let socket = Rc::new(socket);
     tokio::task::spawn_local(tell(node.clone(), socket.clone()));
     tokio::task::spawn_local(hear(node.clone(), socket));
-    Ok(())
 }
 
 async fn tell(node: Rc<Node>, socket: Rc<UdpSocket>) {
