The users' platform as a stand-in, and tests of whole flows against it

standin::users speaks the store (conditions, feeds, dropped history, lost answers, turned-away nodes), the API for duties (fences) and runners that break each rule when told to. platform/tests holds requests, streams, beliefs and duties over real sockets, without wall-clock bounds. Found by them, failing first: an allowance that begins in the midst of a process's life missed what other nodes used before they were first heard (an_allowance_is_shared_by_all_nodes waited in vain for the charge). Now such use is charged, except by a process that started again and cannot know what is old. Ruled out for the crash test's first failure: the suspicion itself; the stand-in went down only after the node had looked.

--- a/crates/gateway/src/decide/allowance.rs
+++ b/crates/gateway/src/decide/allowance.rs
@@ -13,6 +13,10 @@
 /// or more.
 const SILENCE_MS: Millisecond = 300;
 
+/// Nodes that are first heard of within so long of an unknown past had used what they name before
+/// it; later ones have used it since.
+const UNKNOWN_MS: Millisecond = 1_000;
+
 /// Seconds of the rate that are there when nothing is known of what was used before.
 const UNKNOWN_START_S: f64 = 0.5;
 
@@ -30,6 +34,8 @@
 #[derive(Clone, Debug)]
 pub struct Bucket {
     allowance: Allowance,
+    past: Past,
+    created_ms: Millisecond,
     level: f64,
     filled_ms: Millisecond,
     /// Units that this node has used since it started.
@@ -67,6 +73,8 @@
         };
         Self {
             allowance,
+            past,
+            created_ms: now_ms,
             level,
             filled_ms: now_ms,
             used: 0.0,
@@ -115,8 +123,12 @@
 
     /// Takes in what another life of a node has used since it started.
     pub fn heard(&mut self, peer: &Name, used: f64, now_ms: Millisecond) {
+        let used_before = match self.past {
+            Past::Unknown if now_ms < self.created_ms + UNKNOWN_MS => used,
+            Past::Unknown | Past::Unused => 0.0,
+        };
         let known = self.peers.entry(peer.clone()).or_insert(Peer {
-            used,
+            used: used_before,
             presumed: 0.0,
             heard_ms: now_ms,
         });
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -23,6 +23,9 @@
 use crate::peer::Peers;
 use crate::settings::{FirstStart, Settings, ms};
 
+/// A process learns what others have used within so long of its start, on the clock's count.
+const NEW_PROCESS_MS: Millisecond = 6_000;
+
 /// Where a process is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -160,9 +163,10 @@
 
     /// A bucket for a workspace that had none.
     pub fn bucket(&self, allowance: Allowance, now_ms: Millisecond) -> Bucket {
+        // An allowance that begins in the midst of a process's life begins at all nodes.
         let past = match self.settings.node.first_start {
-            FirstStart::Yes => Past::Unused,
-            FirstStart::No => Past::Unknown,
+            FirstStart::No if now_ms < NEW_PROCESS_MS => Past::Unknown,
+            FirstStart::Yes | FirstStart::No => Past::Unused,
         };
         Bucket::new(allowance, past, now_ms)
     }
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -68,8 +68,8 @@
             own,
         };
         for seed in &settings.peers.seeds {
-            // All nodes listen for each other at the same port.
-            peers.learn(SocketAddr::new(seed.ip(), own.port()));
+            let port = settings.peers.seed_port.unwrap_or(seed.port());
+            peers.learn(SocketAddr::new(seed.ip(), port));
         }
         peers
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -68,9 +68,11 @@
 /// Other nodes.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct Peers {
-    /// Addresses of a few other nodes, of which only the IP number is used; some may be down.
+    /// Addresses of a few other nodes; some may be down.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Port at which nodes listen for each other, in place of the seeds' own ports.
+    pub seed_port: Option<u16>,
 }
 
 /// The platform's store.
--- a/crates/gateway/tests/allowances.rs
+++ b/crates/gateway/tests/allowances.rs
@@ -60,6 +60,23 @@
     ));
 }
 
+#[test]
+fn what_others_use_before_they_are_first_heard_is_charged_too() {
+    let mut bucket = Bucket::new(ALLOWANCE, Past::Unused, 0);
+    bucket.heard(&Name::from("b/1"), 1_000.0, 100);
+    assert!(matches!(
+        bucket.charge(200.0, 2, 100),
+        Verdict::Beyond { .. }
+    ));
+}
+
+#[test]
+fn what_others_used_before_a_process_started_again_is_not_charged() {
+    let mut bucket = Bucket::new(ALLOWANCE, Past::Unknown, 0);
+    bucket.heard(&Name::from("b/1"), 70_000.0, 100);
+    assert_eq!(bucket.charge(400.0, 2, 100), Verdict::Within);
+}
+
 #[test]
 fn what_was_presumed_of_a_silent_node_is_given_back() {
     let other = Name::from("b/1");
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod plain;
 pub mod platform;
 pub mod server;
+pub mod users;
--- /dev/null
+++ b/crates/standin/src/users/runner.rs
@@ -0,0 +1,329 @@
+//! A runner that answers as it is told to.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+use super::exchange::{Connection, Request};
+
+/// What a runner does with one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Answers 200 with a body that names the runner.
+    Answer,
+    /// Answers after so many milliseconds.
+    Late(u64),
+    /// Sends so many events, with so many milliseconds between two.
+    Stream(u32, u64),
+    /// Sends so many events and closes the connection in the midst of the next.
+    Break(u32),
+    /// Says that it did not run the request.
+    Refuse,
+    /// Runs the request and fails.
+    Fail,
+    /// Closes the connection without an answer.
+    Vanish,
+    /// Sends bytes that are no answer.
+    Garble,
+    /// Sends the answer of another request before its own.
+    Foreign,
+    /// Sends a second answer behind its own.
+    Double,
+    /// Answers 200 without a digest.
+    Unsigned,
+    /// Breaks off its answer before its length is reached.
+    Short,
+    /// Says nothing until the caller closes the connection.
+    Hang,
+    /// Goes down: its port refuses connections from now on.
+    Crash,
+}
+
+/// A request that reached a runner.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Number of the request.
+    pub id: String,
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Header fields, names in lower case.
+    pub fields: BTreeMap<String, String>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Whether the runner ran it.
+    pub ran: bool,
+}
+
+/// What a runner is.
+#[derive(Clone, Debug)]
+pub struct RunnerOptions {
+    /// Its identifier.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Its zone.
+    pub zone: String,
+    /// What it does when its script is at its end.
+    pub usual: Behaviour,
+}
+
+#[derive(Default)]
+struct State {
+    script: VecDeque<Behaviour>,
+    arrivals: Vec<Arrival>,
+    /// Requests whose callers closed the connection while they ran.
+    left: Vec<String>,
+}
+
+struct Shared {
+    options: RunnerOptions,
+    state: Mutex<State>,
+    crashed: Notify,
+}
+
+/// A running runner.
+pub struct Runner {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+impl Runner {
+    /// Starts on a free port of loopback.
+    pub async fn bind(options: RunnerOptions) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            options,
+            state: Mutex::default(),
+            crashed: Notify::new(),
+        });
+        let task = tokio::spawn(accept(listener, shared.clone()));
+        Ok(Self {
+            address,
+            shared,
+            task,
+        })
+    }
+
+    /// Its identifier.
+    pub fn id(&self) -> &str {
+        &self.shared.options.id
+    }
+
+    /// What it would register itself as.
+    pub fn entry(&self, state: &str) -> Value {
+        let options = &self.shared.options;
+        json!({
+            "service": options.service, "address": self.address.to_string(), "zone": options.zone,
+            "version": "v1", "slots": 4, "state": state, "coldRemainingMs": 0, "sequence": 1,
+            "born": 1,
+        })
+    }
+
+    /// Sets what it does with the next requests.
+    pub fn script(&self, next: impl IntoIterator<Item = Behaviour>) {
+        self.shared.lock().script.extend(next);
+    }
+
+    /// Requests that reached it.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.shared.lock().arrivals.clone()
+    }
+
+    /// Requests whose callers closed the connection while they ran.
+    pub fn left(&self) -> Vec<String> {
+        self.shared.lock().left.clone()
+    }
+
+    /// Ends it: its port refuses connections.
+    pub fn close(self) {
+        self.task.abort();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes note of a request and says what is to be done with it.
+    fn arrive(&self, request: &Request) -> (String, Option<Behaviour>) {
+        let field = |name: &str| request.fields.get(name).cloned();
+        let id = field("apricotledge-request-id").unwrap_or_default();
+        let expected = field("apricotledge-expect-instance");
+        let misdirected = expected.is_some_and(|expected| expected != self.options.id);
+        let mut state = self.lock();
+        let behaviour = match misdirected {
+            true => None,
+            false => Some(state.script.pop_front().unwrap_or(self.options.usual)),
+        };
+        state.arrivals.push(Arrival {
+            id: id.clone(),
+            method: request.method.clone(),
+            target: request.target.clone(),
+            fields: request.fields.clone(),
+            body: request.body.clone(),
+            ran: !matches!(behaviour, None | Some(Behaviour::Refuse)),
+        });
+        (id, behaviour)
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.crashed.notified() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            return;
+        };
+        tokio::spawn(serve(stream, shared.clone()));
+    }
+}
+
+async fn serve(stream: TcpStream, shared: Arc<Shared>) {
+    let mut connection = Connection::new(stream);
+    while let Some(request) = connection.request().await {
+        let (id, behaviour) = shared.arrive(&request);
+        let after = request
+            .fields
+            .get("last-event-id")
+            .and_then(|n| n.parse().ok());
+        let kept = match behaviour {
+            None => {
+                connection
+                    .send(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
+                    .await
+            }
+            Some(behaviour) => act(&mut connection, &shared, &id, behaviour, after).await,
+        };
+        if kept.is_none() {
+            return;
+        }
+    }
+}
+
+async fn act(
+    connection: &mut Connection,
+    shared: &Shared,
+    id: &str,
+    behaviour: Behaviour,
+    after: Option<u32>,
+) -> Option<()> {
+    let own = &shared.options.id;
+    match behaviour {
+        Behaviour::Answer => connection.send(&whole(id, own)).await,
+        Behaviour::Late(ms) => {
+            wait(connection, shared, id, ms).await?;
+            connection.send(&whole(id, own)).await
+        }
+        Behaviour::Stream(events, gap_ms) => {
+            stream(connection, shared, id, after, events, gap_ms).await?;
+            connection.send(b"0\r\n\r\n").await
+        }
+        Behaviour::Break(events) => {
+            stream(connection, shared, id, after, events, 1).await?;
+            connection.send(b"20\r\nid: 9").await?;
+            None
+        }
+        Behaviour::Refuse => {
+            let head =
+                "HTTP/1.1 503 X\r\nApricotledge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            connection.send(head.as_bytes()).await
+        }
+        Behaviour::Fail => connection.send(&signed(500, id, b"failed")).await,
+        Behaviour::Vanish => None,
+        Behaviour::Garble => {
+            connection.send(b"\x00\x01 nonsense\r\n\r\n").await?;
+            None
+        }
+        Behaviour::Foreign => {
+            connection.send(&whole("another", "nobody")).await?;
+            connection.send(&whole(id, own)).await
+        }
+        Behaviour::Double => {
+            connection.send(&whole(id, own)).await?;
+            connection.send(&whole(id, "second")).await
+        }
+        Behaviour::Unsigned => {
+            let head = format!(
+                "HTTP/1.1 200 X\r\nApricotledge-Request-Id: {id}\r\nContent-Length: 2\r\n\r\nno"
+            );
+            connection.send(head.as_bytes()).await
+        }
+        Behaviour::Short => {
+            let mut bytes = whole(id, own);
+            bytes.truncate(bytes.len() - 1);
+            connection.send(&bytes).await?;
+            None
+        }
+        Behaviour::Crash => {
+            shared.crashed.notify_one();
+            None
+        }
+        Behaviour::Hang => {
+            connection.closed().await;
+            shared.lock().left.push(id.to_owned());
+            None
+        }
+    }
+}
+
+async fn stream(
+    connection: &mut Connection,
+    shared: &Shared,
+    id: &str,
+    after: Option<u32>,
+    events: u32,
+    gap_ms: u64,
+) -> Option<()> {
+    let head = format!(
+        "HTTP/1.1 200 X\r\nApricotledge-Request-Id: {id}\r\nApricotledge-Server-Signature: s\r\n\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    connection.send(head.as_bytes()).await?;
+    for number in after.unwrap_or(0) + 1..=events {
+        let event = format!("id: {number}\ndata: {number}\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        connection.send(chunk.as_bytes()).await?;
+        wait(connection, shared, id, gap_ms).await?;
+    }
+    Some(())
+}
+
+/// Waits, unless the caller closes the connection before.
+async fn wait(connection: &mut Connection, shared: &Shared, id: &str, ms: u64) -> Option<()> {
+    tokio::select! {
+        () = tokio::time::sleep(Duration::from_millis(ms)) => Some(()),
+        () = connection.closed() => {
+            shared.lock().left.push(id.to_owned());
+            None
+        }
+    }
+}
+
+fn whole(id: &str, own: &str) -> Vec<u8> {
+    signed(200, id, own.as_bytes())
+}
+
+fn signed(status: u16, id: &str, body: &[u8]) -> Vec<u8> {
+    let length = body.len();
+    let mut bytes = format!(
+        "HTTP/1.1 {status} X\r\nApricotledge-Request-Id: {id}\r\n\
+         Apricotledge-Server-Signature: s\r\nContent-Length: {length}\r\n\r\n"
+    )
+    .into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
