explain: the story of one request from the logs of all nodes; settings are read again when they change

The daemon takes over new seeds at SIGHUP or within five seconds. Ruled out: following other settings while the process runs; addresses and names stay until the next start.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -7,6 +7,7 @@
 mod config_history;
 mod config_show;
 mod drain;
+mod explain;
 mod request_show;
 mod status;
 
@@ -37,6 +38,7 @@
             format,
             id,
         }) => request_show::run(&connection, format, id).await,
+        Command::Explain { id, files } => explain::run(&id, &files),
         Command::Catalogue { catalogue_format } => catalogue::run(catalogue_format),
     }
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -19,6 +19,12 @@
         /// The system's error.
         source: std::io::Error,
     },
+    /// Standard input could not be read.
+    #[snafu(display("Standard input could not be read: {source}. Name the logs as files."))]
+    Input {
+        /// The system's error.
+        source: std::io::Error,
+    },
     /// No key was given.
     #[snafu(display(
         "No operator key was given. Set APRICOTLEDGE_KEY or name a file with --key-file."
@@ -105,6 +111,7 @@
             Self::Unauthorized { .. } => Exit::Unauthorized,
             Self::NotFound { .. } => Exit::NotFound,
             Self::UnreadableFile { .. }
+            | Self::Input { .. }
             | Self::Runtime { .. }
             | Self::Answered { .. }
             | Self::Unreadable { .. }
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -51,6 +51,16 @@
     /// Look at requests
     #[bpaf(command("request"))]
     Request(#[bpaf(external(request_command))] RequestCommand),
+    /// Tell the story of one request from the logs of all nodes
+    #[bpaf(command("explain"))]
+    Explain {
+        /// Number of the request
+        #[bpaf(positional("ID"))]
+        id: String,
+        /// Logs; standard input if none is given
+        #[bpaf(positional("FILE"), complete_shell(ShellComp::File { mask: None }))]
+        files: Vec<PathBuf>,
+    },
     /// Print the catalogue of log events
     #[bpaf(command("catalogue"))]
     Catalogue {
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -48,7 +48,7 @@
         return Ok(());
     }
     let logger = Logger::open_queued(LOG_LEVEL, Format::Text)?;
-    let result = gateway::daemon::run(settings, connect);
+    let result = gateway::daemon::run(&options.settings, settings, connect);
     logger.close();
     Ok(result?)
 }
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -61,7 +61,7 @@
     DaemonDraining = 101, "daemon.draining", Info, "The daemon has left readiness and finishes what is in flight.";
     DaemonStopped = 102, "daemon.stopped", Info, "The daemon has ended; fields count finished and handed-over requests.";
     LinesLeftOut = 103, "log.left_out", Warn, "Lines of ordinary events were left out of the log in the second before; fields count them.";
-    SettingsKept = 104, "settings.kept", Info, "The daemon was told to read its settings again; those that may change take effect at the next start.";
+    SettingsRead = 104, "settings.read", Info, "The settings file has changed; fields say what of it took effect.";
     RequestAccepted = 200, "request.accepted", Info, "A request passed admission and has its number.";
     RequestRefused = 201, "request.refused", Info, "A request was refused before it ran; fields give code and reason.";
     RequestFinished = 202, "request.finished", Info, "A request got its final answer.";
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Start and end of a gateway process.
 
+use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +23,9 @@
 /// Time between two rounds of tidying up.
 const TIDY: Duration = Duration::from_millis(250);
 
+/// The settings file may change without a signal; it is looked at so often.
+const REREAD: Duration = Duration::from_secs(5);
+
 /// Least time between SIGTERM and the end: the balancer asks twice, a second apart.
 const LEAST_DRAIN: Duration = Duration::from_millis(2_800);
 
@@ -70,6 +74,11 @@
     settings: String,
 }
 
+#[derive(Serialize)]
+struct RereadFields {
+    outcome: String,
+}
+
 #[derive(Serialize)]
 struct DrainFields {
     in_flight: u32,
@@ -82,6 +91,7 @@
 ///
 /// It could not start.
 pub fn run(
+    file: &Path,
     settings: Settings,
     connect: impl FnOnce(&Settings) -> Platform,
 ) -> Result<(), DaemonError> {
@@ -93,7 +103,7 @@
     local.block_on(&runtime, async {
         let platform = connect(&settings);
         let node = spawn(settings, platform).await?;
-        serve(&node).await
+        serve(&node, file).await
     })
 }
 
@@ -130,20 +140,41 @@
     Ok(node)
 }
 
-async fn serve(node: &Rc<Node>) -> Result<(), DaemonError> {
+async fn serve(node: &Rc<Node>, file: &Path) -> Result<(), DaemonError> {
     let mut term = signal(SignalKind::terminate()).context(SignalsSnafu)?;
     let mut hup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
     report_start(node);
+    let mut again = tokio::time::interval(REREAD);
+    let mut read = std::fs::read_to_string(file).unwrap_or_default();
     loop {
         tokio::select! {
             _ = term.recv() => break,
-            _ = hup.recv() => log::emit(Code::SettingsKept, &()),
+            _ = hup.recv() => {}
+            _ = again.tick() => {}
         }
+        reread(node, file, &mut read);
     }
     drain(node).await;
     Ok(())
 }
 
+/// Takes over what may change of the settings while the process runs, if the file has changed.
+fn reread(node: &Node, file: &Path, read: &mut String) {
+    let text = std::fs::read_to_string(file).unwrap_or_default();
+    if text == *read {
+        return;
+    }
+    let outcome = match Settings::parse(&text, file) {
+        Ok(settings) => {
+            node.peers.borrow_mut().seed(&settings);
+            "seeds taken over; the rest from the next start".to_owned()
+        }
+        Err(error) => error.to_string(),
+    };
+    *read = text;
+    log::emit(Code::SettingsRead, &RereadFields { outcome });
+}
+
 fn report_start(node: &Node) {
     let listen = node.settings.listen;
     let fields = StartedFields {
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -67,11 +67,16 @@
             known: Vec::new(),
             own,
         };
+        peers.seed(settings);
+        peers
+    }
+
+    /// Adds the seeds of the settings.
+    pub fn seed(&mut self, settings: &Settings) {
         for seed in &settings.peers.seeds {
             let port = settings.peers.seed_port.unwrap_or(seed.port());
-            peers.learn(SocketAddr::new(seed.ip(), port));
+            self.learn(SocketAddr::new(seed.ip(), port));
         }
-        peers
     }
 
     /// Adds an address to which word is sent.
