A node that comes back from an outage brings back nothing that left meanwhile

Two nodes turned away by the store learned from others that a server had gone; when the store took them back they asked for changes since their own old revision, replayed the server's registration and kept it, its removal beside an outage having a grace. Its revision being the highest, four healthy nodes took that registry over, for they pulled after 700 ms of silence though a question for changes may be kept a second. Ruled out: a late removal in the store (all nodes logged backend.gone 35 ms after the ack). Change: changes are asked for since what others told; of a batch the last change of each row counts; entries in their grace are not given to others; a node pulls only while the store fails it, or is silent for 1.9 s.

--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -187,9 +187,14 @@
         self.by_id.values()
     }
 
-    /// Entries as stored.
-    pub fn stored(&self) -> &Map<Name, Vec<u8>> {
-        &self.stored
+    /// Entries as stored, without those that vanished beside an outage: whether they come back is
+    /// for each node to see.
+    pub fn stored(&self) -> impl Iterator<Item = (Name, Vec<u8>)> {
+        let certain = self
+            .stored
+            .iter()
+            .filter(|(id, _)| !self.vanished.contains_key(*id));
+        certain.map(|(id, row)| (id.clone(), row.clone()))
     }
 
     /// Takes in an entry.
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -5,6 +5,9 @@
 use base::units::Millisecond;
 use tokio::time::Instant;
 
+/// Reading at the start, so that 0 is long ago.
+const ORIGIN_MS: Millisecond = 1_000;
+
 /// Origin of all instants in beliefs and decisions.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -12,7 +15,7 @@
 }
 
 impl Clock {
-    /// A clock that starts at 1 s, so that 0 is "long ago".
+    /// A clock that starts now.
     pub fn start() -> Self {
         Self {
             started: Instant::now(),
@@ -21,7 +24,12 @@
 
     /// Now.
     pub fn now_ms(self) -> Millisecond {
-        1_000 + self.started.elapsed().as_millis() as Millisecond
+        ORIGIN_MS + self.age_ms()
+    }
+
+    /// Time since the start.
+    pub fn age_ms(self) -> Millisecond {
+        self.started.elapsed().as_millis() as Millisecond
     }
 }
 
--- a/crates/gateway/src/decide/allowance.rs
+++ b/crates/gateway/src/decide/allowance.rs
@@ -64,6 +64,34 @@
     Unknown,
 }
 
+/// What a process knows when an allowance begins for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Beginning {
+    /// It knew a directory before: the allowance begins now, at all nodes.
+    Midway,
+    /// The whole system starts, so long ago.
+    FirstStart {
+        /// Age of the process.
+        age_ms: Millisecond,
+    },
+    /// It has started again, or starts beside nodes that run.
+    Restart,
+}
+
+/// A first start that takes longer to know a directory has nodes that knew one before.
+const FIRST_START_MS: Millisecond = 3_000;
+
+impl Past {
+    /// What was used before an allowance began.
+    pub fn at(beginning: Beginning) -> Self {
+        match beginning {
+            Beginning::Midway => Self::Unused,
+            Beginning::FirstStart { age_ms } if age_ms < FIRST_START_MS => Self::Unused,
+            Beginning::FirstStart { .. } | Beginning::Restart => Self::Unknown,
+        }
+    }
+}
+
 impl Bucket {
     /// A bucket that starts now.
     pub fn new(allowance: Allowance, past: Past, now_ms: Millisecond) -> Self {
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -17,7 +17,7 @@
 
 /// Longest wait of one question for changes: a connection that has gone silent is noticed soon
 /// after it.
-const WAIT_MS: Millisecond = 1_000;
+pub const WAIT_MS: Millisecond = 1_000;
 
 /// Pause after a question without an answer.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -47,7 +47,7 @@
     loop {
         let outcome = match revision {
             None => snapshot(&*feed, topic).await,
-            Some(since) => changes(&*feed, topic, since).await,
+            Some(since) => changes(&*feed, topic, known(&node, topic, since)).await,
         };
         match outcome {
             Ok((batch, extent)) => {
@@ -67,6 +67,14 @@
     }
 }
 
+/// Revision up to which a topic is known: others may have told more than the store has.
+fn known(node: &Node, topic: Topic, asked: u64) -> u64 {
+    match topic {
+        Topic::Servers => asked.max(node.registry.borrow().revision),
+        Topic::Directory | Topic::Nodes => asked,
+    }
+}
+
 async fn snapshot(feed: &dyn Feed, topic: Topic) -> Result<(Batch, Extent), FeedError> {
     let batch = feed.snapshot(topic).await;
     let batch = batch.map_err(|e| FeedError::Unanswered { reason: e.reason })?;
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -80,7 +80,7 @@
     let now_ms = node.now_ms();
     let mut listed: Set<Name> = Set::default();
     let mut changes = Vec::new();
-    for row in rows {
+    for row in latest(rows) {
         let Some(body) = row.body else {
             let mut registry = node.registry.borrow_mut();
             changes.push(registry.remove(&row.key, absence, now_ms));
@@ -109,6 +109,19 @@
     }
 }
 
+/// The last change of each row: what came and went in between is of no use.
+fn latest(rows: Vec<FeedRow>) -> Vec<FeedRow> {
+    let mut seen: Set<String> = Set::default();
+    let mut latest: Vec<FeedRow> = Vec::with_capacity(rows.len());
+    for row in rows.into_iter().rev() {
+        if seen.insert(row.key.clone()) {
+            latest.push(row);
+        }
+    }
+    latest.reverse();
+    latest
+}
+
 fn seen(node: &Node, revision: u64) {
     node.registry.borrow_mut().revision = revision;
     node.registry_seen_ms.set(node.now_ms());
--- a/crates/gateway/src/front/answer.rs
+++ b/crates/gateway/src/front/answer.rs
@@ -77,5 +77,8 @@
         return None;
     }
     let wanted = SILENCE_TARGETS * job.route.target_ms;
-    Some(wanted.clamp(*SILENCE_MS.start(), *SILENCE_MS.end()))
+    let wanted = wanted.clamp(*SILENCE_MS.start(), *SILENCE_MS.end());
+    // Time for one more attempt is left.
+    let half = (job.left_ms() / 2).max(job.route.target_ms);
+    Some(wanted.min(half))
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -14,7 +14,7 @@
 use crate::belief::directory::Allowance;
 use crate::belief::{Directory, Registry, Workspace};
 use crate::clock::Clock;
-use crate::decide::allowance::{Bucket, Past, Verdict};
+use crate::decide::allowance::{Beginning, Bucket, Past, Verdict};
 use crate::decide::repeats::{Draw, Repeats, Terms};
 use crate::decide::work::Work;
 use crate::dialect::Dialect;
@@ -23,9 +23,6 @@
 use crate::peer::Peers;
 use crate::settings::{FirstStart, Settings, ms};
 
-/// A process learns what others have used within so long of its start, on the clock's count.
-const NEW_PROCESS_MS: Millisecond = 6_000;
-
 /// Where a process is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -163,11 +160,17 @@
 
     /// A bucket for a workspace that had none.
     pub fn bucket(&self, allowance: Allowance, now_ms: Millisecond) -> Bucket {
-        // An allowance that begins in the midst of a process's life begins at all nodes.
-        let past = match self.settings.node.first_start {
-            FirstStart::No if now_ms < NEW_PROCESS_MS => Past::Unknown,
-            FirstStart::Yes | FirstStart::No => Past::Unused,
+        let beginning = match (
+            self.directory.borrow().is_some(),
+            self.settings.node.first_start,
+        ) {
+            (true, _) => Beginning::Midway,
+            (false, FirstStart::Yes) => Beginning::FirstStart {
+                age_ms: self.clock.age_ms(),
+            },
+            (false, FirstStart::No) => Beginning::Restart,
         };
+        let past = Past::at(beginning);
         Bucket::new(allowance, past, now_ms)
     }
 
--- a/crates/gateway/src/peer/pull.rs
+++ b/crates/gateway/src/peer/pull.rs
@@ -26,8 +26,9 @@
 /// Most bytes of an answer.
 const ANSWER_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 
-/// A registry is taken from others when the store has not answered for so long.
-const STORE_SILENT_MS: Millisecond = 700;
+/// A registry is taken from others when the store has not answered for so long: longer than it may
+/// keep a question for changes.
+const STORE_SILENT_MS: Millisecond = follow::WAIT_MS + 900;
 
 thread_local! {
     static ASKING: Cell<Asking> = const { Cell::new(Asking::No) };
@@ -63,15 +64,18 @@
     });
 }
 
-fn wanted(node: &Node, hello: &Hello) -> Vec<&'static str> {
+/// What the sender of `hello` knows and this node should ask for.
+pub fn wanted(node: &Node, hello: &Hello) -> Vec<&'static str> {
     let mut wanted = Vec::new();
     let version = node.directory.borrow().as_ref().map_or(0, |d| d.version);
     if hello.directory > version {
         wanted.push(DIRECTORY_PATH);
     }
     let silent_ms = node.now_ms().saturating_sub(node.store_ok_ms.get());
+    let failing = node.store_failed_ms.get() > node.store_ok_ms.get();
+    let away = failing || silent_ms > STORE_SILENT_MS;
     let revision = node.registry.borrow().revision;
-    if hello.registry > revision && silent_ms > STORE_SILENT_MS {
+    if hello.registry > revision && away {
         wanted.push(REGISTRY_PATH);
     }
     wanted
--- a/crates/gateway/src/peer/serve.rs
+++ b/crates/gateway/src/peer/serve.rs
@@ -14,11 +14,14 @@
 }
 
 fn registry(node: &Node) -> Vec<u8> {
+    serde_json::to_vec(&registry_copy(node)).unwrap_or_default()
+}
+
+/// The registry as others may take it over.
+pub fn registry_copy(node: &Node) -> RegistryCopy {
     let registry = node.registry.borrow();
-    let rows = registry.stored().iter();
-    let copy = RegistryCopy {
+    RegistryCopy {
         revision: registry.revision,
-        rows: rows.map(|(id, row)| (id.clone(), row.clone())).collect(),
-    };
-    serde_json::to_vec(&copy).unwrap_or_default()
+        rows: registry.stored().collect(),
+    }
 }
--- a/crates/gateway/tests/allowances.rs
+++ b/crates/gateway/tests/allowances.rs
@@ -3,7 +3,7 @@
 use base::Name;
 use base::units::Millisecond;
 use gateway::belief::directory::Allowance;
-use gateway::decide::allowance::{Bucket, Past, Verdict};
+use gateway::decide::allowance::{Beginning, Bucket, Past, Verdict};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use test_case::test_case;
@@ -77,6 +77,14 @@
     assert_eq!(bucket.charge(400.0, 2, 100), Verdict::Within);
 }
 
+#[test_case(Beginning::Midway => Past::Unused; "a limit that is new to a running process")]
+#[test_case(Beginning::FirstStart { age_ms: 900 } => Past::Unused; "the first start")]
+#[test_case(Beginning::FirstStart { age_ms: 9_000 } => Past::Unknown; "a first start beside an outage")]
+#[test_case(Beginning::Restart => Past::Unknown; "a start again, however late the directory comes")]
+fn what_was_used_before(beginning: Beginning) -> Past {
+    Past::at(beginning)
+}
+
 #[test]
 fn what_was_presumed_of_a_silent_node_is_given_back() {
     let other = Name::from("b/1");
