--- /dev/null
+++ b/crates/gateway/tests/discovery_histories.rs
@@ -0,0 +1,380 @@
+//! Random histories of servers that come and go, while the store turns nodes away, forgets its
+//! history and holds rows of others; nodes tell each other as they do over datagrams.
+//!
+//! Invariants: a node that the store serves uses no server later than the bound after it has left;
+//! a server that has left never comes back at any node in the same life; no node's configuration
+//! goes back; when all is calm, all nodes know exactly what there is.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use base::units::Millisecond;
+use gateway::belief::registry::ServerState;
+use gateway::follow::{self, directory, servers};
+use gateway::node::Node;
+use gateway::peer::message::Hello;
+use gateway::peer::{pull, serve};
+use outside::{Batch, Feed, FeedError, FeedRow, ReadError, Topic};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const NODES: usize = 4;
+const SEEDS: u64 = 400;
+
+/// Steps of the world.
+const STEP_MS: Millisecond = 20;
+
+/// Length of the part with trouble, and of the calm after it.
+const TROUBLE_MS: Millisecond = 30_000;
+const CALM_MS: Millisecond = 6_000;
+
+/// The pages' bound from the word that a server leaves to the last request sent to it.
+const DRAIN_MS: Millisecond = 2_000;
+
+/// The pages' time without disturbance after which a bound holds.
+const TOUCH_MS: Millisecond = 3_000;
+
+/// Time between two datagrams.
+const HELLO_MS: Millisecond = 120;
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Topics {
+    Directory,
+    Servers,
+}
+
+#[derive(Default)]
+struct World {
+    now_ms: Millisecond,
+    revision: u64,
+    rows: BTreeMap<String, String>,
+    config: u64,
+    history: Vec<(u64, Topics, String, Option<String>)>,
+    forgotten: u64,
+    /// Until when each node is turned away.
+    away_until_ms: [Millisecond; NODES],
+    /// When a life of a server left: its identifier and start.
+    left_ms: BTreeMap<(String, u64), Millisecond>,
+}
+
+impl World {
+    fn put(&mut self, topic: Topics, key: &str, body: Option<String>) {
+        self.revision += 1;
+        if topic == Topics::Servers {
+            match &body {
+                Some(body) => self.rows.insert(key.to_owned(), body.clone()),
+                None => self.rows.remove(key),
+            };
+        }
+        self.history
+            .push((self.revision, topic, key.to_owned(), body));
+    }
+
+    fn leaves(&mut self, id: &str, born: u64) {
+        let now_ms = self.now_ms;
+        self.left_ms.entry((id.to_owned(), born)).or_insert(now_ms);
+    }
+
+    /// One random event of a server.
+    fn stir(&mut self, rng: &mut SmallRng) {
+        let id = format!("s{}", rng.random_range(0..6));
+        let known = self.rows.get(&id).cloned();
+        let born = known
+            .as_deref()
+            .and_then(|row| row.split_once(' ')?.1.parse().ok());
+        match (known.as_deref(), born) {
+            (None, _) | (_, None) => {
+                let born = self.revision + 1;
+                self.put(Topics::Servers, &id, Some(format!("ready {born}")));
+            }
+            (Some(row), Some(born)) if row.starts_with("ready") && rng.random_bool(0.5) => {
+                self.leaves(&id, born);
+                self.put(Topics::Servers, &id, Some(format!("draining {born}")));
+            }
+            (Some(_), Some(born)) if rng.random_bool(0.3) => {
+                // It crashed and lives again before its entry was gone.
+                self.leaves(&id, born);
+                let next = self.revision + 1;
+                self.put(Topics::Servers, &id, Some(format!("ready {next}")));
+            }
+            (Some(_), Some(born)) => {
+                self.leaves(&id, born);
+                self.put(Topics::Servers, &id, None);
+            }
+        }
+    }
+
+    fn trouble(&mut self, rng: &mut SmallRng) {
+        match rng.random_range(0..40) {
+            0 => {
+                let node = rng.random_range(0..NODES);
+                self.away_until_ms[node] = self.now_ms + rng.random_range(300..6_000);
+            }
+            1 => {
+                let until_ms = self.now_ms + rng.random_range(300..3_000);
+                self.away_until_ms = [until_ms; NODES];
+            }
+            2 => {
+                self.forgotten = self.revision;
+                self.history.clear();
+            }
+            3 => self.put(Topics::Servers, "alien", Some("dreaming".to_owned())),
+            4 | 5 => {
+                self.config += rng.random_range(1..4);
+                let text = self.config.to_string();
+                self.put(Topics::Directory, "directory", Some(text));
+            }
+            6..13 => self.stir(rng),
+            _ => {}
+        }
+    }
+}
+
+struct ModelFeed {
+    world: Arc<Mutex<World>>,
+    node: usize,
+}
+
+impl ModelFeed {
+    fn world(&self) -> Result<MutexGuard<'_, World>, ReadError> {
+        let world = self.world.lock().unwrap();
+        match world.now_ms < world.away_until_ms[self.node] {
+            true => Err(ReadError {
+                reason: "turned away".to_owned(),
+            }),
+            false => Ok(world),
+        }
+    }
+}
+
+fn topic_of(topic: Topic) -> Topics {
+    match topic {
+        Topic::Directory | Topic::Nodes => Topics::Directory,
+        Topic::Servers => Topics::Servers,
+    }
+}
+
+#[async_trait]
+impl Feed for ModelFeed {
+    async fn snapshot(&self, topic: Topic) -> Result<Batch, ReadError> {
+        let world = self.world()?;
+        let row = |(key, body): (&String, &String)| FeedRow {
+            key: key.clone(),
+            body: Some(body.clone().into_bytes()),
+        };
+        let rows = match topic_of(topic) {
+            Topics::Servers => world.rows.iter().map(row).collect(),
+            Topics::Directory => vec![FeedRow {
+                key: "directory".to_owned(),
+                body: Some(world.config.to_string().into_bytes()),
+            }],
+        };
+        Ok(Batch {
+            rows,
+            revision: world.revision,
+        })
+    }
+
+    async fn changes(
+        &self,
+        topic: Topic,
+        revision: u64,
+        wait_ms: Millisecond,
+    ) -> Result<Batch, FeedError> {
+        for _ in 0..wait_ms / STEP_MS {
+            let batch = {
+                let world = self
+                    .world()
+                    .map_err(|e| FeedError::Unanswered { reason: e.reason })?;
+                if revision < world.forgotten {
+                    return Err(FeedError::HistoryGone);
+                }
+                let of_topic = topic_of(topic);
+                let news = world.history.iter();
+                let news = news.filter(|(at, topic, ..)| *at > revision && *topic == of_topic);
+                let rows = news.map(|(_, _, key, body)| FeedRow {
+                    key: key.clone(),
+                    body: body.clone().map(String::into_bytes),
+                });
+                Batch {
+                    rows: rows.collect(),
+                    revision: world.revision,
+                }
+            };
+            if !batch.rows.is_empty() {
+                return Ok(batch);
+            }
+            tokio::time::sleep(Duration::from_millis(STEP_MS)).await;
+        }
+        Ok(Batch {
+            rows: Vec::new(),
+            revision,
+        })
+    }
+}
+
+fn hello(node: &Node) -> Hello {
+    Hello {
+        node: node.settings.node.name.clone(),
+        boot: node.boot,
+        started_unix_ms: 1,
+        number: 1,
+        unix_ms: 1,
+        directory: node.directory().map_or(0, |d| d.version),
+        registry: node.registry.borrow().revision,
+        registry_age_ms: 0,
+        loads: Vec::new(),
+        busy: Vec::new(),
+        used: Vec::new(),
+        begun: Vec::new(),
+        suspects: Vec::new(),
+    }
+}
+
+/// Each node hears of each other, and takes what it wants.
+fn tell(nodes: &[Rc<Node>]) {
+    for from in nodes {
+        for to in nodes {
+            if Rc::ptr_eq(from, to) {
+                continue;
+            }
+            for path in pull::wanted(to, &hello(from)) {
+                if path.contains("directory") {
+                    let row = from.directory_stored.borrow().clone();
+                    directory::offer(to, &row);
+                } else {
+                    servers::adopt_copy(to, serve::registry_copy(from));
+                }
+            }
+        }
+    }
+}
+
+/// Lives of servers that a node would use.
+fn used(node: &Node) -> Vec<(String, u64)> {
+    let registry = node.registry.borrow();
+    let ready = registry
+        .servers()
+        .filter(|s| s.record.state == ServerState::Ready);
+    ready
+        .map(|s| (s.record.id.to_string(), s.record.born_unix_ms))
+        .collect()
+}
+
+fn check(seed: u64, world: &World, nodes: &[Rc<Node>], before: &mut [Seen]) {
+    for (number, node) in nodes.iter().enumerate() {
+        let used = used(node);
+        let seen = &mut before[number];
+        let touched = world.now_ms > world.away_until_ms[number] + TOUCH_MS;
+        for life in &used {
+            let left_ms = world.left_ms.get(life);
+            let late = left_ms.is_some_and(|left_ms| world.now_ms > left_ms + DRAIN_MS);
+            assert!(
+                !(touched && late),
+                "seed {seed}, {} ms: node {number} uses {life:?}, which left at {left_ms:?}",
+                world.now_ms
+            );
+            assert!(
+                !seen.dropped.contains(life),
+                "seed {seed}, {} ms: {life:?} is back at node {number}",
+                world.now_ms
+            );
+        }
+        let dropped = seen
+            .used
+            .iter()
+            .filter(|life| !used.contains(life))
+            .cloned();
+        let left = dropped.filter(|life| world.left_ms.contains_key(life));
+        let left: Vec<_> = left.collect();
+        seen.dropped.extend(left);
+        seen.used = used;
+        let version = node.directory().map_or(0, |d| d.version);
+        assert!(
+            version >= seen.version,
+            "seed {seed}: node {number} went back"
+        );
+        seen.version = version;
+    }
+}
+
+/// What a node used and no longer uses.
+#[derive(Clone, Default)]
+struct Seen {
+    used: Vec<(String, u64)>,
+    dropped: Vec<(String, u64)>,
+    version: u64,
+}
+
+async fn history(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let world = Arc::new(Mutex::new(World {
+        config: 1,
+        ..World::default()
+    }));
+    let nodes: Vec<Rc<Node>> = (0..NODES)
+        .map(|n| support::node(&format!("n{n}")))
+        .collect();
+    for (number, node) in nodes.iter().enumerate() {
+        let feed = Arc::new(ModelFeed {
+            world: world.clone(),
+            node: number,
+        });
+        let registry = follow::follow(node.clone(), feed.clone(), Topic::Servers, servers::take_in);
+        tokio::task::spawn_local(registry);
+        let config = follow::follow(node.clone(), feed, Topic::Directory, directory::take_in);
+        tokio::task::spawn_local(config);
+    }
+    let mut seen = vec![Seen::default(); NODES];
+    for step in 0..(TROUBLE_MS + CALM_MS) / STEP_MS {
+        {
+            let mut world = world.lock().unwrap();
+            world.now_ms += STEP_MS;
+            if world.now_ms < TROUBLE_MS {
+                world.trouble(&mut rng);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(STEP_MS)).await;
+        if (step * STEP_MS).is_multiple_of(HELLO_MS) {
+            tell(&nodes);
+        }
+        for node in &nodes {
+            servers::expire(node);
+        }
+        check(seed, &world.lock().unwrap(), &nodes, &mut seen);
+    }
+    let world = world.lock().unwrap();
+    let ready = world
+        .rows
+        .iter()
+        .filter(|(_, row)| row.starts_with("ready"));
+    let ready: Vec<&String> = ready.map(|(id, _)| id).collect();
+    for (number, node) in nodes.iter().enumerate() {
+        let mut used: Vec<String> = used(node).into_iter().map(|(id, _)| id).collect();
+        used.sort();
+        assert_eq!(
+            used.iter().collect::<Vec<_>>(),
+            ready,
+            "seed {seed}, node {number}"
+        );
+        let version = node.directory().map_or(0, |d| d.version);
+        assert_eq!(version, world.config, "seed {seed}, node {number}");
+    }
+}
+
+#[test]
+fn servers_that_have_left_stay_away() {
+    for seed in 0..SEEDS {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, history(seed));
+    }
+}
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -1,68 +1,16 @@
 //! A node that was turned away by the store and comes back.
 
-use std::path::Path;
-use std::rc::Rc;
+mod support;
+
 use std::sync::{Arc, Mutex};
 
 use async_trait::async_trait;
-use gateway::belief::Directory;
-use gateway::belief::registry::{ServerRecord, ServerState};
-use gateway::dialect::{DecodeError, Dialect, HeaderNames};
 use gateway::follow::{self, Extent, servers};
 use gateway::node::Node;
 use gateway::peer::message::{Hello, RegistryCopy};
 use gateway::peer::pull;
-use gateway::settings::Settings;
-use outside::{Batch, Feed, FeedError, FeedRow, Purchase, ReadError, Topic};
-
-const NAMES: HeaderNames = HeaderNames {
-    request_id: "id",
-    time_left_ms: "left",
-    expected_server: "server",
-    workspace: "workspace",
-    tokens: "tokens",
-    prompt_parts: "parts",
-    engine_priority: "priority",
-    last_event: "event",
-    not_run: "not-run",
-    signature: "signature",
-    load: "load",
-    key: "key",
-    key_scheme: "K",
-    reserved: &[],
-};
-
-fn node() -> Rc<Node> {
-    let text = "[node]\nname = \"n\"\nfailure_domain = \"a\"\nmemory_mb = 100\n\
-                [listen]\ncallers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n\
-                peers = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n\
-                [store]\naddress = \"127.0.0.1:9\"\n[bounds]\n";
-    let settings = Settings::parse(text, Path::new("test")).unwrap();
-    let dialect = Dialect {
-        names: NAMES,
-        directory: |_| Ok(Directory::default()),
-        directory_key: "directory",
-        server,
-    };
-    Node::new(settings, dialect)
-}
-
-/// The rows of these tests hold the state only.
-fn server(id: &str, body: &[u8]) -> Result<ServerRecord, DecodeError> {
-    Ok(ServerRecord {
-        id: id.into(),
-        service: "s".into(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        failure_domain: "a".into(),
-        slots: 4,
-        state: match body {
-            b"ready" => ServerState::Ready,
-            _ => ServerState::Draining,
-        },
-        purchase: Purchase::OnDemand,
-        born_unix_ms: 1,
-    })
-}
+use outside::{Batch, Feed, FeedError, FeedRow, ReadError, Topic};
+use support::node;
 
 fn row(key: &str, body: Option<&str>) -> FeedRow {
     FeedRow {
@@ -95,7 +43,7 @@
 
 #[test]
 fn what_came_and_went_while_it_was_away_does_not_come_back() {
-    let node = node();
+    let node = node("n");
     servers::take_in(&node, batch(10, vec![row("x", Some("ready"))]), Extent::All);
     servers::adopt_copy(&node, copy(20, &[]));
     assert!(!knows(&node, "x"));
@@ -112,7 +60,7 @@
 
 #[test]
 fn an_entry_that_only_may_come_back_is_not_given_to_others() {
-    let node = node();
+    let node = node("n");
     servers::take_in(&node, batch(10, vec![row("x", Some("ready"))]), Extent::All);
     fail_store(&node);
     servers::take_in(&node, batch(11, vec![row("x", None)]), Extent::Changes);
@@ -148,7 +96,7 @@
         .build()
         .unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let node = node();
+        let node = node("n");
         let feed = Arc::new(Asked::default());
         let following =
             follow::follow(node.clone(), feed.clone(), Topic::Servers, servers::take_in);
@@ -164,7 +112,7 @@
 
 #[test]
 fn a_node_that_the_store_answers_takes_no_registry_from_others() {
-    let node = node();
+    let node = node("n");
     servers::take_in(&node, batch(10, Vec::new()), Extent::All);
     let now_ms = node.now_ms();
     node.store_ok_ms.set(now_ms);
