Large fleets: nodes that leave say so, and those that follow the store tell their neighbours at each tick

Ruled out: the feed (the nodes that lived were told within a second); a late pull. Change: a hello says whether its node ends, and roles pass over such nodes; a follower's word goes to its neighbours every 120 ms whatever the size of the fleet. Small fleets are not touched by either.

--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -10,12 +10,12 @@
 use tokio::net::UdpSocket;
 
 use super::message::Hello;
-use super::role::{PERIOD_MS, Presence, SMALL_FLEET, period_ms};
+use super::role::{PERIOD_MS, Presence, Role, SMALL_FLEET, Stay, period_ms};
 use super::{News, pull};
 use crate::belief::registry::Load;
 use crate::clock::unix_ms;
 use crate::log;
-use crate::node::Node;
+use crate::node::{Node, Phase};
 
 /// Time between two groups of datagrams.
 const GROUP_PERIOD: Duration = Duration::from_millis(PERIOD_MS);
@@ -61,9 +61,9 @@
             number += 1;
             let hello = hello(&node, number, started_unix_ms);
             let datagram = serde_json::to_vec(&hello).unwrap_or_default();
-            for address in group {
+            for address in listeners(&node, group) {
                 // A datagram may be lost in any case; the next one repeats all.
-                let _ = socket.try_send_to(&datagram, *address);
+                let _ = socket.try_send_to(&datagram, address);
             }
             tokio::time::sleep(GROUP_PERIOD).await;
         }
@@ -74,6 +74,19 @@
     }
 }
 
+/// Addresses to which word is sent now: a group, and the neighbours of a node that follows the
+/// store for them.
+fn listeners(node: &Node, group: &[SocketAddr]) -> Vec<SocketAddr> {
+    let mut addresses = group.to_vec();
+    let speaks = node.role() == Role::Follows && node.nodes() > SMALL_FLEET;
+    if !speaks {
+        return addresses;
+    }
+    let near = node.peers.borrow().near(&node.settings.node.failure_domain);
+    addresses.extend(near.into_iter().filter(|address| !group.contains(address)));
+    addresses
+}
+
 /// Forgets nodes that have ended.
 fn forget_gone(node: &Node) {
     let gone = node.peers.borrow_mut().expire(node.now_ms());
@@ -102,6 +115,10 @@
         node: node.settings.node.name.clone(),
         failure_domain: node.settings.node.failure_domain.clone(),
         role: node.role(),
+        stay: match node.phase.get() {
+            Phase::Serving => Stay::Stays,
+            Phase::Draining | Phase::Closing => Stay::Leaves,
+        },
         period_ms: period_ms(node.nodes()),
         boot: node.boot,
         started_unix_ms,
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -5,7 +5,7 @@
 use policy::suspect::SuspectRecord;
 use serde::{Deserialize, Serialize};
 
-use super::role::Role;
+use super::role::{Role, Stay};
 
 /// State of one node, sent whole in one datagram.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -16,6 +16,8 @@
     pub failure_domain: Name,
     /// Whether it follows the store itself.
     pub role: Role,
+    /// Whether it ends.
+    pub stay: Stay,
     /// Time to its next datagram.
     pub period_ms: Millisecond,
     /// Number of its life.
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -179,6 +179,7 @@
                 name,
                 failure_domain: &peer.hello.failure_domain,
                 role: peer.hello.role,
+                stay: peer.hello.stay,
                 presence: peer.presence(now_ms),
             })
             .collect();
@@ -190,6 +191,16 @@
         self.by_name.get(name).map_or(0, Peer::silence_ms)
     }
 
+    /// Addresses of the nodes of a failure domain.
+    pub fn near(&self, failure_domain: &Name) -> Vec<SocketAddr> {
+        let near = |p: &&Peer| p.hello.failure_domain == *failure_domain;
+        self.by_name
+            .values()
+            .filter(near)
+            .map(|p| p.address)
+            .collect()
+    }
+
     /// Whether any other node of a failure domain has been heard of lately.
     pub fn has_neighbour(&self, failure_domain: &Name, now_ms: Millisecond) -> Presence {
         let near = |p: &Peer| p.hello.failure_domain == *failure_domain;
--- a/crates/gateway/src/peer/role.rs
+++ b/crates/gateway/src/peer/role.rs
@@ -38,10 +38,23 @@
     pub failure_domain: &'a Name,
     /// What it says it does.
     pub role: Role,
+    /// Whether it ends.
+    pub stay: Stay,
     /// Whether it has been heard of lately.
     pub presence: Presence,
 }
 
+/// Whether a node ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Stay {
+    /// It does not.
+    #[default]
+    Stays,
+    /// It finishes what it has; others take over what it did for them.
+    Leaves,
+}
+
 /// Whether a node has been heard of lately.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Presence {
@@ -56,9 +69,10 @@
     if neighbours.len() < SMALL_FLEET {
         return Role::Follows;
     }
-    let near = neighbours
-        .iter()
-        .filter(|n| n.failure_domain == failure_domain && n.presence == Presence::Fresh);
+    let near = neighbours.iter().filter(|n| {
+        let there = n.presence == Presence::Fresh && n.stay == Stay::Stays;
+        there && n.failure_domain == failure_domain
+    });
     let before = near.clone().filter(|n| n.name < own).count();
     let spoken_for = near.clone().any(|n| n.role == Role::Follows);
     match before >= FOLLOWERS && spoken_for {
--- a/crates/gateway/tests/discovery_histories.rs
+++ b/crates/gateway/tests/discovery_histories.rs
@@ -18,7 +18,7 @@
 use gateway::follow::{self, directory, servers};
 use gateway::node::Node;
 use gateway::peer::message::Hello;
-use gateway::peer::role::Role;
+use gateway::peer::role::{Role, Stay};
 use gateway::peer::{pull, serve};
 use outside::{Batch, Feed, FeedError, FeedRow, ReadError, Topic};
 use rand::rngs::SmallRng;
@@ -224,6 +224,7 @@
         node: node.settings.node.name.clone(),
         failure_domain: "a".into(),
         role: Role::Follows,
+        stay: Stay::Stays,
         period_ms: 120,
         boot: node.boot,
         started_unix_ms: 1,
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -9,7 +9,7 @@
 use gateway::node::Node;
 use gateway::peer::message::{Hello, RegistryCopy};
 use gateway::peer::pull;
-use gateway::peer::role::Role;
+use gateway::peer::role::{Role, Stay};
 use outside::{Batch, Feed, FeedError, FeedRow, ReadError, Topic};
 use support::node;
 
@@ -131,6 +131,7 @@
         node: "m".into(),
         failure_domain: "a".into(),
         role: Role::Follows,
+        stay: Stay::Stays,
         period_ms: 120,
         boot: 1,
         started_unix_ms: 1,
--- a/crates/gateway/tests/roles.rs
+++ b/crates/gateway/tests/roles.rs
@@ -1,7 +1,7 @@
 //! Who follows the store, and how often nodes tell each other of themselves.
 
 use base::Name;
-use gateway::peer::role::{Neighbour, Presence, Role, period_ms, role};
+use gateway::peer::role::{Neighbour, Presence, Role, Stay, period_ms, role};
 use test_case::test_case;
 
 fn names(nodes: usize) -> Vec<Name> {
@@ -9,7 +9,7 @@
 }
 
 /// Roles of a fleet in two failure domains, settled from a start at which all follow.
-fn settle(nodes: usize, silent: &[usize]) -> Vec<Role> {
+fn settle(nodes: usize, silent: &[usize], leaving: &[usize]) -> Vec<Role> {
     let names = names(nodes);
     let domains = [Name::from("a"), Name::from("b")];
     let mut roles = vec![Role::Follows; nodes];
@@ -22,6 +22,10 @@
                     name: &names[other],
                     failure_domain: &domains[other % 2],
                     role: told[other],
+                    stay: match leaving.contains(&other) {
+                        true => Stay::Leaves,
+                        false => Stay::Stays,
+                    },
                     presence: match silent.contains(&other) {
                         true => Presence::Silent,
                         false => Presence::Fresh,
@@ -44,19 +48,25 @@
 
 #[test]
 fn all_nodes_of_a_small_fleet_follow_the_store() {
-    assert_eq!(followers(&settle(9, &[]), &[]), 9);
+    assert_eq!(followers(&settle(9, &[], &[]), &[]), 9);
 }
 
 #[test_case(&[]; "all are heard")]
 #[test_case(&[0, 1, 2, 3]; "those that followed are lost")]
 fn two_nodes_of_each_failure_domain_follow_it_in_a_large_fleet(silent: &[usize]) {
-    assert_eq!(followers(&settle(60, silent), silent), 4);
+    assert_eq!(followers(&settle(60, silent, &[]), silent), 4);
+}
+
+#[test]
+fn others_take_over_as_soon_as_those_that_follow_say_that_they_leave() {
+    let roles = settle(60, &[], &[0, 1, 2, 3]);
+    assert!((4..8).all(|node| roles[node] == Role::Follows), "{roles:?}");
 }
 
 #[test]
 fn a_node_that_hears_nobody_near_follows_it_itself() {
     let near: Vec<usize> = (0..60).filter(|n| n % 2 == 0 && *n != 40).collect();
-    assert_eq!(settle(60, &near)[40], Role::Follows);
+    assert_eq!(settle(60, &near, &[])[40], Role::Follows);
 }
 
 #[test_case(1 => 120; "alone")]
