--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -58,8 +58,6 @@
     pub waiting_tokens: Cell<TokenCount>,
     /// What the other nodes have there.
     pub others: Cell<Load>,
-    /// Requests that it said it runs or keeps waiting, and when.
-    pub reported: Cell<(u32, Millisecond)>,
     /// When a byte last came from it.
     pub heard_ms: Cell<Millisecond>,
     /// Until when it gets work only if no other server can take it.
@@ -95,7 +93,6 @@
             running: Cell::new(0),
             waiting_tokens: Cell::new(0),
             others: Cell::default(),
-            reported: Cell::default(),
             heard_ms: Cell::new(0),
             doubted_until_ms: Cell::new(0),
             failures: Cell::new(0),
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -27,8 +27,6 @@
     pub not_run: &'static str,
     /// The server's digest of its answer.
     pub signature: &'static str,
-    /// Requests that run, wait, and fit.
-    pub load: &'static str,
     /// The caller's key, after a scheme and a space.
     pub key: &'static str,
     /// Scheme of the key.
--- a/crates/gateway/src/duty/keeper.rs
+++ b/crates/gateway/src/duty/keeper.rs
@@ -31,9 +31,6 @@
 /// A window is summed up so long after its end, when all nodes have told their counts.
 const SETTLE_MS: Millisecond = 2_000;
 
-/// Windows back to which reports are made up for.
-const WINDOWS_BACK: u64 = 3;
-
 /// Part of the lease's term that clocks and delays may take.
 const MARGIN_SHARE: u64 = 6;
 
@@ -100,7 +97,7 @@
             };
             if self.report(window).await == Reported::Yes {
                 reported.insert(window);
-                reported.retain(|w| w + 2 * WINDOWS_BACK > window);
+                reported.retain(|w| w + 2 * self.windows_back() > window);
             }
         }
     }
@@ -110,11 +107,17 @@
         let offset_ms = self.node.peers.borrow().clock_offset_ms();
         let usage = self.node.usage.borrow();
         let now = usage.window(offset_ms);
-        let recent = now.saturating_sub(WINDOWS_BACK)..now;
+        let recent = now.saturating_sub(self.windows_back())..now;
         let settled = |w: &u64| usage.since_end_ms(*w, offset_ms) >= SETTLE_MS;
         recent.filter(settled).find(|w| !reported.contains(w))
     }
 
+    /// Windows whose reports may still be due.
+    fn windows_back(&self) -> u64 {
+        let bounds = &self.node.settings.bounds;
+        1 + (bounds.usage_due_s / bounds.usage_window_s).ceil() as u64
+    }
+
     async fn report(&self, window: u64) -> Reported {
         if self.permit().is_none() {
             return Reported::No;
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -8,6 +8,7 @@
 mod ready;
 mod reply;
 pub mod request;
+mod running;
 mod serve;
 mod stream;
 mod whole;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use base::Name;
-use base::units::{ByteCount, Millisecond};
+use base::units::Millisecond;
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu, ensure};
 
@@ -34,8 +34,6 @@
     pub name: Name,
     /// Where it stands.
     pub failure_domain: Name,
-    /// Memory of the process.
-    pub memory_mb: ByteCount,
     /// Whether the whole system starts for the first time.
     #[serde(default)]
     pub first_start: FirstStart,
@@ -201,7 +199,6 @@
             ("bounds.lease_ms", bounds.lease_ms as f64),
             ("bounds.usage_window_s", bounds.usage_window_s),
             ("bounds.usage_due_s", bounds.usage_due_s),
-            ("node.memory_mb", self.node.memory_mb as f64),
         ];
         for (key, value) in positive {
             let range = "a number above 0";
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -24,7 +24,6 @@
     last_event: "event",
     not_run: "not-run",
     signature: "signature",
-    load: "load",
     key: "key",
     key_scheme: "K",
     reserved: &[],
@@ -33,7 +32,7 @@
 /// A node of that name.
 pub fn node(name: &str) -> Rc<Node> {
     let text = format!(
-        "[node]\nname = \"{name}\"\nfailure_domain = \"a\"\nmemory_mb = 100\n\
+        "[node]\nname = \"{name}\"\nfailure_domain = \"a\"\n\
                 [listen]\ncallers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n\
                 peers = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n\
                 [store]\naddress = \"127.0.0.1:9\"\n[bounds]\n"
