--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -187,7 +187,7 @@
 
 /// Finishes what is in flight; new callers are served until the balancer should send none. What
 /// came later could be cut off by the end of the process and is refused.
-async fn drain(node: &Node) {
+pub async fn drain(node: &Node) {
     let started = Instant::now();
     log::emit(Code::DaemonDraining, &drain_fields(node));
     node.phase.set(Phase::Draining);
