Read once more: one calendar clock, an answer judged once, a request's content hashed once

Cause: gateway::clock::unix_ms stood beside fleet::clock::unix_ms; a whole answer's head was judged twice on the hot path; a suspected request's body was hashed for admission and again for each attempt; a node's share was a pair that its only caller turned into policy's Share; a comment said that servers with other suspects are avoided, which is not looked at. Change: the piece that stands is called, the verdict travels with the answer, the digest is kept in the job, Peers::share gives policy's type, the comment says what is done. Ruled out: a change of behaviour; no test was touched.

--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -4,7 +4,7 @@
 
 use base::Name;
 use base::units::{Millisecond, TokenCount};
-use policy::suspect::{Candidate as SuspectCandidate, Digest, Share, Treatment};
+use policy::suspect::{Candidate as SuspectCandidate, Treatment};
 
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
@@ -147,7 +147,8 @@
     }
 }
 
-/// A suspected request is kept to servers that run no other suspect.
+/// A suspected request is kept to this node's share of the servers, so that nodes seldom pick one
+/// for two suspects. What runs on each server is not looked at.
 fn apart(node: &Node, job: &Job<'_>, servers: Vec<Rc<Server>>) -> Vec<Rc<Server>> {
     let suspects = node.suspects.borrow();
     if suspects.is_empty() {
@@ -161,15 +162,11 @@
         .iter()
         .map(|server| SuspectCandidate {
             server: server.record.id.clone(),
-            digests: Vec::<Digest>::new(),
+            digests: Vec::new(),
         })
         .collect();
     candidates.sort_by(|a, b| a.server.cmp(&b.server));
     let share = node.peers.borrow().share(&node.settings.node.name);
-    let share = Share {
-        rank: share.0,
-        of: share.1,
-    };
     let own = suspects.servers_apart(&candidates, share, now_ms);
     let kept = servers.iter().filter(|s| own.contains(&s.record.id));
     kept.cloned().collect()
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,8 +1,7 @@
 //! Milliseconds since the process started.
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use base::units::Millisecond;
+pub use fleet::clock::unix_ms;
 use tokio::time::Instant;
 
 /// Reading at the start, so that 0 is long ago.
@@ -32,9 +31,3 @@
         self.started.elapsed().as_millis() as Millisecond
     }
 }
-
-/// Milliseconds of the calendar clock, which may jump.
-pub fn unix_ms() -> Millisecond {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.unwrap_or_default().as_millis() as Millisecond
-}
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -1,6 +1,6 @@
 //! One accepted request: what it may do, what it costs, and what has become of it.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::sync::Arc;
 
 use base::units::Millisecond;
@@ -41,6 +41,7 @@
     pub cost: f64,
     /// Whether it has begun to run at a server.
     pub begun: Cell<Begun>,
+    digest: OnceCell<Digest>,
 }
 
 /// Whether a request has begun to run.
@@ -86,6 +87,7 @@
             until_ms: caller_until_ms.min(route_until_ms),
             cost,
             begun: Cell::new(Begun::No),
+            digest: OnceCell::new(),
         }
     }
 
@@ -102,8 +104,10 @@
 
     /// Digest by which a request that crashes its servers is known again.
     pub fn digest(&self) -> Digest {
-        let workspace = self.workspace.as_ref().map_or("", |w| &*w.name);
-        Digest::of(workspace, &self.request.head.target, &self.request.body)
+        *self.digest.get_or_init(|| {
+            let workspace = self.workspace.as_ref().map_or("", |w| &*w.name);
+            Digest::of(workspace, &self.request.head.target, &self.request.body)
+        })
     }
 
     /// Counts the request as begun, once.
--- a/crates/gateway/src/front/whole.rs
+++ b/crates/gateway/src/front/whole.rs
@@ -21,6 +21,7 @@
 struct Whole {
     head: ResponseHead,
     body: Bytes,
+    verdict: Verdict,
 }
 
 /// Serves a request whose answer is no stream.
@@ -43,7 +44,7 @@
             }
         };
         let cause = match outcome {
-            Ok(whole) => match judge(job, &whole.head) {
+            Ok(whole) => match whole.verdict {
                 Verdict::Pass => {
                     drop(attempt);
                     return pass(&whole, job, out).await;
@@ -87,7 +88,11 @@
     let body = answer.whole().await?;
     let head = answer.head.clone();
     answer.finish(&server, clock.now_ms());
-    Ok(Whole { head, body })
+    Ok(Whole {
+        head,
+        body,
+        verdict,
+    })
 }
 
 /// Passes on the failure of a server, if there is one, rather than an error of our own.
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -17,6 +17,7 @@
 use crate::clock::unix_ms;
 use crate::settings::Settings;
 use message::Hello;
+use policy::suspect::Share;
 use role::{Neighbour, Presence, Role, role};
 
 /// What a node says is used for so long, or for three of its periods if those are longer.
@@ -212,9 +213,11 @@
     }
 
     /// Place of a node among all by name, and their number.
-    pub fn share(&self, own: &Name) -> (usize, usize) {
-        let before = self.by_name.keys().filter(|name| *name < own).count();
-        (before, self.by_name.len() + 1)
+    pub fn share(&self, own: &Name) -> Share {
+        Share {
+            rank: self.by_name.keys().filter(|name| *name < own).count(),
+            of: self.by_name.len() + 1,
+        }
     }
 
     /// What to add to our calendar clock for the median of all clocks: single clocks may jump.
