Usage counts what was sent and not said to be refused, and what ended lives counted

A request counted when its first event came, in the window of that moment; 164 requests whose caller had left before and 45 whose answer was lost or late had run and were not counted (1,129 distinct requests were sent in the window).

Ruled out: counts of ended lives (no life ended within the window), lost datagrams, a clock that was off (the median offset was 0).

Change: a request counts from its sending, in the window of the sending, unless each server said that it did not run it. A window is summed up after a third of the time in which its report is due (3.3 s, 2 s before), so that late first events come in. Beside it: a new holder asks the three nodes that have run longest what ended lives had counted before it started.

--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -1,14 +1,17 @@
 //! One sending of a request to a server, counted for as long as it lasts.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use base::Name;
+use base::outcome::RunState;
 use base::units::{Millisecond, TokenCount};
 use policy::suspect::{Candidate as SuspectCandidate, Treatment};
 
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
 use crate::clock::unix_ms;
+use crate::decide::outcome::Cause;
 use crate::decide::place::{Candidate, Choice, Demand, Home, Nearness, Timeliness, Trust, choose};
 use crate::front::job::Job;
 use crate::node::Node;
@@ -31,8 +34,9 @@
     TooLate,
 }
 
-/// A request at a server, from the choice to the end of its answer.
-pub struct Attempt {
+/// A request at a server, from the choice to the end of its answer. Unless the server is known not
+/// to have run it, the request counts as begun when the attempt ends.
+pub struct Attempt<'a> {
     /// The server.
     pub server: Rc<Server>,
     /// When it was chosen.
@@ -44,17 +48,19 @@
     /// Prompt tokens that the server must read for this request.
     pub tokens_to_read: TokenCount,
     waiting_tokens: TokenCount,
-    node: Rc<Node>,
+    run_state: Cell<RunState>,
+    job: &'a Job<'a>,
 }
 
-impl Attempt {
+impl<'a> Attempt<'a> {
     /// Chooses a server for `job` and counts the request there; `avoid` names servers that failed
     /// it before.
     ///
     /// # Errors
     ///
     /// No server can take it.
-    pub fn place(node: &Rc<Node>, job: &Job<'_>, avoid: &[Name]) -> Result<Self, NoServer> {
+    pub fn place(job: &'a Job<'a>, avoid: &[Name]) -> Result<Self, NoServer> {
+        let node = job.node;
         let now_ms = node.now_ms();
         let servers = usable(node, job, avoid);
         if servers.is_empty() {
@@ -70,10 +76,11 @@
         if choice.timeliness(job.left_ms()) == Timeliness::TooLate {
             return Err(NoServer::TooLate);
         }
-        Ok(Self::begin(node, job, &servers[choice.place], choice))
+        Ok(Self::begin(job, &servers[choice.place], choice))
     }
 
-    fn begin(node: &Rc<Node>, job: &Job<'_>, server: &Rc<Server>, choice: Choice) -> Self {
+    fn begin(job: &'a Job<'a>, server: &Rc<Server>, choice: Choice) -> Self {
+        let node = job.node;
         let now_ms = node.now_ms();
         server.running.set(server.running.get() + 1);
         let ahead = server.load().waiting_tokens;
@@ -94,13 +101,20 @@
             tokens_ahead: ahead + choice.tokens_to_read,
             tokens_to_read: choice.tokens_to_read,
             waiting_tokens: choice.tokens_to_read,
-            node: node.clone(),
+            run_state: Cell::new(RunState::Unknown),
+            job,
         }
     }
 
+    /// Takes note of how it failed.
+    pub fn failed(&self, cause: Cause) {
+        self.run_state.set(cause.run_state());
+    }
+
     /// Takes note of the first event, or of the answer.
     pub fn first_byte(&mut self) {
-        let after_ms = self.node.now_ms() - self.started_ms;
+        self.job.begin(self.started_ms);
+        let after_ms = self.job.node.now_ms() - self.started_ms;
         let mut speed = self.server.speed.borrow_mut();
         speed.saw_first(self.tokens_ahead, after_ms);
         drop(speed);
@@ -116,12 +130,15 @@
     }
 }
 
-impl Drop for Attempt {
+impl Drop for Attempt<'_> {
     fn drop(&mut self) {
+        if self.run_state.get() != RunState::NotRun {
+            self.job.begin(self.started_ms);
+        }
         self.prompt_read();
         let running = self.server.running.get();
         self.server.running.set(running.saturating_sub(1));
-        self.node.room.notify_one();
+        self.job.node.room.notify_one();
     }
 }
 
--- a/crates/gateway/src/duty/keeper.rs
+++ b/crates/gateway/src/duty/keeper.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::units::Millisecond;
 use base::{Map, Name, Set};
 use fleet::lease::{Permit, Terms};
 use fleet::{LeaseHolder, LeaseRight};
@@ -14,7 +13,9 @@
 use super::scaling::Scaler;
 use crate::log;
 use crate::node::Node;
+use crate::peer::pull;
 use crate::peer::role::Role;
+use crate::settings::ms;
 
 /// Name of the lease.
 const LEASE: &str = "duties";
@@ -28,8 +29,9 @@
 /// A process hears of the others within so long of its start, and then knows its role.
 const HEARING: Duration = Duration::from_millis(1_500);
 
-/// A window is summed up so long after its end, when all nodes have told their counts.
-const SETTLE_MS: Millisecond = 2_000;
+/// Part of the time in which a report is due after which a window is summed up: late answers have
+/// then come and all nodes have told their counts, and a next holder still has time to report.
+const SETTLE_SHARE: f64 = 0.33;
 
 /// Part of the lease's term that clocks and delays may take.
 const MARGIN_SHARE: u64 = 6;
@@ -81,20 +83,25 @@
     /// Keeps the duties until the node listens only.
     async fn run(self) {
         let mut reported: Set<u64> = Set::default();
+        let mut held = Held::No;
         while self.node.role() == Role::Follows {
             tokio::time::sleep(ROUND).await;
             self.scaler.observe();
-            match self.permit() {
-                None => self.scaler.forget_orders(),
-                Some(_) => {
-                    self.scaler
-                        .round(|| self.permit().map(|p| self.holder(p)))
-                        .await
-                }
+            if self.permit().is_none() {
+                self.scaler.forget_orders();
+                held = Held::No;
+                continue;
             }
+            self.scaler
+                .round(|| self.permit().map(|p| self.holder(p)))
+                .await;
             let Some(window) = self.due(&reported) else {
                 continue;
             };
+            if held == Held::No {
+                pull::usage(&self.node).await;
+                held = Held::Yes;
+            }
             if self.report(window).await == Reported::Yes {
                 reported.insert(window);
                 reported.retain(|w| w + 2 * self.windows_back() > window);
@@ -108,7 +115,8 @@
         let usage = self.node.usage.borrow();
         let now = usage.window(offset_ms);
         let recent = now.saturating_sub(self.windows_back())..now;
-        let settled = |w: &u64| usage.since_end_ms(*w, offset_ms) >= SETTLE_MS;
+        let settle_ms = ms(self.node.settings.bounds.usage_due_s * SETTLE_SHARE);
+        let settled = |w: &u64| usage.since_end_ms(*w, offset_ms) >= settle_ms;
         recent.filter(settled).find(|w| !reported.contains(w))
     }
 
@@ -183,6 +191,13 @@
     }
 }
 
+/// Whether the duties were held in the round before: a new holder asks what it may have missed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Held {
+    Yes,
+    No,
+}
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Reported {
     Yes,
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -4,6 +4,7 @@
 use base::{Map, Name};
 
 use crate::clock::unix_ms;
+use crate::peer::message::{Begun, UsageCopy};
 
 /// Windows that are told to other nodes: those whose reports may still be due.
 const RECENT: u64 = 4;
@@ -42,7 +43,7 @@
         now_ms.saturating_sub((window + 1) * self.window_ms)
     }
 
-    /// Counts a request of `workspace` that begins now.
+    /// Counts a request of `workspace` that begins now, by a clock that is `offset_ms` ahead.
     pub fn count(&mut self, workspace: &Name, offset_ms: i64) {
         let window = self.window(offset_ms);
         let counts = self.own.entry(window).or_default();
@@ -53,16 +54,16 @@
     }
 
     /// The windows that are told to other nodes.
-    pub fn recent(&self) -> Vec<(u64, Vec<(Name, u64)>)> {
-        let newest = self.own.keys().max().copied().unwrap_or(0);
-        let mut recent = Vec::new();
-        for (window, counts) in &self.own {
-            if window + RECENT > newest {
-                let counts = counts.iter().map(|(name, n)| (name.clone(), *n));
-                recent.push((*window, counts.collect()));
-            }
-        }
-        recent
+    pub fn recent(&self) -> Begun {
+        recent(&self.own)
+    }
+
+    /// The recent windows of every life that is known; `own` is the key of this one.
+    pub fn copy(&self, own: &Name) -> UsageCopy {
+        let others = self.others.iter();
+        let mut copy: UsageCopy = others.map(|(life, w)| (life.clone(), recent(w))).collect();
+        copy.push((own.clone(), self.recent()));
+        copy
     }
 
     /// Takes in what a life of another node has counted; counts only grow.
@@ -93,3 +94,16 @@
         total
     }
 }
+
+/// The newest windows of one life.
+fn recent(windows: &Map<u64, Counts>) -> Begun {
+    let newest = windows.keys().max().copied().unwrap_or(0);
+    let mut recent = Vec::new();
+    for (window, counts) in windows {
+        if window + RECENT > newest {
+            let counts = counts.iter().map(|(name, n)| (name.clone(), *n));
+            recent.push((*window, counts.collect()));
+        }
+    }
+    recent
+}
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -95,11 +95,11 @@
     /// # Errors
     ///
     /// The final answer.
-    pub async fn place(&mut self) -> Result<Attempt, Reply> {
+    pub async fn place(&mut self) -> Result<Attempt<'a>, Reply> {
         let waits_ms = self.job.route.target_ms as f64 * WAIT_SHARE;
         let started = Instant::now();
         loop {
-            let lacking = match Attempt::place(self.node, self.job, &self.avoid) {
+            let lacking = match Attempt::place(self.job, &self.avoid) {
                 Ok(attempt) => {
                     self.report_choice(&attempt);
                     return Ok(attempt);
@@ -123,7 +123,8 @@
     /// # Errors
     ///
     /// The final answer, if no other attempt follows.
-    pub fn failed(&mut self, attempt: &Attempt, cause: Cause) -> Result<(), Reply> {
+    pub fn failed(&mut self, attempt: &Attempt<'_>, cause: Cause) -> Result<(), Reply> {
+        attempt.failed(cause);
         let server = &attempt.server;
         let now_ms = self.node.now_ms();
         if cause != Cause::Refused && cause != Cause::Failed {
@@ -200,7 +201,7 @@
         least + (self.node.draw() * span) as Millisecond
     }
 
-    fn report_choice(&self, attempt: &Attempt) {
+    fn report_choice(&self, attempt: &Attempt<'_>) {
         let fields = ChosenFields {
             request: self.job.id(),
             server: &attempt.server.record.id,
@@ -218,7 +219,7 @@
         crate::log::emit(events::Code::RouteChosen, &fields);
     }
 
-    fn report_failure(&self, attempt: &Attempt, cause: Cause, next: Next) {
+    fn report_failure(&self, attempt: &Attempt<'_>, cause: Cause, next: Next) {
         let now_ms = self.node.now_ms();
         let server = &attempt.server;
         let fields = FailedFields {
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -39,17 +39,17 @@
     pub until_ms: Millisecond,
     /// What the workspace was charged for it.
     pub cost: f64,
-    /// Whether it has begun to run at a server.
+    /// Whether it may have begun to run at a server.
     pub begun: Cell<Begun>,
     digest: OnceCell<Digest>,
 }
 
-/// Whether a request has begun to run.
+/// Whether a request may have begun to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Begun {
-    /// It has, and is counted.
+    /// A server had it and did not say otherwise; it is counted.
     Yes,
-    /// Not that is known.
+    /// It was never sent, or each server said that it did not run it.
     No,
 }
 
@@ -110,15 +110,16 @@
         })
     }
 
-    /// Counts the request as begun, once.
-    pub fn begin(&self) {
+    /// Counts the request, once, as begun at `sent_ms` by the process's clock.
+    pub fn begin(&self, sent_ms: Millisecond) {
         if self.begun.replace(Begun::Yes) == Begun::Yes {
             return;
         }
         if let Some(workspace) = &self.workspace {
+            let since_ms = self.node.now_ms().saturating_sub(sent_ms) as i64;
             let offset_ms = self.node.peers.borrow().clock_offset_ms();
             let mut usage = self.node.usage.borrow_mut();
-            usage.count(&workspace.name, offset_ms);
+            usage.count(&workspace.name, offset_ms - since_ms);
         }
     }
 
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -101,7 +101,7 @@
         }
     }
 
-    async fn run(&mut self, attempt: &mut Attempt) -> End {
+    async fn run(&mut self, attempt: &mut Attempt<'_>) -> End {
         let mut answer = match self.open(attempt).await {
             Ok(answer) => answer,
             Err(end) => return end,
@@ -122,7 +122,7 @@
         }
     }
 
-    async fn open(&mut self, attempt: &Attempt) -> Result<Answer, End> {
+    async fn open(&mut self, attempt: &Attempt<'_>) -> Result<Answer, End> {
         let server = &attempt.server;
         let request = Outgoing {
             method: &self.job.request.head.method,
@@ -150,7 +150,7 @@
     }
 
     /// Passes on the events of one server.
-    async fn relay(&mut self, attempt: &mut Attempt, mut answer: Answer) -> End {
+    async fn relay(&mut self, attempt: &mut Attempt<'_>, mut answer: Answer) -> End {
         let mut out = BytesMut::new();
         if self.progress == Progress::Nothing {
             write_head(&mut out, &answer.head, BodyKind::Chunks, self.out);
@@ -193,12 +193,11 @@
         }
     }
 
-    fn saw_events(&self, attempt: &mut Attempt, events: &Events, last: &mut Instant) {
+    fn saw_events(&self, attempt: &mut Attempt<'_>, events: &Events, last: &mut Instant) {
         let now = Instant::now();
         attempt.server.heard(self.job.node.now_ms());
         if events.taken_before() == 0 {
             attempt.first_byte();
-            self.job.begin();
         } else {
             let gap_ms = (now - *last).as_secs_f64() * 1_000.0;
             let taken = events.taken() - events.taken_before();
@@ -225,13 +224,12 @@
     }
 
     /// Passes on an answer that is no stream, such as a failure.
-    async fn pass_whole(&mut self, attempt: &mut Attempt, mut answer: Answer) -> End {
+    async fn pass_whole(&mut self, attempt: &Attempt<'_>, mut answer: Answer) -> End {
         let body = match timeout_at(self.until, answer.whole()).await {
             Ok(Ok(body)) => body,
             Ok(Err(cause)) => return End::Failed(cause),
             Err(_) => return End::TimedOut,
         };
-        self.job.begin();
         let status = answer.head.status;
         let mut out = BytesMut::new();
         write_head(
@@ -249,7 +247,7 @@
         }
     }
 
-    fn report(&self, attempt: &Attempt) {
+    fn report(&self, attempt: &Attempt<'_>) {
         if self.progress == Progress::Nothing {
             return;
         }
--- a/crates/gateway/src/front/whole.rs
+++ b/crates/gateway/src/front/whole.rs
@@ -63,7 +63,7 @@
     }
 }
 
-async fn run(job: &Job<'_>, attempt: &mut Attempt) -> Result<Whole, Cause> {
+async fn run(job: &Job<'_>, attempt: &mut Attempt<'_>) -> Result<Whole, Cause> {
     let server = attempt.server.clone();
     let request = Outgoing {
         method: &job.request.head.method,
@@ -83,7 +83,6 @@
     let verdict = judge(job, &answer.head);
     if matches!(verdict, Verdict::Pass | Verdict::PassOrRepeat) {
         attempt.first_byte();
-        job.begin();
     }
     let body = answer.whole().await?;
     let head = answer.head.clone();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -21,6 +21,7 @@
 use crate::duty::usage::Usage;
 use crate::metrics::Metrics;
 use crate::peer::Peers;
+use crate::peer::message::life_key;
 use crate::peer::role::Role;
 use crate::settings::{FirstStart, Settings, ms};
 
@@ -123,6 +124,11 @@
         self.clock.now_ms()
     }
 
+    /// Key of this life of the node.
+    pub fn key(&self) -> Name {
+        life_key(&self.settings.node.name, self.boot)
+    }
+
     /// The directory in force.
     pub fn directory(&self) -> Option<Rc<Directory>> {
         self.directory.borrow().clone()
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -41,7 +41,7 @@
     /// Units used by workspace since it started.
     pub used: Vec<(Name, f64)>,
     /// Requests begun by window and workspace.
-    pub begun: Vec<(u64, Vec<(Name, u64)>)>,
+    pub begun: Begun,
     /// Requests that may crash servers.
     pub suspects: Vec<SuspectRecord>,
 }
@@ -49,8 +49,18 @@
 impl Hello {
     /// Key of this life of the node.
     pub fn key(&self) -> Name {
-        format!("{}/{}", self.node, self.boot).into()
+        life_key(&self.node, self.boot)
     }
+
+    /// Time since the start of this life, by its own calendar clock.
+    pub fn age_ms(&self) -> Millisecond {
+        self.unix_ms.saturating_sub(self.started_unix_ms)
+    }
+}
+
+/// Key of one life of a node.
+pub fn life_key(node: &Name, boot: u64) -> Name {
+    format!("{node}/{boot}").into()
 }
 
 /// A registry as one node knows it, for nodes that the store turns away.
@@ -62,6 +72,15 @@
     pub rows: Vec<(Name, Vec<u8>)>,
 }
 
+/// Requests begun, by window and workspace.
+pub type Begun = Vec<(u64, Vec<(Name, u64)>)>;
+
+/// What a node knows to have begun at each life of a node, its own included.
+pub type UsageCopy = Vec<(Name, Begun)>;
+
+/// Path at which a node gives what it knows of requests begun.
+pub const USAGE_PATH: &str = "/usage";
+
 /// Path at which a node gives its directory's row.
 pub const DIRECTORY_PATH: &str = "/directory";
 
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -192,6 +192,15 @@
         self.by_name.get(name).map_or(0, Peer::silence_ms)
     }
 
+    /// Addresses of up to `limit` other nodes that are heard, the longest running first.
+    pub fn longest_running(&self, limit: usize, now_ms: Millisecond) -> Vec<SocketAddr> {
+        let fresh = |p: &&Peer| p.presence(now_ms) == Presence::Fresh;
+        let mut peers: Vec<&Peer> = self.by_name.values().filter(fresh).collect();
+        peers.sort_by_key(|p| std::cmp::Reverse(p.hello.age_ms()));
+        peers.truncate(limit);
+        peers.iter().map(|p| p.address).collect()
+    }
+
     /// Addresses of the nodes of a failure domain.
     pub fn near(&self, failure_domain: &Name) -> Vec<SocketAddr> {
         let near = |p: &&Peer| p.hello.failure_domain == *failure_domain;
--- a/crates/gateway/src/peer/pull.rs
+++ b/crates/gateway/src/peer/pull.rs
@@ -9,7 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use serde::Serialize;
 
-use super::message::{DIRECTORY_PATH, Hello, REGISTRY_PATH, RegistryCopy};
+use super::message::{DIRECTORY_PATH, Hello, REGISTRY_PATH, RegistryCopy, USAGE_PATH, UsageCopy};
 use crate::http::{Body, Conn, ConnOptions, HeadWriter, Progress, response_head};
 use crate::node::Node;
 use crate::peer::role::Presence;
@@ -31,6 +31,9 @@
 /// keep a question for changes.
 const STORE_SILENT_MS: Millisecond = follow::WAIT_MS + 900;
 
+/// Nodes that are asked for usage: one may itself have started late, or not answer.
+const USAGE_WITNESSES: usize = 3;
+
 thread_local! {
     static ASKING: Cell<Asking> = const { Cell::new(Asking::No) };
 }
@@ -90,11 +93,20 @@
     hello.failure_domain == *domain || neighbours == Presence::Silent
 }
 
+/// Asks the nodes that have run longest what lives have counted that this node never heard.
+pub async fn usage(node: &Rc<Node>) {
+    let now_ms = node.now_ms();
+    let addresses = node.peers.borrow().longest_running(USAGE_WITNESSES, now_ms);
+    let questions = addresses.iter().map(|at| take(node, *at, USAGE_PATH));
+    futures_util::future::join_all(questions).await;
+}
+
 async fn take(node: &Rc<Node>, address: SocketAddr, path: &'static str) {
     let answer = tokio::time::timeout(QUESTION, ask(address, path)).await;
     let (version, outcome) = match answer {
         Ok(Ok(body)) => match path {
             DIRECTORY_PATH => follow::directory::offer(node, &body),
+            USAGE_PATH => lives(node, &body),
             _ => registry(node, &body),
         },
         Ok(Err(_)) | Err(_) => (0, "no_answer"),
@@ -108,6 +120,21 @@
     log::emit(events::Code::BeliefPulled, &fields);
 }
 
+/// Takes in what other lives have counted; the version is their number.
+fn lives(node: &Node, body: &[u8]) -> (u64, &'static str) {
+    let Ok(copy) = serde_json::from_slice::<UsageCopy>(body) else {
+        return (0, "unreadable");
+    };
+    let own = node.key();
+    let mut usage = node.usage.borrow_mut();
+    for (life, begun) in &copy {
+        if *life != own {
+            usage.heard(life, begun);
+        }
+    }
+    (copy.len() as u64, "taken")
+}
+
 fn registry(node: &Node, body: &[u8]) -> (u64, &'static str) {
     let Ok(copy) = serde_json::from_slice::<RegistryCopy>(body) else {
         return (0, "unreadable");
