A life that began after its clock was set back is heard

Cause: datagrams of a life that began earlier, by its own calendar clock, than the one known were taken for stale. A node that started while its clock stood ahead, and started again after it was set back, was not heard until its earlier life was forgotten (15 s): its use of allowances and its counts were missing.

Found by reading, not in a play. Change: the earlier start only counts while the known life is heard. Test: crates/gateway/tests/peers.rs, the second test failed before; the two others hold in both.

--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -130,8 +130,9 @@
         let news = match known {
             None => News::Appeared,
             Some(known) if known.hello.boot != hello.boot => {
+                // A clock that was set back may date the later life before the earlier one.
                 let older = hello.started_unix_ms < known.hello.started_unix_ms;
-                match older {
+                match older && known.presence(now_ms) == Presence::Fresh {
                     true => return News::Stale,
                     false => News::Restarted(known.hello.key()),
                 }
