Small datagrams, parts of the registry, and a pace for its feed

Ruled out: processor time (0.03 of its 0.09 cores at most), a server that was slow to take connections.

Change: a node tells of suspects only what it saw itself, as each hears it from the one that saw it; counts for the reports go only to nodes that may hold the duties; neighbours get more datagrams only while there is news. A registry has a revision at which more than heartbeats last changed; only that is a reason to ask, and the answer holds what changed since (whole if a part does not fit). A node that is in touch asks its feed each 500 ms, or when another tells of a change, rather than at each heartbeat. Suspects are forgotten in time, and a request that ends well is none any more (neither was wired up).

--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -151,12 +151,22 @@
 pub struct Registry {
     /// Revision of the store up to which it is known.
     pub revision: u64,
+    /// Revision at which what others may take over last changed; heartbeats do not count.
+    pub changed: u64,
     by_id: Map<Name, Rc<Server>>,
     by_service: Map<Name, Vec<Rc<Server>>>,
     /// Entries that vanished beside an outage, and until when they are used.
     vanished: Map<Name, Millisecond>,
     /// Entries as stored, for peers that the store turns away.
-    stored: Map<Name, Vec<u8>>,
+    stored: Map<Name, Stored>,
+}
+
+/// An entry as stored.
+#[derive(Debug)]
+struct Stored {
+    row: Vec<u8>,
+    /// Revision at which it last changed in more than a heartbeat.
+    changed: u64,
 }
 
 /// How an absent entry is to be taken.
@@ -184,21 +194,48 @@
         self.by_id.values()
     }
 
-    /// Entries as stored, without those that vanished beside an outage: whether they come back is
-    /// for each node to see.
-    pub fn stored(&self) -> impl Iterator<Item = (Name, Vec<u8>)> {
-        let certain = self
-            .stored
-            .iter()
-            .filter(|(id, _)| !self.vanished.contains_key(*id));
-        certain.map(|(id, row)| (id.clone(), row.clone()))
+    /// Identifiers of the entries that others may take over: without those that vanished beside an
+    /// outage, as whether they come back is for each node to see.
+    pub fn listed(&self) -> impl Iterator<Item = &Name> {
+        let ids = self.stored.keys();
+        ids.filter(|id| !self.vanished.contains_key(*id))
     }
 
-    /// Takes in an entry.
-    pub fn put(&mut self, record: ServerRecord, stored: Vec<u8>) -> Change {
+    /// Those of the listed entries that have changed after revision `since`, as stored.
+    pub fn stored_since(&self, since: u64) -> impl Iterator<Item = (&Name, &[u8])> {
+        let listed = self.listed().filter_map(|id| self.stored.get_key_value(id));
+        let changed = listed.filter(move |(_, stored)| stored.changed > since);
+        changed.map(|(id, stored)| (id, &*stored.row))
+    }
+
+    /// Takes in an entry, as of the registry's revision.
+    pub fn put(&mut self, record: ServerRecord, row: Vec<u8>) -> Change {
+        let id = record.id.clone();
+        let known = self.by_id.get(&id);
+        if known.is_some_and(|known| known.record.born_unix_ms > record.born_unix_ms) {
+            return Change::None;
+        }
+        let back = self.vanished.remove(&id).is_some();
+        let change = self.place(record);
+        let news = back || change != Change::None;
+        let changed = match (news, self.stored.get(&id)) {
+            (false, Some(stored)) => stored.changed,
+            (true, _) | (false, None) => self.revision,
+        };
+        self.changed = self.changed.max(changed);
+        self.stored.insert(id, Stored { row, changed });
+        change
+    }
+
+    /// Takes in that an entry is still there, unchanged.
+    pub fn keep(&mut self, id: &Name) {
+        if self.vanished.remove(id).is_some() {
+            self.changed = self.revision;
+        }
+    }
+
+    fn place(&mut self, record: ServerRecord) -> Change {
         let id = record.id.clone();
-        self.stored.insert(id.clone(), stored);
-        self.vanished.remove(&id);
         let Some(known) = self.by_id.get(&id) else {
             self.insert(Rc::new(Server::new(record)));
             return Change::Appeared(id);
@@ -212,9 +249,6 @@
         if same_life && known.record.state == record.state {
             return Change::None;
         }
-        if record.born_unix_ms < known.record.born_unix_ms {
-            return Change::None;
-        }
         let leaves = record.state == ServerState::Draining;
         let next = match same_life {
             true => moved(known, record),
@@ -236,8 +270,10 @@
         if absence == Absence::BesideOutage {
             let until_ms = now_ms + VANISHED_GRACE_MS;
             self.vanished.entry(name).or_insert(until_ms);
+            self.changed = self.revision;
             return Change::None;
         }
+        self.changed = self.revision;
         self.vanished.remove(&name);
         self.stored.remove(&name);
         if let Some(server) = self.by_id.remove(&name) {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::backend::pool;
+use crate::clock::unix_ms;
 use crate::dialect::Dialect;
 use crate::front::accept::{ListenError, Listeners};
 use crate::node::{Node, Phase};
@@ -216,6 +217,7 @@
         tokio::time::sleep(TIDY).await;
         let now_ms = node.now_ms();
         follow::servers::expire(&node);
+        node.suspects.borrow_mut().expire(unix_ms());
         for server in node.registry.borrow().servers() {
             pool::sweep(server, now_ms);
         }
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -20,6 +20,10 @@
 /// after it.
 pub const WAIT_MS: Millisecond = 1_000;
 
+/// Heartbeats change the registry all the time: it is asked for so often, and at once when another
+/// node tells of a change that matters. Well below the shortest drain bound of the pages (2 s).
+const PACE: Duration = Duration::from_millis(500);
+
 /// Pause after a question without an answer.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -59,6 +63,7 @@
                 answered(&node, topic);
                 revision = Some(batch.revision);
                 take_in(&node, batch, extent);
+                pace(&node, topic).await;
             }
             Err(FeedError::HistoryGone) => {
                 answered(&node, topic);
@@ -72,6 +77,14 @@
     }
 }
 
+/// Waits until a topic is worth asking for again.
+async fn pace(node: &Node, topic: Topic) {
+    if topic == Topic::Servers {
+        // The time runs out if there is no news.
+        let _ = tokio::time::timeout(PACE, node.registry_news.notified()).await;
+    }
+}
+
 /// Revision up to which a topic is known: others may have told more than the store has.
 fn known(node: &Node, topic: Topic, asked: u64) -> u64 {
     match topic {
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -8,10 +8,10 @@
 use serde::Serialize;
 
 use super::Extent;
-use crate::belief::registry::{Absence, Change};
+use crate::belief::registry::{Absence, Change, Registry};
 use crate::log;
 use crate::node::Node;
-use crate::peer::message::RegistryCopy;
+use crate::peer::message::{RegistryCopy, Told};
 
 /// Entries that vanish so soon after the store failed to answer may be back: the pages give them
 /// two seconds from its return.
@@ -24,6 +24,8 @@
     Taken,
     /// This node knows as much or more.
     Older,
+    /// It leaves out entries that this node does not know; it must be asked for whole.
+    Gap,
 }
 
 #[derive(Serialize)]
@@ -39,8 +41,8 @@
         return;
     }
     let absence = absence(node);
-    apply(node, batch.rows, extent, absence);
     seen(node, revision);
+    apply(node, batch.rows, extent, absence);
 }
 
 /// Takes over another node's registry if it is newer.
@@ -48,16 +50,43 @@
     if copy.revision <= node.registry.borrow().revision {
         return Copy::Older;
     }
+    if leaves_gap(&node.registry.borrow(), &copy) {
+        return Copy::Gap;
+    }
+    seen(node, copy.revision);
+    let listed: Set<Name> = copy.listed.into_iter().collect();
+    for id in &listed {
+        node.registry.borrow_mut().keep(id);
+    }
     let rows = copy.rows.into_iter().map(|(id, row)| FeedRow {
         key: id.to_string(),
-        body: Some(row),
+        body: Some(row.into_bytes()),
     });
     // The other node has waited for entries that might come back.
-    apply(node, rows.collect(), Extent::All, Absence::Certain);
-    seen(node, copy.revision);
+    apply(node, rows.collect(), Extent::Changes, Absence::Certain);
+    remove_others(node, &listed, Absence::Certain);
     Copy::Taken
 }
 
+/// Whether a copy lists an entry that it does not hold and that is not known here.
+fn leaves_gap(registry: &Registry, copy: &RegistryCopy) -> bool {
+    let held: Set<&Name> = copy.rows.iter().map(|(id, _)| id).collect();
+    let lacks = |id: &&Name| !held.contains(id) && registry.server(id).is_none();
+    copy.listed.iter().any(|id| lacks(&id))
+}
+
+/// Takes over how new a node says its registry is, if nothing has changed in it since ours.
+pub fn confirm(node: &Node, told: Told) {
+    let mut registry = node.registry.borrow_mut();
+    let same = registry.revision > 0 && told.changed <= registry.revision;
+    if !same || told.revision <= registry.revision {
+        return;
+    }
+    registry.revision = told.revision;
+    let seen_ms = node.now_ms().saturating_sub(told.age_ms);
+    node.registry_seen_ms.set(seen_ms);
+}
+
 /// Drops entries that vanished beside an outage and have not come back.
 pub fn expire(node: &Node) {
     let now_ms = node.now_ms();
@@ -95,15 +124,24 @@
         };
         changes.push(node.registry.borrow_mut().put(record, body));
     }
+    for change in changes {
+        report(node, &change);
+    }
     if extent == Extent::All {
-        let mut registry = node.registry.borrow_mut();
-        let known: Vec<Name> = registry.servers().map(|s| s.record.id.clone()).collect();
-        for id in known {
-            if !listed.contains(&id) {
-                changes.push(registry.remove(&id, absence, now_ms));
-            }
-        }
+        remove_others(node, &listed, absence);
     }
+}
+
+/// Takes in that only the servers listed have an entry.
+fn remove_others(node: &Node, listed: &Set<Name>, absence: Absence) {
+    let now_ms = node.now_ms();
+    let mut registry = node.registry.borrow_mut();
+    let known: Vec<Name> = registry.servers().map(|s| s.record.id.clone()).collect();
+    let others = known.iter().filter(|id| !listed.contains(*id));
+    let changes: Vec<Change> = others
+        .map(|id| registry.remove(id, absence, now_ms))
+        .collect();
+    drop(registry);
     for change in changes {
         report(node, &change);
     }
--- a/crates/gateway/src/front/running.rs
+++ b/crates/gateway/src/front/running.rs
@@ -8,6 +8,7 @@
 
 use super::job::{Begun, Job};
 use super::serve::Served;
+use crate::clock::unix_ms;
 use crate::metrics::Outcome;
 
 /// A request while it is served; one that is dropped was left by its caller.
@@ -64,6 +65,10 @@
         {
             self.job.refund();
         }
+        if outcome == Outcome::Passed && !self.job.node.suspects.borrow().is_empty() {
+            let mut suspects = self.job.node.suspects.borrow_mut();
+            suspects.completed(self.job.digest(), unix_ms());
+        }
         self.report(outcome, status, code);
     }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -82,6 +82,8 @@
     pub phase_changed: Notify,
     /// Told when a request has left a server.
     pub room: Notify,
+    /// Told when another node's registry has changed after ours.
+    pub registry_news: Notify,
     /// Counters.
     pub metrics: Metrics,
     rng: RefCell<SmallRng>,
@@ -112,6 +114,7 @@
             callers: Cell::new(0),
             phase_changed: Notify::new(),
             room: Notify::new(),
+            registry_news: Notify::new(),
             metrics: Metrics::open(),
             rng: RefCell::new(rng),
             settings,
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -9,9 +9,9 @@
 use serde::Serialize;
 use tokio::net::UdpSocket;
 
-use super::message::Hello;
+use super::message::{Hello, Told};
 use super::role::{PERIOD_MS, Presence, Role, SMALL_FLEET, Stay, period_ms};
-use super::{News, pull};
+use super::{News as PeerNews, pull};
 use crate::belief::registry::Load;
 use crate::clock::unix_ms;
 use crate::log;
@@ -32,6 +32,9 @@
 /// Most suspects in a datagram.
 const SUSPECTS_LIMIT: usize = 64;
 
+/// News of the store is told to neighbours in so many datagrams: some may be lost.
+const NEWS_ROUNDS: u32 = 3;
+
 #[derive(Serialize)]
 struct PeerFields<'a> {
     peer: &'a str,
@@ -54,17 +57,18 @@
 async fn tell(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let started_unix_ms = unix_ms();
     let mut number = 0;
+    let mut news = News::default();
     loop {
         let addresses = node.peers.borrow().addresses().to_vec();
         // One group after the other: all at once would fill a slow link, which drops datagrams.
         for group in addresses.chunks(SMALL_FLEET) {
             number += 1;
             let hello = hello(&node, number, started_unix_ms);
-            let datagram = serde_json::to_vec(&hello).unwrap_or_default();
-            for address in listeners(&node, group) {
-                // A datagram may be lost in any case; the next one repeats all.
-                let _ = socket.try_send_to(&datagram, address);
-            }
+            let listeners = match news.round(&hello) {
+                Spread::Group => group.to_vec(),
+                Spread::Neighbours => with_neighbours(&node, group),
+            };
+            send(&node, &socket, hello, &listeners);
             tokio::time::sleep(GROUP_PERIOD).await;
         }
         if addresses.is_empty() {
@@ -74,9 +78,56 @@
     }
 }
 
-/// Addresses to which word is sent now: a group, and the neighbours of a node that follows the
-/// store for them.
-fn listeners(node: &Node, group: &[SocketAddr]) -> Vec<SocketAddr> {
+/// Sends word; nodes that cannot hold the duties are spared what only those need.
+fn send(node: &Node, socket: &UdpSocket, mut hello: Hello, listeners: &[SocketAddr]) {
+    let whole = serde_json::to_vec(&hello).unwrap_or_default();
+    hello.begun.clear();
+    let short = serde_json::to_vec(&hello).unwrap_or_default();
+    let only_listen = node.peers.borrow().only_listen();
+    for address in listeners {
+        let datagram = match only_listen.contains(address) {
+            true => &short,
+            false => &whole,
+        };
+        // A datagram may be lost in any case; the next one repeats all.
+        let _ = socket.try_send_to(datagram, *address);
+    }
+}
+
+/// What this node's last datagrams told of the store.
+#[derive(Default)]
+struct News {
+    told: (u64, u64),
+    rounds: u32,
+}
+
+/// To whom word is sent.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Spread {
+    /// The group whose turn it is.
+    Group,
+    /// That group, and all nodes of the failure domain.
+    Neighbours,
+}
+
+impl News {
+    /// To whom the next datagram goes: news of the store is for neighbours that only listen, too.
+    fn round(&mut self, hello: &Hello) -> Spread {
+        let now = (hello.directory, hello.registry.changed);
+        if now != self.told {
+            self.told = now;
+            self.rounds = NEWS_ROUNDS;
+        }
+        if self.rounds == 0 {
+            return Spread::Group;
+        }
+        self.rounds -= 1;
+        Spread::Neighbours
+    }
+}
+
+/// A group, and the neighbours of a node that follows the store for them.
+fn with_neighbours(node: &Node, group: &[SocketAddr]) -> Vec<SocketAddr> {
     let mut addresses = group.to_vec();
     let speaks = node.role() == Role::Follows && node.nodes() > SMALL_FLEET;
     if !speaks {
@@ -109,7 +160,7 @@
         .map(|s| (s.record.id.clone(), s.running.get(), s.waiting_tokens.get()))
         .collect();
     let buckets = node.buckets.borrow();
-    let mut suspects = node.suspects.borrow().export(SUSPECTS_MS, unix_ms());
+    let mut suspects = node.suspects.borrow().export_seen(SUSPECTS_MS, unix_ms());
     suspects.truncate(SUSPECTS_LIMIT);
     Hello {
         node: node.settings.node.name.clone(),
@@ -125,8 +176,11 @@
         number,
         unix_ms: unix_ms(),
         directory: node.directory.borrow().as_ref().map_or(0, |d| d.version),
-        registry: registry.revision,
-        registry_age_ms: now_ms.saturating_sub(node.registry_seen_ms.get()),
+        registry: Told {
+            revision: registry.revision,
+            changed: registry.changed,
+            age_ms: now_ms.saturating_sub(node.registry_seen_ms.get()),
+        },
         loads,
         busy: node.busy_servers(),
         used: buckets
@@ -157,10 +211,10 @@
     let now_ms = node.now_ms();
     let news = node.peers.borrow_mut().heard(hello.clone(), from, now_ms);
     match news {
-        News::Stale => return,
-        News::Continued => {}
-        News::Appeared => appeared(&hello, from),
-        News::Restarted(before) => {
+        PeerNews::Stale => return,
+        PeerNews::Continued => {}
+        PeerNews::Appeared => appeared(&hello, from),
+        PeerNews::Restarted(before) => {
             appeared(&hello, from);
             for bucket in node.buckets.borrow_mut().values_mut() {
                 bucket.gone(&before);
@@ -179,6 +233,7 @@
         node.suspects.borrow_mut().merge(&hello.suspects, unix_ms());
     }
     sum_loads(node, now_ms);
+    pull::confirm(node, &hello);
     pull::consider(node, &hello, from);
 }
 
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -30,19 +30,17 @@
     pub unix_ms: u64,
     /// Version of its directory; 0 without one.
     pub directory: u64,
-    /// Revision of its registry; 0 without one.
-    pub registry: u64,
-    /// Time since it last knew its registry to be current.
-    pub registry_age_ms: Millisecond,
+    /// How new its registry is.
+    pub registry: Told,
     /// Its requests at each backend server.
     pub loads: Vec<(Name, u32, TokenCount)>,
     /// Backend servers that its work keeps busy, by service.
     pub busy: Vec<(Name, f64)>,
     /// Units used by workspace since it started.
     pub used: Vec<(Name, f64)>,
-    /// Requests begun by window and workspace.
+    /// Requests begun by window and workspace, for nodes that may hold the duties.
     pub begun: Begun,
-    /// Requests that may crash servers.
+    /// Requests that this node saw to crash servers, or to end well after all.
     pub suspects: Vec<SuspectRecord>,
 }
 
@@ -63,13 +61,26 @@
     format!("{node}/{boot}").into()
 }
 
+/// How new a node's registry is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// Revision of the store up to which it is known; 0 without one.
+    pub revision: u64,
+    /// Revision at which it last changed in more than heartbeats.
+    pub changed: u64,
+    /// Time since it was last known to be current.
+    pub age_ms: Millisecond,
+}
+
 /// A registry as one node knows it, for nodes that the store turns away.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RegistryCopy {
     /// Revision of the store up to which it is known.
     pub revision: u64,
-    /// Identifiers and rows, as stored.
-    pub rows: Vec<(Name, Vec<u8>)>,
+    /// Identifiers of all entries.
+    pub listed: Vec<Name>,
+    /// The entries that changed after the revision that was asked for, as stored: JSON text.
+    pub rows: Vec<(Name, String)>,
 }
 
 /// Requests begun, by window and workspace.
@@ -84,5 +95,5 @@
 /// Path at which a node gives its directory's row.
 pub const DIRECTORY_PATH: &str = "/directory";
 
-/// Path at which a node gives its registry.
-pub const REGISTRY_PATH: &str = "/registry";
+/// Path below which a node gives its registry: the revision after which it is wanted follows.
+pub const REGISTRY_PATH: &str = "/registry/";
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 
 use base::units::Millisecond;
-use base::{Map, Name};
+use base::{Map, Name, Set};
 
 use crate::clock::unix_ms;
 use crate::settings::Settings;
@@ -202,6 +202,13 @@
         peers.iter().map(|p| p.address).collect()
     }
 
+    /// Addresses of nodes that only listen, and so never hold the duties.
+    pub fn only_listen(&self) -> Set<SocketAddr> {
+        let listening = |p: &&Peer| p.hello.role == Role::Listens;
+        let peers = self.by_name.values().filter(listening);
+        peers.map(|p| p.address).collect()
+    }
+
     /// Addresses of the nodes of a failure domain.
     pub fn near(&self, failure_domain: &Name) -> Vec<SocketAddr> {
         let near = |p: &&Peer| p.hello.failure_domain == *failure_domain;
--- a/crates/gateway/src/peer/pull.rs
+++ b/crates/gateway/src/peer/pull.rs
@@ -31,6 +31,9 @@
 /// keep a question for changes.
 const STORE_SILENT_MS: Millisecond = follow::WAIT_MS + 900;
 
+/// Outcome of a part that does not fit what is known.
+const GAP: &str = "gap";
+
 /// Nodes that are asked for usage: one may itself have started late, or not answer.
 const USAGE_WITNESSES: usize = 3;
 
@@ -52,6 +55,30 @@
     outcome: &'a str,
 }
 
+/// What one node asks another for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wanted {
+    /// The operator's directory.
+    Directory,
+    /// The registry, as far as it has changed after a revision.
+    Registry {
+        /// The revision.
+        since: u64,
+    },
+    /// What lives have counted.
+    Usage,
+}
+
+impl Wanted {
+    fn path(self) -> String {
+        match self {
+            Self::Directory => DIRECTORY_PATH.to_owned(),
+            Self::Registry { since } => format!("{REGISTRY_PATH}{since}"),
+            Self::Usage => USAGE_PATH.to_owned(),
+        }
+    }
+}
+
 /// Asks the sender of `hello` for what it knows and this node does not; one question at a time.
 pub fn consider(node: &Rc<Node>, hello: &Hello, address: SocketAddr) {
     let wanted = wanted(node, hello);
@@ -61,30 +88,55 @@
     ASKING.set(Asking::Yes);
     let node = node.clone();
     tokio::task::spawn_local(async move {
-        for path in wanted {
-            take(&node, address, path).await;
+        for what in wanted {
+            take(&node, address, what).await;
         }
         ASKING.set(Asking::No);
     });
 }
 
 /// What the sender of `hello` knows and this node should ask for.
-pub fn wanted(node: &Node, hello: &Hello) -> Vec<&'static str> {
+pub fn wanted(node: &Node, hello: &Hello) -> Vec<Wanted> {
     let mut wanted = Vec::new();
     let version = node.directory.borrow().as_ref().map_or(0, |d| d.version);
     if hello.directory > version {
-        wanted.push(DIRECTORY_PATH);
+        wanted.push(Wanted::Directory);
     }
-    let silent_ms = node.now_ms().saturating_sub(node.store_ok_ms.get());
-    let failing = node.store_failed_ms.get() > node.store_ok_ms.get();
-    let away = failing || silent_ms > STORE_SILENT_MS;
     let revision = node.registry.borrow().revision;
-    if hello.registry > revision && away && is_near(node, hello) {
-        wanted.push(REGISTRY_PATH);
+    if hello.registry.changed <= revision {
+        return wanted;
+    }
+    match reach(node) {
+        Reach::InTouch => node.registry_news.notify_waiters(),
+        Reach::Away if is_near(node, hello) => wanted.push(Wanted::Registry { since: revision }),
+        Reach::Away => {}
     }
     wanted
 }
 
+/// Takes over how new the registry of the sender of `hello` is, if this node has it too.
+pub fn confirm(node: &Node, hello: &Hello) {
+    if reach(node) == Reach::Away {
+        follow::servers::confirm(node, hello.registry);
+    }
+}
+
+/// Whether the store answers this node.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Reach {
+    InTouch,
+    Away,
+}
+
+fn reach(node: &Node) -> Reach {
+    let silent_ms = node.now_ms().saturating_sub(node.store_ok_ms.get());
+    let failing = node.store_failed_ms.get() > node.store_ok_ms.get();
+    match failing || silent_ms > STORE_SILENT_MS {
+        true => Reach::Away,
+        false => Reach::InTouch,
+    }
+}
+
 /// Whether the sender stands in this node's failure domain, or no other node there is heard of:
 /// bytes between failure domains are paid for.
 fn is_near(node: &Node, hello: &Hello) -> bool {
@@ -97,27 +149,48 @@
 pub async fn usage(node: &Rc<Node>) {
     let now_ms = node.now_ms();
     let addresses = node.peers.borrow().longest_running(USAGE_WITNESSES, now_ms);
-    let questions = addresses.iter().map(|at| take(node, *at, USAGE_PATH));
+    let questions = addresses.iter().map(|at| take(node, *at, Wanted::Usage));
     futures_util::future::join_all(questions).await;
 }
 
-async fn take(node: &Rc<Node>, address: SocketAddr, path: &'static str) {
-    let answer = tokio::time::timeout(QUESTION, ask(address, path)).await;
+async fn take(node: &Rc<Node>, address: SocketAddr, what: Wanted) {
+    let outcome = take_once(node, address, what).await;
+    if outcome == Outcome::Gap {
+        take_once(node, address, Wanted::Registry { since: 0 }).await;
+    }
+}
+
+/// What came of a question.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    /// It is settled.
+    Settled,
+    /// A part of a registry did not fit what is known here.
+    Gap,
+}
+
+async fn take_once(node: &Rc<Node>, address: SocketAddr, what: Wanted) -> Outcome {
+    let path = what.path();
+    let answer = tokio::time::timeout(QUESTION, ask(address, &path)).await;
     let (version, outcome) = match answer {
-        Ok(Ok(body)) => match path {
-            DIRECTORY_PATH => follow::directory::offer(node, &body),
-            USAGE_PATH => lives(node, &body),
-            _ => registry(node, &body),
+        Ok(Ok(body)) => match what {
+            Wanted::Directory => follow::directory::offer(node, &body),
+            Wanted::Usage => lives(node, &body),
+            Wanted::Registry { .. } => registry(node, &body),
         },
         Ok(Err(_)) | Err(_) => (0, "no_answer"),
     };
     let fields = PulledFields {
         from: address,
-        what: path,
+        what: &path,
         version,
         outcome,
     };
     log::emit(events::Code::BeliefPulled, &fields);
+    match outcome {
+        GAP => Outcome::Gap,
+        _ => Outcome::Settled,
+    }
 }
 
 /// Takes in what other lives have counted; the version is their number.
@@ -143,6 +216,7 @@
     match follow::servers::adopt_copy(node, copy) {
         follow::servers::Copy::Taken => (revision, "taken"),
         follow::servers::Copy::Older => (revision, "older"),
+        follow::servers::Copy::Gap => (revision, GAP),
     }
 }
 
--- a/crates/gateway/src/peer/serve.rs
+++ b/crates/gateway/src/peer/serve.rs
@@ -6,16 +6,22 @@
 
 /// Status and body for a question.
 pub fn answer(node: &Node, head: &RequestHead) -> (u16, Vec<u8>) {
-    match head.path() {
+    let path = head.path();
+    if let Some(since) = path.strip_prefix(REGISTRY_PATH) {
+        return match since.parse() {
+            Ok(since) => (200, registry(node, since)),
+            Err(_) => (404, Vec::new()),
+        };
+    }
+    match path {
         DIRECTORY_PATH => (200, node.directory_stored.borrow().clone()),
-        REGISTRY_PATH => (200, registry(node)),
         USAGE_PATH => (200, usage(node)),
         _ => (404, Vec::new()),
     }
 }
 
-fn registry(node: &Node) -> Vec<u8> {
-    serde_json::to_vec(&registry_copy(node)).unwrap_or_default()
+fn registry(node: &Node, since: u64) -> Vec<u8> {
+    serde_json::to_vec(&registry_copy(node, since)).unwrap_or_default()
 }
 
 fn usage(node: &Node) -> Vec<u8> {
@@ -23,11 +29,15 @@
     serde_json::to_vec(&copy).unwrap_or_default()
 }
 
-/// The registry as others may take it over.
-pub fn registry_copy(node: &Node) -> RegistryCopy {
+/// The registry as others may take it over that know it up to revision `since`.
+pub fn registry_copy(node: &Node, since: u64) -> RegistryCopy {
     let registry = node.registry.borrow();
+    let rows = registry.stored_since(since);
+    // Entries that were decoded are JSON, and so text.
+    let text = |row: &[u8]| String::from_utf8_lossy(row).into_owned();
     RegistryCopy {
         revision: registry.revision,
-        rows: registry.stored().collect(),
+        listed: registry.listed().cloned().collect(),
+        rows: rows.map(|(id, row)| (id.clone(), text(row))).collect(),
     }
 }
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -160,6 +160,7 @@
             };
             let entry = self.entries.entry(*digest).or_default();
             entry.add(incident, now_ms);
+            entry.seen_ms = now_ms;
         }
         self.note_loss(server, domain, now_ms);
         self.shrink(now_ms);
@@ -189,6 +190,17 @@
             .collect()
     }
 
+    /// Records of what this entry VM itself saw within the last `within_ms`, for peers that each
+    /// hear it from the one that saw it.
+    pub fn export_seen(&self, within_ms: Millisecond, now_ms: Millisecond) -> Vec<SuspectRecord> {
+        let fresh = |entry: &&Entry| now_ms.saturating_sub(entry.seen_ms) <= within_ms;
+        let entries = self.entries.iter();
+        entries
+            .filter(|(_, entry)| fresh(entry))
+            .map(|(digest, entry)| entry.export(*digest, now_ms))
+            .collect()
+    }
+
     /// Takes in a peer's records. The result does not depend on their order or number.
     pub fn merge(&mut self, records: &[SuspectRecord], now_ms: Millisecond) {
         for record in records.iter().take(RECORD_LIMIT) {
--- a/crates/policy/src/suspect/record.rs
+++ b/crates/policy/src/suspect/record.rs
@@ -63,6 +63,8 @@
     cleared_ms: Option<Millisecond>,
     /// When this entry last changed here.
     pub touched_ms: Millisecond,
+    /// When this entry VM last saw something of it itself.
+    pub seen_ms: Millisecond,
 }
 
 impl Entry {
@@ -114,15 +116,20 @@
             }
             incident.nature = Nature::Departure;
             self.touched_ms = now_ms;
+            self.seen_ms = now_ms;
         }
     }
 
     /// The request ended well at `at_ms`.
     pub fn clear(&mut self, at_ms: Millisecond) {
-        self.clear_seen(at_ms, at_ms);
+        let known_ms = self.cleared_ms;
+        self.take_clearing(at_ms, at_ms);
+        if self.cleared_ms != known_ms {
+            self.seen_ms = at_ms;
+        }
     }
 
-    fn clear_seen(&mut self, at_ms: Millisecond, now_ms: Millisecond) {
+    fn take_clearing(&mut self, at_ms: Millisecond, now_ms: Millisecond) {
         let known_ms = self.cleared_ms;
         if known_ms.is_some_and(|known_ms| at_ms <= known_ms + SAME_EVENT_MS) {
             return;
@@ -157,7 +164,7 @@
             self.add(incident, now_ms);
         }
         if let Some(age_ms) = record.cleared_age_ms {
-            self.clear_seen(now_ms.saturating_sub(age_ms), now_ms);
+            self.take_clearing(now_ms.saturating_sub(age_ms), now_ms);
         }
     }
 
--- a/crates/policy/tests/suspect.rs
+++ b/crates/policy/tests/suspect.rs
@@ -233,3 +233,18 @@
     assert!(kept.refused_wrongly * 1_000 < kept.innocents);
     assert_eq!(kept.most_lost_to_poison, 2);
 }
+
+/// Every entry VM hears of an incident from the one that saw it: an echo would only fill links.
+#[test]
+fn what_was_heard_from_a_peer_is_not_told_on() {
+    let (mut saw, mut heard) = (Suspects::default(), Suspects::default());
+    let digest = Digest::of("w", "/x", b"body");
+    saw.server_lost(&"s".into(), &"d".into(), Loss::Crash, &[digest], START_MS);
+    let told = saw.export_seen(1_000, START_MS);
+    assert_eq!(told.len(), 1);
+    heard.merge(&told, START_MS);
+    assert_eq!(heard.treatment(digest, START_MS), Treatment::Apart);
+    assert!(heard.export_seen(1_000, START_MS).is_empty());
+    heard.completed(digest, START_MS + 10);
+    assert_eq!(heard.export_seen(1_000, START_MS + 10).len(), 1);
+}
