A busy server is waited for as long as it was expected to take, and the last one to the end

In ten seconds of overload 1,036 attempts were cut off as silent after 0.75 or 1.2 s though 1 to 3 s had been predicted for them: 400 started again at servers as busy, 636 ended as 502 while their server was at work on them.

Ruled out: servers that were silent (all had sent to others within the time).

Change: decide::patience. A server gets three times the time owed, or twice the predicted time if that is longer; the last server that may run a request, or any when the service has no repeat left, is waited for until the request's time is up. Its answer, late as it is, is delivered.

--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -3,6 +3,7 @@
 pub mod allowance;
 pub mod cache;
 pub mod outcome;
+pub mod patience;
 pub mod place;
 pub mod prompt;
 pub mod repeats;
--- /dev/null
+++ b/crates/gateway/src/decide/patience.rs
@@ -0,0 +1,57 @@
+//! How long a server may keep a request without a byte before it goes elsewhere.
+
+use base::units::Millisecond;
+
+use super::outcome::Trail;
+use super::repeats::Draw;
+
+/// A request that may be repeated is tried elsewhere after so many times the time owed.
+const SILENCE_TARGETS: u64 = 3;
+
+/// Bounds of that time: no shorter than a busy server's pause, and below the shortest time after
+/// which callers leave.
+const SILENCE_MS: std::ops::RangeInclusive<Millisecond> = 300..=1_200;
+
+/// A server that is known to be busy gets so many times the time after which it was expected to
+/// answer: elsewhere the request would have to wait from the start.
+const PREDICTED_TIMES: u64 = 2;
+
+/// How long a server is waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Patience {
+    /// Until the request's time is up: no other server may run it.
+    ToTheEnd,
+    /// For so long.
+    For(Millisecond),
+}
+
+/// What decides it.
+#[derive(Clone, Copy, Debug)]
+pub struct Waiting {
+    /// What has become of the request so far.
+    pub trail: Trail,
+    /// Whether the service's budget has a repeat.
+    pub repeat: Draw,
+    /// Time owed to the first byte.
+    pub target_ms: Millisecond,
+    /// Time that is left.
+    pub left_ms: Millisecond,
+    /// When the server was expected to answer.
+    pub predicted_ms: Millisecond,
+}
+
+impl Waiting {
+    /// How long the server is waited for.
+    pub fn patience(&self) -> Patience {
+        let last = self.trail.runs + 1 >= self.trail.runs_limit;
+        if !self.trail.kind.repeats() || last || self.repeat == Draw::Exhausted {
+            return Patience::ToTheEnd;
+        }
+        let silence_ms = SILENCE_TARGETS * self.target_ms;
+        let silence_ms = silence_ms.clamp(*SILENCE_MS.start(), *SILENCE_MS.end());
+        let wanted_ms = silence_ms.max(PREDICTED_TIMES * self.predicted_ms);
+        // Time for one more attempt is left.
+        let half_ms = (self.left_ms / 2).max(self.target_ms);
+        Patience::For(wanted_ms.min(half_ms))
+    }
+}
--- a/crates/gateway/src/decide/repeats.rs
+++ b/crates/gateway/src/decide/repeats.rs
@@ -45,16 +45,24 @@
 
     /// Whether one more repeat fits, and counts it if so.
     pub fn draw(&mut self, terms: &Terms, nodes: usize, now_ms: Millisecond) -> Draw {
+        let drawn = self.look(terms, nodes, now_ms);
+        if drawn == Draw::Granted {
+            self.span(terms, now_ms).repeats += 1;
+        }
+        drawn
+    }
+
+    /// Whether one more repeat would fit.
+    pub fn look(&mut self, terms: &Terms, nodes: usize, now_ms: Millisecond) -> Draw {
         self.span(terms, now_ms);
         let requests: u32 = self.spans.iter().map(|s| s.requests).sum();
         let repeats: u32 = self.spans.iter().map(|s| s.repeats).sum();
         let earned = terms.ratio * f64::from(requests);
         let allowed = USED_SHARE * (earned + terms.slack / nodes.max(1) as f64);
-        if f64::from(repeats + 1) > allowed {
-            return Draw::Exhausted;
+        match f64::from(repeats + 1) > allowed {
+            true => Draw::Exhausted,
+            false => Draw::Granted,
         }
-        self.span(terms, now_ms).repeats += 1;
-        Draw::Granted
     }
 
     fn span(&mut self, terms: &Terms, now_ms: Millisecond) -> &mut Span {
--- a/crates/gateway/src/front/answer.rs
+++ b/crates/gateway/src/front/answer.rs
@@ -1,6 +1,5 @@
 //! A server's answer as the caller gets it.
 
-use base::units::Millisecond;
 use bytes::BytesMut;
 
 use super::job::Job;
@@ -62,23 +61,3 @@
     }
     written.end();
 }
-
-/// A request that may be repeated is tried elsewhere after so many times the time owed.
-const SILENCE_TARGETS: u64 = 3;
-
-/// Bounds of that time: no shorter than a busy server's pause, and below the shortest time after
-/// which callers leave.
-const SILENCE_MS: std::ops::RangeInclusive<Millisecond> = 300..=1_200;
-
-/// How long a server may keep a repeatable request without a byte; `None` for others, whose
-/// answer is waited for to the end.
-pub fn patience_ms(job: &Job<'_>) -> Option<Millisecond> {
-    if !job.route.kind.repeats() {
-        return None;
-    }
-    let wanted = SILENCE_TARGETS * job.route.target_ms;
-    let wanted = wanted.clamp(*SILENCE_MS.start(), *SILENCE_MS.end());
-    // Time for one more attempt is left.
-    let half = (job.left_ms() / 2).max(job.route.target_ms);
-    Some(wanted.min(half))
-}
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -16,6 +16,7 @@
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
 use crate::decide::outcome::{Cause, Next, Trail};
+use crate::decide::patience::{Patience, Waiting};
 use crate::decide::repeats::Draw;
 use crate::node::Node;
 
@@ -118,6 +119,18 @@
         }
     }
 
+    /// How long the server of an attempt is waited for without a byte.
+    pub fn patience(&self, attempt: &Attempt<'_>) -> Patience {
+        let waiting = Waiting {
+            trail: self.trail,
+            repeat: self.node.look_repeat(&self.job.service.name),
+            target_ms: self.job.route.target_ms,
+            left_ms: self.job.left_ms(),
+            predicted_ms: attempt.predicted_ms,
+        };
+        waiting.patience()
+    }
+
     /// Takes in a failed attempt.
     ///
     /// # Errors
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -10,13 +10,14 @@
 use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, timeout_at};
 
-use super::answer::{BodyKind, Verdict, judge, patience_ms, write_head};
+use super::answer::{BodyKind, Verdict, judge, write_head};
 use super::attempts::Attempts;
 use super::job::Job;
 use super::serve::{Out, Served};
 use crate::backend::attempt::Attempt;
 use crate::backend::exchange::{Answer, Outgoing, after, send};
 use crate::decide::outcome::Cause;
+use crate::decide::patience::Patience;
 use crate::http::put_chunk;
 use crate::node::Node;
 use crate::sse::Events;
@@ -53,6 +54,8 @@
     out: &'a mut Out<'c>,
     progress: Progress,
     last_event: Option<String>,
+    /// How long the server in use is waited for.
+    patience: Patience,
     until: Instant,
 }
 
@@ -72,6 +75,7 @@
         out,
         progress: Progress::Nothing,
         last_event: None,
+        patience: Patience::ToTheEnd,
         until: after(job.left_ms()),
     };
     loop {
@@ -80,6 +84,7 @@
             Err(reply) => return stream.give_up(Served::Own(reply)),
         };
         stream.report(&attempt);
+        stream.patience = attempts.patience(&attempt);
         let cause = match stream.run(&mut attempt).await {
             End::Whole(status) => return Served::Passed { status },
             End::CallerGone => return Served::CallerGone,
@@ -132,8 +137,10 @@
         };
         let node = self.job.node;
         let sending = send(server, &request, &node.dialect.names, node.clock);
-        let patience = patience_ms(self.job).map(after);
-        let until = patience.map_or(self.until, |p| p.min(self.until));
+        let until = match self.patience {
+            Patience::For(ms) => after(ms).min(self.until),
+            Patience::ToTheEnd => self.until,
+        };
         match timeout_at(until, sending).await {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(cause)) => Err(End::Failed(cause)),
@@ -212,7 +219,7 @@
 
     /// When a stream that may be resumed goes on elsewhere if nothing comes.
     fn pause_end(&self, events: &Events) -> Instant {
-        let Some(first_ms) = patience_ms(self.job) else {
+        let Patience::For(first_ms) = self.patience else {
             return self.until;
         };
         let pause_ms = match (events.taken(), self.job.route.gap_target_ms) {
--- a/crates/gateway/src/front/whole.rs
+++ b/crates/gateway/src/front/whole.rs
@@ -7,13 +7,14 @@
 use tokio::io::AsyncWriteExt;
 use tokio::time::timeout;
 
-use super::answer::{BodyKind, Verdict, judge, patience_ms, write_head};
+use super::answer::{BodyKind, Verdict, judge, write_head};
 use super::attempts::Attempts;
 use super::job::Job;
 use super::serve::{Out, Served};
 use crate::backend::attempt::Attempt;
 use crate::backend::exchange::{Outgoing, send};
 use crate::decide::outcome::Cause;
+use crate::decide::patience::Patience;
 use crate::http::ResponseHead;
 use crate::node::Node;
 
@@ -34,8 +35,9 @@
             Ok(attempt) => attempt,
             Err(reply) => return finish(failure, Served::Own(reply), job, out).await,
         };
+        let patience = attempts.patience(&attempt);
         let left = Duration::from_millis(job.left_ms());
-        let outcome = match timeout(left, run(job, &mut attempt)).await {
+        let outcome = match timeout(left, run(job, &mut attempt, patience)).await {
             Ok(outcome) => outcome,
             Err(_) => {
                 attempt.server.failed(node.now_ms());
@@ -63,7 +65,7 @@
     }
 }
 
-async fn run(job: &Job<'_>, attempt: &mut Attempt<'_>) -> Result<Whole, Cause> {
+async fn run(job: &Job<'_>, attempt: &mut Attempt<'_>, patience: Patience) -> Result<Whole, Cause> {
     let server = attempt.server.clone();
     let request = Outgoing {
         method: &job.request.head.method,
@@ -73,12 +75,12 @@
     };
     let clock = job.node.clock;
     let sending = send(&server, &request, &job.node.dialect.names, clock);
-    let mut answer = match patience_ms(job) {
-        Some(ms) => match timeout(Duration::from_millis(ms), sending).await {
+    let mut answer = match patience {
+        Patience::For(ms) => match timeout(Duration::from_millis(ms), sending).await {
             Ok(answer) => answer?,
             Err(_) => return Err(Cause::Silent),
         },
-        None => sending.await?,
+        Patience::ToTheEnd => sending.await?,
     };
     let verdict = judge(job, &answer.head);
     if matches!(verdict, Verdict::Pass | Verdict::PassOrRepeat) {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -208,6 +208,15 @@
         of_service.draw(&self.repeat_terms(), nodes, now_ms)
     }
 
+    /// Whether a repeated send to a service would fit.
+    pub fn look_repeat(&self, service: &Name) -> Draw {
+        let now_ms = self.now_ms();
+        let nodes = self.nodes();
+        let mut repeats = self.repeats.borrow_mut();
+        let of_service = repeats.entry(service.clone()).or_default();
+        of_service.look(&self.repeat_terms(), nodes, now_ms)
+    }
+
     /// Takes in work of a service.
     pub fn worked(&self, service: &Name, cost_ms: f64) {
         let now_ms = self.now_ms();
--- /dev/null
+++ b/crates/gateway/tests/patience.rs
@@ -0,0 +1,67 @@
+//! How long a silent server is waited for.
+
+use gateway::belief::RouteKind;
+use gateway::decide::outcome::{Cause, Trail};
+use gateway::decide::patience::{Patience, Waiting};
+use gateway::decide::repeats::Draw;
+use test_case::test_case;
+
+const TARGET_MS: u64 = 250;
+const LEFT_MS: u64 = 15_000;
+
+fn waiting(kind: RouteKind, runs_limit: u32) -> Waiting {
+    Waiting {
+        trail: Trail::new(kind, runs_limit),
+        repeat: Draw::Granted,
+        target_ms: TARGET_MS,
+        left_ms: LEFT_MS,
+        predicted_ms: 30,
+    }
+}
+
+#[test_case(RouteKind::NonIdempotent, 2; "not to be repeated")]
+#[test_case(RouteKind::Stream, 2; "a stream that may not be resumed")]
+#[test_case(RouteKind::Idempotent, 1; "one server only")]
+fn a_request_for_which_there_is_no_other_server_waits_to_the_end(kind: RouteKind, limit: u32) {
+    assert_eq!(waiting(kind, limit).patience(), Patience::ToTheEnd);
+}
+
+#[test]
+fn a_silent_server_is_left_after_a_few_times_the_time_owed() {
+    let waiting = waiting(RouteKind::ResumableStream, 2);
+    assert_eq!(waiting.patience(), Patience::For(3 * TARGET_MS));
+}
+
+#[test]
+fn the_last_server_that_may_run_it_is_waited_for() {
+    let mut waiting = waiting(RouteKind::ResumableStream, 2);
+    waiting.trail.after(Cause::Silent, LEFT_MS);
+    assert_eq!(waiting.patience(), Patience::ToTheEnd);
+}
+
+#[test]
+fn a_refusal_uses_up_no_server() {
+    let mut waiting = waiting(RouteKind::ResumableStream, 2);
+    waiting.trail.after(Cause::Refused, LEFT_MS);
+    assert_eq!(waiting.patience(), Patience::For(3 * TARGET_MS));
+}
+
+#[test]
+fn without_a_repeat_in_the_budget_it_is_waited_for() {
+    let waiting = Waiting {
+        repeat: Draw::Exhausted,
+        ..waiting(RouteKind::Idempotent, 3)
+    };
+    assert_eq!(waiting.patience(), Patience::ToTheEnd);
+}
+
+#[test_case(400 => Patience::For(800); "busy")]
+#[test_case(1_600 => Patience::For(3_200); "very busy")]
+#[test_case(9_000 => Patience::For(LEFT_MS / 2); "no longer than leaves time for another")]
+fn a_busy_server_gets_the_time_that_it_was_expected_to_take(predicted_ms: u64) -> Patience {
+    let waiting = Waiting {
+        predicted_ms,
+        ..waiting(RouteKind::ResumableStream, 2)
+    };
+    waiting.patience()
+}
