--- a/crates/gateway/src/decide/scale.rs
+++ b/crates/gateway/src/decide/scale.rs
@@ -331,21 +331,19 @@
         reclaimable: &Map<Name, u32>,
         now_ms: Millisecond,
     ) -> Map<Name, u32> {
+        let room = |domain: &Name| match self.is_refused(domain, Purchase::OnDemand, now_ms) {
+            true => 0,
+            false => scaling
+                .max
+                .saturating_sub(reclaimable.get(domain).copied().unwrap_or(0)),
+        };
+        let rooms: Vec<(Name, u32)> = held.iter().map(|(d, _)| (d.clone(), room(d))).collect();
         let mut wanted: Map<Name, u32> = Map::default();
         let mut missing = needed.max(0.0).ceil() as u32;
-        let here = |(_, held): &(Name, u32)| *held;
-        let room =
-            |(domain, _): &(Name, u32)| match self.is_refused(domain, Purchase::OnDemand, now_ms) {
-                true => 0,
-                false => scaling
-                    .max
-                    .saturating_sub(reclaimable.get(domain).copied().unwrap_or(0)),
-            };
-        let limits: [&dyn Fn(&(Name, u32)) -> u32; 2] = [&here, &room];
-        for limit in limits {
+        for limits in [held, &rooms] {
             while missing > 0 {
                 let taken = |domain: &Name| wanted.get(domain).copied().unwrap_or(0);
-                let open = held.iter().filter(|here| taken(&here.0) < limit(here));
+                let open = limits.iter().filter(|(d, limit)| taken(d) < *limit);
                 let next = open.min_by(|(a, _), (b, _)| {
                     let by_price = price(scaling, a).total_cmp(&price(scaling, b));
                     taken(a).cmp(&taken(b)).then(by_price)
