A rule of choice as a setting, with baselines for comparison

Change: decide::rule holds the rule in use (predicted, the default) and five baselines; what a node looks at when it weighs servers moved from backend::attempt to decide::place, apart from any request in flight. No change of what is decided by default. Tests: placing.rs, one case for each baseline; none takes a full server.

--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -12,7 +12,8 @@
 use crate::belief::registry::ServerState;
 use crate::clock::unix_ms;
 use crate::decide::outcome::Cause;
-use crate::decide::place::{Candidate, Choice, Demand, Home, Nearness, Timeliness, Trust, choose};
+use crate::decide::place::{Candidate, Choice, Demand, Timeliness, View, home};
+use crate::decide::rule::choose;
 use crate::front::job::Job;
 use crate::node::Node;
 
@@ -67,12 +68,23 @@
             return Err(NoServer::None);
         }
         let demand = demand(job);
-        let home = home(job, &servers);
+        let view = View {
+            prompt: &job.prompt,
+            home: home(&job.prompt, &servers),
+            failure_domain: &node.settings.node.failure_domain,
+            now_ms,
+        };
         let candidates: Vec<Candidate> = servers
             .iter()
-            .map(|server| candidate(node, job, server, home.as_ref(), now_ms))
+            .map(|server| view.candidate(server, slots(node, job, server)))
             .collect();
-        let choice = choose(&demand, &candidates).ok_or(NoServer::Full)?;
+        let choice = choose(
+            node.settings.placing.rule,
+            &demand,
+            &candidates,
+            node.chance(),
+        );
+        let choice = choice.ok_or(NoServer::Full)?;
         if choice.timeliness(job.left_ms()) == Timeliness::TooLate {
             return Err(NoServer::TooLate);
         }
@@ -190,44 +202,11 @@
 }
 
 fn demand(job: &Job<'_>) -> Demand {
-    let parts = &job.prompt.parts;
-    let shared = parts.len().saturating_sub(1).max(1);
-    Demand {
-        read_tokens: job.prompt.read_tokens(),
-        shared_tokens: parts.iter().take(shared).map(|p| p.tokens).sum(),
-        queue_share: match job.service.engine {
-            Some(_) => ENGINE_QUEUE_SHARE,
-            None => PLAIN_QUEUE_SHARE,
-        },
-    }
-}
-
-fn candidate(
-    node: &Node,
-    job: &Job<'_>,
-    server: &Rc<Server>,
-    home: Option<&Name>,
-    now_ms: Millisecond,
-) -> Candidate {
-    let record = &server.record;
-    Candidate {
-        load: server.load(),
-        slots: slots(node, job, server),
-        speed: *server.speed.borrow(),
-        known_tokens: server.cache.borrow().known_tokens(&job.prompt),
-        home: match home {
-            Some(home) if *home == record.id => Home::Own,
-            _ => Home::Other,
-        },
-        nearness: match record.failure_domain == node.settings.node.failure_domain {
-            true => Nearness::Near,
-            false => Nearness::Far,
-        },
-        trust: match server.doubted_until_ms.get() > now_ms {
-            true => Trust::Doubted,
-            false => Trust::Sound,
-        },
-    }
+    let queue_share = match job.service.engine {
+        Some(_) => ENGINE_QUEUE_SHARE,
+        None => PLAIN_QUEUE_SHARE,
+    };
+    Demand::of(&job.prompt, queue_share)
 }
 
 /// Places at a server: its slots, or its connections where this node's share of them is smaller.
@@ -239,20 +218,3 @@
         _ => server.record.slots,
     }
 }
-
-/// The server to which all nodes send a prompt's shared parts: the highest of a hash of both.
-fn home(job: &Job<'_>, servers: &[Rc<Server>]) -> Option<Name> {
-    use std::hash::{Hash, Hasher};
-    let chain = job.prompt.shared_chain()?;
-    let rank = |server: &Rc<Server>| {
-        let mut hasher = rustc_hash::FxHasher::default();
-        (chain, &*server.record.id).hash(&mut hasher);
-        // The low bits of this hasher are weak.
-        hasher
-            .finish()
-            .rotate_left(26)
-            .wrapping_mul(0x9E37_79B9_7F4A_7C15)
-    };
-    let highest = servers.iter().max_by_key(|server| rank(server))?;
-    Some(highest.record.id.clone())
-}
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -7,6 +7,7 @@
 pub mod place;
 pub mod prompt;
 pub mod repeats;
+pub mod rule;
 pub mod scale;
 pub mod speed;
 pub mod work;
--- a/crates/gateway/src/decide/place.rs
+++ b/crates/gateway/src/decide/place.rs
@@ -1,8 +1,14 @@
 //! Choice of a backend server by the predicted time to the first byte.
 
+use std::hash::{Hash, Hasher};
+use std::rc::Rc;
+
+use base::Name;
 use base::units::{Millisecond, TokenCount};
 
+use super::prompt::Prompt;
 use super::speed::Speed;
+use crate::belief::Server;
 use crate::belief::registry::Load;
 
 /// Added for a server in another failure domain: the way there and back, and its price.
@@ -23,6 +29,8 @@
 pub struct Candidate {
     /// What is on it.
     pub load: Load,
+    /// Requests of the node that chooses.
+    pub own_running: u32,
     /// Requests that it runs at once.
     pub slots: u32,
     /// How fast it answers.
@@ -75,6 +83,73 @@
     pub queue_share: f64,
 }
 
+impl Demand {
+    /// What a prompt demands.
+    pub fn of(prompt: &Prompt, queue_share: f64) -> Self {
+        let shared = prompt.parts.len().saturating_sub(1).max(1);
+        Self {
+            read_tokens: prompt.read_tokens(),
+            shared_tokens: prompt.parts.iter().take(shared).map(|p| p.tokens).sum(),
+            queue_share,
+        }
+    }
+}
+
+/// What a node looks at when it weighs servers for one request.
+#[derive(Clone, Debug)]
+pub struct View<'a> {
+    /// The request's prompt.
+    pub prompt: &'a Prompt,
+    /// Home of its shared parts.
+    pub home: Option<Name>,
+    /// Where the node stands.
+    pub failure_domain: &'a Name,
+    /// Now, on the node's clock.
+    pub now_ms: Millisecond,
+}
+
+impl View<'_> {
+    /// What speaks for and against a server that runs `slots` requests at once for this node.
+    pub fn candidate(&self, server: &Server, slots: u32) -> Candidate {
+        let record = &server.record;
+        Candidate {
+            load: server.load(),
+            own_running: server.running.get(),
+            slots,
+            speed: *server.speed.borrow(),
+            known_tokens: server.cache.borrow().known_tokens(self.prompt),
+            home: match &self.home {
+                Some(home) if *home == record.id => Home::Own,
+                _ => Home::Other,
+            },
+            nearness: match record.failure_domain == *self.failure_domain {
+                true => Nearness::Near,
+                false => Nearness::Far,
+            },
+            trust: match server.doubted_until_ms.get() > self.now_ms {
+                true => Trust::Doubted,
+                false => Trust::Sound,
+            },
+        }
+    }
+}
+
+/// The server to which all nodes send a prompt's shared parts: the highest of a hash of both.
+pub fn home(prompt: &Prompt, servers: &[Rc<Server>]) -> Option<Name> {
+    let chain = prompt.shared_chain()?;
+    let rank = |server: &Rc<Server>| {
+        let mut hasher = rustc_hash::FxHasher::default();
+        (chain, &*server.record.id).hash(&mut hasher);
+        // The low bits of this hasher are weak.
+        hasher
+            .finish()
+            .rotate_left(26)
+            .wrapping_mul(0x9E37_79B9_7F4A_7C15)
+    };
+    let highest = servers.iter().max_by_key(|server| rank(server))?;
+    Some(highest.record.id.clone())
+}
+
 /// The server chosen.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
@@ -105,34 +180,35 @@
     }
 }
 
-/// Chooses a server; `None` when all are full.
-pub fn choose(demand: &Demand, candidates: &[Candidate]) -> Option<Choice> {
-    best(demand, candidates, Trust::Sound).or_else(|| best(demand, candidates, Trust::Doubted))
+/// The places of the servers that have room: sound ones, or doubted ones if there are no others.
+pub fn open(demand: &Demand, candidates: &[Candidate]) -> Vec<usize> {
+    let of = |trust: Trust| -> Vec<usize> {
+        let places = candidates.iter().enumerate();
+        let open = places.filter(|(_, c)| c.trust == trust && !is_full(demand, c));
+        open.map(|(place, _)| place).collect()
+    };
+    let sound = of(Trust::Sound);
+    match sound.is_empty() {
+        true => of(Trust::Doubted),
+        false => sound,
+    }
 }
 
-fn best(demand: &Demand, candidates: &[Candidate], trust: Trust) -> Option<Choice> {
-    let mut best: Option<(f64, Choice)> = None;
-    for (place, candidate) in candidates.iter().enumerate() {
-        if candidate.trust != trust || is_full(demand, candidate) {
-            continue;
-        }
-        let tokens_to_read = tokens_to_read(demand, candidate);
-        let first_ms = first_ms(candidate, tokens_to_read);
-        let cost_ms = match candidate.nearness {
-            Nearness::Near => first_ms,
-            Nearness::Far => first_ms + FAR_MS,
-        };
-        if best.is_some_and(|(least_ms, _)| least_ms <= cost_ms) {
-            continue;
-        }
-        let choice = Choice {
-            place,
-            first_ms: first_ms as Millisecond,
-            tokens_to_read,
-        };
-        best = Some((cost_ms, choice));
-    }
-    best.map(|(_, choice)| choice)
+/// What choosing a server would come to, and its cost for the comparison with others.
+pub fn predict(demand: &Demand, candidates: &[Candidate], place: usize) -> (f64, Choice) {
+    let candidate = &candidates[place];
+    let tokens_to_read = tokens_to_read(demand, candidate);
+    let first_ms = first_ms(candidate, tokens_to_read);
+    let cost_ms = match candidate.nearness {
+        Nearness::Near => first_ms,
+        Nearness::Far => first_ms + FAR_MS,
+    };
+    let choice = Choice {
+        place,
+        first_ms: first_ms as Millisecond,
+        tokens_to_read,
+    };
+    (cost_ms, choice)
 }
 
 /// Whether a server has no place, not even in its queue.
--- /dev/null
+++ b/crates/gateway/src/decide/rule.rs
@@ -0,0 +1,69 @@
+//! By which rule a server is chosen among those that have room.
+
+use serde::Deserialize;
+
+use super::place::{Candidate, Choice, Demand, Home, open, predict};
+
+/// A rule of choice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rule {
+    /// The least predicted time to the first byte.
+    #[default]
+    Predicted,
+    /// A baseline: the fewest requests of all nodes, as last heard.
+    LeastOutstanding,
+    /// A baseline: the fewest requests of this node.
+    LeastOwn,
+    /// A baseline: one after the other.
+    RoundRobin,
+    /// A baseline: any.
+    Random,
+    /// A baseline: the home of the prompt's shared parts, and any other if it is full.
+    PrefixHash,
+}
+
+/// What the baselines take from the node that chooses.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Chance {
+    /// A number drawn evenly from 0 to 1.
+    pub drawn: f64,
+    /// Choices that the node made before.
+    pub turn: u64,
+}
+
+/// Chooses a server; `None` when all are full.
+pub fn choose(
+    rule: Rule,
+    demand: &Demand,
+    candidates: &[Candidate],
+    chance: Chance,
+) -> Option<Choice> {
+    let open = open(demand, candidates);
+    if open.is_empty() {
+        return None;
+    }
+    let any = || open[(chance.drawn * open.len() as f64) as usize % open.len()];
+    let least = |of: &dyn Fn(&Candidate) -> u32| {
+        let place = open.iter().min_by_key(|place| of(&candidates[**place]));
+        place.copied()
+    };
+    let place = match rule {
+        Rule::Predicted => return cheapest(demand, candidates, &open),
+        Rule::LeastOutstanding => least(&|c| c.load.running)?,
+        Rule::LeastOwn => least(&|c| c.own_running)?,
+        Rule::RoundRobin => open[chance.turn as usize % open.len()],
+        Rule::Random => any(),
+        Rule::PrefixHash => {
+            let home = |place: &&usize| candidates[**place].home == Home::Own;
+            open.iter().find(home).copied().unwrap_or_else(any)
+        }
+    };
+    Some(predict(demand, candidates, place).1)
+}
+
+fn cheapest(demand: &Demand, candidates: &[Candidate], open: &[usize]) -> Option<Choice> {
+    let predicted = open.iter().map(|place| predict(demand, candidates, *place));
+    let least = predicted.min_by(|(a_ms, _), (b_ms, _)| a_ms.total_cmp(b_ms));
+    least.map(|(_, choice)| choice)
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::decide::allowance::{Beginning, Bucket, Past, Verdict};
 use crate::decide::repeats::{Draw, Repeats, Terms};
+use crate::decide::rule::Chance;
 use crate::decide::work::Work;
 use crate::dialect::Dialect;
 use crate::duty::usage::Usage;
@@ -87,6 +88,7 @@
     /// Counters.
     pub metrics: Metrics,
     rng: RefCell<SmallRng>,
+    turn: Cell<u64>,
 }
 
 impl Node {
@@ -117,6 +119,7 @@
             registry_news: Notify::new(),
             metrics: Metrics::open(),
             rng: RefCell::new(rng),
+            turn: Cell::new(0),
             settings,
             dialect,
         })
@@ -142,6 +145,14 @@
         self.rng.borrow_mut().random()
     }
 
+    /// What the next choice of a server takes from this node.
+    pub fn chance(&self) -> Chance {
+        let turn = self.turn.get();
+        self.turn.set(turn + 1);
+        let drawn = self.draw();
+        Chance { drawn, turn }
+    }
+
     /// Nodes that share bounds with this one, itself included.
     pub fn nodes(&self) -> usize {
         self.peers.borrow().count() + 1
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -8,6 +8,8 @@
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu, ensure};
 
+use crate::decide::rule::Rule;
+
 /// Settings of one process.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
@@ -20,6 +22,9 @@
     pub peers: Peers,
     /// The platform's store.
     pub store: Store,
+    /// How servers are chosen.
+    #[serde(default)]
+    pub placing: Placing,
     /// The platform's calls for duties.
     #[serde(default)]
     pub duties: Duties,
@@ -80,6 +85,14 @@
     pub address: SocketAddr,
 }
 
+/// How servers are chosen.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct Placing {
+    /// By which rule; the others are baselines for comparison.
+    pub rule: Rule,
+}
+
 /// The platform's calls for duties.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct Duties {
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -2,13 +2,16 @@
 
 use gateway::belief::registry::Load;
 use gateway::decide::cache::Cache;
-use gateway::decide::place::{Candidate, Demand, Home, Nearness, Timeliness, Trust, choose};
+use gateway::decide::place::{Candidate, Choice, Demand, Home, Nearness, Timeliness, Trust};
 use gateway::decide::prompt::Prompt;
+use gateway::decide::rule::{self, Chance, Rule};
 use gateway::decide::speed::Speed;
+use test_case::test_case;
 
 fn candidate() -> Candidate {
     Candidate {
         load: Load::default(),
+        own_running: 0,
         slots: 4,
         speed: Speed::default(),
         known_tokens: 0,
@@ -31,6 +34,10 @@
     queue_share: 0.25,
 };
 
+fn choose(demand: &Demand, candidates: &[Candidate]) -> Option<Choice> {
+    rule::choose(Rule::Predicted, demand, candidates, Chance::default())
+}
+
 fn chosen(candidates: &[Candidate]) -> Option<usize> {
     choose(&PROMPT, candidates).map(|choice| choice.place)
 }
@@ -137,3 +144,58 @@
     let known = |n: u64| cache.known_tokens(&Prompt::parse(Some(&format!("part{n}:100")), None));
     assert_eq!((known(0), known(99)), (0, 100));
 }
+
+/// Three servers: one with few requests of all, one with none of this node, the prompt's home.
+fn three() -> [Candidate; 3] {
+    let few = Candidate {
+        load: running(1, 0),
+        own_running: 1,
+        ..candidate()
+    };
+    let none_of_ours = Candidate {
+        load: running(3, 0),
+        ..candidate()
+    };
+    let home = Candidate {
+        load: running(2, 0),
+        own_running: 2,
+        home: Home::Own,
+        ..candidate()
+    };
+    [few, none_of_ours, home]
+}
+
+#[test_case(Rule::LeastOutstanding => Some(0))]
+#[test_case(Rule::LeastOwn => Some(1))]
+#[test_case(Rule::PrefixHash => Some(2))]
+#[test_case(Rule::RoundRobin => Some(1))]
+#[test_case(Rule::Random => Some(2))]
+fn baselines(rule: Rule) -> Option<usize> {
+    let chance = Chance {
+        drawn: 0.9,
+        turn: 4,
+    };
+    rule::choose(rule, &PROMPT, &three(), chance).map(|choice| choice.place)
+}
+
+#[test_case(Rule::LeastOutstanding)]
+#[test_case(Rule::LeastOwn)]
+#[test_case(Rule::PrefixHash)]
+#[test_case(Rule::RoundRobin)]
+#[test_case(Rule::Random)]
+fn no_baseline_takes_a_full_server(rule: Rule) {
+    let full = Candidate {
+        load: running(5, 0),
+        home: Home::Own,
+        ..candidate()
+    };
+    let candidates = [full, candidate(), full];
+    for turn in 0..6 {
+        let chance = Chance {
+            drawn: turn as f64 / 6.0,
+            turn,
+        };
+        let choice = rule::choose(rule, &PROMPT, &candidates, chance).unwrap();
+        assert_eq!(choice.place, 1);
+    }
+}
