Emulator of callers, nodes and engines, and apricotledge-lab

What it leaves out: allowances, moves and holds of memory, the network's time, plain services.

Found while it was written: the model crashed servers one after the other in an instant, so that requests went from one to the next; all are down before any request is lost now.

Tests: engines.rs step by step, plays.rs (each request ends once, the same each time), lab.rs from outside.

--- /dev/null
+++ b/crates/emulator/src/experiment.rs
@@ -0,0 +1,294 @@
+//! Experiments, read from TOML files.
+
+use std::path::{Path, PathBuf};
+
+use base::Name;
+use gateway::decide::rule::Rule;
+use serde::Deserialize;
+use snafu::{ResultExt, Snafu, ensure};
+
+/// One experiment: the same seeds for each rule.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    /// What it is called in tables.
+    pub name: String,
+    /// Seeds; each is played once for each rule.
+    pub seeds: Vec<u64>,
+    /// Length of one play.
+    pub length_s: f64,
+    /// Requests that come before are served but not counted.
+    #[serde(default)]
+    pub warm_up_s: f64,
+    /// Rules of choice, side by side.
+    pub rules: Vec<Rule>,
+    /// Nodes and servers.
+    pub fleet: Fleet,
+    /// The servers' engines.
+    pub engine: EngineSheet,
+    /// Orders of servers; without it their number stays.
+    pub scaling: Option<ScalingSheet>,
+    /// How callers come.
+    #[serde(default)]
+    pub traffic: Traffic,
+    /// Kinds of requests.
+    pub kinds: Vec<Kind>,
+    /// What goes wrong.
+    #[serde(default)]
+    pub troubles: Vec<Trouble>,
+}
+
+/// Nodes and servers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// Time between two words of one node to another.
+    pub hello_ms: f64,
+    /// Price of a second of a server on demand where the price is 1.
+    #[serde(default)]
+    pub server_price_per_s: f64,
+    /// Failure domains.
+    pub domains: Vec<Domain>,
+}
+
+/// One failure domain.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Domain {
+    /// Its name.
+    pub name: Name,
+    /// Nodes in it.
+    pub nodes: usize,
+    /// Servers on demand at the start.
+    pub on_demand: u32,
+    /// Reclaimable servers at the start.
+    #[serde(default)]
+    pub reclaimable: u32,
+    /// Price of a server, as a part of the usual one.
+    #[serde(default = "one")]
+    pub price: f64,
+}
+
+/// How an engine works.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineSheet {
+    /// Requests at once.
+    pub slots: u32,
+    /// Requests that may wait.
+    pub queue: u32,
+    /// Time of a step.
+    pub step_ms: f64,
+    /// Added to a step for each request that it gives a token.
+    pub step_ms_per_slot: f64,
+    /// Prompt tokens read in a millisecond.
+    pub read_tokens_per_ms: f64,
+    /// Most prompt tokens read in one step.
+    pub chunk_tokens: u64,
+    /// Memory for prompts.
+    pub memory_tokens: u64,
+    /// Speeds of the servers, in turn, as parts of the usual one.
+    pub speeds: Vec<f64>,
+}
+
+/// What may be ordered.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ScalingSheet {
+    /// Fewest servers in a failure domain.
+    pub min: u32,
+    /// Most.
+    pub max: u32,
+    /// Time from an order to a server.
+    pub boot_s: f64,
+    /// Price of a reclaimable server, as a part of one on demand.
+    pub reclaimable_price: Option<f64>,
+}
+
+/// How callers come: a wave, in clumps.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Traffic {
+    /// Height of the wave, as a part of the mean.
+    pub swing: f64,
+    /// Length of the wave.
+    pub period_s: f64,
+    /// Mean number of requests that come together.
+    pub clump: f64,
+}
+
+impl Default for Traffic {
+    fn default() -> Self {
+        Self {
+            swing: 0.0,
+            period_s: 40.0,
+            clump: 1.0,
+        }
+    }
+}
+
+/// A kind of request.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Kind {
+    /// Its name.
+    pub name: String,
+    /// Mean number a second, over all failure domains.
+    pub per_s: f64,
+    /// Time owed to the first token.
+    pub target_ms: u64,
+    /// Time that callers wait.
+    pub deadline_ms: u64,
+    /// Worth of an answer in time.
+    pub worth: f64,
+    /// Worth of an answer that comes later.
+    pub late_worth: f64,
+    /// Rank; higher goes first at an engine.
+    #[serde(default)]
+    pub priority: u8,
+    /// Times that a refused caller comes back.
+    #[serde(default)]
+    pub retries: u32,
+    /// Most servers that may run one request.
+    #[serde(default = "one_run")]
+    pub runs: u32,
+    /// Mean tokens of the shared parts.
+    pub shared_tokens: f64,
+    /// Different shared parts.
+    pub prompts: u64,
+    /// Mean tokens of the caller's own part.
+    pub own_tokens: f64,
+    /// Mean tokens of the answer.
+    pub answer_tokens: f64,
+}
+
+/// What goes wrong.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
+pub enum Trouble {
+    /// All reclaimable servers of a failure domain leave, and none is to be had for a while.
+    Reclaim {
+        /// When.
+        at_s: f64,
+        /// Where.
+        domain: Name,
+        /// Time from the notice to the end.
+        notice_s: f64,
+        /// Time in which no reclaimable server is to be had anywhere.
+        dry_s: f64,
+    },
+    /// Servers crash and are back later, knowing nothing.
+    Crash {
+        /// When.
+        at_s: f64,
+        /// Part of all servers.
+        share: f64,
+        /// Time to their return.
+        for_s: f64,
+    },
+    /// More callers come.
+    Burst {
+        /// When.
+        at_s: f64,
+        /// Times as many.
+        times: f64,
+        /// For how long.
+        for_s: f64,
+    },
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn one_run() -> u32 {
+    1
+}
+
+/// An experiment that cannot be played.
+#[derive(Debug, Snafu)]
+pub enum ExperimentError {
+    /// The file cannot be read.
+    #[snafu(display("The experiment {} cannot be read: {source}.", path.display()))]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// The file is not as it should be.
+    #[snafu(display("The experiment {} cannot be used: {}", path.display(), source.message()))]
+    Syntax {
+        /// The file.
+        path: PathBuf,
+        /// What the TOML reader said.
+        source: Box<toml::de::Error>,
+    },
+    /// A value is out of its range.
+    #[snafu(display("{key}: {value} is out of range; give {range}."))]
+    Range {
+        /// The key.
+        key: &'static str,
+        /// What it holds.
+        value: f64,
+        /// What it may hold.
+        range: &'static str,
+    },
+}
+
+impl Experiment {
+    /// Reads and checks an experiment.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read, is not TOML of this shape, or holds a value out of range.
+    pub fn open(path: &Path) -> Result<Self, ExperimentError> {
+        let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
+        Self::parse(&text, path)
+    }
+
+    /// Reads and checks the text of an experiment.
+    ///
+    /// # Errors
+    ///
+    /// The text is not TOML of this shape, or holds a value out of range.
+    pub fn parse(text: &str, path: &Path) -> Result<Self, ExperimentError> {
+        let parsed: Result<Self, _> = toml::from_str(text).map_err(Box::new);
+        let experiment = parsed.context(SyntaxSnafu { path })?;
+        experiment.check()?;
+        Ok(experiment)
+    }
+
+    fn check(&self) -> Result<(), ExperimentError> {
+        let domains = &self.fleet.domains;
+        let nodes: usize = domains.iter().map(|d| d.nodes).sum();
+        let servers: u32 = domains.iter().map(|d| d.on_demand + d.reclaimable).sum();
+        let positive = [
+            ("length_s", self.length_s),
+            ("seeds", self.seeds.len() as f64),
+            ("rules", self.rules.len() as f64),
+            ("kinds", self.kinds.len() as f64),
+            ("fleet.domains.nodes", nodes as f64),
+            ("fleet.domains.on_demand", f64::from(servers)),
+            ("fleet.hello_ms", self.fleet.hello_ms),
+            ("engine.slots", f64::from(self.engine.slots)),
+            ("engine.step_ms", self.engine.step_ms),
+            ("engine.read_tokens_per_ms", self.engine.read_tokens_per_ms),
+            ("engine.chunk_tokens", self.engine.chunk_tokens as f64),
+            ("engine.speeds", self.engine.speeds.len() as f64),
+            ("traffic.period_s", self.traffic.period_s),
+            ("traffic.clump", self.traffic.clump),
+        ];
+        for (key, value) in positive {
+            let range = "a number above 0";
+            ensure!(value > 0.0, RangeSnafu { key, value, range });
+        }
+        let value = self.traffic.swing;
+        let (key, range) = ("traffic.swing", "a number from 0 to 1");
+        ensure!(
+            (0.0..=1.0).contains(&value),
+            RangeSnafu { key, value, range }
+        );
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/lab/error.rs
@@ -0,0 +1,48 @@
+//! What the tool could not do.
+
+use std::path::PathBuf;
+
+use emulator::experiment::ExperimentError;
+use snafu::Snafu;
+
+/// The tool could not do what was asked.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum LabError {
+    /// An experiment cannot be played.
+    #[snafu(transparent)]
+    Experiment {
+        /// Why.
+        source: ExperimentError,
+    },
+    /// A file of figures cannot be read or written.
+    #[snafu(display("The figures {} cannot be read or written: {source}.", path.display()))]
+    Csv {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: csv::Error,
+    },
+    /// A file has no such column, or nothing in it.
+    #[snafu(display("--column: {} has no numbers under `{column}`.", path.display()))]
+    Column {
+        /// The file.
+        path: PathBuf,
+        /// The column.
+        column: String,
+    },
+    /// A key cannot be varied.
+    #[snafu(display("--key: `{key}` names no number of the experiment."))]
+    Key {
+        /// The key.
+        key: String,
+    },
+    /// A picture cannot be drawn.
+    #[snafu(display("--svg: {} cannot be drawn: {reason}.", path.display()))]
+    Picture {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        reason: String,
+    },
+}
--- /dev/null
+++ b/crates/emulator/src/node.rs
@@ -0,0 +1,264 @@
+//! One node: what it knows of the servers, and the gateway's decisions on it.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+
+use base::units::{Millisecond, TokenCount};
+use base::{Map, Name};
+use gateway::belief::Server;
+use gateway::belief::registry::{Load, ServerRecord, ServerState};
+use gateway::decide::outcome::Trail;
+use gateway::decide::patience::{NoServer, Patience, Waiting};
+use gateway::decide::place::{Candidate, Demand, ENGINE_QUEUE_SHARE, Timeliness, View, home};
+use gateway::decide::prompt::Prompt;
+use gateway::decide::repeats::{Draw, Repeats, Terms};
+use gateway::decide::rule::{Chance, Rule, choose};
+use gateway::decide::work::Work;
+use outside::Purchase;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Terms of repeated sends, by the rules' example.
+const TERMS: Terms = Terms {
+    ratio: 0.2,
+    window_ms: 10_000,
+    slack: 52.0,
+};
+
+/// One node.
+pub struct Node {
+    /// Where it stands.
+    pub failure_domain: Name,
+    servers: Map<Name, Rc<Server>>,
+    repeats: Repeats,
+    work: Work,
+    rule: Rule,
+    memory_tokens: TokenCount,
+    nodes: usize,
+    turn: u64,
+    rng: SmallRng,
+}
+
+/// What nodes are made of.
+#[derive(Clone, Copy, Debug)]
+pub struct Make {
+    /// The rule of choice.
+    pub rule: Rule,
+    /// An engine's memory for prompts.
+    pub memory_tokens: TokenCount,
+    /// Number of nodes.
+    pub nodes: usize,
+}
+
+/// A request that a node has sent.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// The server.
+    pub server: Rc<Server>,
+    at_ms: Millisecond,
+    predicted_ms: Millisecond,
+    tokens_ahead: TokenCount,
+    waiting_tokens: TokenCount,
+}
+
+impl Node {
+    /// A node that knows no server.
+    pub fn new(failure_domain: Name, make: Make, seed: u64) -> Self {
+        Self {
+            failure_domain,
+            servers: Map::default(),
+            repeats: Repeats::default(),
+            work: Work::default(),
+            rule: make.rule,
+            memory_tokens: make.memory_tokens,
+            nodes: make.nodes,
+            turn: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Learns of a server.
+    pub fn learn(&mut self, id: &Name, failure_domain: &Name, slots: u32, born: u64) {
+        let record = ServerRecord {
+            id: id.clone(),
+            service: "model".into(),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            failure_domain: failure_domain.clone(),
+            slots,
+            state: ServerState::Ready,
+            purchase: Purchase::OnDemand,
+            born_unix_ms: born,
+        };
+        self.servers
+            .insert(id.clone(), Rc::new(Server::new(record)));
+    }
+
+    /// Learns that a server takes nothing new.
+    pub fn forget(&mut self, id: &Name) {
+        self.servers.remove(id);
+    }
+
+    /// Chooses a server for a request.
+    ///
+    /// # Errors
+    ///
+    /// No server is to have it.
+    pub fn send(
+        &mut self,
+        prompt: &Prompt,
+        avoid: &[Name],
+        left_ms: Millisecond,
+        now_ms: Millisecond,
+    ) -> Result<Sent, NoServer> {
+        let servers = self.usable(avoid);
+        if servers.is_empty() {
+            return Err(NoServer::None);
+        }
+        let view = View {
+            prompt,
+            home: home(prompt, &servers),
+            failure_domain: &self.failure_domain,
+            now_ms,
+        };
+        let candidate = |server: &Rc<Server>| view.candidate(server, server.record.slots);
+        let candidates: Vec<Candidate> = servers.iter().map(candidate).collect();
+        let demand = Demand::of(prompt, ENGINE_QUEUE_SHARE);
+        let chance = Chance {
+            drawn: self.rng.random(),
+            turn: self.turn,
+        };
+        self.turn += 1;
+        let choice = choose(self.rule, &demand, &candidates, chance).ok_or(NoServer::Full)?;
+        if choice.timeliness(left_ms) == Timeliness::TooLate {
+            return Err(NoServer::TooLate);
+        }
+        let server = servers[choice.place].clone();
+        let ahead = server.load().waiting_tokens;
+        server.running.set(server.running.get() + 1);
+        let waiting = server.waiting_tokens.get() + choice.tokens_to_read;
+        server.waiting_tokens.set(waiting);
+        server
+            .cache
+            .borrow_mut()
+            .note(prompt, self.memory_tokens, now_ms);
+        let reading_ms = server.speed.borrow().reading_ms(choice.tokens_to_read);
+        self.work.add(reading_ms, now_ms);
+        Ok(Sent {
+            server,
+            at_ms: now_ms,
+            predicted_ms: choice.first_ms,
+            tokens_ahead: ahead + choice.tokens_to_read,
+            waiting_tokens: choice.tokens_to_read,
+        })
+    }
+
+    /// How long a server is waited for without a token.
+    pub fn patience(
+        &mut self,
+        sent: &Sent,
+        trail: Trail,
+        target_ms: Millisecond,
+        left_ms: Millisecond,
+    ) -> Patience {
+        let waiting = Waiting {
+            trail,
+            repeat: self.repeats.look(&TERMS, self.nodes, sent.at_ms),
+            target_ms,
+            left_ms,
+            predicted_ms: sent.predicted_ms,
+        };
+        waiting.patience()
+    }
+
+    /// Counts the first send of a request.
+    pub fn requested(&mut self, now_ms: Millisecond) {
+        self.repeats.requested(&TERMS, now_ms);
+    }
+
+    /// Whether a request may be sent once more, and counts it if so.
+    pub fn draw_repeat(&mut self, now_ms: Millisecond) -> Draw {
+        self.repeats.draw(&TERMS, self.nodes, now_ms)
+    }
+
+    /// Takes note of a first token.
+    pub fn saw_first(&mut self, sent: &mut Sent, now_ms: Millisecond) {
+        let after_ms = now_ms - sent.at_ms;
+        let mut speed = sent.server.speed.borrow_mut();
+        speed.saw_first(sent.tokens_ahead, after_ms);
+        drop(speed);
+        sent.server.heard(now_ms);
+        read(sent);
+    }
+
+    /// Takes note that a server failed a request.
+    pub fn saw_failure(&mut self, sent: &Sent, now_ms: Millisecond) {
+        sent.server.failed(now_ms);
+    }
+
+    /// Takes note that a request has left its server.
+    pub fn ended(&mut self, sent: &mut Sent) {
+        read(sent);
+        let running = sent.server.running.get();
+        sent.server.running.set(running.saturating_sub(1));
+    }
+
+    /// Servers that its work keeps busy.
+    pub fn busy(&mut self, now_ms: Millisecond) -> f64 {
+        self.work.servers(now_ms)
+    }
+
+    /// Servers whose places the requests of all nodes fill, as far as it knows.
+    pub fn batches(&self) -> f64 {
+        let servers = self.servers.values();
+        let part = |s: &Rc<Server>| f64::from(s.load().running) / f64::from(s.record.slots);
+        servers.map(part).sum()
+    }
+
+    /// Its own requests at each server.
+    pub fn loads(&self) -> impl Iterator<Item = (&Name, Load)> {
+        let servers = self.servers.iter();
+        servers.map(|(id, server)| {
+            let load = Load {
+                running: server.running.get(),
+                waiting_tokens: server.waiting_tokens.get(),
+            };
+            (id, load)
+        })
+    }
+
+    /// Takes in what all nodes have at each server.
+    pub fn hear(&mut self, all: &Map<Name, Load>) {
+        for (id, server) in &self.servers {
+            let sum = all.get(id).copied().unwrap_or_default();
+            let others = Load {
+                running: sum.running.saturating_sub(server.running.get()),
+                waiting_tokens: sum
+                    .waiting_tokens
+                    .saturating_sub(server.waiting_tokens.get()),
+            };
+            server.others.set(others);
+        }
+    }
+
+    /// Servers that did not fail the request before; those that did if there are no others.
+    fn usable(&self, avoid: &[Name]) -> Vec<Rc<Server>> {
+        let mut all: Vec<Rc<Server>> = self.servers.values().cloned().collect();
+        all.sort_by(|a, b| a.record.id.cmp(&b.record.id));
+        let fresh: Vec<Rc<Server>> = all
+            .iter()
+            .filter(|s| !avoid.contains(&s.record.id))
+            .cloned()
+            .collect();
+        match fresh.is_empty() {
+            true => all,
+            false => fresh,
+        }
+    }
+}
+
+fn read(sent: &mut Sent) {
+    let waiting = sent.server.waiting_tokens.get();
+    let left = waiting.saturating_sub(sent.waiting_tokens);
+    sent.server.waiting_tokens.set(left);
+    sent.waiting_tokens = 0;
+}
--- /dev/null
+++ b/crates/emulator/src/requests.rs
@@ -0,0 +1,320 @@
+//! One request on its way: sent, sent once more, refused, asked again, ended.
+
+use base::Name;
+use base::outcome::RunState;
+use base::units::{Millisecond, TokenCount};
+use gateway::belief::RouteKind;
+use gateway::decide::outcome::{COME_BACK_MS, Cause, Next, Trail};
+use gateway::decide::patience::{NoServer, Patience, place_wait_ms};
+use gateway::decide::prompt::Prompt;
+use gateway::decide::repeats::Draw;
+use rand::Rng;
+
+use crate::engine::{Admission, RequestId, Task};
+use crate::experiment::Kind;
+use crate::figures::Ending;
+use crate::node::Sent;
+use crate::schedule::MS;
+use crate::supply::{HostId, State};
+use crate::world::{Event, World};
+
+/// Part of the time that is left for which a refused caller stays away at most, by the pages.
+const AWAY_SHARE: u64 = 3;
+
+/// A request that waits for a server looks again after so long; the daemon is told of each place.
+const LOOK_MS: Millisecond = 5;
+
+/// One request.
+pub struct Request {
+    /// Its kind.
+    pub kind: usize,
+    /// The node that its caller asked.
+    pub node: usize,
+    /// Whether its answer is counted.
+    pub counted: Counted,
+    asked_ms: Millisecond,
+    prompt: Prompt,
+    given: TokenCount,
+    trail: Trail,
+    avoid: Vec<Name>,
+    attempt: u32,
+    at: Option<Place>,
+    waits_since_ms: Option<Millisecond>,
+    first_ms: Option<Millisecond>,
+    retries: u32,
+    state: Life,
+}
+
+/// Whether a request counts: those at the start of a play only warm it up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Counted {
+    /// It does.
+    Yes,
+    /// It does not.
+    No,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Life {
+    Open,
+    Ended,
+}
+
+/// Where a request runs.
+struct Place {
+    sent: Sent,
+    host: HostId,
+    token: Token,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Token {
+    None,
+    Some,
+}
+
+impl Request {
+    /// A request that is asked for the first time.
+    pub fn new(kind: usize, of: &Kind, node: usize, prompt: Prompt, asked_ms: Millisecond) -> Self {
+        Self {
+            kind,
+            node,
+            counted: Counted::Yes,
+            asked_ms,
+            prompt,
+            given: 0,
+            trail: trail(of),
+            avoid: Vec::new(),
+            attempt: 0,
+            at: None,
+            waits_since_ms: None,
+            first_ms: None,
+            retries: of.retries,
+            state: Life::Open,
+        }
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&self) -> bool {
+        self.state == Life::Ended
+    }
+}
+
+fn trail(kind: &Kind) -> Trail {
+    let route = match kind.runs {
+        0 | 1 => RouteKind::Stream,
+        _ => RouteKind::ResumableStream,
+    };
+    Trail::new(route, kind.runs)
+}
+
+impl World<'_> {
+    /// A caller asks, for the first time or again.
+    pub fn ask(&mut self, id: RequestId) {
+        let now_ms = self.now_ms();
+        let node = self.requests[id].node;
+        self.nodes[node].requested(now_ms);
+        self.send(id);
+    }
+
+    /// Sends a request to a server; refused ones go to another.
+    fn send(&mut self, id: RequestId) {
+        while self.requests[id].state == Life::Open {
+            let (now_ms, left_ms) = (self.now_ms(), self.left_ms(id));
+            let request = &self.requests[id];
+            let node = &mut self.nodes[request.node];
+            let sent = match node.send(&request.prompt, &request.avoid, left_ms, now_ms) {
+                Ok(sent) => sent,
+                Err(lacking) => return self.wait(id, lacking),
+            };
+            match self.offer(id, &sent) {
+                Ok(host) => return self.runs_at(id, sent, host),
+                Err(cause) => self.fail(id, sent, cause),
+            }
+        }
+    }
+
+    /// Waits for a server, or refuses the request when it has waited for long enough.
+    fn wait(&mut self, id: RequestId, lacking: NoServer) {
+        let (now_ms, left_ms) = (self.now_ms(), self.left_ms(id));
+        let target_ms = self.kind(id).target_ms;
+        let request = &mut self.requests[id];
+        let since_ms = *request.waits_since_ms.get_or_insert(now_ms);
+        let waited_ms = now_ms - since_ms;
+        let run_state = request.trail.run_state;
+        let wait_ms = place_wait_ms(lacking, run_state, target_ms, left_ms + waited_ms);
+        if waited_ms >= wait_ms {
+            return self.refuse(id);
+        }
+        self.schedule.add(LOOK_MS * MS, Event::Look { id });
+    }
+
+    /// Looks once more for a server.
+    pub fn look(&mut self, id: RequestId) {
+        if self.requests[id].waits_since_ms.is_some() {
+            self.send(id);
+        }
+    }
+
+    fn offer(&mut self, id: RequestId, sent: &Sent) -> Result<HostId, Cause> {
+        let request = &self.requests[id];
+        let task = Task {
+            id,
+            prompt: request.prompt.clone(),
+            answer_tokens: request.prompt.output_tokens.saturating_sub(request.given),
+            priority: self.kind(id).priority,
+        };
+        let host = self.supply.find(&sent.server.record.id);
+        let host = host.ok_or(Cause::Unreachable)?;
+        let there = self.supply.host(host);
+        if !matches!(there.state, State::Up | State::Leaving) {
+            return Err(Cause::Unreachable);
+        }
+        match there.engine.take(task) {
+            Admission::Taken => Ok(host),
+            Admission::Full => Err(Cause::Refused),
+        }
+    }
+
+    fn runs_at(&mut self, id: RequestId, sent: Sent, host: HostId) {
+        let (target_ms, left_ms) = (self.kind(id).target_ms, self.left_ms(id));
+        let request = &mut self.requests[id];
+        let node = &mut self.nodes[request.node];
+        let patience = node.patience(&sent, request.trail, target_ms, left_ms);
+        request.attempt += 1;
+        request.waits_since_ms = None;
+        let attempt = request.attempt;
+        request.at = Some(Place {
+            sent,
+            host,
+            token: Token::None,
+        });
+        if let Patience::For(ms) = patience {
+            self.schedule.add(ms * MS, Event::Silence { id, attempt });
+        }
+        self.kick(host);
+    }
+
+    /// A server was silent for too long.
+    pub fn silence(&mut self, id: RequestId, attempt: u32) {
+        let request = &self.requests[id];
+        let waits = matches!(&request.at, Some(place) if place.token == Token::None);
+        if request.has_ended() || request.attempt != attempt || !waits {
+            return;
+        }
+        self.break_off(id, Cause::Silent);
+    }
+
+    /// A server lost a request to which it had given so many tokens.
+    pub fn lost(&mut self, id: RequestId, given: TokenCount) {
+        self.requests[id].given += given;
+        self.break_off(id, Cause::Broken);
+    }
+
+    fn break_off(&mut self, id: RequestId, cause: Cause) {
+        let Some(place) = self.leave(id) else {
+            return;
+        };
+        self.fail(id, place.sent, cause);
+        self.send(id);
+    }
+
+    /// Takes a request from its server.
+    fn leave(&mut self, id: RequestId) -> Option<Place> {
+        let place = self.requests[id].at.take()?;
+        self.supply.host(place.host).engine.cancel(id);
+        Some(place)
+    }
+
+    /// Takes in a failed attempt; ends the request if no other may follow.
+    fn fail(&mut self, id: RequestId, mut sent: Sent, cause: Cause) {
+        let (now_ms, left_ms) = (self.now_ms(), self.left_ms(id));
+        let request = &mut self.requests[id];
+        let node = &mut self.nodes[request.node];
+        node.ended(&mut sent);
+        if cause != Cause::Refused {
+            node.saw_failure(&sent, now_ms);
+        }
+        request.avoid.push(sent.server.record.id.clone());
+        let mut next = request.trail.after(cause, left_ms);
+        let repeats = next == Next::Again && request.trail.sends > 0;
+        if repeats && node.draw_repeat(now_ms) == Draw::Exhausted {
+            next = Next::GiveUp;
+        }
+        if next == Next::Again {
+            return;
+        }
+        match request.trail.run_state {
+            RunState::NotRun => self.refuse(id),
+            RunState::Unknown | RunState::Ran => self.end(id, Ending::Failed),
+        }
+    }
+
+    /// Tells a caller that its request was not run.
+    fn refuse(&mut self, id: RequestId) {
+        if self.requests[id].trail.run_state != RunState::NotRun {
+            return self.end(id, Ending::Failed);
+        }
+        let away_ms = self.rng.random_range(COME_BACK_MS.0..COME_BACK_MS.1);
+        let most_ms = self.left_ms(id) / AWAY_SHARE;
+        let fresh = trail(self.kind(id));
+        let request = &mut self.requests[id];
+        request.waits_since_ms = None;
+        if request.retries == 0 || away_ms > most_ms {
+            return self.end(id, Ending::Refused);
+        }
+        request.retries -= 1;
+        request.trail = fresh;
+        request.avoid.clear();
+        self.schedule.add(away_ms * MS, Event::Ask { id });
+    }
+
+    /// A request's first token at its server.
+    pub fn first(&mut self, id: RequestId) {
+        let now_ms = self.now_ms();
+        let request = &mut self.requests[id];
+        let Some(place) = &mut request.at else {
+            return;
+        };
+        place.token = Token::Some;
+        self.nodes[request.node].saw_first(&mut place.sent, now_ms);
+        let asked_ms = request.asked_ms;
+        request.first_ms.get_or_insert(now_ms - asked_ms);
+    }
+
+    /// A request's last token.
+    pub fn done(&mut self, id: RequestId) {
+        let first_ms = self.requests[id].first_ms.unwrap_or(0);
+        self.end(id, Ending::Answered(first_ms));
+    }
+
+    /// A caller's time is up.
+    pub fn overdue(&mut self, id: RequestId) {
+        self.end(id, Ending::Failed);
+    }
+
+    fn end(&mut self, id: RequestId, ending: Ending) {
+        if self.requests[id].has_ended() {
+            return;
+        }
+        if let Some(mut place) = self.leave(id) {
+            let node = self.requests[id].node;
+            self.nodes[node].ended(&mut place.sent);
+        }
+        let request = &mut self.requests[id];
+        request.state = Life::Ended;
+        if request.counted == Counted::Yes {
+            let kind = &self.experiment.kinds[request.kind];
+            self.figures.count(kind, ending);
+        }
+    }
+
+    fn kind(&self, id: RequestId) -> &Kind {
+        &self.experiment.kinds[self.requests[id].kind]
+    }
+
+    fn left_ms(&self, id: RequestId) -> Millisecond {
+        let until_ms = self.requests[id].asked_ms + self.kind(id).deadline_ms;
+        until_ms.saturating_sub(self.now_ms())
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/world.rs
@@ -0,0 +1,461 @@
+//! One play: callers, nodes, servers and troubles in virtual time.
+
+use base::units::Millisecond;
+use base::{Map, Name};
+use gateway::belief::directory::Scaling;
+use gateway::belief::registry::Load;
+use gateway::decide::rule::Rule;
+use gateway::decide::scale::{Need, Present, Scale};
+use outside::Purchase;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+
+use crate::callers;
+use crate::engine::{Progress, RequestId, Step};
+use crate::experiment::{Experiment, Trouble};
+use crate::figures::Figures;
+use crate::node::{Make, Node};
+use crate::requests::{Counted, Request};
+use crate::schedule::{MS, Microsecond, S, Schedule};
+use crate::supply::{Filled, HostId, Pace, State, Supply};
+
+/// Time between two looks at the number of servers, as in the daemon.
+const ORDERS_US: Microsecond = 500 * MS;
+
+/// Work that tells nothing yet, in servers, as in the daemon.
+const TELLING_WORK: f64 = 0.05;
+
+/// What happens.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A clump of callers of a kind may come.
+    Clump {
+        /// The kind.
+        kind: usize,
+    },
+    /// A caller asks.
+    Ask {
+        /// Its request.
+        id: RequestId,
+    },
+    /// A request that waits for a server looks again.
+    Look {
+        /// The request.
+        id: RequestId,
+    },
+    /// A caller's time is up.
+    Overdue {
+        /// Its request.
+        id: RequestId,
+    },
+    /// An attempt's time without a token is up.
+    Silence {
+        /// The request.
+        id: RequestId,
+        /// Number of the attempt.
+        attempt: u32,
+    },
+    /// An engine's step ends.
+    Stepped {
+        /// The server.
+        host: HostId,
+        /// Its life when the step began.
+        life: u64,
+        /// The step.
+        step: Step,
+    },
+    /// Nodes tell each other of their loads.
+    Hello,
+    /// The holder of the duty looks at the number of servers.
+    Orders,
+    /// A server that was ordered is there.
+    Started {
+        /// The order's number.
+        order: u64,
+    },
+    /// A trouble begins.
+    Trouble {
+        /// Its place in the experiment.
+        place: usize,
+    },
+    /// A server is taken away, whatever it has.
+    Taken {
+        /// The server.
+        host: HostId,
+    },
+    /// A crashed server is back.
+    Back {
+        /// The server.
+        host: HostId,
+    },
+}
+
+/// One play.
+pub struct World<'a> {
+    /// What is played.
+    pub experiment: &'a Experiment,
+    /// What comes.
+    pub schedule: Schedule<Event>,
+    /// Servers.
+    pub supply: Supply,
+    /// Nodes.
+    pub nodes: Vec<Node>,
+    /// Requests.
+    pub requests: Vec<Request>,
+    /// What callers got.
+    pub figures: Figures,
+    /// Chance.
+    pub rng: SmallRng,
+    scale: Scale,
+}
+
+/// Plays an experiment once.
+pub fn play(experiment: &Experiment, rule: Rule, seed: u64) -> Figures {
+    let mut world = World::new(experiment, rule, seed);
+    let length_us = world.length_us();
+    world.run(length_us);
+    world.figures.servers = world.supply.cost(length_us);
+    let longest = experiment.kinds.iter().map(|k| k.deadline_ms).max();
+    world.run(length_us + longest.unwrap_or(0) * MS);
+    let (read, shared) = world.supply.tokens_read();
+    world.figures.read_tokens = read;
+    world.figures.shared_read_tokens = shared;
+    world.figures
+}
+
+impl<'a> World<'a> {
+    fn new(experiment: &'a Experiment, rule: Rule, seed: u64) -> Self {
+        let domains = &experiment.fleet.domains;
+        let make = Make {
+            rule,
+            memory_tokens: experiment.engine.memory_tokens,
+            nodes: domains.iter().map(|d| d.nodes).sum(),
+        };
+        let mut nodes = Vec::new();
+        for domain in domains {
+            for _ in 0..domain.nodes {
+                let number = nodes.len() as u64;
+                nodes.push(Node::new(domain.name.clone(), make, seed ^ (number << 32)));
+            }
+        }
+        let mut world = Self {
+            experiment,
+            schedule: Schedule::default(),
+            supply: Supply::default(),
+            nodes,
+            requests: Vec::new(),
+            figures: Figures::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            scale: Scale::default(),
+        };
+        world.begin();
+        world
+    }
+
+    fn begin(&mut self) {
+        for domain in &self.experiment.fleet.domains {
+            let kinds = [
+                (domain.on_demand, Purchase::OnDemand),
+                (domain.reclaimable, Purchase::Reclaimable),
+            ];
+            for (count, purchase) in kinds {
+                for _ in 0..count {
+                    self.start(&domain.name, purchase);
+                }
+            }
+        }
+        for kind in 0..self.experiment.kinds.len() {
+            self.schedule.add(0, Event::Clump { kind });
+        }
+        for (place, trouble) in self.experiment.troubles.iter().enumerate() {
+            let at_s = match trouble {
+                Trouble::Reclaim { at_s, .. } | Trouble::Crash { at_s, .. } => *at_s,
+                // Part of the traffic.
+                Trouble::Burst { .. } => continue,
+            };
+            self.schedule.add(seconds(at_s), Event::Trouble { place });
+        }
+        self.schedule.add(0, Event::Hello);
+        if self.experiment.scaling.is_some() {
+            self.schedule.add(ORDERS_US, Event::Orders);
+        }
+    }
+
+    /// Now, in milliseconds.
+    pub fn now_ms(&self) -> Millisecond {
+        self.schedule.now_us() / MS
+    }
+
+    fn length_us(&self) -> Microsecond {
+        seconds(self.experiment.length_s)
+    }
+
+    fn run(&mut self, until_us: Microsecond) {
+        while let Some(event) = self.schedule.take_next(until_us) {
+            self.happen(event);
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Clump { kind } => self.clump(kind),
+            Event::Ask { id } => self.ask(id),
+            Event::Look { id } => self.look(id),
+            Event::Overdue { id } => self.overdue(id),
+            Event::Silence { id, attempt } => self.silence(id, attempt),
+            Event::Stepped { host, life, step } => self.stepped(host, life, &step),
+            Event::Hello => self.hello(),
+            Event::Orders => self.orders(),
+            Event::Started { order } => self.started(order),
+            Event::Trouble { place } => self.trouble(place),
+            Event::Taken { host } => self.taken(host),
+            Event::Back { host } => self.back(host),
+        }
+    }
+
+    fn clump(&mut self, kind: usize) {
+        let now_us = self.schedule.now_us();
+        if now_us >= self.length_us() {
+            return;
+        }
+        let of = &self.experiment.kinds[kind];
+        let clump = self.experiment.traffic.clump;
+        let most = callers::most_crowd(self.experiment);
+        let next_us = callers::next_clump_us(of, most, clump, &mut self.rng);
+        self.schedule.add(next_us, Event::Clump { kind });
+        let likely = callers::crowd(self.experiment, now_us) / most;
+        if !self.rng.random_bool(likely.clamp(0.0, 1.0)) {
+            return;
+        }
+        for _ in 0..callers::clump_size(clump, &mut self.rng) {
+            let prompt = callers::prompt(of, kind, &mut self.rng);
+            let node = self.rng.random_range(0..self.nodes.len());
+            let mut request = Request::new(kind, of, node, prompt, self.now_ms());
+            if now_us < seconds(self.experiment.warm_up_s) {
+                request.counted = Counted::No;
+            }
+            self.requests.push(request);
+            let id = self.requests.len() - 1;
+            self.schedule
+                .add(of.deadline_ms * MS, Event::Overdue { id });
+            self.ask(id);
+        }
+    }
+
+    /// Lets an engine go on if it has work.
+    pub fn kick(&mut self, host: HostId) {
+        let now_us = self.schedule.now_us();
+        let there = self.supply.host(host);
+        if there.pace == Pace::Stepping || !matches!(there.state, State::Up | State::Leaving) {
+            return;
+        }
+        let Some(step) = there.engine.begin_step(now_us) else {
+            if there.state == State::Leaving {
+                self.supply.remove(host, now_us);
+            }
+            return;
+        };
+        there.pace = Pace::Stepping;
+        let life = there.life;
+        let after_us = step.took_us;
+        self.schedule
+            .add(after_us, Event::Stepped { host, life, step });
+    }
+
+    fn stepped(&mut self, host: HostId, life: u64, step: &Step) {
+        let there = self.supply.host(host);
+        if there.life != life || there.state == State::Gone {
+            return;
+        }
+        there.pace = Pace::Idle;
+        for progress in there.engine.end_step(step) {
+            match progress {
+                Progress::First(id) => self.first(id),
+                Progress::Done(id) => self.done(id),
+            }
+        }
+        self.kick(host);
+    }
+
+    fn hello(&mut self) {
+        let mut all: Map<Name, Load> = Map::default();
+        for node in &self.nodes {
+            for (id, load) in node.loads() {
+                let sum = all.entry(id.clone()).or_default();
+                sum.running += load.running;
+                sum.waiting_tokens += load.waiting_tokens;
+            }
+        }
+        for node in &mut self.nodes {
+            node.hear(&all);
+        }
+        let period_us = (self.experiment.fleet.hello_ms * MS as f64) as Microsecond;
+        self.schedule.add(period_us.max(MS), Event::Hello);
+    }
+
+    fn orders(&mut self) {
+        self.schedule.add(ORDERS_US, Event::Orders);
+        let (Some(scaling), now_ms) = (self.scaling(), self.now_ms()) else {
+            return;
+        };
+        let busy: f64 = self.nodes.iter_mut().map(|n| n.busy(now_ms)).sum();
+        let busy = busy.max(self.nodes[0].batches());
+        if busy > TELLING_WORK {
+            self.scale.observe(Need::Busy(busy), now_ms);
+        }
+        let present = self.present();
+        for order in self.scale.plan(&scaling, &present, now_ms) {
+            let now_us = self.schedule.now_us();
+            let domain = &order.failure_domain;
+            match self
+                .supply
+                .order(domain, order.purchase, order.wanted, now_us)
+            {
+                Filled::Refused => self.scale.refused(&order, now_ms),
+                Filled::Taken { starting, ending } => {
+                    for order in starting {
+                        let after_us = scaling.boot_ms * MS;
+                        self.schedule.add(after_us, Event::Started { order });
+                    }
+                    for host in ending {
+                        self.leave_alone(host);
+                    }
+                }
+            }
+        }
+    }
+
+    fn scaling(&self) -> Option<Scaling> {
+        let sheet = self.experiment.scaling.as_ref()?;
+        let domains = self.experiment.fleet.domains.iter();
+        Some(Scaling {
+            min: sheet.min,
+            max: sheet.max,
+            boot_ms: seconds(sheet.boot_s) / MS,
+            reclaimable_price: sheet.reclaimable_price,
+            domain_prices: domains.map(|d| (d.name.clone(), d.price)).collect(),
+        })
+    }
+
+    fn present(&self) -> Map<Name, Present> {
+        let mut present: Map<Name, Present> = Map::default();
+        for (_, host) in self.supply.in_state(State::Up) {
+            let here = present.entry(host.failure_domain.clone()).or_default();
+            match host.purchase {
+                Purchase::Reclaimable => here.reclaimable += 1,
+                Purchase::OnDemand => here.on_demand += 1,
+            }
+        }
+        present
+    }
+
+    fn start(&mut self, domain: &Name, purchase: Purchase) {
+        let now_us = self.schedule.now_us();
+        let host = self.supply.add(self.experiment, domain, purchase, now_us);
+        self.announce(host);
+    }
+
+    fn started(&mut self, order: u64) {
+        if let Some((domain, purchase)) = self.supply.started(order) {
+            self.start(&domain, purchase);
+        }
+    }
+
+    /// Nodes learn of a server's life.
+    fn announce(&mut self, host: HostId) {
+        let there = self.supply.host(host);
+        let (id, domain, life) = (there.id.clone(), there.failure_domain.clone(), there.life);
+        let slots = self.experiment.engine.slots;
+        for node in &mut self.nodes {
+            node.learn(&id, &domain, slots, life);
+        }
+    }
+
+    /// A server gets nothing new, and goes when it has nothing left.
+    fn leave_alone(&mut self, host: HostId) {
+        let there = self.supply.host(host);
+        there.state = State::Leaving;
+        let id = there.id.clone();
+        for node in &mut self.nodes {
+            node.forget(&id);
+        }
+        self.kick(host);
+    }
+
+    fn trouble(&mut self, place: usize) {
+        let experiment = self.experiment;
+        match &experiment.troubles[place] {
+            Trouble::Reclaim {
+                domain,
+                notice_s,
+                dry_s,
+                ..
+            } => self.reclaim(domain, *notice_s, *dry_s),
+            Trouble::Crash { share, for_s, .. } => self.crash(*share, *for_s),
+            Trouble::Burst { .. } => {}
+        }
+    }
+
+    fn reclaim(&mut self, domain: &Name, notice_s: f64, dry_s: f64) {
+        let until_us = self.schedule.now_us() + seconds(dry_s);
+        self.supply.dry(until_us);
+        let reclaimed: Vec<HostId> = self
+            .supply
+            .in_state(State::Up)
+            .filter(|(_, h)| h.failure_domain == *domain && h.purchase == Purchase::Reclaimable)
+            .map(|(id, _)| id)
+            .collect();
+        for host in reclaimed {
+            self.leave_alone(host);
+            self.schedule.add(seconds(notice_s), Event::Taken { host });
+        }
+    }
+
+    fn crash(&mut self, share: f64, for_s: f64) {
+        let up = self.supply.in_state(State::Up).map(|(id, _)| id);
+        let mut up: Vec<HostId> = up.collect();
+        up.shuffle(&mut self.rng);
+        up.truncate((up.len() as f64 * share).round() as usize);
+        // All at once: no request goes from one to another of them.
+        for host in &up {
+            self.supply.host(*host).state = State::Down;
+        }
+        for host in up {
+            self.lose(host);
+            self.schedule.add(seconds(for_s), Event::Back { host });
+        }
+    }
+
+    fn taken(&mut self, host: HostId) {
+        if self.supply.host(host).state == State::Gone {
+            return;
+        }
+        let now_us = self.schedule.now_us();
+        self.supply.remove(host, now_us);
+        self.lose(host);
+    }
+
+    fn back(&mut self, host: HostId) {
+        let there = self.supply.host(host);
+        if there.state != State::Down {
+            return;
+        }
+        there.state = State::Up;
+        self.announce(host);
+    }
+
+    /// An engine ends amid its work.
+    fn lose(&mut self, host: HostId) {
+        let there = self.supply.host(host);
+        there.life += 1;
+        there.pace = Pace::Idle;
+        for (id, given) in there.engine.end() {
+            self.lost(id, given);
+        }
+    }
+}
+
+fn seconds(s: f64) -> Microsecond {
+    (s * S as f64) as Microsecond
+}
