--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -55,7 +55,7 @@
 #[derive(Debug)]
 pub struct Engine {
     sheet: EngineSheet,
-    speed: f64,
+    step_part: f64,
     waiting: VecDeque<Task>,
     running: Vec<Running>,
     kept: Cache,
@@ -66,11 +66,11 @@
 }
 
 impl Engine {
-    /// An idle engine that keeps nothing; `speed` is a part of the usual one.
-    pub fn new(sheet: &EngineSheet, speed: f64) -> Self {
+    /// An idle engine that keeps nothing; its steps take `step_part` of the usual time.
+    pub fn new(sheet: &EngineSheet, step_part: f64) -> Self {
         Self {
             sheet: sheet.clone(),
-            speed,
+            step_part,
             waiting: VecDeque::new(),
             running: Vec::new(),
             kept: Cache::default(),
@@ -133,7 +133,7 @@
         let read: TokenCount = reads.iter().map(|(_, tokens)| tokens).sum();
         let reading_ms = read as f64 / self.sheet.read_tokens_per_ms;
         let giving_ms = self.sheet.step_ms_per_slot * gives;
-        let took_ms = (self.sheet.step_ms + giving_ms + reading_ms) / self.speed;
+        let took_ms = (self.sheet.step_ms + giving_ms + reading_ms) * self.step_part;
         Some(Step {
             took_us: (took_ms * MS as f64) as Microsecond,
             reads,
--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -87,8 +87,8 @@
     pub chunk_tokens: u64,
     /// Memory for prompts.
     pub memory_tokens: u64,
-    /// Speeds of the servers, in turn, as parts of the usual one.
-    pub speeds: Vec<f64>,
+    /// Time that the servers, in turn, take for a step, as a part of the usual one.
+    pub step_parts: Vec<f64>,
 }
 
 /// What may be ordered.
@@ -275,7 +275,7 @@
             ("engine.step_ms", self.engine.step_ms),
             ("engine.read_tokens_per_ms", self.engine.read_tokens_per_ms),
             ("engine.chunk_tokens", self.engine.chunk_tokens as f64),
-            ("engine.speeds", self.engine.speeds.len() as f64),
+            ("engine.step_parts", self.engine.step_parts.len() as f64),
             ("traffic.period_s", self.traffic.period_s),
             ("traffic.clump", self.traffic.clump),
         ];
--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -25,11 +25,16 @@
     slack: 52.0,
 };
 
+/// Requests at each server.
+pub type Loads = Map<Name, Load>;
+
 /// One node.
 pub struct Node {
     /// Where it stands.
     pub failure_domain: Name,
     servers: Map<Name, Rc<Server>>,
+    /// What each other node told last.
+    told: Map<usize, Loads>,
     repeats: Repeats,
     work: Work,
     rule: Rule,
@@ -67,6 +72,7 @@
         Self {
             failure_domain,
             servers: Map::default(),
+            told: Map::default(),
             repeats: Repeats::default(),
             work: Work::default(),
             rule: make.rule,
@@ -214,28 +220,28 @@
         servers.map(part).sum()
     }
 
-    /// Its own requests at each server.
-    pub fn loads(&self) -> impl Iterator<Item = (&Name, Load)> {
-        let servers = self.servers.iter();
-        servers.map(|(id, server)| {
+    /// Its own requests at each server that has any.
+    pub fn loads(&self) -> Loads {
+        let busy = self.servers.iter().filter(|(_, s)| s.running.get() > 0);
+        let loads = busy.map(|(id, server)| {
             let load = Load {
                 running: server.running.get(),
                 waiting_tokens: server.waiting_tokens.get(),
             };
-            (id, load)
-        })
+            (id.clone(), load)
+        });
+        loads.collect()
     }
 
-    /// Takes in what all nodes have at each server.
-    pub fn hear(&mut self, all: &Map<Name, Load>) {
+    /// Takes in what another node has at each server.
+    pub fn hear(&mut self, node: usize, told: &Loads) {
+        self.told.insert(node, told.clone());
         for (id, server) in &self.servers {
-            let sum = all.get(id).copied().unwrap_or_default();
-            let others = Load {
-                running: sum.running.saturating_sub(server.running.get()),
-                waiting_tokens: sum
-                    .waiting_tokens
-                    .saturating_sub(server.waiting_tokens.get()),
-            };
+            let mut others = Load::default();
+            for load in self.told.values().filter_map(|told| told.get(id)) {
+                others.running += load.running;
+                others.waiting_tokens += load.waiting_tokens;
+            }
             server.others.set(others);
         }
     }
--- a/crates/emulator/src/supply.rs
+++ b/crates/emulator/src/supply.rs
@@ -105,12 +105,12 @@
         now_us: Microsecond,
     ) -> HostId {
         let number = self.hosts.len();
-        let speeds = &experiment.engine.speeds;
+        let parts = &experiment.engine.step_parts;
         self.hosts.push(Host {
             id: format!("s{number}").into(),
             failure_domain: failure_domain.clone(),
             purchase,
-            engine: Engine::new(&experiment.engine, speeds[number % speeds.len()]),
+            engine: Engine::new(&experiment.engine, parts[number % parts.len()]),
             state: State::Up,
             pace: Pace::Idle,
             life: 0,
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -3,7 +3,6 @@
 use base::units::Millisecond;
 use base::{Map, Name};
 use gateway::belief::directory::Scaling;
-use gateway::belief::registry::Load;
 use gateway::decide::rule::Rule;
 use gateway::decide::scale::{Need, Present, Scale};
 use outside::Purchase;
@@ -65,8 +64,11 @@
         /// The step.
         step: Step,
     },
-    /// Nodes tell each other of their loads.
-    Hello,
+    /// A node tells the others of its loads.
+    Hello {
+        /// The node.
+        node: usize,
+    },
     /// The holder of the duty looks at the number of servers.
     Orders,
     /// A server that was ordered is there.
@@ -176,7 +178,12 @@
             };
             self.schedule.add(seconds(at_s), Event::Trouble { place });
         }
-        self.schedule.add(0, Event::Hello);
+        let period_us = self.hello_us();
+        for node in 0..self.nodes.len() {
+            // Nodes speak one after the other, not all at once.
+            let after_us = period_us * node as u64 / self.nodes.len() as u64;
+            self.schedule.add(after_us, Event::Hello { node });
+        }
         if self.experiment.scaling.is_some() {
             self.schedule.add(ORDERS_US, Event::Orders);
         }
@@ -205,7 +212,7 @@
             Event::Overdue { id } => self.overdue(id),
             Event::Silence { id, attempt } => self.silence(id, attempt),
             Event::Stepped { host, life, step } => self.stepped(host, life, &step),
-            Event::Hello => self.hello(),
+            Event::Hello { node } => self.hello(node),
             Event::Orders => self.orders(),
             Event::Started { order } => self.started(order),
             Event::Trouble { place } => self.trouble(place),
@@ -278,20 +285,19 @@
         self.kick(host);
     }
 
-    fn hello(&mut self) {
-        let mut all: Map<Name, Load> = Map::default();
-        for node in &self.nodes {
-            for (id, load) in node.loads() {
-                let sum = all.entry(id.clone()).or_default();
-                sum.running += load.running;
-                sum.waiting_tokens += load.waiting_tokens;
+    fn hello(&mut self, node: usize) {
+        let told = self.nodes[node].loads();
+        for (other, hearer) in self.nodes.iter_mut().enumerate() {
+            if other != node {
+                hearer.hear(node, &told);
             }
         }
-        for node in &mut self.nodes {
-            node.hear(&all);
-        }
+        self.schedule.add(self.hello_us(), Event::Hello { node });
+    }
+
+    fn hello_us(&self) -> Microsecond {
         let period_us = (self.experiment.fleet.hello_ms * MS as f64) as Microsecond;
-        self.schedule.add(period_us.max(MS), Event::Hello);
+        period_us.max(MS)
     }
 
     fn orders(&mut self) {
--- a/crates/emulator/tests/engines.rs
+++ b/crates/emulator/tests/engines.rs
@@ -14,7 +14,7 @@
         read_tokens_per_ms: 100.0,
         chunk_tokens: 1_000,
         memory_tokens: 100_000,
-        speeds: vec![1.0],
+        step_parts: vec![1.0],
     }
 }
 
@@ -58,7 +58,7 @@
 
 #[test]
 fn a_faster_engine_takes_a_part_of_the_time() {
-    let mut engine = Engine::new(&sheet(), 2.0);
+    let mut engine = Engine::new(&sheet(), 0.5);
     engine.take(task(0, 7, 500, 1));
     assert_eq!(work(&mut engine)[0].0, 27_500);
 }
--- a/crates/emulator/tests/lab.rs
+++ b/crates/emulator/tests/lab.rs
@@ -19,7 +19,7 @@
 read_tokens_per_ms = 110.0
 chunk_tokens = 1024
 memory_tokens = 200000
-speeds = [1.0]
+step_parts = [1.0]
 [traffic]
 clump = 1.0
 [[kinds]]
--- a/crates/emulator/tests/plays.rs
+++ b/crates/emulator/tests/plays.rs
@@ -28,7 +28,7 @@
 read_tokens_per_ms = 110.0
 chunk_tokens = 1024
 memory_tokens = 200000
-speeds = [0.7, 1.3]
+step_parts = [0.7, 1.3]
 [traffic]
 clump = 2.0
 [[kinds]]
