Fuzz targets for what reads bytes from outside, with a committed corpus

Cause: codecs had tables and proptest only. Change: crates/fuzz holds six readers (heads of requests and responses, chunks, event streams, config, registry) with what must hold for any bytes: no panic, the same at once and in pieces, what is passed on reads as what came, no head with both a length and a coding. The tests replay the corpus and 30,000 changes of it for each target with a fixed seed; apricotledge-fuzz goes on from there and keeps what it finds. No coverage guides it.

Found at once: an event with the identifier 2^64 - 1 overflowed in the check that the next one follows (a panic in a debug build, a wrong verdict in a release build). Mended; the input is in the corpus.

--- /dev/null
+++ b/crates/fuzz/src/lib.rs
@@ -0,0 +1,4 @@
+//! What reads bytes from outside, with what must hold for any of them, and changes of known inputs.
+
+pub mod mutate;
+pub mod target;
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -82,7 +82,7 @@
             id.parse::<u64>(),
         );
         if let (Some(Ok(last)), Ok(next)) = numbers
-            && next != last + 1
+            && last.checked_add(1) != Some(next)
         {
             return Err(OrderError);
         }
