Usage: clocks held against old datagrams, streams from their first token, no duties for nodes that end

A node that stood still for seven seconds reads datagrams that had waited, takes all clocks for seven seconds slow, and counts what it serves then in an earlier window. 2. Nodes after SIGTERM took the lease (at 18.0 s, stopped at 18.2 s) and kept it from the others for its term.

Change: an estimate of another's clock is taken against the process's own clock, and the greatest of 30 s holds, as waiting only makes it smaller; our own clock's jumps show at once. A stream counts with its first token, another request with its sending. A node that ends gives the lease back.

--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -22,8 +22,8 @@
 /// Requests that may wait at a plain server beyond its slots, as a part of them: they are short.
 const PLAIN_QUEUE_SHARE: f64 = 1.0;
 
-/// A request at a server, from the choice to the end of its answer. Unless the server is known not
-/// to have run it, the request counts as begun when the attempt ends.
+/// A request at a server, from the choice to the end of its answer. Whether the request counts as
+/// begun is known at the first byte, or when the attempt ends without one.
 pub struct Attempt<'a> {
     /// The server.
     pub server: Rc<Server>,
@@ -36,13 +36,13 @@
     /// Prompt tokens that the server must read for this request.
     pub tokens_to_read: TokenCount,
     waiting_tokens: TokenCount,
-    run_state: Cell<RunState>,
+    ended: Cell<Ended>,
     job: &'a Job<'a>,
 }
 
 impl<'a> Attempt<'a> {
     /// Chooses a server for `job` and counts the request there; `avoid` names servers that failed
-    /// it before.
+    /// it before, and `run_state` tells what is known of them.
     ///
     /// # Errors
     ///
@@ -106,19 +106,19 @@
             tokens_ahead: ahead + choice.tokens_to_read,
             tokens_to_read: choice.tokens_to_read,
             waiting_tokens: choice.tokens_to_read,
-            run_state: Cell::new(RunState::Unknown),
+            ended: Cell::new(Ended::LeftOrOverdue),
             job,
         }
     }
 
     /// Takes note of how it failed.
     pub fn failed(&self, cause: Cause) {
-        self.run_state.set(cause.run_state());
+        self.ended.set(Ended::Failed(cause.run_state()));
     }
 
     /// Takes note of the first event, or of the answer.
     pub fn first_byte(&mut self) {
-        self.job.begin(self.started_ms);
+        self.begun();
         let after_ms = self.job.node.now_ms() - self.started_ms;
         let mut speed = self.server.speed.borrow_mut();
         speed.saw_first(self.tokens_ahead, after_ms);
@@ -126,6 +126,14 @@
         self.prompt_read();
     }
 
+    /// Counts the request as begun: a stream with its first token, another one with its sending.
+    fn begun(&self) {
+        match self.job.route.kind.streams() {
+            true => self.job.begin(self.job.node.now_ms()),
+            false => self.job.begin(self.started_ms),
+        }
+    }
+
     fn prompt_read(&mut self) {
         let waiting = self.server.waiting_tokens.get();
         self.server
@@ -135,10 +143,24 @@
     }
 }
 
+/// How an attempt ended that gave no first byte.
+#[derive(Clone, Copy)]
+enum Ended {
+    /// The caller left, or its time was up.
+    LeftOrOverdue,
+    /// The server or the way to it failed; what is known of the run.
+    Failed(RunState),
+}
+
 impl Drop for Attempt<'_> {
     fn drop(&mut self) {
-        if self.run_state.get() != RunState::NotRun {
-            self.job.begin(self.started_ms);
+        let streams = self.job.route.kind.streams();
+        match self.ended.get() {
+            Ended::Failed(RunState::NotRun) => {}
+            Ended::Failed(RunState::Unknown | RunState::Ran) => self.begun(),
+            // A stream begins with its first token, which has not come.
+            Ended::LeftOrOverdue if streams => {}
+            Ended::LeftOrOverdue => self.begun(),
         }
         self.prompt_read();
         let running = self.server.running.get();
--- a/crates/gateway/src/duty/keeper.rs
+++ b/crates/gateway/src/duty/keeper.rs
@@ -12,7 +12,7 @@
 
 use super::scaling::Scaler;
 use crate::log;
-use crate::node::Node;
+use crate::node::{Node, Phase};
 use crate::peer::pull;
 use crate::peer::role::Role;
 use crate::settings::ms;
@@ -31,7 +31,7 @@
 
 /// Part of the time in which a report is due after which a window is summed up: late answers have
 /// then come and all nodes have told their counts, and a next holder still has time to report.
-const SETTLE_SHARE: f64 = 0.33;
+const SETTLE_SHARE: f64 = 0.2;
 
 /// Part of the lease's term that clocks and delays may take.
 const MARGIN_SHARE: u64 = 6;
@@ -44,7 +44,7 @@
     outcome: String,
 }
 
-/// Takes part in the duties for as long as the process lives, while it follows the store.
+/// Takes part in the duties until the process ends, while it follows the store.
 pub async fn keep(node: Rc<Node>, table: Arc<dyn Table>, duties: Arc<dyn Duties>) {
     tokio::time::sleep(HEARING).await;
     let term_ms = node.settings.bounds.lease_ms;
@@ -54,7 +54,7 @@
     };
     let name = &node.settings.node.name;
     loop {
-        if node.role() == Role::Listens {
+        if !takes_part(&node) {
             tokio::time::sleep(ROUND).await;
             continue;
         }
@@ -71,6 +71,11 @@
     }
 }
 
+/// Whether a node may hold the duties: one that ends would be gone before it acts.
+fn takes_part(node: &Node) -> bool {
+    node.role() == Role::Follows && node.phase.get() == Phase::Serving
+}
+
 struct Keeper {
     node: Rc<Node>,
     table: Arc<dyn Table>,
@@ -80,11 +85,11 @@
 }
 
 impl Keeper {
-    /// Keeps the duties until the node listens only.
+    /// Keeps the duties for as long as the node takes part in them.
     async fn run(self) {
         let mut reported: Set<u64> = Set::default();
         let mut held = Held::No;
-        while self.node.role() == Role::Follows {
+        while takes_part(&self.node) {
             tokio::time::sleep(ROUND).await;
             self.scaler.observe();
             if self.permit().is_none() {
@@ -111,7 +116,7 @@
 
     /// The oldest window whose report is due.
     fn due(&self, reported: &Set<u64>) -> Option<u64> {
-        let offset_ms = self.node.peers.borrow().clock_offset_ms();
+        let offset_ms = self.node.clock_offset_ms();
         let usage = self.node.usage.borrow();
         let now = usage.window(offset_ms);
         let recent = now.saturating_sub(self.windows_back())..now;
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -117,7 +117,7 @@
         }
         if let Some(workspace) = &self.workspace {
             let since_ms = self.node.now_ms().saturating_sub(sent_ms) as i64;
-            let offset_ms = self.node.peers.borrow().clock_offset_ms();
+            let offset_ms = self.node.clock_offset_ms();
             let mut usage = self.node.usage.borrow_mut();
             usage.count(&workspace.name, offset_ms - since_ms);
         }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,7 +13,7 @@
 
 use crate::belief::directory::Allowance;
 use crate::belief::{Directory, Registry, Workspace};
-use crate::clock::Clock;
+use crate::clock::{Clock, unix_ms};
 use crate::decide::allowance::{Beginning, Bucket, Past, Verdict};
 use crate::decide::repeats::{Draw, Repeats, Terms};
 use crate::decide::rule::Chance;
@@ -135,6 +135,12 @@
         life_key(&self.settings.node.name, self.boot)
     }
 
+    /// What to add to the calendar clock for the median of all nodes' clocks.
+    pub fn clock_offset_ms(&self) -> i64 {
+        let own_epoch_ms = unix_ms() as i64 - self.now_ms() as i64;
+        self.peers.borrow().clock_offset_ms(own_epoch_ms)
+    }
+
     /// The directory in force.
     pub fn directory(&self) -> Option<Rc<Directory>> {
         self.directory.borrow().clone()
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -14,7 +14,6 @@
 use base::units::Millisecond;
 use base::{Map, Name, Set};
 
-use crate::clock::unix_ms;
 use crate::settings::Settings;
 use message::Hello;
 use policy::suspect::Share;
@@ -29,6 +28,9 @@
 /// A node that is not heard of for so long has ended, if most of the others are heard.
 const GONE_MS: Millisecond = 15_000;
 
+/// An estimate of a clock is held for so long: longer than processes stand still.
+const EPOCH_HELD_MS: Millisecond = 30_000;
+
 /// One life of another node.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -38,8 +40,27 @@
     pub hello: Hello,
     /// When.
     pub heard_ms: Millisecond,
-    /// Its calendar clock less ours.
-    clock_ahead_ms: i64,
+    /// When the calendar began, by its calendar clock and our process's.
+    epoch: Epoch,
+}
+
+/// An estimate of the calendar's begin on the process's clock, negated: calendar less process time.
+/// Time on the way only makes it smaller, so that the greatest of late counts.
+#[derive(Clone, Copy, Debug)]
+struct Epoch {
+    ms: i64,
+    at_ms: Millisecond,
+}
+
+impl Epoch {
+    /// The better of this estimate and one made now.
+    fn or(self, now: Self) -> Self {
+        let held = now.at_ms.saturating_sub(self.at_ms) <= EPOCH_HELD_MS;
+        match held && self.ms > now.ms {
+            true => self,
+            false => now,
+        }
+    }
 }
 
 /// The other nodes.
@@ -125,7 +146,10 @@
 
     /// Takes in what a node says.
     pub fn heard(&mut self, hello: Hello, address: SocketAddr, now_ms: Millisecond) -> News {
-        let clock_ahead_ms = hello.unix_ms as i64 - unix_ms() as i64;
+        let mut epoch = Epoch {
+            ms: hello.unix_ms as i64 - now_ms as i64,
+            at_ms: now_ms,
+        };
         let known = self.by_name.get(&hello.node);
         let news = match known {
             None => News::Appeared,
@@ -138,12 +162,15 @@
                 }
             }
             Some(known) if known.hello.number >= hello.number => return News::Stale,
-            Some(_) => News::Continued,
+            Some(known) => {
+                epoch = known.epoch.or(epoch);
+                News::Continued
+            }
         };
         self.learn(address);
         let peer = Peer {
             address,
-            clock_ahead_ms,
+            epoch,
             heard_ms: now_ms,
             hello,
         };
@@ -237,11 +264,13 @@
         }
     }
 
-    /// What to add to our calendar clock for the median of all clocks: single clocks may jump.
-    pub fn clock_offset_ms(&self) -> i64 {
-        let mut ahead: Vec<i64> = self.by_name.values().map(|p| p.clock_ahead_ms).collect();
-        ahead.push(0);
-        ahead.sort_unstable();
-        ahead[(ahead.len() - 1) / 2]
+    /// What to add to our calendar clock for the median of all clocks: single clocks may jump, and
+    /// what was kept while this process stood still tells an old time. `own_epoch_ms` is our
+    /// calendar clock less the process's.
+    pub fn clock_offset_ms(&self, own_epoch_ms: i64) -> i64 {
+        let mut epochs_ms: Vec<i64> = self.by_name.values().map(|p| p.epoch.ms).collect();
+        epochs_ms.push(own_epoch_ms);
+        epochs_ms.sort_unstable();
+        epochs_ms[(epochs_ms.len() - 1) / 2] - own_epoch_ms
     }
 }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -79,3 +79,53 @@
         assert_eq!(news, News::Stale);
     }
 }
+
+fn of(node: &str, number: u64, unix_ms: u64) -> Hello {
+    Hello {
+        node: node.into(),
+        unix_ms,
+        ..hello(1, 1, number)
+    }
+}
+
+/// After a stand-still, datagrams that waited for seconds are read first.
+#[test]
+fn datagrams_that_waited_do_not_move_the_clock() {
+    let mut peers = peers();
+    for node in ["a", "b", "c", "d", "e"] {
+        peers.heard(of(node, 1, 100_010), address(), 10);
+        peers.heard(of(node, 2, 100_120), address(), 7_520);
+    }
+    assert_eq!(peers.clock_offset_ms(100_000), 0);
+}
+
+#[test]
+fn our_own_clock_that_jumped_is_noticed_at_once() {
+    let mut peers = peers();
+    for node in ["a", "b", "c"] {
+        peers.heard(of(node, 1, 100_010), address(), 10);
+    }
+    assert_eq!(peers.clock_offset_ms(102_400), -2_400);
+}
+
+#[test]
+fn one_clock_of_another_that_jumped_moves_nothing() {
+    let mut peers = peers();
+    for (node, ahead_ms) in [("a", 0), ("b", 2_400), ("c", 0)] {
+        peers.heard(of(node, 1, 100_010 + ahead_ms), address(), 10);
+    }
+    assert_eq!(peers.clock_offset_ms(100_000), 0);
+}
+
+#[test]
+fn a_clock_that_was_set_back_is_believed_after_a_while() {
+    let mut peers = peers();
+    peers.heard(of("a", 1, 102_410), address(), 10);
+    peers.heard(of("b", 1, 102_410), address(), 10);
+    for number in 2..400 {
+        let now_ms = 100 * number;
+        peers.heard(of("a", number, 100_000 + now_ms), address(), now_ms);
+        peers.heard(of("b", number, 100_000 + now_ms), address(), now_ms);
+    }
+    assert_eq!(peers.clock_offset_ms(100_000), 0);
+}
