--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -1,13 +1,10 @@
 //! One play: callers, nodes, servers and troubles in virtual time.
 
 use base::units::Millisecond;
-use base::{Map, Name};
-use gateway::belief::directory::Scaling;
 use gateway::decide::rule::Rule;
-use gateway::decide::scale::{Need, Present, Scale};
+use gateway::decide::scale::Scale;
 use outside::Purchase;
 use rand::rngs::SmallRng;
-use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 
 use crate::callers;
@@ -17,13 +14,10 @@
 use crate::node::{Make, Node};
 use crate::requests::{Counted, Request};
 use crate::schedule::{MS, Microsecond, S, Schedule};
-use crate::supply::{Filled, HostId, Pace, State, Supply};
+use crate::supply::{HostId, Pace, State, Supply};
 
 /// Time between two looks at the number of servers, as in the daemon.
-const ORDERS_US: Microsecond = 500 * MS;
-
-/// Work that tells nothing yet, in servers, as in the daemon.
-const TELLING_WORK: f64 = 0.05;
+pub const ORDERS_US: Microsecond = 500 * MS;
 
 /// What happens.
 #[derive(Clone, Debug)]
@@ -109,7 +103,8 @@
     pub figures: Figures,
     /// Chance.
     pub rng: SmallRng,
-    scale: Scale,
+    /// What the holder of the duty remembers.
+    pub scale: Scale,
 }
 
 /// Plays an experiment once.
@@ -299,169 +294,9 @@
         let period_us = (self.experiment.fleet.hello_ms * MS as f64) as Microsecond;
         period_us.max(MS)
     }
-
-    fn orders(&mut self) {
-        self.schedule.add(ORDERS_US, Event::Orders);
-        let (Some(scaling), now_ms) = (self.scaling(), self.now_ms()) else {
-            return;
-        };
-        let busy: f64 = self.nodes.iter_mut().map(|n| n.busy(now_ms)).sum();
-        let busy = busy.max(self.nodes[0].batches());
-        if busy > TELLING_WORK {
-            self.scale.observe(Need::Busy(busy), now_ms);
-        }
-        let present = self.present();
-        for order in self.scale.plan(&scaling, &present, now_ms) {
-            let now_us = self.schedule.now_us();
-            let domain = &order.failure_domain;
-            match self
-                .supply
-                .order(domain, order.purchase, order.wanted, now_us)
-            {
-                Filled::Refused => self.scale.refused(&order, now_ms),
-                Filled::Taken { starting, ending } => {
-                    for order in starting {
-                        let after_us = scaling.boot_ms * MS;
-                        self.schedule.add(after_us, Event::Started { order });
-                    }
-                    for host in ending {
-                        self.leave_alone(host);
-                    }
-                }
-            }
-        }
-    }
-
-    fn scaling(&self) -> Option<Scaling> {
-        let sheet = self.experiment.scaling.as_ref()?;
-        let domains = self.experiment.fleet.domains.iter();
-        Some(Scaling {
-            min: sheet.min,
-            max: sheet.max,
-            boot_ms: seconds(sheet.boot_s) / MS,
-            reclaimable_price: sheet.reclaimable_price,
-            domain_prices: domains.map(|d| (d.name.clone(), d.price)).collect(),
-        })
-    }
-
-    fn present(&self) -> Map<Name, Present> {
-        let mut present: Map<Name, Present> = Map::default();
-        for (_, host) in self.supply.in_state(State::Up) {
-            let here = present.entry(host.failure_domain.clone()).or_default();
-            match host.purchase {
-                Purchase::Reclaimable => here.reclaimable += 1,
-                Purchase::OnDemand => here.on_demand += 1,
-            }
-        }
-        present
-    }
-
-    fn start(&mut self, domain: &Name, purchase: Purchase) {
-        let now_us = self.schedule.now_us();
-        let host = self.supply.add(self.experiment, domain, purchase, now_us);
-        self.announce(host);
-    }
-
-    fn started(&mut self, order: u64) {
-        if let Some((domain, purchase)) = self.supply.started(order) {
-            self.start(&domain, purchase);
-        }
-    }
-
-    /// Nodes learn of a server's life.
-    fn announce(&mut self, host: HostId) {
-        let there = self.supply.host(host);
-        let (id, domain, life) = (there.id.clone(), there.failure_domain.clone(), there.life);
-        let slots = self.experiment.engine.slots;
-        for node in &mut self.nodes {
-            node.learn(&id, &domain, slots, life);
-        }
-    }
-
-    /// A server gets nothing new, and goes when it has nothing left.
-    fn leave_alone(&mut self, host: HostId) {
-        let there = self.supply.host(host);
-        there.state = State::Leaving;
-        let id = there.id.clone();
-        for node in &mut self.nodes {
-            node.forget(&id);
-        }
-        self.kick(host);
-    }
-
-    fn trouble(&mut self, place: usize) {
-        let experiment = self.experiment;
-        match &experiment.troubles[place] {
-            Trouble::Reclaim {
-                domain,
-                notice_s,
-                dry_s,
-                ..
-            } => self.reclaim(domain, *notice_s, *dry_s),
-            Trouble::Crash { share, for_s, .. } => self.crash(*share, *for_s),
-            Trouble::Burst { .. } => {}
-        }
-    }
-
-    fn reclaim(&mut self, domain: &Name, notice_s: f64, dry_s: f64) {
-        let until_us = self.schedule.now_us() + seconds(dry_s);
-        self.supply.dry(until_us);
-        let reclaimed: Vec<HostId> = self
-            .supply
-            .in_state(State::Up)
-            .filter(|(_, h)| h.failure_domain == *domain && h.purchase == Purchase::Reclaimable)
-            .map(|(id, _)| id)
-            .collect();
-        for host in reclaimed {
-            self.leave_alone(host);
-            self.schedule.add(seconds(notice_s), Event::Taken { host });
-        }
-    }
-
-    fn crash(&mut self, share: f64, for_s: f64) {
-        let up = self.supply.in_state(State::Up).map(|(id, _)| id);
-        let mut up: Vec<HostId> = up.collect();
-        up.shuffle(&mut self.rng);
-        up.truncate((up.len() as f64 * share).round() as usize);
-        // All at once: no request goes from one to another of them.
-        for host in &up {
-            self.supply.host(*host).state = State::Down;
-        }
-        for host in up {
-            self.lose(host);
-            self.schedule.add(seconds(for_s), Event::Back { host });
-        }
-    }
-
-    fn taken(&mut self, host: HostId) {
-        if self.supply.host(host).state == State::Gone {
-            return;
-        }
-        let now_us = self.schedule.now_us();
-        self.supply.remove(host, now_us);
-        self.lose(host);
-    }
-
-    fn back(&mut self, host: HostId) {
-        let there = self.supply.host(host);
-        if there.state != State::Down {
-            return;
-        }
-        there.state = State::Up;
-        self.announce(host);
-    }
-
-    /// An engine ends amid its work.
-    fn lose(&mut self, host: HostId) {
-        let there = self.supply.host(host);
-        there.life += 1;
-        there.pace = Pace::Idle;
-        for (id, given) in there.engine.end() {
-            self.lost(id, given);
-        }
-    }
 }
 
-fn seconds(s: f64) -> Microsecond {
+/// Virtual time of so many seconds.
+pub fn seconds(s: f64) -> Microsecond {
     (s * S as f64) as Microsecond
 }
