Datagrams: the short form is written only where a node gets it

Cause: found while reading the change again. Each node wrote every datagram twice, eight times a second, also in small fleets, where no node only listens and the short form went nowhere. Change: listeners are parted first, and a form that nobody gets is not written. The store's news has a name of its own in place of an alias. What is sent, and to whom, is as before.

--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -11,7 +11,7 @@
 
 use super::message::{Hello, Told};
 use super::role::{PERIOD_MS, Presence, Role, SMALL_FLEET, Stay, period_ms};
-use super::{News as PeerNews, pull};
+use super::{News, pull};
 use crate::belief::registry::Load;
 use crate::clock::unix_ms;
 use crate::log;
@@ -57,7 +57,7 @@
 async fn tell(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let started_unix_ms = unix_ms();
     let mut number = 0;
-    let mut news = News::default();
+    let mut news = StoreNews::default();
     loop {
         let addresses = node.peers.borrow().addresses().to_vec();
         // One group after the other: all at once would fill a slow link, which drops datagrams.
@@ -68,7 +68,7 @@
                 Spread::Group => group.to_vec(),
                 Spread::Neighbours => with_neighbours(&node, group),
             };
-            send(&node, &socket, hello, &listeners);
+            send(&node, &socket, hello, listeners);
             tokio::time::sleep(GROUP_PERIOD).await;
         }
         if addresses.is_empty() {
@@ -79,24 +79,29 @@
 }
 
 /// Sends word; nodes that cannot hold the duties are spared what only those need.
-fn send(node: &Node, socket: &UdpSocket, mut hello: Hello, listeners: &[SocketAddr]) {
-    let whole = serde_json::to_vec(&hello).unwrap_or_default();
-    hello.begun.clear();
-    let short = serde_json::to_vec(&hello).unwrap_or_default();
+fn send(node: &Node, socket: &UdpSocket, mut hello: Hello, listeners: Vec<SocketAddr>) {
     let only_listen = node.peers.borrow().only_listen();
+    let (spared, others): (Vec<SocketAddr>, Vec<SocketAddr>) =
+        listeners.into_iter().partition(|a| only_listen.contains(a));
+    send_to(socket, &hello, &others);
+    hello.begun.clear();
+    send_to(socket, &hello, &spared);
+}
+
+fn send_to(socket: &UdpSocket, hello: &Hello, listeners: &[SocketAddr]) {
+    if listeners.is_empty() {
+        return;
+    }
+    let datagram = serde_json::to_vec(hello).unwrap_or_default();
     for address in listeners {
-        let datagram = match only_listen.contains(address) {
-            true => &short,
-            false => &whole,
-        };
         // A datagram may be lost in any case; the next one repeats all.
-        let _ = socket.try_send_to(datagram, *address);
+        let _ = socket.try_send_to(&datagram, *address);
     }
 }
 
 /// What this node's last datagrams told of the store.
 #[derive(Default)]
-struct News {
+struct StoreNews {
     told: (u64, u64),
     rounds: u32,
 }
@@ -110,7 +115,7 @@
     Neighbours,
 }
 
-impl News {
+impl StoreNews {
     /// To whom the next datagram goes: news of the store is for neighbours that only listen, too.
     fn round(&mut self, hello: &Hello) -> Spread {
         let now = (hello.directory, hello.registry.changed);
@@ -211,10 +216,10 @@
     let now_ms = node.now_ms();
     let news = node.peers.borrow_mut().heard(hello.clone(), from, now_ms);
     match news {
-        PeerNews::Stale => return,
-        PeerNews::Continued => {}
-        PeerNews::Appeared => appeared(&hello, from),
-        PeerNews::Restarted(before) => {
+        News::Stale => return,
+        News::Continued => {}
+        News::Appeared => appeared(&hello, from),
+        News::Restarted(before) => {
             appeared(&hello, from);
             for bucket in node.buckets.borrow_mut().values_mut() {
                 bucket.gone(&before);
