One copy of what the gateway and the emulator share, and of what files and tests repeat

Cause: found while reading the change again. The emulator's node wrote the limits of a choice and the counts at a server once more (backend::attempt has them), its experiment the reading and checking of a TOML file (settings.rs has it), node.rs the way to a service's repeats three times, pull.rs an enum for one comparison, policy two exports of one body; tests built whole Hellos and paused runtimes in several places, fuzz read its corpus twice.

Change: decide::rule::pick, decide::place::untried, Server::takes, has_read and lets_go serve both; gateway::sheet reads and checks both kinds of file; Hello has a default; fuzz::corpus.

Tried and set back: export of policy::suspect removed in favour of export_seen.

--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -1,11 +1,14 @@
 //! Experiments, read from TOML files.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use base::Name;
 use gateway::decide::rule::Rule;
+use gateway::sheet::{self, SheetError};
 use serde::Deserialize;
-use snafu::{ResultExt, Snafu, ensure};
+
+/// Their files' kind in sentences.
+const WHAT: &str = "experiment";
 
 /// One experiment: the same seeds for each rule.
 #[derive(Clone, Debug, Deserialize)]
@@ -212,46 +215,23 @@
     1
 }
 
-/// An experiment that cannot be played.
-#[derive(Debug, Snafu)]
-pub enum ExperimentError {
-    /// The file cannot be read.
-    #[snafu(display("The experiment {} cannot be read: {source}.", path.display()))]
-    Read {
-        /// The file.
-        path: PathBuf,
-        /// The system's error.
-        source: std::io::Error,
-    },
-    /// The file is not as it should be.
-    #[snafu(display("The experiment {} cannot be used: {}", path.display(), source.message()))]
-    Syntax {
-        /// The file.
-        path: PathBuf,
-        /// What the TOML reader said.
-        source: Box<toml::de::Error>,
-    },
-    /// A value is out of its range.
-    #[snafu(display("{key}: {value} is out of range; give {range}."))]
-    Range {
-        /// The key.
-        key: &'static str,
-        /// What it holds.
-        value: f64,
-        /// What it may hold.
-        range: &'static str,
-    },
-}
-
 impl Experiment {
     /// Reads and checks an experiment.
     ///
     /// # Errors
     ///
     /// The file cannot be read, is not TOML of this shape, or holds a value out of range.
-    pub fn open(path: &Path) -> Result<Self, ExperimentError> {
-        let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
-        Self::parse(&text, path)
+    pub fn open(path: &Path) -> Result<Self, SheetError> {
+        Self::parse(&Self::read(path)?, path)
+    }
+
+    /// Reads an experiment's text.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read.
+    pub fn read(path: &Path) -> Result<String, SheetError> {
+        sheet::read(WHAT, path)
     }
 
     /// Reads and checks the text of an experiment.
@@ -259,18 +239,17 @@
     /// # Errors
     ///
     /// The text is not TOML of this shape, or holds a value out of range.
-    pub fn parse(text: &str, path: &Path) -> Result<Self, ExperimentError> {
-        let parsed: Result<Self, _> = toml::from_str(text).map_err(Box::new);
-        let experiment = parsed.context(SyntaxSnafu { path })?;
+    pub fn parse(text: &str, path: &Path) -> Result<Self, SheetError> {
+        let experiment: Self = sheet::parse(WHAT, text, path)?;
         experiment.check()?;
         Ok(experiment)
     }
 
-    fn check(&self) -> Result<(), ExperimentError> {
+    fn check(&self) -> Result<(), SheetError> {
         let domains = &self.fleet.domains;
         let nodes: usize = domains.iter().map(|d| d.nodes).sum();
         let servers: u32 = domains.iter().map(|d| d.on_demand + d.reclaimable).sum();
-        let positive = [
+        sheet::above_zero(&[
             ("length_s", self.length_s),
             ("seeds", self.seeds.len() as f64),
             ("rules", self.rules.len() as f64),
@@ -285,17 +264,7 @@
             ("engine.step_parts", self.engine.step_parts.len() as f64),
             ("traffic.period_s", self.traffic.period_s),
             ("traffic.clump", self.traffic.clump),
-        ];
-        for (key, value) in positive {
-            let range = "a number above 0";
-            ensure!(value > 0.0, RangeSnafu { key, value, range });
-        }
-        let value = self.traffic.swing;
-        let (key, range) = ("traffic.swing", "a number from 0 to 1");
-        ensure!(
-            (0.0..=1.0).contains(&value),
-            RangeSnafu { key, value, range }
-        );
-        Ok(())
+        ])?;
+        sheet::part("traffic.swing", self.traffic.swing)
     }
 }
--- a/crates/emulator/src/lab/error.rs
+++ b/crates/emulator/src/lab/error.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use emulator::experiment::ExperimentError;
+use gateway::sheet::SheetError;
 use snafu::Snafu;
 
 /// The tool could not do what was asked.
@@ -13,7 +13,7 @@
     #[snafu(transparent)]
     Experiment {
         /// Why.
-        source: ExperimentError,
+        source: SheetError,
     },
     /// A file of figures cannot be read or written.
     #[snafu(display("The figures {} cannot be read or written: {source}.", path.display()))]
--- a/crates/emulator/src/lab/sweep.rs
+++ b/crates/emulator/src/lab/sweep.rs
@@ -17,8 +17,8 @@
 /// The experiment cannot be played, the key names no number of it, or the figures cannot be
 /// written.
 pub fn run(options: &Sweep) -> Result<(), LabError> {
-    let experiment = Experiment::open(&options.file)?;
-    let text = std::fs::read_to_string(&options.file).unwrap_or_default();
+    let text = Experiment::read(&options.file)?;
+    let experiment = Experiment::parse(&text, &options.file)?;
     let mut rows = Vec::new();
     for value in &options.values {
         let varied = with(&text, &options.key, *value, &options.file)?;
--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -9,10 +9,10 @@
 use gateway::belief::registry::{Load, ServerRecord, ServerState};
 use gateway::decide::outcome::Trail;
 use gateway::decide::patience::{NoServer, Patience, Waiting};
-use gateway::decide::place::{Candidate, Demand, ENGINE_QUEUE_SHARE, Timeliness, View, home};
+use gateway::decide::place::{Candidate, Demand, ENGINE_QUEUE_SHARE, View, home, untried};
 use gateway::decide::prompt::Prompt;
 use gateway::decide::repeats::{Draw, Repeats, Terms};
-use gateway::decide::rule::{Chance, Rule, choose};
+use gateway::decide::rule::{Chance, Limits, Rule, pick};
 use gateway::decide::work::Work;
 use outside::Purchase;
 use rand::rngs::SmallRng;
@@ -62,10 +62,8 @@
     pub prompt: &'a Prompt,
     /// Servers that failed it before.
     pub avoid: &'a [Name],
-    /// Longest time that the work of others may take before it.
-    pub limit_ms: Option<Millisecond>,
-    /// Time that is left.
-    pub left_ms: Millisecond,
+    /// Until when its first token may come.
+    pub limits: Limits,
 }
 
 /// A request that a node has sent.
@@ -124,10 +122,7 @@
     /// No server is to have it.
     pub fn send(&mut self, ask: &Ask<'_>, now_ms: Millisecond) -> Result<Sent, NoServer> {
         let prompt = ask.prompt;
-        let servers = self.usable(ask.avoid);
-        if servers.is_empty() {
-            return Err(NoServer::None);
-        }
+        let servers = untried(self.known(), ask.avoid);
         let view = View {
             prompt,
             home: home(prompt, &servers),
@@ -142,20 +137,9 @@
             turn: self.turn,
         };
         self.turn += 1;
-        let choice = choose(self.rule, &demand, &candidates, chance).ok_or(NoServer::Full)?;
-        if choice.timeliness(ask.left_ms) == Timeliness::TooLate {
-            return Err(NoServer::TooLate);
-        }
-        if ask.limit_ms.is_some_and(|ms| choice.wait_ms > ms) {
-            let speed = servers[choice.place].speed.borrow();
-            let reading_ms = speed.reading_ms(choice.tokens_to_read) as Millisecond;
-            return Err(NoServer::Busy { reading_ms });
-        }
+        let choice = pick(self.rule, &demand, &candidates, chance, ask.limits)?;
         let server = servers[choice.place].clone();
-        let ahead = server.load().waiting_tokens;
-        server.running.set(server.running.get() + 1);
-        let waiting = server.waiting_tokens.get() + choice.tokens_to_read;
-        server.waiting_tokens.set(waiting);
+        let tokens_ahead = server.takes(choice.tokens_to_read);
         server
             .cache
             .borrow_mut()
@@ -166,7 +150,7 @@
             server,
             at_ms: now_ms,
             predicted_ms: choice.first_ms,
-            tokens_ahead: ahead + choice.tokens_to_read,
+            tokens_ahead,
             waiting_tokens: choice.tokens_to_read,
         })
     }
@@ -224,8 +208,7 @@
     /// Takes note that a request has left its server.
     pub fn ended(&mut self, sent: &mut Sent) {
         read(sent);
-        let running = sent.server.running.get();
-        sent.server.running.set(running.saturating_sub(1));
+        sent.server.lets_go();
     }
 
     /// Servers that its work keeps busy.
@@ -266,25 +249,15 @@
         }
     }
 
-    /// Servers that did not fail the request before; those that did if there are no others.
-    fn usable(&self, avoid: &[Name]) -> Vec<Rc<Server>> {
+    /// All servers, in an order that each play has.
+    fn known(&self) -> Vec<Rc<Server>> {
         let mut all: Vec<Rc<Server>> = self.servers.values().cloned().collect();
         all.sort_by(|a, b| a.record.id.cmp(&b.record.id));
-        let fresh: Vec<Rc<Server>> = all
-            .iter()
-            .filter(|s| !avoid.contains(&s.record.id))
-            .cloned()
-            .collect();
-        match fresh.is_empty() {
-            true => all,
-            false => fresh,
-        }
+        all
     }
 }
 
 fn read(sent: &mut Sent) {
-    let waiting = sent.server.waiting_tokens.get();
-    let left = waiting.saturating_sub(sent.waiting_tokens);
-    sent.server.waiting_tokens.set(left);
+    sent.server.has_read(sent.waiting_tokens);
     sent.waiting_tokens = 0;
 }
--- a/crates/emulator/src/requests.rs
+++ b/crates/emulator/src/requests.rs
@@ -8,6 +8,7 @@
 use gateway::decide::patience::{NoServer, Patience, place_wait_ms};
 use gateway::decide::prompt::Prompt;
 use gateway::decide::repeats::Draw;
+use gateway::decide::rule::Limits;
 use gateway::decide::shed::wait_limit_ms;
 use rand::Rng;
 
@@ -122,13 +123,15 @@
     fn send(&mut self, id: RequestId) {
         while self.requests[id].state == Life::Open {
             let (now_ms, left_ms) = (self.now_ms(), self.left_ms(id));
-            let limit_ms = self.wait_limit_ms(id);
+            let limits = Limits {
+                left_ms,
+                wait_ms: self.wait_limit_ms(id),
+            };
             let request = &self.requests[id];
             let ask = Ask {
                 prompt: &request.prompt,
                 avoid: &request.avoid,
-                limit_ms,
-                left_ms,
+                limits,
             };
             let sent = match self.nodes[request.node].send(&ask, now_ms) {
                 Ok(sent) => sent,
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -4,7 +4,8 @@
 
 use events::{Format, LogError, Logger};
 use gateway::daemon::{DaemonError, Platform};
-use gateway::settings::{Settings, SettingsError};
+use gateway::settings::Settings;
+use gateway::sheet::SheetError;
 use platform::{Cloud, DIALECT, Store};
 use snafu::Snafu;
 
@@ -20,7 +21,7 @@
     #[snafu(context(false), display("{source}"))]
     Settings {
         /// What is wrong with them.
-        source: SettingsError,
+        source: SheetError,
     },
     /// The logger could not start.
     #[snafu(context(false), display("{source}"))]
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -1,4 +1,5 @@
 //! What reads bytes from outside, with what must hold for any of them, and changes of known inputs.
 
+pub mod corpus;
 pub mod mutate;
 pub mod target;
--- a/crates/fuzz/src/main.rs
+++ b/crates/fuzz/src/main.rs
@@ -1,9 +1,10 @@
 //! Changes known inputs at random until one breaks a property, and keeps that one.
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
+use fuzz::corpus;
 use fuzz::mutate::mutate;
 use fuzz::target::Target;
 use rand::SeedableRng;
@@ -76,7 +77,8 @@
 
 fn run(options: &Options) -> Result<(), FuzzError> {
     let folder = options.corpus.join(options.target.label());
-    let known = inputs(&folder).context(CorpusSnafu { path: &folder })?;
+    let known = corpus::inputs(&folder).context(CorpusSnafu { path: &folder })?;
+    let known: Vec<Vec<u8>> = known.into_iter().map(|(_, input)| input).collect();
     let mut rng = SmallRng::seed_from_u64(options.seed);
     for round in 0..options.rounds {
         let input = mutate(&known, &mut rng);
@@ -93,12 +95,3 @@
     }
     Ok(())
 }
-
-fn inputs(folder: &Path) -> std::io::Result<Vec<Vec<u8>>> {
-    let mut paths = Vec::new();
-    for entry in std::fs::read_dir(folder)? {
-        paths.push(entry?.path());
-    }
-    paths.sort();
-    paths.iter().map(std::fs::read).collect()
-}
--- a/crates/fuzz/tests/corpus.rs
+++ b/crates/fuzz/tests/corpus.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use fuzz::corpus::inputs;
 use fuzz::mutate::mutate;
 use fuzz::target::{ALL, Target};
 use rand::SeedableRng;
@@ -13,13 +14,7 @@
 
 fn corpus(target: Target) -> Vec<(String, Vec<u8>)> {
     let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("corpus");
-    let entries = std::fs::read_dir(folder.join(target.label())).unwrap();
-    let mut inputs: Vec<(String, Vec<u8>)> = entries
-        .map(|entry| entry.unwrap().path())
-        .map(|path| (path.display().to_string(), std::fs::read(path).unwrap()))
-        .collect();
-    inputs.sort();
-    inputs
+    inputs(&folder.join(target.label())).unwrap()
 }
 
 #[test]
--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -13,8 +13,8 @@
 use crate::clock::unix_ms;
 use crate::decide::outcome::Cause;
 use crate::decide::patience::NoServer;
-use crate::decide::place::{Candidate, Choice, Demand, ENGINE_QUEUE_SHARE, Timeliness, View, home};
-use crate::decide::rule::choose;
+use crate::decide::place::{Candidate, Choice, Demand, ENGINE_QUEUE_SHARE, View, home, untried};
+use crate::decide::rule::{Limits, pick};
 use crate::decide::shed::wait_limit_ms;
 use crate::front::job::Job;
 use crate::node::Node;
@@ -50,11 +50,7 @@
     pub fn place(job: &'a Job<'a>, avoid: &[Name], run_state: RunState) -> Result<Self, NoServer> {
         let node = job.node;
         let now_ms = node.now_ms();
-        let servers = usable(node, job, avoid);
-        if servers.is_empty() {
-            return Err(NoServer::None);
-        }
-        let demand = demand(job);
+        let servers = untried(usable(node, job), avoid);
         let view = View {
             prompt: &job.prompt,
             home: home(&job.prompt, &servers),
@@ -65,33 +61,22 @@
             .iter()
             .map(|server| view.candidate(server, slots(node, job, server)))
             .collect();
-        let choice = choose(
-            node.settings.placing.rule,
-            &demand,
-            &candidates,
-            node.chance(),
-        );
-        let choice = choice.ok_or(NoServer::Full)?;
-        if choice.timeliness(job.left_ms()) == Timeliness::TooLate {
-            return Err(NoServer::TooLate);
-        }
-        let limit_ms = wait_limit(job);
-        if run_state == RunState::NotRun && limit_ms.is_some_and(|ms| choice.wait_ms > ms) {
-            let speed = servers[choice.place].speed.borrow();
-            let reading_ms = speed.reading_ms(choice.tokens_to_read) as Millisecond;
-            return Err(NoServer::Busy { reading_ms });
-        }
+        let limits = Limits {
+            left_ms: job.left_ms(),
+            wait_ms: match run_state {
+                RunState::NotRun => wait_limit(job),
+                RunState::Unknown | RunState::Ran => None,
+            },
+        };
+        let rule = node.settings.placing.rule;
+        let choice = pick(rule, &demand(job), &candidates, node.chance(), limits)?;
         Ok(Self::begin(job, &servers[choice.place], choice))
     }
 
     fn begin(job: &'a Job<'a>, server: &Rc<Server>, choice: Choice) -> Self {
         let node = job.node;
         let now_ms = node.now_ms();
-        server.running.set(server.running.get() + 1);
-        let ahead = server.load().waiting_tokens;
-        server
-            .waiting_tokens
-            .set(server.waiting_tokens.get() + choice.tokens_to_read);
+        let tokens_ahead = server.takes(choice.tokens_to_read);
         if let Some(engine) = &job.service.engine {
             let mut cache = server.cache.borrow_mut();
             cache.note(&job.prompt, engine.memory_tokens, now_ms);
@@ -103,7 +88,7 @@
             server: server.clone(),
             started_ms: now_ms,
             predicted_ms: choice.first_ms,
-            tokens_ahead: ahead + choice.tokens_to_read,
+            tokens_ahead,
             tokens_to_read: choice.tokens_to_read,
             waiting_tokens: choice.tokens_to_read,
             ended: Cell::new(Ended::LeftOrOverdue),
@@ -135,10 +120,7 @@
     }
 
     fn prompt_read(&mut self) {
-        let waiting = self.server.waiting_tokens.get();
-        self.server
-            .waiting_tokens
-            .set(waiting.saturating_sub(self.waiting_tokens));
+        self.server.has_read(self.waiting_tokens);
         self.waiting_tokens = 0;
     }
 }
@@ -163,15 +145,13 @@
             Ended::LeftOrOverdue => self.begun(),
         }
         self.prompt_read();
-        let running = self.server.running.get();
-        self.server.running.set(running.saturating_sub(1));
+        self.server.lets_go();
         self.job.node.room.notify_one();
     }
 }
 
-/// Servers that take new work and did not fail the request before; those that did if there are no
-/// others.
-fn usable(node: &Node, job: &Job<'_>, avoid: &[Name]) -> Vec<Rc<Server>> {
+/// Servers that take new work.
+fn usable(node: &Node, job: &Job<'_>) -> Vec<Rc<Server>> {
     let registry = node.registry.borrow();
     let ready: Vec<Rc<Server>> = registry
         .of_service(&job.service.name)
@@ -179,16 +159,7 @@
         .filter(|s| s.record.state == ServerState::Ready)
         .cloned()
         .collect();
-    let ready = apart(node, job, ready);
-    let fresh: Vec<Rc<Server>> = ready
-        .iter()
-        .filter(|s| !avoid.contains(&s.record.id))
-        .cloned()
-        .collect();
-    match fresh.is_empty() {
-        true => ready,
-        false => fresh,
-    }
+    apart(node, job, ready)
 }
 
 /// A suspected request is kept to this node's share of the servers, so that nodes seldom pick one
--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -113,6 +113,27 @@
         }
     }
 
+    /// Counts a request of this node with so many prompt tokens to be read; gives back all that
+    /// are to be read before its first byte.
+    pub fn takes(&self, tokens: TokenCount) -> TokenCount {
+        let ahead = self.load().waiting_tokens;
+        self.running.set(self.running.get() + 1);
+        self.waiting_tokens.set(self.waiting_tokens.get() + tokens);
+        ahead + tokens
+    }
+
+    /// So many of those prompt tokens are read, or will not be.
+    pub fn has_read(&self, tokens: TokenCount) {
+        let waiting = self.waiting_tokens.get();
+        self.waiting_tokens.set(waiting.saturating_sub(tokens));
+    }
+
+    /// A request of this node has left it.
+    pub fn lets_go(&self) {
+        let running = self.running.get();
+        self.running.set(running.saturating_sub(1));
+    }
+
     /// Takes note of an answer or an event.
     pub fn heard(&self, now_ms: Millisecond) {
         self.heard_ms.set(now_ms);
--- a/crates/gateway/src/decide/place.rs
+++ b/crates/gateway/src/decide/place.rs
@@ -154,6 +154,16 @@
     Some(highest.record.id.clone())
 }
 
+/// Those of a request's servers that did not fail it before; all if every one did.
+pub fn untried(servers: Vec<Rc<Server>>, failed: &[Name]) -> Vec<Rc<Server>> {
+    let untried = servers.iter().filter(|s| !failed.contains(&s.record.id));
+    let untried: Vec<Rc<Server>> = untried.cloned().collect();
+    match untried.is_empty() {
+        true => servers,
+        false => untried,
+    }
+}
+
 /// The server chosen.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
--- a/crates/gateway/src/decide/rule.rs
+++ b/crates/gateway/src/decide/rule.rs
@@ -1,8 +1,10 @@
 //! By which rule a server is chosen among those that have room.
 
+use base::units::Millisecond;
 use serde::Deserialize;
 
-use super::place::{Candidate, Choice, Demand, Home, open, predict};
+use super::patience::NoServer;
+use super::place::{Candidate, Choice, Demand, Home, Timeliness, open, predict};
 
 /// A rule of choice.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
@@ -46,6 +48,42 @@
     pub turn: u64,
 }
 
+/// Until when a request's first byte may come.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Time that is left.
+    pub left_ms: Millisecond,
+    /// Longest time that the work of others may take before it; `None` without a limit.
+    pub wait_ms: Option<Millisecond>,
+}
+
+/// Chooses a server that keeps a request's limits.
+///
+/// # Errors
+///
+/// No server is to have the request.
+pub fn pick(
+    rule: Rule,
+    demand: &Demand,
+    candidates: &[Candidate],
+    chance: Chance,
+    limits: Limits,
+) -> Result<Choice, NoServer> {
+    if candidates.is_empty() {
+        return Err(NoServer::None);
+    }
+    let choice = choose(rule, demand, candidates, chance).ok_or(NoServer::Full)?;
+    if choice.timeliness(limits.left_ms) == Timeliness::TooLate {
+        return Err(NoServer::TooLate);
+    }
+    if limits.wait_ms.is_some_and(|ms| choice.wait_ms > ms) {
+        let speed = &candidates[choice.place].speed;
+        let reading_ms = speed.reading_ms(choice.tokens_to_read) as Millisecond;
+        return Err(NoServer::Busy { reading_ms });
+    }
+    Ok(choice)
+}
+
 /// Chooses a server; `None` when all are full.
 pub fn choose(
     rule: Rule,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod node;
 pub mod peer;
 pub mod settings;
+pub mod sheet;
 pub mod sse;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -211,27 +211,25 @@
     /// Counts the first send of a request to a service.
     pub fn requested(&self, service: &Name) {
         let now_ms = self.now_ms();
-        let mut repeats = self.repeats.borrow_mut();
-        let of_service = repeats.entry(service.clone()).or_default();
-        of_service.requested(&self.repeat_terms(), now_ms);
+        self.with_repeats(service, |repeats, terms| repeats.requested(terms, now_ms));
     }
 
     /// Whether a repeated send to a service fits, and counts it if so.
     pub fn draw_repeat(&self, service: &Name) -> Draw {
-        let now_ms = self.now_ms();
-        let nodes = self.nodes();
-        let mut repeats = self.repeats.borrow_mut();
-        let of_service = repeats.entry(service.clone()).or_default();
-        of_service.draw(&self.repeat_terms(), nodes, now_ms)
+        let (now_ms, nodes) = (self.now_ms(), self.nodes());
+        self.with_repeats(service, |repeats, terms| repeats.draw(terms, nodes, now_ms))
     }
 
     /// Whether a repeated send to a service would fit.
     pub fn look_repeat(&self, service: &Name) -> Draw {
-        let now_ms = self.now_ms();
-        let nodes = self.nodes();
+        let (now_ms, nodes) = (self.now_ms(), self.nodes());
+        self.with_repeats(service, |repeats, terms| repeats.look(terms, nodes, now_ms))
+    }
+
+    fn with_repeats<T>(&self, service: &Name, of: impl FnOnce(&mut Repeats, &Terms) -> T) -> T {
         let mut repeats = self.repeats.borrow_mut();
         let of_service = repeats.entry(service.clone()).or_default();
-        of_service.look(&self.repeat_terms(), nodes, now_ms)
+        of(of_service, &self.repeat_terms())
     }
 
     /// Takes in work of a service.
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -8,7 +8,7 @@
 use super::role::{Role, Stay};
 
 /// State of one node, sent whole in one datagram.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Hello {
     /// The node.
     pub node: Name,
--- a/crates/gateway/src/peer/pull.rs
+++ b/crates/gateway/src/peer/pull.rs
@@ -154,22 +154,13 @@
 }
 
 async fn take(node: &Rc<Node>, address: SocketAddr, what: Wanted) {
-    let outcome = take_once(node, address, what).await;
-    if outcome == Outcome::Gap {
+    if take_once(node, address, what).await == GAP {
         take_once(node, address, Wanted::Registry { since: 0 }).await;
     }
 }
 
-/// What came of a question.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Outcome {
-    /// It is settled.
-    Settled,
-    /// A part of a registry did not fit what is known here.
-    Gap,
-}
-
-async fn take_once(node: &Rc<Node>, address: SocketAddr, what: Wanted) -> Outcome {
+/// Asks one question; says what became of the answer.
+async fn take_once(node: &Rc<Node>, address: SocketAddr, what: Wanted) -> &'static str {
     let path = what.path();
     let answer = tokio::time::timeout(QUESTION, ask(address, &path)).await;
     let (version, outcome) = match answer {
@@ -187,10 +178,7 @@
         outcome,
     };
     log::emit(events::Code::BeliefPulled, &fields);
-    match outcome {
-        GAP => Outcome::Gap,
-        _ => Outcome::Settled,
-    }
+    outcome
 }
 
 /// Takes in what other lives have counted; the version is their number.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,15 +1,18 @@
 //! Settings of one gateway process, read from a TOML file.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use base::Name;
 use base::units::Millisecond;
 use serde::Deserialize;
-use snafu::{ResultExt, Snafu, ensure};
 
 use crate::decide::rule::Rule;
 use crate::decide::shed::WAIT_SHARE;
+use crate::sheet::{self, SheetError};
+
+/// Their file's kind in sentences.
+const WHAT: &str = "settings file";
 
 /// Settings of one process.
 #[derive(Clone, Debug, Deserialize)]
@@ -163,46 +166,14 @@
     }
 }
 
-/// Settings that cannot be used.
-#[derive(Debug, Snafu)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    #[snafu(display("The settings file {} cannot be read: {source}.", path.display()))]
-    Read {
-        /// The file.
-        path: PathBuf,
-        /// The system's error.
-        source: std::io::Error,
-    },
-    /// The file is not as it should be.
-    #[snafu(display("The settings file {} cannot be used: {}", path.display(), source.message()))]
-    Syntax {
-        /// The file.
-        path: PathBuf,
-        /// What the TOML reader said.
-        source: Box<toml::de::Error>,
-    },
-    /// A value is out of its range.
-    #[snafu(display("{key}: {value} is out of range; give {range}."))]
-    Range {
-        /// The key.
-        key: &'static str,
-        /// What it holds.
-        value: f64,
-        /// What it may hold.
-        range: &'static str,
-    },
-}
-
 impl Settings {
     /// Reads and checks a settings file.
     ///
     /// # Errors
     ///
     /// The file cannot be read, is not TOML of this shape, or holds a value out of range.
-    pub fn open(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
-        Self::parse(&text, path)
+    pub fn open(path: &Path) -> Result<Self, SheetError> {
+        Self::parse(&sheet::read(WHAT, path)?, path)
     }
 
     /// Reads and checks the text of a settings file.
@@ -210,35 +181,23 @@
     /// # Errors
     ///
     /// The text is not TOML of this shape, or holds a value out of range.
-    pub fn parse(text: &str, path: &Path) -> Result<Self, SettingsError> {
-        let parsed: Result<Self, _> = toml::from_str(text).map_err(Box::new);
-        let settings = parsed.context(SyntaxSnafu { path })?;
+    pub fn parse(text: &str, path: &Path) -> Result<Self, SheetError> {
+        let settings: Self = sheet::parse(WHAT, text, path)?;
         settings.check()?;
         Ok(settings)
     }
 
-    fn check(&self) -> Result<(), SettingsError> {
+    fn check(&self) -> Result<(), SheetError> {
         let bounds = &self.bounds;
-        let positive = [
+        sheet::above_zero(&[
             ("placing.wait_share", self.placing.wait_share),
             ("bounds.shutdown_s", bounds.shutdown_s),
             ("bounds.retry_window_s", bounds.retry_window_s),
             ("bounds.lease_ms", bounds.lease_ms as f64),
             ("bounds.usage_window_s", bounds.usage_window_s),
             ("bounds.usage_due_s", bounds.usage_due_s),
-        ];
-        for (key, value) in positive {
-            let range = "a number above 0";
-            ensure!(value > 0.0, RangeSnafu { key, value, range });
-        }
-        let value = bounds.retry_ratio;
-        let range = "a number from 0 to 1";
-        let key = "bounds.retry_ratio";
-        ensure!(
-            (0.0..=1.0).contains(&value),
-            RangeSnafu { key, value, range }
-        );
-        Ok(())
+        ])?;
+        sheet::part("bounds.retry_ratio", bounds.retry_ratio)
     }
 }
 
--- a/crates/gateway/tests/discovery_histories.rs
+++ b/crates/gateway/tests/discovery_histories.rs
@@ -19,7 +19,6 @@
 use gateway::node::Node;
 use gateway::peer::message::{Hello, Told};
 use gateway::peer::pull::{self, Wanted};
-use gateway::peer::role::{Role, Stay};
 use gateway::peer::serve;
 use outside::{Batch, Feed, FeedError, FeedRow, ReadError, Topic};
 use rand::rngs::SmallRng;
@@ -234,13 +233,8 @@
     Hello {
         node: node.settings.node.name.clone(),
         failure_domain: "a".into(),
-        role: Role::Follows,
-        stay: Stay::Stays,
         period_ms: 120,
         boot: node.boot,
-        started_unix_ms: 1,
-        number: 1,
-        unix_ms: 1,
         directory: node.directory().map_or(0, |d| d.version),
         registry: {
             let registry = node.registry.borrow();
@@ -250,11 +244,7 @@
                 age_ms: 0,
             }
         },
-        loads: Vec::new(),
-        busy: Vec::new(),
-        used: Vec::new(),
-        begun: Vec::new(),
-        suspects: Vec::new(),
+        ..Hello::default()
     }
 }
 
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 
 use async_trait::async_trait;
@@ -9,7 +10,6 @@
 use gateway::node::Node;
 use gateway::peer::message::{Hello, RegistryCopy, Told};
 use gateway::peer::pull::{self, Wanted};
-use gateway::peer::role::{Role, Stay};
 use gateway::peer::serve;
 use outside::{Batch, Feed, FeedError, FeedRow, ReadError, Topic};
 use support::node;
@@ -73,6 +73,24 @@
     assert_eq!(told, (11, 0, 0));
 }
 
+/// A node that follows the servers at a feed.
+fn following() -> (Rc<Node>, Arc<Asked>) {
+    let (node, feed) = (node("n"), Arc::new(Asked::default()));
+    let following = follow::follow(node.clone(), feed.clone(), Topic::Servers, servers::take_in);
+    tokio::task::spawn_local(following);
+    (node, feed)
+}
+
+/// Runs a test in time that passes only while nothing else is to be done.
+fn paused(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
 /// A feed that answers nothing and notes from which revision it is asked.
 #[derive(Default)]
 struct Asked {
@@ -94,17 +112,8 @@
 
 #[test]
 fn it_asks_for_changes_since_what_it_learned_from_others() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, async {
-        let node = node("n");
-        let feed = Arc::new(Asked::default());
-        let following =
-            follow::follow(node.clone(), feed.clone(), Topic::Servers, servers::take_in);
-        tokio::task::spawn_local(following);
+    paused(async {
+        let (node, feed) = following();
         tokio::time::sleep(std::time::Duration::from_millis(1_250)).await;
         servers::adopt_copy(&node, copy(20, &["x"]));
         tokio::time::sleep(std::time::Duration::from_millis(1_250)).await;
@@ -183,17 +192,8 @@
 
 #[test]
 fn news_is_asked_for_before_the_pace_is_up() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, async {
-        let node = node("n");
-        let feed = Arc::new(Asked::default());
-        let following =
-            follow::follow(node.clone(), feed.clone(), Topic::Servers, servers::take_in);
-        tokio::task::spawn_local(following);
+    paused(async {
+        let (node, feed) = following();
         tokio::time::sleep(std::time::Duration::from_millis(50)).await;
         node.store_ok_ms.set(node.now_ms());
         let asked = || feed.since.lock().unwrap().len();
@@ -220,23 +220,13 @@
     Hello {
         node: "m".into(),
         failure_domain: "a".into(),
-        role: Role::Follows,
-        stay: Stay::Stays,
         period_ms: 120,
         boot: 1,
-        started_unix_ms: 1,
-        number: 1,
-        unix_ms: 1,
-        directory: 0,
         registry: Told {
             revision: registry,
             changed: registry,
             age_ms: 0,
         },
-        loads: Vec::new(),
-        busy: Vec::new(),
-        used: Vec::new(),
-        begun: Vec::new(),
-        suspects: Vec::new(),
+        ..Hello::default()
     }
 }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -4,8 +4,7 @@
 
 use std::net::SocketAddr;
 
-use gateway::peer::message::{Hello, Told};
-use gateway::peer::role::{Role, Stay};
+use gateway::peer::message::Hello;
 use gateway::peer::{News, Peers};
 
 const PERIOD_MS: u64 = 120;
@@ -22,20 +21,12 @@
     Hello {
         node: "other".into(),
         failure_domain: "a".into(),
-        role: Role::Follows,
-        stay: Stay::Stays,
         period_ms: PERIOD_MS,
         boot,
         started_unix_ms,
         number,
         unix_ms: started_unix_ms + number * PERIOD_MS,
-        directory: 0,
-        registry: Told::default(),
-        loads: Vec::new(),
-        busy: Vec::new(),
-        used: Vec::new(),
-        begun: Vec::new(),
-        suspects: Vec::new(),
+        ..Hello::default()
     }
 }
 
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -180,23 +180,26 @@
         }
     }
 
-    /// Records touched within the last `within_ms`, for a peer.
+    /// Records touched within the last `within_ms`, for a peer that tells them on.
     pub fn export(&self, within_ms: Millisecond, now_ms: Millisecond) -> Vec<SuspectRecord> {
-        let fresh = |entry: &&Entry| now_ms.saturating_sub(entry.touched_ms) <= within_ms;
-        let entries = self.entries.iter();
-        entries
-            .filter(|(_, entry)| fresh(entry))
-            .map(|(digest, entry)| entry.export(*digest, now_ms))
-            .collect()
+        self.records(|entry| entry.touched_ms, within_ms, now_ms)
     }
 
     /// Records of what this entry VM itself saw within the last `within_ms`, for peers that each
     /// hear it from the one that saw it.
     pub fn export_seen(&self, within_ms: Millisecond, now_ms: Millisecond) -> Vec<SuspectRecord> {
-        let fresh = |entry: &&Entry| now_ms.saturating_sub(entry.seen_ms) <= within_ms;
+        self.records(|entry| entry.seen_ms, within_ms, now_ms)
+    }
+
+    fn records(
+        &self,
+        at_ms: impl Fn(&Entry) -> Millisecond,
+        within_ms: Millisecond,
+        now_ms: Millisecond,
+    ) -> Vec<SuspectRecord> {
         let entries = self.entries.iter();
-        entries
-            .filter(|(_, entry)| fresh(entry))
+        let fresh = entries.filter(|(_, e)| now_ms.saturating_sub(at_ms(e)) <= within_ms);
+        fresh
             .map(|(digest, entry)| entry.export(*digest, now_ms))
             .collect()
     }
