Logs and metrics tell whose refusal a server's answer was

Cause: for rule REFUSED it matters whether a server marked its refusal as not run, whether the answer names the request, whether the connection was fresh or kept, and how much of the request had been written; no line and no metric said so, so that the hypotheses of the incident could not be told apart. Change: attempt.failed and request.finished carry the answer's origin and what the caller was told; apricotledge_server_failures_total counts failures by status, mark, naming and connection.

--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -8,6 +8,7 @@
 use base::units::{Millisecond, TokenCount};
 use policy::suspect::{Candidate as SuspectCandidate, Treatment};
 
+use crate::backend::seen::Seen;
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
 use crate::clock::unix_ms;
@@ -76,6 +77,7 @@
     fn begin(job: &'a Job<'a>, server: &Rc<Server>, choice: Choice) -> Self {
         let node = job.node;
         let now_ms = node.now_ms();
+        job.answered(None);
         let tokens_ahead = server.takes(choice.tokens_to_read);
         if let Some(engine) = &job.service.engine {
             let mut cache = server.cache.borrow_mut();
@@ -96,6 +98,11 @@
         }
     }
 
+    /// Takes note of where the server's answer came from.
+    pub fn answered(&self, seen: Seen) {
+        self.job.answered(Some(seen));
+    }
+
     /// Takes note of how it failed.
     pub fn failed(&self, cause: Cause) {
         self.ended.set(Ended::Failed(cause.run_state()));
--- a/crates/gateway/src/backend/exchange.rs
+++ b/crates/gateway/src/backend/exchange.rs
@@ -4,10 +4,12 @@
 
 use base::units::Millisecond;
 use bytes::{Bytes, BytesMut};
+use serde::Serialize;
 use tokio::io::AsyncWriteExt;
 use tokio::time::Instant;
 
 use super::pool::{Link, Origin};
+use super::seen::Seen;
 use crate::belief::Server;
 use crate::clock::Clock;
 use crate::decide::outcome::Cause;
@@ -38,15 +40,16 @@
 pub struct Answer {
     /// Its head.
     pub head: ResponseHead,
+    /// Where it came from.
+    pub seen: Seen,
     link: Link,
     body: Body,
-    /// Whether the request was written to its end.
-    sent: Sent,
 }
 
 /// Whether a request was written to its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Sent {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Sent {
     /// It was.
     Whole,
     /// Not yet.
@@ -68,14 +71,14 @@
 ) -> Result<Answer, Cause> {
     let link = Link::open(server, clock.now_ms()).await;
     let mut link = link.map_err(|_| Cause::Unreachable)?;
-    let (head, sent) = converse(&mut link, request, names).await?;
+    let (head, seen) = converse(&mut link, request, names).await?;
     server.heard(clock.now_ms());
     let body = Body::new(head.framing);
     Ok(Answer {
         head,
+        seen,
         link,
         body,
-        sent,
     })
 }
 
@@ -83,7 +86,7 @@
     link: &mut Link,
     request: &Outgoing<'_>,
     names: &HeaderNames,
-) -> Result<(ResponseHead, Sent), Cause> {
+) -> Result<(ResponseHead, Seen), Cause> {
     let origin = link.origin;
     let (read, buf, write) = link.conn.parts();
     let writing = async {
@@ -92,10 +95,11 @@
     };
     tokio::pin!(writing);
     let mut sent = Sent::Partly;
-    let mut stray: Option<Body> = None;
+    let mut strays = Strays::default();
     loop {
-        if let Some(head) = next_head(buf, &mut stray, request, names, origin)? {
-            return Ok((head, sent));
+        if let Some(head) = next_head(buf, &mut strays, request, names, origin)? {
+            let seen = Seen::of(&head, names, origin, sent, strays.passed_over);
+            return Ok((head, seen));
         }
         tokio::select! {
             biased;
@@ -112,23 +116,32 @@
     }
 }
 
+/// Answers to other requests on a connection.
+#[derive(Default)]
+struct Strays {
+    /// How many were passed over.
+    passed_over: u32,
+    /// The body of one that has not ended yet.
+    body: Option<Body>,
+}
+
 /// The next head that answers this request; heads of other requests are passed over with their
 /// bodies.
 fn next_head(
     buf: &mut BytesMut,
-    stray: &mut Option<Body>,
+    strays: &mut Strays,
     request: &Outgoing<'_>,
     names: &HeaderNames,
     origin: Origin,
 ) -> Result<Option<ResponseHead>, Cause> {
     loop {
-        if let Some(body) = stray {
+        if let Some(body) = &mut strays.body {
             let mut dropped = BytesMut::new();
             let progress = body.read(buf, &mut dropped).map_err(|_| Cause::Garbled)?;
             if progress == Progress::More {
                 return Ok(None);
             }
-            *stray = None;
+            strays.body = None;
         }
         let head = response_head(buf, HEAD_LIMIT_BYTES, request.method);
         let Some(head) = head.map_err(|_| Cause::Garbled)? else {
@@ -139,7 +152,10 @@
         }
         match ownership(&head, request, names, origin) {
             Ownership::Own => return Ok(Some(head)),
-            Ownership::Other => *stray = Some(Body::new(head.framing)),
+            Ownership::Other => {
+                strays.passed_over += 1;
+                strays.body = Some(Body::new(head.framing));
+            }
             Ownership::Unclear => return Err(Cause::Garbled),
         }
     }
@@ -221,7 +237,7 @@
 
     /// Keeps the connection for another request if it is clean.
     pub fn finish(self, server: &Server, now_ms: Millisecond) {
-        let clean = self.sent == Sent::Whole
+        let clean = self.seen.sent == Sent::Whole
             && self.body.is_done()
             && self.link.conn.buf.is_empty()
             && self.head.keeps_alive();
--- a/crates/gateway/src/backend/mod.rs
+++ b/crates/gateway/src/backend/mod.rs
@@ -4,3 +4,4 @@
 pub mod exchange;
 pub mod lost;
 pub mod pool;
+pub mod seen;
--- a/crates/gateway/src/backend/pool.rs
+++ b/crates/gateway/src/backend/pool.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use base::units::Millisecond;
+use serde::Serialize;
 
 use crate::belief::Server;
 use crate::http::{Conn, ConnOptions};
@@ -50,7 +51,8 @@
 }
 
 /// How a connection came.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Origin {
     /// It was opened for this request.
     Fresh,
@@ -58,6 +60,16 @@
     Kept,
 }
 
+impl Origin {
+    /// Name in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Fresh => "fresh",
+            Self::Kept => "kept",
+        }
+    }
+}
+
 /// A connection in use; closed when dropped.
 #[derive(Debug)]
 pub struct Link {
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -13,6 +13,7 @@
 use super::reply::Reply;
 use crate::backend::attempt::Attempt;
 use crate::backend::lost;
+use crate::backend::seen::Seen;
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
 use crate::decide::outcome::{COME_BACK_MS, Cause, Next, Trail};
@@ -40,6 +41,7 @@
     server_silent_ms: Millisecond,
     running: u32,
     left_ms: Millisecond,
+    answer: Option<Seen>,
     next: &'static str,
 }
 
@@ -242,6 +244,7 @@
             server_silent_ms: now_ms.saturating_sub(server.heard_ms.get()),
             running: server.running.get(),
             left_ms: self.job.left_ms(),
+            answer: self.job.seen.get(),
             next: match next {
                 Next::Again => "again",
                 Next::GiveUp => "give_up",
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -8,6 +8,7 @@
 use policy::suspect::Digest;
 
 use super::request::Request;
+use crate::backend::seen::Seen;
 use crate::belief::{Route, Server, Service, Workspace};
 use crate::decide::prompt::Prompt;
 use crate::http::HeadWriter;
@@ -41,6 +42,8 @@
     pub cost: f64,
     /// Whether it may have begun to run at a server.
     pub begun: Cell<Begun>,
+    /// Where the latest attempt's answer came from, if there is one.
+    pub seen: Cell<Option<Seen>>,
     digest: OnceCell<Digest>,
 }
 
@@ -87,6 +90,7 @@
             until_ms: caller_until_ms.min(route_until_ms),
             cost,
             begun: Cell::new(Begun::No),
+            seen: Cell::new(None),
             digest: OnceCell::new(),
         }
     }
@@ -110,6 +114,14 @@
         })
     }
 
+    /// Takes note of where the latest attempt's answer came from, and counts one that is a failure.
+    pub fn answered(&self, seen: Option<Seen>) {
+        self.seen.set(seen);
+        if let Some(seen) = seen.filter(|seen| seen.status >= 400) {
+            self.node.metrics.server_failed(&seen);
+        }
+    }
+
     /// Counts the request, once, as begun at `sent_ms` by the process's clock.
     pub fn begin(&self, sent_ms: Millisecond) {
         if self.begun.replace(Begun::Yes) == Begun::Yes {
--- a/crates/gateway/src/front/running.rs
+++ b/crates/gateway/src/front/running.rs
@@ -8,6 +8,7 @@
 
 use super::job::{Begun, Job};
 use super::serve::Served;
+use crate::backend::seen::Seen;
 use crate::clock::unix_ms;
 use crate::metrics::Outcome;
 
@@ -34,6 +35,8 @@
     outcome: &'static str,
     status: u16,
     code: Option<&'static str>,
+    run_state: Option<RunState>,
+    answer: Option<Seen>,
     took_ms: Millisecond,
     left_ms: Millisecond,
     tokens: u64,
@@ -69,10 +72,16 @@
             let mut suspects = self.job.node.suspects.borrow_mut();
             suspects.completed(self.job.digest(), unix_ms());
         }
-        self.report(outcome, status, code);
+        self.report(outcome, status, code, run_state(served));
     }
 
-    fn report(&self, outcome: Outcome, status: u16, code: Option<&'static str>) {
+    fn report(
+        &self,
+        outcome: Outcome,
+        status: u16,
+        code: Option<&'static str>,
+        run_state: Option<RunState>,
+    ) {
         let job = self.job;
         let took_ms = job.node.now_ms() - self.started_ms;
         job.node.metrics.finished(job.route.kind, outcome, took_ms);
@@ -85,6 +94,8 @@
             outcome: outcome.label(),
             status,
             code,
+            run_state,
+            answer: job.seen.get(),
             took_ms,
             left_ms: job.left_ms(),
             tokens: job.cost as u64,
@@ -98,7 +109,16 @@
         let node = self.job.node;
         node.in_flight.set(node.in_flight.get().saturating_sub(1));
         if self.ended.get() == Ended::No {
-            self.report(Outcome::CallerGone, 0, None);
+            self.report(Outcome::CallerGone, 0, None, None);
         }
     }
 }
+
+/// What the caller was told of the request, if it was told anything.
+fn run_state(served: &Served) -> Option<RunState> {
+    match served {
+        Served::Passed { .. } => Some(RunState::Ran),
+        Served::Own(reply) => Some(reply.run_state),
+        Served::BrokenOff | Served::CallerGone => None,
+    }
+}
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -111,6 +111,7 @@
             Ok(answer) => answer,
             Err(end) => return end,
         };
+        attempt.answered(answer.seen);
         match judge(self.job, &answer.head) {
             Verdict::Pass if is_stream(&answer) => self.relay(attempt, answer).await,
             Verdict::Pass if self.progress == Progress::Nothing => {
--- a/crates/gateway/src/front/whole.rs
+++ b/crates/gateway/src/front/whole.rs
@@ -82,6 +82,7 @@
         },
         Patience::ToTheEnd => sending.await?,
     };
+    attempt.answered(answer.seen);
     let verdict = judge(job, &answer.head);
     if matches!(verdict, Verdict::Pass | Verdict::PassOrRepeat) {
         attempt.first_byte();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::backend::seen::Seen;
 use crate::belief::RouteKind;
 use crate::decide::outcome::Cause;
 use crate::node::Node;
@@ -50,6 +51,14 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct FailureLabels {
+    status: u16,
+    mark: &'static str,
+    naming: &'static str,
+    connection: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct DependencyLabels {
     dependency: &'static str,
@@ -65,6 +74,7 @@
     durations_s: Durations,
     refusals: Family<ReasonLabels, Counter>,
     failed_attempts: Family<ReasonLabels, Counter>,
+    server_failures: Family<FailureLabels, Counter>,
     calls: Family<DependencyLabels, Counter>,
 }
 
@@ -76,6 +86,7 @@
         let durations_s: Durations = Family::new_with_constructor(durations);
         let refusals = Family::default();
         let failed_attempts = Family::default();
+        let server_failures = Family::default();
         let calls = Family::default();
         registry.register("requests", "Requests that ended", requests.clone());
         registry.register("request_seconds", "Time to the end", durations_s.clone());
@@ -85,6 +96,11 @@
             "Sends that failed",
             failed_attempts.clone(),
         );
+        registry.register(
+            "server_failures",
+            "Answers of backend servers with a status of 400 or more",
+            server_failures.clone(),
+        );
         registry.register("platform_calls", "Calls to the platform", calls.clone());
         Self {
             registry,
@@ -92,6 +108,7 @@
             durations_s,
             refusals,
             failed_attempts,
+            server_failures,
             calls,
         }
     }
@@ -120,6 +137,17 @@
             .inc();
     }
 
+    /// Counts a backend server's answer that is a failure.
+    pub fn server_failed(&self, seen: &Seen) {
+        let labels = FailureLabels {
+            status: seen.status,
+            mark: seen.mark.label(),
+            naming: seen.naming.label(),
+            connection: seen.connection.label(),
+        };
+        self.server_failures.get_or_create(&labels).inc();
+    }
+
     /// Counts a call to the platform.
     pub fn called(&self, dependency: &'static str, outcome: &'static str) {
         let labels = DependencyLabels {
