--- a/crates/proof/tests/harness.rs
+++ b/crates/proof/tests/harness.rs
@@ -65,6 +65,7 @@
 #[test_case(Mode::Pass, true; "passed")]
 #[test_case(Mode::Delay { delay_ms: 5 }, true; "delayed")]
 #[test_case(Mode::Cut, false; "cut")]
+#[test_case(Mode::Reset, false; "reset")]
 #[tokio::test]
 async fn the_relay_passes_or_cuts(mode: Mode, answered: bool) {
     let (_process, address) = plain().await;
--- a/crates/standin/src/users/exchange.rs
+++ b/crates/standin/src/users/exchange.rs
@@ -36,6 +36,8 @@
 pub(super) struct Connection {
     pub(super) stream: TcpStream,
     ahead: Vec<u8>,
+    /// Bytes to be sent where the next answer is due.
+    late: Vec<u8>,
 }
 
 impl Connection {
@@ -43,6 +45,7 @@
         Self {
             stream,
             ahead: Vec::new(),
+            late: Vec::new(),
         }
     }
 
@@ -57,6 +60,8 @@
                     self.fill().await?;
                 }
                 request.body = self.ahead.drain(..bytes).collect();
+                let late = std::mem::take(&mut self.late);
+                self.send(&late).await?;
                 return Some(request);
             }
             self.fill().await?;
@@ -67,6 +72,11 @@
         self.stream.write_all(bytes).await.ok()
     }
 
+    /// Keeps bytes back until the next request has come.
+    pub(super) fn send_later(&mut self, bytes: &[u8]) {
+        self.late.extend_from_slice(bytes);
+    }
+
     /// Ends when the caller closes the connection.
     pub(super) async fn closed(&mut self) {
         while self.fill().await.is_some() {}
