A refusal that names no request counts only as the first answer on its connection

Cause: backend::exchange took a marked refusal or a 421 without an identifier on a kept connection for the answer to the request in flight. Change: such an answer proves nothing unless it is the first on its connection; a connection whose last answer named no request is not kept, so that a copy of it meets nobody. Ruled out: requiring a name everywhere; a server that refuses a connection at once has not read one.

--- a/crates/gateway/src/backend/exchange.rs
+++ b/crates/gateway/src/backend/exchange.rs
@@ -9,10 +9,11 @@
 use tokio::time::Instant;
 
 use super::pool::{Link, Origin};
-use super::seen::Seen;
+use super::seen::{Naming, Seen};
 use crate::belief::Server;
 use crate::clock::Clock;
 use crate::decide::outcome::Cause;
+use crate::decide::promise::promises;
 use crate::dialect::HeaderNames;
 use crate::http::{Body, Progress, ResponseHead, response_head};
 
@@ -150,7 +151,11 @@
         if (100..200).contains(&head.status) {
             continue;
         }
-        match ownership(&head, request, names, origin) {
+        let place = match (origin, strays.passed_over) {
+            (Origin::Fresh, 0) => Place::First,
+            _ => Place::Later,
+        };
+        match ownership(&head, request, names, place) {
             Ownership::Own => return Ok(Some(head)),
             Ownership::Other => {
                 strays.passed_over += 1;
@@ -169,24 +174,30 @@
     Unclear,
 }
 
+/// Where on its connection an answer stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    /// It is the first, so it cannot belong to an earlier request.
+    First,
+    /// Others came before it.
+    Later,
+}
+
 fn ownership(
     head: &ResponseHead,
     request: &Outgoing<'_>,
     names: &HeaderNames,
-    origin: Origin,
+    place: Place,
 ) -> Ownership {
     let echoed = head.fields.text(names.request_id);
     match (echoed, request.request_id) {
         (Some(echoed), Some(sent)) if echoed == sent => Ownership::Own,
         (Some(_), Some(_)) => Ownership::Other,
         (Some(_), None) => Ownership::Unclear,
-        // Refusals need no echo: the server has not looked at the request.
-        (None, _) if head.status >= 400 && origin == Origin::Fresh => Ownership::Own,
-        (None, _) if head.fields.get(names.not_run).is_some() || head.status == 421 => {
-            Ownership::Own
-        }
-        (None, None) => Ownership::Own,
-        (None, Some(_)) => Ownership::Unclear,
+        // A server that refuses at once may not have read the identifier.
+        (None, _) if place == Place::First && head.status >= 400 => Ownership::Own,
+        (None, None) if !promises(head.status) => Ownership::Own,
+        (None, _) => Ownership::Unclear,
     }
 }
 
@@ -235,11 +246,13 @@
         Ok(whole.freeze())
     }
 
-    /// Keeps the connection for another request if it is clean.
+    /// Keeps the connection for another request if it is clean. One whose answer names no request is
+    /// closed: a second copy of it would be taken for the next request's answer.
     pub fn finish(self, server: &Server, now_ms: Millisecond) {
         let clean = self.seen.sent == Sent::Whole
             && self.body.is_done()
             && self.link.conn.buf.is_empty()
+            && self.seen.naming == Naming::Named
             && self.head.keeps_alive();
         if clean {
             let idle_ms = idle_ms(&self.head);
--- a/crates/standin/src/users/runner.rs
+++ b/crates/standin/src/users/runner.rs
@@ -34,6 +34,8 @@
     Marked(u16),
     /// Says that it did not run the request, and says it again where the next answer is due.
     RefuseTwice,
+    /// The same, and names the request both times.
+    RefuseTwiceByName,
     /// Runs the request and fails.
     Fail,
     /// Runs the request and answers with this status, without saying whether it ran.
@@ -192,7 +194,12 @@
             body: request.body.clone(),
             ran: !matches!(
                 behaviour,
-                None | Some(Behaviour::Refuse | Behaviour::RefuseTwice | Behaviour::Marked(_))
+                None | Some(
+                    Behaviour::Refuse
+                        | Behaviour::RefuseTwice
+                        | Behaviour::RefuseTwiceByName
+                        | Behaviour::Marked(_)
+                )
             ),
         });
         (id, behaviour)
@@ -264,6 +271,11 @@
             connection.send_later(REFUSAL);
             Some(())
         }
+        Behaviour::RefuseTwiceByName => {
+            connection.send(&marked(503, id)).await?;
+            connection.send_later(&marked(503, id));
+            Some(())
+        }
         Behaviour::Fail => connection.send(&signed(500, id, b"failed")).await,
         Behaviour::Bare(status) => connection.send(&signed(status, id, b"bare")).await,
         Behaviour::Detached(ms) => {
