A request that a server gets once more goes over a fresh connection

Cause: an identifier names a request, not a sending; the connection of the first sending was kept and used for the second. Change: backend::pool::Reuse; a server that a request was sent to before gets it over a fresh connection.

--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -8,6 +8,7 @@
 use base::units::{Millisecond, TokenCount};
 use policy::suspect::{Candidate as SuspectCandidate, Treatment};
 
+use crate::backend::pool::Reuse;
 use crate::backend::seen::Seen;
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
@@ -36,6 +37,8 @@
     pub tokens_ahead: TokenCount,
     /// Prompt tokens that the server must read for this request.
     pub tokens_to_read: TokenCount,
+    /// Which connection the request may be sent on.
+    pub reuse: Reuse,
     waiting_tokens: TokenCount,
     ended: Cell<Ended>,
     job: &'a Job<'a>,
@@ -71,10 +74,15 @@
         };
         let rule = node.settings.placing.rule;
         let choice = pick(rule, &demand(job), &candidates, node.chance(), limits)?;
-        Ok(Self::begin(job, &servers[choice.place], choice))
+        let server = &servers[choice.place];
+        let reuse = match avoid.contains(&server.record.id) {
+            true => Reuse::Never,
+            false => Reuse::Allowed,
+        };
+        Ok(Self::begin(job, server, choice, reuse))
     }
 
-    fn begin(job: &'a Job<'a>, server: &Rc<Server>, choice: Choice) -> Self {
+    fn begin(job: &'a Job<'a>, server: &Rc<Server>, choice: Choice, reuse: Reuse) -> Self {
         let node = job.node;
         let now_ms = node.now_ms();
         job.answered(None);
@@ -92,6 +100,7 @@
             predicted_ms: choice.first_ms,
             tokens_ahead,
             tokens_to_read: choice.tokens_to_read,
+            reuse,
             waiting_tokens: choice.tokens_to_read,
             ended: Cell::new(Ended::LeftOrOverdue),
             job,
--- a/crates/gateway/src/backend/exchange.rs
+++ b/crates/gateway/src/backend/exchange.rs
@@ -8,7 +8,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::time::Instant;
 
-use super::pool::{Link, Origin};
+use super::pool::{Link, Origin, Reuse};
 use super::seen::{Naming, Seen};
 use crate::belief::Server;
 use crate::clock::Clock;
@@ -34,6 +34,8 @@
     pub head: Bytes,
     /// Body.
     pub body: Bytes,
+    /// Which connection it may be sent on.
+    pub reuse: Reuse,
 }
 
 /// An answer whose head has been read.
@@ -70,7 +72,7 @@
     names: &HeaderNames,
     clock: Clock,
 ) -> Result<Answer, Cause> {
-    let link = Link::open(server, clock.now_ms()).await;
+    let link = Link::open(server, request.reuse, clock.now_ms()).await;
     let mut link = link.map_err(|_| Cause::Unreachable)?;
     let (head, seen) = converse(&mut link, request, names).await?;
     server.heard(clock.now_ms());
--- a/crates/gateway/src/backend/pool.rs
+++ b/crates/gateway/src/backend/pool.rs
@@ -60,6 +60,15 @@
     Kept,
 }
 
+/// Which connection a request may be sent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// A kept one or a fresh one.
+    Allowed,
+    /// A fresh one only: a kept one may still bring an answer to an earlier send of the request.
+    Never,
+}
+
 impl Origin {
     /// Name in metrics.
     pub fn label(self) -> &'static str {
@@ -81,13 +90,17 @@
 }
 
 impl Link {
-    /// A connection to `server`, kept or fresh.
+    /// A connection to `server`, kept or fresh as `reuse` allows.
     ///
     /// # Errors
     ///
     /// None could be opened.
-    pub async fn open(server: &Server, now_ms: Millisecond) -> std::io::Result<Self> {
-        if let Some(idle) = kept(server, now_ms) {
+    pub async fn open(server: &Server, reuse: Reuse, now_ms: Millisecond) -> std::io::Result<Self> {
+        let idle = match reuse {
+            Reuse::Allowed => kept(server, now_ms),
+            Reuse::Never => None,
+        };
+        if let Some(idle) = idle {
             return Ok(Self {
                 conn: idle.conn,
                 origin: Origin::Kept,
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -135,6 +135,7 @@
             request_id: self.job.id(),
             head: self.job.head_for(server, self.last_event.as_deref()),
             body: self.job.request.body.clone(),
+            reuse: attempt.reuse,
         };
         let node = self.job.node;
         let sending = send(server, &request, &node.dialect.names, node.clock);
--- a/crates/gateway/src/front/whole.rs
+++ b/crates/gateway/src/front/whole.rs
@@ -72,6 +72,7 @@
         request_id: job.id(),
         head: job.head_for(&server, None),
         body: job.request.body.clone(),
+        reuse: attempt.reuse,
     };
     let clock = job.node.clock;
     let sending = send(&server, &request, &job.node.dialect.names, clock);
