A request whose caller left during a standstill is not sent on

A caller whose attempt counts as not run for another reason would see it run later. Cause: front::caller looked at the request first and at the caller's end second; over a kept connection the request is written within that first look. Change: the caller's end is looked at first, also each time that a waiting request goes on. Ruled out: a fresh look at the socket before each send; what the kernel holds is known at the first read. Before: platform/tests/standstill.rs fails (ran once), also with its final text. After: it passes, four times of four. Whether the users' cases came about so is not shown.

--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -82,8 +82,9 @@
     let mut out = Out { write, afterwards };
     let served = tokio::select! {
         biased;
-        served = serve(node, request, &mut out) => served,
+        // Looked at first: after a standstill the request and the caller's end come together.
         () = caller_left(read, buf) => return Afterwards::Close,
+        served = serve(node, request, &mut out) => served,
     };
     match served {
         Served::Passed { .. } | Served::Own(_) if afterwards == Afterwards::Keep => {
