A server's refusal is taken at its head, whether or not its body ends

Cause: the body was read to its end, to keep the connection, before the verdict on the head was used. Change: Answer::discard reads on for 5 ms at most and closes the connection otherwise; judge gives either what becomes of an answer or why it is not passed on.

--- a/crates/gateway/src/backend/exchange.rs
+++ b/crates/gateway/src/backend/exchange.rs
@@ -20,6 +20,10 @@
 /// Longest head of an answer.
 const HEAD_LIMIT_BYTES: usize = 32 * 1024;
 
+/// How long the body of an answer that is not passed on is read, so that its connection can be kept;
+/// a request waits for it, and a fresh connection costs a server about as much (its handshake).
+const DISCARD_MS: Millisecond = 5;
+
 /// Longest answer that is kept whole before it is passed on.
 pub const WHOLE_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
@@ -248,6 +252,14 @@
         Ok(whole.freeze())
     }
 
+    /// Ends an answer that is not passed on; its connection is kept if the body ends soon.
+    pub async fn discard(mut self, server: &Server, clock: Clock) {
+        let rest = tokio::time::timeout(Duration::from_millis(DISCARD_MS), self.whole()).await;
+        if let Ok(Ok(_)) = rest {
+            self.finish(server, clock.now_ms());
+        }
+    }
+
     /// Keeps the connection for another request if it is clean. One whose answer names no request is
     /// closed: a second copy of it would be taken for the next request's answer.
     pub fn finish(self, server: &Server, now_ms: Millisecond) {
--- a/crates/gateway/src/front/answer.rs
+++ b/crates/gateway/src/front/answer.rs
@@ -9,15 +9,13 @@
 use crate::decide::promise::promises;
 use crate::http::{HeadWriter, ResponseHead};
 
-/// What an answer's head says of the request.
+/// What becomes of an answer to the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// It is passed on.
     Pass,
     /// It is passed on unless another server may run the request.
     PassOrRepeat,
-    /// It is no answer to the request.
-    Fail(Cause),
 }
 
 /// How the passed-on body is framed.
@@ -30,16 +28,20 @@
 }
 
 /// Judges an answer by its head.
-pub fn judge(job: &Job<'_>, head: &ResponseHead) -> Verdict {
+///
+/// # Errors
+///
+/// Why it is not passed on.
+pub fn judge(job: &Job<'_>, head: &ResponseHead) -> Result<Verdict, Cause> {
     let names = &job.node.dialect.names;
     let not_run = head.fields.get(names.not_run).is_some();
     match head.status {
-        421 => Verdict::Fail(Cause::Misdirected),
-        status if not_run && (status >= 500 || promises(status)) => Verdict::Fail(Cause::Refused),
-        status if promises(status) => Verdict::Fail(Cause::BareRefusal),
-        200..300 if head.fields.get(names.signature).is_none() => Verdict::Fail(Cause::Garbled),
-        500.. if job.route.kind.repeats() => Verdict::PassOrRepeat,
-        _ => Verdict::Pass,
+        421 => Err(Cause::Misdirected),
+        status if not_run && (status >= 500 || promises(status)) => Err(Cause::Refused),
+        status if promises(status) => Err(Cause::BareRefusal),
+        200..300 if head.fields.get(names.signature).is_none() => Err(Cause::Garbled),
+        500.. if job.route.kind.repeats() => Ok(Verdict::PassOrRepeat),
+        _ => Ok(Verdict::Pass),
     }
 }
 
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -107,22 +107,19 @@
     }
 
     async fn run(&mut self, attempt: &mut Attempt<'_>) -> End {
-        let mut answer = match self.open(attempt).await {
+        let answer = match self.open(attempt).await {
             Ok(answer) => answer,
             Err(end) => return end,
         };
         attempt.answered(answer.seen);
         match judge(self.job, &answer.head) {
-            Verdict::Pass if is_stream(&answer) => self.relay(attempt, answer).await,
-            Verdict::Pass if self.progress == Progress::Nothing => {
+            Ok(Verdict::Pass) if is_stream(&answer) => self.relay(attempt, answer).await,
+            Ok(Verdict::Pass) if self.progress == Progress::Nothing => {
                 self.pass_whole(attempt, answer).await
             }
-            Verdict::Pass | Verdict::PassOrRepeat => End::Failed(Cause::Failed),
-            Verdict::Fail(cause) => {
-                // Read to its end, so that the connection can be kept.
-                if answer.whole().await.is_ok() {
-                    answer.finish(&attempt.server, self.job.node.now_ms());
-                }
+            Ok(Verdict::Pass | Verdict::PassOrRepeat) => End::Failed(Cause::Failed),
+            Err(cause) => {
+                answer.discard(&attempt.server, self.job.node.clock).await;
                 End::Failed(cause)
             }
         }
--- a/crates/gateway/src/front/whole.rs
+++ b/crates/gateway/src/front/whole.rs
@@ -55,7 +55,6 @@
                     failure = Some(whole);
                     Cause::Failed
                 }
-                Verdict::Fail(cause) => cause,
             },
             Err(cause) => cause,
         };
@@ -84,10 +83,14 @@
         Patience::ToTheEnd => sending.await?,
     };
     attempt.answered(answer.seen);
-    let verdict = judge(job, &answer.head);
-    if matches!(verdict, Verdict::Pass | Verdict::PassOrRepeat) {
-        attempt.first_byte();
-    }
+    let verdict = match judge(job, &answer.head) {
+        Ok(verdict) => verdict,
+        Err(cause) => {
+            answer.discard(&server, clock).await;
+            return Err(cause);
+        }
+    };
+    attempt.first_byte();
     let body = answer.whole().await?;
     let head = answer.head.clone();
     answer.finish(&server, clock.now_ms());
--- a/crates/standin/src/users/runner.rs
+++ b/crates/standin/src/users/runner.rs
@@ -36,6 +36,8 @@
     RefuseTwice,
     /// The same, and names the request both times.
     RefuseTwiceByName,
+    /// Says that it did not run the request, and never ends its answer.
+    RefuseWithoutEnd,
     /// Runs the request and fails.
     Fail,
     /// Runs the request and answers with this status, without saying whether it ran.
@@ -198,6 +200,7 @@
                     Behaviour::Refuse
                         | Behaviour::RefuseTwice
                         | Behaviour::RefuseTwiceByName
+                        | Behaviour::RefuseWithoutEnd
                         | Behaviour::Marked(_)
                 )
             ),
@@ -271,6 +274,13 @@
             connection.send_later(REFUSAL);
             Some(())
         }
+        Behaviour::RefuseWithoutEnd => {
+            let head = marked(503, id);
+            let endless = String::from_utf8_lossy(&head).replace("Length: 0", "Length: 9");
+            connection.send(endless.as_bytes()).await?;
+            connection.closed().await;
+            None
+        }
         Behaviour::RefuseTwiceByName => {
             connection.send(&marked(503, id)).await?;
             connection.send_later(&marked(503, id));
