Allowances of large fleets: use is presumed between two words of a node

Cause, by the logs: all nodes see the same level and hear each other each 840 ms, so that they all accept and all refuse in turn (0.98, 0.51, 1.15, 0.27 million tokens a second); at 13 s 68 of 83 nodes start again, each with half a second's rate, and what the others used before their first word was never charged. Change: decide::allowance. A node presumes that the others use at its own pace between their words, less where they have used less than it has; the same of listed nodes that it has not heard since it started; and a life that began when this process did is charged from its start. Ruled out: presuming each node's last pace (the turns stay, and they refuse 1 in 10 of a usual load at first, until double charges were mended); a lower start (0.25 s: not needed, and still over the bound). Before: the model with restarts (allowances.rs) fails, 9.06 and 9.55 million of 8.98.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -14,7 +14,7 @@
 use crate::belief::directory::Allowance;
 use crate::belief::{Directory, Registry, Workspace};
 use crate::clock::{Clock, unix_ms};
-use crate::decide::allowance::{Beginning, Bucket, Past, Verdict};
+use crate::decide::allowance::{Beginning, Bucket, Fleet, Past, Verdict};
 use crate::decide::repeats::{Draw, Repeats, Terms};
 use crate::decide::rule::Chance;
 use crate::decide::work::Work;
@@ -23,7 +23,7 @@
 use crate::metrics::Metrics;
 use crate::peer::Peers;
 use crate::peer::message::life_key;
-use crate::peer::role::Role;
+use crate::peer::role::{Role, period_ms};
 use crate::settings::{FirstStart, Settings, ms};
 
 /// Where a process is in its life.
@@ -164,6 +164,16 @@
         self.peers.borrow().count() + 1
     }
 
+    /// The nodes that share allowances with this one.
+    fn fleet(&self) -> Fleet {
+        let listed = self.peers.borrow().listed() + 1;
+        Fleet {
+            heard: self.nodes(),
+            listed,
+            period_ms: period_ms(listed),
+        }
+    }
+
     /// Whether this node follows the store itself.
     pub fn role(&self) -> Role {
         let own = &self.settings.node;
@@ -177,12 +187,12 @@
             return Verdict::Within;
         };
         let now_ms = self.now_ms();
-        let nodes = self.nodes();
+        let fleet = self.fleet();
         let mut buckets = self.buckets.borrow_mut();
         let bucket = buckets
             .entry(workspace.name.clone())
             .or_insert_with(|| self.bucket(allowance, now_ms));
-        bucket.charge(cost, nodes, now_ms)
+        bucket.charge(cost, fleet, now_ms)
     }
 
     /// Gives back what a request was charged that did not run.
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -14,6 +14,7 @@
 use super::{News, pull};
 use crate::belief::registry::Load;
 use crate::clock::unix_ms;
+use crate::decide::allowance::Word;
 use crate::log;
 use crate::node::{Node, Phase};
 
@@ -230,7 +231,12 @@
     let silence_ms = node.peers.borrow().silence_ms(&hello.node);
     for (workspace, used) in &hello.used {
         if let Some(bucket) = node.buckets.borrow_mut().get_mut(workspace) {
-            bucket.heard(&key, *used, silence_ms, now_ms);
+            let word = Word {
+                used: *used,
+                age_ms: hello.age_ms(),
+                silence_ms,
+            };
+            bucket.heard(&key, word, now_ms);
         }
     }
     node.usage.borrow_mut().heard(&key, &hello.begun);
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -139,6 +139,11 @@
         self.by_name.len()
     }
 
+    /// Other nodes that are known by name or address; some may be down.
+    pub fn listed(&self) -> usize {
+        self.known.len().max(self.count())
+    }
+
     /// All other nodes.
     pub fn iter(&self) -> impl Iterator<Item = (&Name, &Peer)> {
         self.by_name.iter()
