A failure domain that the store turns away as a whole learns of leaving servers from another one

Cause: peer::pull asked only neighbours for the registry as long as any neighbour was heard; all of them were as blind. Change: a node that follows the store and whose registry has not been current for a second asks any node that names a newer one. Ruled out: letting listeners ask too, as each answer crosses failure domains. Before: a_failure_domain_that_the_store_turns_away_learns_from_another_one fails. After: it passes, with the discovery histories.

--- a/crates/gateway/src/peer/pull.rs
+++ b/crates/gateway/src/peer/pull.rs
@@ -12,7 +12,7 @@
 use super::message::{DIRECTORY_PATH, Hello, REGISTRY_PATH, RegistryCopy, USAGE_PATH, UsageCopy};
 use crate::http::{Body, Conn, ConnOptions, HeadWriter, Progress, response_head};
 use crate::node::Node;
-use crate::peer::role::Presence;
+use crate::peer::role::{Presence, Role};
 use crate::{follow, log};
 
 /// Bound of one question.
@@ -31,6 +31,10 @@
 /// keep a question for changes.
 const STORE_SILENT_MS: Millisecond = follow::WAIT_MS + 900;
 
+/// For so long only neighbours are asked for the registry: half of the shortest drain bound of the
+/// users' pages, within which a leaving server must be known.
+const NEIGHBOURS_ONLY_MS: Millisecond = 1_000;
+
 /// Outcome of a part that does not fit what is known.
 const GAP: &str = "gap";
 
@@ -108,7 +112,9 @@
     }
     match reach(node) {
         Reach::InTouch => node.registry_news.notify_waiters(),
-        Reach::Away if is_near(node, hello) => wanted.push(Wanted::Registry { since: revision }),
+        Reach::Away if is_near(node, hello) || is_behind(node) => {
+            wanted.push(Wanted::Registry { since: revision })
+        }
         Reach::Away => {}
     }
     wanted
@@ -145,6 +151,13 @@
     hello.failure_domain == *domain || neighbours == Presence::Silent
 }
 
+/// Whether this node's registry is old although it should be current: the store may turn away all nodes
+/// of its failure domain. Those that only listen wait for their neighbours all the same.
+fn is_behind(node: &Node) -> bool {
+    let age_ms = node.now_ms().saturating_sub(node.registry_seen_ms.get());
+    node.role() == Role::Follows && age_ms > NEIGHBOURS_ONLY_MS
+}
+
 /// Asks the nodes that have run longest what lives have counted that this node never heard.
 pub async fn usage(node: &Rc<Node>) {
     let now_ms = node.now_ms();
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -139,6 +139,36 @@
     assert_eq!(wanted, vec![Wanted::Registry { since: 10 }]);
 }
 
+#[test]
+fn a_failure_domain_that_the_store_turns_away_learns_from_another_one() {
+    paused(async {
+        let node = node("n");
+        servers::take_in(&node, batch(10, Vec::new()), Extent::All);
+        let far = Hello {
+            failure_domain: "b".into(),
+            ..hello(12)
+        };
+        let neighbour = || {
+            let address = "127.0.0.1:2".parse().unwrap();
+            let mut peers = node.peers.borrow_mut();
+            let number = node.now_ms();
+            let hello = Hello {
+                number,
+                ..hello(10)
+            };
+            peers.heard(hello, address, node.now_ms());
+        };
+        neighbour();
+        fail_store(&node);
+        assert_eq!(pull::wanted(&node, &far), Vec::new(), "neighbours may know");
+        tokio::time::sleep(std::time::Duration::from_millis(1_200)).await;
+        neighbour();
+        fail_store(&node);
+        let wanted = pull::wanted(&node, &far);
+        assert_eq!(wanted, vec![Wanted::Registry { since: 10 }]);
+    });
+}
+
 #[test]
 fn heartbeats_are_no_reason_to_ask() {
     let (from, to) = (node("n"), node("m"));
