Allowances: a burst is used to its last unit

Change: costs are whole units, so that a hundredth less is still enough. Before: a_burst_is_used_to_its_last_unit_beside_a_node_that_uses_nothing fails.

--- a/crates/gateway/src/decide/allowance.rs
+++ b/crates/gateway/src/decide/allowance.rs
@@ -20,6 +20,9 @@
 /// This node's pace is the mean over about so long: two periods of a small fleet.
 const PACE_MS: f64 = 250.0;
 
+/// Costs are whole units (the users' protocol page): so much less than one is still enough for it.
+const LEAST_UNITS: f64 = 0.01;
+
 /// What a node has used, by its own count.
 #[derive(Clone, Copy, Debug)]
 struct Peer {
@@ -189,7 +192,7 @@
         self.count_strangers(fleet, now_ms);
         self.fill(fleet.heard, now_ms);
         let needed = cost.min(self.allowance.burst);
-        if self.level >= needed {
+        if self.level + LEAST_UNITS >= needed {
             self.level -= cost;
             self.pace += cost / PACE_MS;
             self.used += cost;
--- a/crates/gateway/tests/allowances.rs
+++ b/crates/gateway/tests/allowances.rs
@@ -112,6 +112,19 @@
     Past::at(beginning)
 }
 
+#[test]
+fn a_burst_is_used_to_its_last_unit_beside_a_node_that_uses_nothing() {
+    let other = Name::from("b/1");
+    let allowance = Allowance {
+        rate_per_s: 0.001,
+        burst: 100.0,
+    };
+    let mut bucket = Bucket::new(allowance, Past::Unused, 0);
+    hear(&mut bucket, &other, 0.0, 0);
+    assert_eq!(bucket.charge(50.0, whole(2), 0), Verdict::Within);
+    assert_eq!(bucket.charge(50.0, whole(2), 40), Verdict::Within);
+}
+
 #[test]
 fn what_was_presumed_of_a_silent_node_is_given_back() {
     let other = Name::from("b/1");
