One node asks the store for all, and the others step in by the age of what they know

Cause: each node followed the store itself (two of each failure domain in a large fleet): registry twice a second, directory once, the lease row twice and the list of nodes each 5 s. Change: decide::watch. A node asks when the age of what it knows passes its turn; the first comes at a quarter of the drain bound, the others later by rank, domains taking turns. Datagrams tell the ages and who holds the duties; the lease row is read only while no holder is heard, by three candidates. In large fleets the nodes that follow the store pulse between whole datagrams, so that their loss is noticed in a second. Bounds come from the settings (drain_ms, directory_ms). Ruled out: a single follower by lease (a lost one costs its term); longer polls only (calls still grow with nodes).

--- a/crates/fleet/src/clock.rs
+++ b/crates/fleet/src/clock.rs
@@ -1,11 +1,13 @@
 //! The clocks of a node.
 //!
-//! A stopped process sees both clocks go on; a suspended VM may see the monotonic one stand still.
-//! A reading therefore gives two values: what may safely be waited on, and what must be feared.
+//! A stopped process sees all clocks go on; on a VM that was suspended the monotonic one stood still,
+//! and the one that counts since the system's start did not. A reading therefore gives two values: what
+//! may safely be waited on, and what must be feared. The calendar clock is in neither, as it jumps.
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use base::units::Millisecond;
+use rustix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 
 /// Both clocks at one instant, since the clock's start.
@@ -21,7 +23,7 @@
 #[derive(Clone, Debug)]
 pub struct Clock {
     started: Instant,
-    started_unix: Duration,
+    started_boot_ms: Millisecond,
 }
 
 impl Clock {
@@ -29,17 +31,17 @@
     pub fn start() -> Self {
         Self {
             started: Instant::now(),
-            started_unix: unix_time(),
+            started_boot_ms: boot_ms(),
         }
     }
 
     /// Reads both clocks.
     pub fn read(&self) -> Reading {
         let certain_ms = self.started.elapsed().as_millis() as Millisecond;
-        let wall = unix_time().saturating_sub(self.started_unix);
+        let with_suspensions_ms = boot_ms().saturating_sub(self.started_boot_ms);
         Reading {
             certain_ms,
-            possible_ms: certain_ms.max(wall.as_millis() as Millisecond),
+            possible_ms: certain_ms.max(with_suspensions_ms),
         }
     }
 
@@ -49,6 +51,12 @@
     }
 }
 
+/// Milliseconds since the system's start, suspensions included.
+pub fn boot_ms() -> Millisecond {
+    let now = clock_gettime(ClockId::Boottime);
+    now.tv_sec as Millisecond * 1_000 + now.tv_nsec as Millisecond / 1_000_000
+}
+
 /// Milliseconds of the calendar clock, for records that people read.
 pub fn unix_ms() -> Millisecond {
     unix_time().as_millis() as Millisecond
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -1,5 +1,6 @@
 //! A lease kept up by a task of its own.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -33,6 +34,8 @@
 }
 
 struct Shared {
+    /// Whether another node is heard to hold it, so that the table need not be asked.
+    stands_by: AtomicBool,
     name: String,
     table: Arc<dyn Table>,
     clock: Clock,
@@ -50,6 +53,7 @@
     /// Starts to look after the lease `name`.
     pub fn spawn(name: &str, node: Name, table: Arc<dyn Table>, terms: Terms, seed: u64) -> Self {
         let shared = Arc::new(Shared {
+            stands_by: AtomicBool::new(false),
             name: name.to_owned(),
             table,
             clock: Clock::start(),
@@ -68,6 +72,12 @@
         }
     }
 
+    /// Tells whether the table need not be asked for the lease, as another node is heard to hold it or
+    /// comes first. A node that holds it is not bound by that.
+    pub fn stand_by(&self, stands_by: bool) {
+        self.shared.stands_by.store(stands_by, Ordering::Relaxed);
+    }
+
     /// Ends the task and frees the lease if it is held.
     pub async fn close(self) {
         self.stop.cancel();
@@ -128,11 +138,13 @@
 }
 
 async fn keep(shared: Arc<Shared>, stop: CancellationToken) {
-    let mut known = None;
+    let mut known: Option<Permit> = None;
     loop {
-        let now = shared.clock.read();
-        let action = shared.with(|lease, rng| lease.tick(now, rng));
-        shared.carry_out(action).await;
+        if known.is_some() || !shared.stands_by.load(Ordering::Relaxed) {
+            let now = shared.clock.read();
+            let action = shared.with(|lease, rng| lease.tick(now, rng));
+            shared.carry_out(action).await;
+        }
         shared.report(known);
         known = shared.permit();
         tokio::select! {
--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -196,7 +196,10 @@
     /// The server is gone.
     Certain,
     /// The store was away; the server may register itself again.
-    BesideOutage,
+    BesideOutage {
+        /// Earliest time at which the entry may have vanished after the store's return.
+        since_ms: Millisecond,
+    },
 }
 
 impl Registry {
@@ -283,13 +286,13 @@
     }
 
     /// Takes in that an entry is absent.
-    pub fn remove(&mut self, id: &str, absence: Absence, now_ms: Millisecond) -> Change {
+    pub fn remove(&mut self, id: &str, absence: Absence) -> Change {
         let Some((name, _)) = self.by_id.get_key_value(id) else {
             return Change::None;
         };
         let name = name.clone();
-        if absence == Absence::BesideOutage {
-            let until_ms = now_ms + VANISHED_GRACE_MS;
+        if let Absence::BesideOutage { since_ms } = absence {
+            let until_ms = since_ms + VANISHED_GRACE_MS;
             self.vanished.entry(name).or_insert(until_ms);
             self.changed = self.revision;
             return Change::None;
@@ -313,7 +316,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         due.iter()
-            .map(|id| self.remove(id, Absence::Certain, now_ms))
+            .map(|id| self.remove(id, Absence::Certain))
             .collect()
     }
 
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,7 +1,7 @@
 //! Milliseconds since the process started.
 
 use base::units::Millisecond;
-pub use fleet::clock::unix_ms;
+pub use fleet::clock::{boot_ms, unix_ms};
 use tokio::time::Instant;
 
 /// Reading at the start, so that 0 is long ago.
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -12,4 +12,6 @@
 pub mod scale;
 pub mod shed;
 pub mod speed;
+pub mod standstill;
+pub mod watch;
 pub mod work;
--- a/crates/gateway/src/duty/keeper.rs
+++ b/crates/gateway/src/duty/keeper.rs
@@ -11,8 +11,10 @@
 use serde::Serialize;
 
 use super::scaling::Scaler;
+use crate::decide::watch::Rank;
 use crate::log;
 use crate::node::{Node, Phase};
+use crate::peer::message::Tenure;
 use crate::peer::pull;
 use crate::peer::role::Role;
 use crate::settings::ms;
@@ -33,6 +35,9 @@
 /// then come and all nodes have told their counts, and a next holder still has time to report.
 const SETTLE_SHARE: f64 = 0.2;
 
+/// Nodes that look whether the lease can be had while none is heard to hold it.
+const CANDIDATES: usize = 3;
+
 /// Part of the lease's term that clocks and delays may take.
 const MARGIN_SHARE: u64 = 6;
 
@@ -66,7 +71,8 @@
             node: node.clone(),
             right: lease.right(),
         };
-        keeper.run().await;
+        keeper.run(&lease).await;
+        node.tenure.set(Tenure::None);
         lease.close().await;
     }
 }
@@ -86,13 +92,19 @@
 
 impl Keeper {
     /// Keeps the duties for as long as the node takes part in them.
-    async fn run(self) {
+    async fn run(self, lease: &LeaseHolder) {
         let mut reported: Set<u64> = Set::default();
         let mut held = Held::No;
         while takes_part(&self.node) {
             tokio::time::sleep(ROUND).await;
             self.scaler.observe();
-            if self.permit().is_none() {
+            lease.stand_by(self.stands_by());
+            let tenure = match self.permit() {
+                Some(_) => Tenure::Holds,
+                None => Tenure::None,
+            };
+            self.node.tenure.set(tenure);
+            if tenure == Tenure::None {
                 self.scaler.forget_orders();
                 held = Held::No;
                 continue;
@@ -114,6 +126,18 @@
         }
     }
 
+    /// Whether the duties are left to others: one is heard to hold them, or enough nodes come first
+    /// that can take them.
+    fn stands_by(&self) -> bool {
+        let now_ms = self.node.now_ms();
+        let heard = self.node.peers.borrow().holder_is_heard(now_ms);
+        let later = match self.node.rank() {
+            Rank::After(nodes) => nodes >= CANDIDATES,
+            Rank::Unknown => true,
+        };
+        heard || later
+    }
+
     /// The oldest window whose report is due.
     fn due(&self, reported: &Set<u64>) -> Option<u64> {
         let offset_ms = self.node.clock_offset_ms();
--- a/crates/gateway/src/follow/directory.rs
+++ b/crates/gateway/src/follow/directory.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use base::units::Millisecond;
 use outside::Batch;
 use serde::Serialize;
 
@@ -24,6 +25,7 @@
 
 /// Takes in rows of the operator's table.
 pub fn take_in(node: &Rc<Node>, batch: Batch, _: Extent) {
+    node.directory_seen_ms.set(node.now_ms());
     for row in batch.rows {
         let Some(body) = row.body else {
             continue;
@@ -34,6 +36,16 @@
     }
 }
 
+/// Takes over how lately a node says that it knew the newest directory, if ours is the same.
+pub fn confirm(node: &Node, version: u64, age_ms: Millisecond) {
+    if node.directory().is_none_or(|d| d.version != version) {
+        return;
+    }
+    let seen_ms = node.now_ms().saturating_sub(age_ms);
+    node.directory_seen_ms
+        .set(node.directory_seen_ms.get().max(seen_ms));
+}
+
 /// Puts a directory's row into force if it is newer; says its version and what became of it.
 pub fn offer(node: &Rc<Node>, body: &[u8]) -> (u64, &'static str) {
     let directory = match (node.dialect.directory)(body) {
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -12,20 +12,16 @@
 use outside::{Batch, Feed, FeedError, Topic};
 use serde::Serialize;
 
+use crate::decide::watch::{Question, due_ms, wait_ms};
 use crate::log;
 use crate::node::Node;
 use crate::peer::role::Role;
 
-/// Longest wait of one question for changes: a connection that has gone silent is noticed soon
-/// after it.
-pub const WAIT_MS: Millisecond = 1_000;
+/// A node looks so often whether it is its turn to ask: half of the time between two turns.
+const LOOK: Duration = Duration::from_millis(75);
 
-/// Heartbeats change the registry all the time: it is asked for so often, and at once when another
-/// node tells of a change that matters. Well below the shortest drain bound of the pages (2 s).
-const PACE: Duration = Duration::from_millis(500);
-
-/// Pause after a question without an answer.
-const PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a question without an answer; other nodes ask meanwhile.
+const PAUSE: Duration = Duration::from_millis(300);
 
 /// Whether rows are all there are, or what has changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,16 +50,22 @@
             tokio::time::sleep(PAUSE).await;
             continue;
         }
+        if revision.is_some() {
+            turn(&node, topic).await;
+        }
         let outcome = match revision {
             None => snapshot(&*feed, topic).await,
-            Some(since) => changes(&*feed, topic, known(&node, topic, since)).await,
+            Some(since) => {
+                let wait_ms = manner(&node, topic).wait_ms();
+                let since = known(&node, topic, since);
+                changes(&*feed, topic, since, wait_ms).await
+            }
         };
         match outcome {
             Ok((batch, extent)) => {
                 answered(&node, topic);
                 revision = Some(batch.revision);
                 take_in(&node, batch, extent);
-                pace(&node, topic).await;
             }
             Err(FeedError::HistoryGone) => {
                 answered(&node, topic);
@@ -77,11 +79,57 @@
     }
 }
 
-/// Waits until a topic is worth asking for again.
-async fn pace(node: &Node, topic: Topic) {
-    if topic == Topic::Servers {
-        // The time runs out if there is no news.
-        let _ = tokio::time::timeout(PACE, node.registry_news.notified()).await;
+/// How a topic is asked for.
+struct Manner {
+    question: Question,
+    /// Age that what is known of it may not exceed.
+    bound_ms: Millisecond,
+    seen_ms: Millisecond,
+}
+
+impl Manner {
+    fn wait_ms(&self) -> Millisecond {
+        wait_ms(self.question, self.bound_ms)
+    }
+
+    fn left_ms(&self, node: &Node) -> Millisecond {
+        let due_ms = due_ms(self.question, node.rank(), self.bound_ms);
+        (self.seen_ms + due_ms).saturating_sub(node.now_ms())
+    }
+}
+
+fn manner(node: &Node, topic: Topic) -> Manner {
+    let bounds = &node.settings.bounds;
+    match topic {
+        Topic::Servers => Manner {
+            question: Question::Paced,
+            bound_ms: bounds.drain_ms,
+            seen_ms: node.registry_seen_ms.get(),
+        },
+        Topic::Directory | Topic::Nodes => Manner {
+            question: Question::Held,
+            bound_ms: bounds.directory_ms,
+            seen_ms: node.directory_seen_ms.get(),
+        },
+    }
+}
+
+/// Waits until it is this node's turn to ask for a topic, or another node tells of a change.
+async fn turn(node: &Node, topic: Topic) {
+    loop {
+        let left_ms = manner(node, topic).left_ms(node);
+        if left_ms == 0 {
+            return;
+        }
+        let look = LOOK.min(Duration::from_millis(left_ms));
+        if topic != Topic::Servers {
+            tokio::time::sleep(look).await;
+            continue;
+        }
+        let news = tokio::time::timeout(look, node.registry_news.notified()).await;
+        if news.is_ok() {
+            return;
+        }
     }
 }
 
@@ -99,8 +147,13 @@
     Ok((batch, Extent::All))
 }
 
-async fn changes(feed: &dyn Feed, topic: Topic, since: u64) -> Result<(Batch, Extent), FeedError> {
-    let batch = feed.changes(topic, since, WAIT_MS).await?;
+async fn changes(
+    feed: &dyn Feed,
+    topic: Topic,
+    since: u64,
+    wait_ms: Millisecond,
+) -> Result<(Batch, Extent), FeedError> {
+    let batch = feed.changes(topic, since, wait_ms).await?;
     Ok((batch, Extent::Changes))
 }
 
--- a/crates/gateway/src/follow/nodes.rs
+++ b/crates/gateway/src/follow/nodes.rs
@@ -7,12 +7,16 @@
 
 use outside::{Condition, Feed, Key, Table, Topic, Write};
 
+use crate::decide::watch::Rank;
 use crate::node::Node;
 use crate::peer::role::Role;
 
-/// Time between two looks at the list.
+/// Time between two looks at the list: of a node that hears no other one, or that comes first.
 const PERIOD: Duration = Duration::from_secs(5);
 
+/// The same of the others: who is new tells all that it finds in the list.
+const SLOW_PERIOD: Duration = Duration::from_secs(20);
+
 /// Time after which a write that failed is tried again.
 const AGAIN: Duration = Duration::from_secs(1);
 
@@ -34,7 +38,8 @@
             let mut peers = node.peers.borrow_mut();
             addresses.for_each(|address| peers.learn(address));
         }
-        tokio::time::sleep(PERIOD).await;
+        let first = node.rank() == Rank::After(0);
+        tokio::time::sleep(if first { PERIOD } else { SLOW_PERIOD }).await;
     }
 }
 
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -79,12 +79,13 @@
 pub fn confirm(node: &Node, told: Told) {
     let mut registry = node.registry.borrow_mut();
     let same = registry.revision > 0 && told.changed <= registry.revision;
-    if !same || told.revision <= registry.revision {
+    if !same || told.revision < registry.revision {
         return;
     }
     registry.revision = told.revision;
     let seen_ms = node.now_ms().saturating_sub(told.age_ms);
-    node.registry_seen_ms.set(seen_ms);
+    node.registry_seen_ms
+        .set(node.registry_seen_ms.get().max(seen_ms));
 }
 
 /// Drops entries that vanished beside an outage and have not come back.
@@ -99,27 +100,28 @@
 fn absence(node: &Node) -> Absence {
     let since_ms = node.now_ms().saturating_sub(node.store_failed_ms.get());
     let failed = node.store_failed_ms.get() > 0 && since_ms < AFTER_OUTAGE_MS;
+    // What was current a moment ago has vanished since, and not in the outage.
+    let since_ms = node.store_failed_ms.get().max(node.registry_seen_ms.get());
     match failed {
-        true => Absence::BesideOutage,
+        true => Absence::BesideOutage { since_ms },
         false => Absence::Certain,
     }
 }
 
 fn apply(node: &Node, rows: Vec<FeedRow>, extent: Extent, absence: Absence) {
-    let now_ms = node.now_ms();
     let mut listed: Set<Name> = Set::default();
     let mut changes = Vec::new();
     for row in latest(rows) {
         let Some(body) = row.body else {
             let mut registry = node.registry.borrow_mut();
-            changes.push(registry.remove(&row.key, absence, now_ms));
+            changes.push(registry.remove(&row.key, absence));
             continue;
         };
         listed.insert(row.key.as_str().into());
         // A row of another writer names no server to use, and says nothing of the others.
         let Ok(record) = (node.dialect.server)(&row.key, &body) else {
             let mut registry = node.registry.borrow_mut();
-            changes.push(registry.remove(&row.key, Absence::Certain, now_ms));
+            changes.push(registry.remove(&row.key, Absence::Certain));
             continue;
         };
         changes.push(node.registry.borrow_mut().put(record, body));
@@ -134,13 +136,10 @@
 
 /// Takes in that only the servers listed have an entry.
 fn remove_others(node: &Node, listed: &Set<Name>, absence: Absence) {
-    let now_ms = node.now_ms();
     let mut registry = node.registry.borrow_mut();
     let known: Vec<Name> = registry.servers().map(|s| s.record.id.clone()).collect();
     let others = known.iter().filter(|id| !listed.contains(*id));
-    let changes: Vec<Change> = others
-        .map(|id| registry.remove(id, absence, now_ms))
-        .collect();
+    let changes: Vec<Change> = others.map(|id| registry.remove(id, absence)).collect();
     drop(registry);
     for change in changes {
         report(node, &change);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,16 +13,18 @@
 
 use crate::belief::directory::Allowance;
 use crate::belief::{Directory, Registry, Workspace};
-use crate::clock::{Clock, unix_ms};
+use crate::clock::{Clock, boot_ms, unix_ms};
 use crate::decide::allowance::{Beginning, Bucket, Fleet, Past, Verdict};
 use crate::decide::repeats::{Draw, Repeats, Terms};
 use crate::decide::rule::Chance;
+use crate::decide::standstill::{Arrival, Standstill};
+use crate::decide::watch::Rank;
 use crate::decide::work::Work;
 use crate::dialect::Dialect;
 use crate::duty::usage::Usage;
 use crate::metrics::Metrics;
 use crate::peer::Peers;
-use crate::peer::message::life_key;
+use crate::peer::message::{Tenure, life_key};
 use crate::peer::role::{Role, period_ms};
 use crate::settings::{FirstStart, Settings, ms};
 
@@ -53,6 +55,8 @@
     pub directory_stored: RefCell<Vec<u8>>,
     /// When it came into force.
     pub directory_since_ms: Cell<Millisecond>,
+    /// When it was last known to be the newest.
+    pub directory_seen_ms: Cell<Millisecond>,
     /// Backend servers.
     pub registry: RefCell<Registry>,
     /// When the registry was last known to be whole and current.
@@ -79,6 +83,10 @@
     pub in_flight: Cell<u32>,
     /// Callers' connections.
     pub callers: Cell<u32>,
+    /// Whether this node holds the duties.
+    pub tenure: Cell<Tenure>,
+    /// Whether this process has just stood still.
+    pub standstill: Cell<Standstill>,
     /// Told when the phase changes.
     pub phase_changed: Notify,
     /// Told when a request has left a server.
@@ -89,6 +97,7 @@
     pub metrics: Metrics,
     rng: RefCell<SmallRng>,
     turn: Cell<u64>,
+    datagrams: Cell<u64>,
 }
 
 impl Node {
@@ -101,6 +110,7 @@
             directory: RefCell::default(),
             directory_stored: RefCell::default(),
             directory_since_ms: Cell::new(0),
+            directory_seen_ms: Cell::new(0),
             registry: RefCell::default(),
             registry_seen_ms: Cell::new(0),
             store_ok_ms: Cell::new(0),
@@ -114,12 +124,15 @@
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
             callers: Cell::new(0),
+            tenure: Cell::new(Tenure::None),
+            standstill: Cell::default(),
             phase_changed: Notify::new(),
             room: Notify::new(),
             registry_news: Notify::new(),
             metrics: Metrics::open(),
             rng: RefCell::new(rng),
             turn: Cell::new(0),
+            datagrams: Cell::new(0),
             settings,
             dialect,
         })
@@ -181,6 +194,34 @@
         peers.role(&own.name, &own.failure_domain, self.now_ms())
     }
 
+    /// When it is this node's turn to ask the store.
+    pub fn rank(&self) -> Rank {
+        let own = &self.settings.node;
+        let peers = self.peers.borrow();
+        peers.rank(&own.name, &own.failure_domain, self.now_ms())
+    }
+
+    /// Number of this life's next datagram.
+    pub fn next_datagram(&self) -> u64 {
+        self.datagrams.set(self.datagrams.get() + 1);
+        self.datagrams.get()
+    }
+
+    /// Takes note that the process runs.
+    pub fn beat(&self) {
+        let mut standstill = self.standstill.get();
+        standstill.beat(boot_ms());
+        self.standstill.set(standstill);
+    }
+
+    /// Whether what is read from a socket now may have waited there.
+    pub fn arrival(&self) -> Arrival {
+        let mut standstill = self.standstill.get();
+        let arrival = standstill.look(boot_ms());
+        self.standstill.set(standstill);
+        arrival
+    }
+
     /// Charges a workspace for a request.
     pub fn charge(&self, workspace: &Workspace, cost: f64) -> Verdict {
         let Some(allowance) = workspace.allowance else {
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -9,9 +9,9 @@
 use serde::Serialize;
 use tokio::net::UdpSocket;
 
-use super::message::{Hello, Told};
-use super::role::{PERIOD_MS, Presence, Role, SMALL_FLEET, Stay, period_ms};
-use super::{News, pull};
+use super::message::{Content, Hello, Told};
+use super::role::{PERIOD_MS, Presence, SMALL_FLEET, Stay, period_ms};
+use super::{News, pull, pulse};
 use crate::belief::registry::Load;
 use crate::clock::unix_ms;
 use crate::decide::allowance::Word;
@@ -33,9 +33,6 @@
 /// Most suspects in a datagram.
 const SUSPECTS_LIMIT: usize = 64;
 
-/// News of the store is told to neighbours in so many datagrams: some may be lost.
-const NEWS_ROUNDS: u32 = 3;
-
 #[derive(Serialize)]
 struct PeerFields<'a> {
     peer: &'a str,
@@ -51,28 +48,24 @@
 /// Starts telling and hearing, on the current local task set.
 pub fn spawn(node: &Rc<Node>, socket: UdpSocket) {
     let socket = Rc::new(socket);
-    tokio::task::spawn_local(tell(node.clone(), socket.clone()));
+    let started_unix_ms = unix_ms();
+    tokio::task::spawn_local(tell(node.clone(), socket.clone(), started_unix_ms));
+    tokio::task::spawn_local(pulse::tell(node.clone(), socket.clone(), started_unix_ms));
     tokio::task::spawn_local(hear(node.clone(), socket));
 }
 
-async fn tell(node: Rc<Node>, socket: Rc<UdpSocket>) {
-    let started_unix_ms = unix_ms();
-    let mut number = 0;
-    let mut news = StoreNews::default();
+async fn tell(node: Rc<Node>, socket: Rc<UdpSocket>, started_unix_ms: u64) {
     loop {
         let addresses = node.peers.borrow().addresses().to_vec();
         // One group after the other: all at once would fill a slow link, which drops datagrams.
         for group in addresses.chunks(SMALL_FLEET) {
-            number += 1;
-            let hello = hello(&node, number, started_unix_ms);
-            let listeners = match news.round(&hello) {
-                Spread::Group => group.to_vec(),
-                Spread::Neighbours => with_neighbours(&node, group),
-            };
-            send(&node, &socket, hello, listeners);
+            node.beat();
+            let hello = hello(&node, node.next_datagram(), started_unix_ms);
+            send(&node, &socket, hello, group.to_vec());
             tokio::time::sleep(GROUP_PERIOD).await;
         }
         if addresses.is_empty() {
+            node.beat();
             tokio::time::sleep(GROUP_PERIOD).await;
         }
         forget_gone(&node);
@@ -89,7 +82,8 @@
     send_to(socket, &hello, &spared);
 }
 
-fn send_to(socket: &UdpSocket, hello: &Hello, listeners: &[SocketAddr]) {
+/// Sends one datagram to all of `listeners`.
+pub fn send_to(socket: &UdpSocket, hello: &Hello, listeners: &[SocketAddr]) {
     if listeners.is_empty() {
         return;
     }
@@ -100,50 +94,6 @@
     }
 }
 
-/// What this node's last datagrams told of the store.
-#[derive(Default)]
-struct StoreNews {
-    told: (u64, u64),
-    rounds: u32,
-}
-
-/// To whom word is sent.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Spread {
-    /// The group whose turn it is.
-    Group,
-    /// That group, and all nodes of the failure domain.
-    Neighbours,
-}
-
-impl StoreNews {
-    /// To whom the next datagram goes: news of the store is for neighbours that only listen, too.
-    fn round(&mut self, hello: &Hello) -> Spread {
-        let now = (hello.directory, hello.registry.changed);
-        if now != self.told {
-            self.told = now;
-            self.rounds = NEWS_ROUNDS;
-        }
-        if self.rounds == 0 {
-            return Spread::Group;
-        }
-        self.rounds -= 1;
-        Spread::Neighbours
-    }
-}
-
-/// A group, and the neighbours of a node that follows the store for them.
-fn with_neighbours(node: &Node, group: &[SocketAddr]) -> Vec<SocketAddr> {
-    let mut addresses = group.to_vec();
-    let speaks = node.role() == Role::Follows && node.nodes() > SMALL_FLEET;
-    if !speaks {
-        return addresses;
-    }
-    let near = node.peers.borrow().near(&node.settings.node.failure_domain);
-    addresses.extend(near.into_iter().filter(|address| !group.contains(address)));
-    addresses
-}
-
 /// Forgets nodes that have ended.
 fn forget_gone(node: &Node) {
     let gone = node.peers.borrow_mut().expire(node.now_ms());
@@ -158,7 +108,8 @@
     log::emit(events::Code::PeerGone, &GoneFields { peers: gone });
 }
 
-fn hello(node: &Node, number: u64, started_unix_ms: u64) -> Hello {
+/// What a node says of itself, in its datagram of that number.
+pub fn hello(node: &Node, number: u64, started_unix_ms: u64) -> Hello {
     let now_ms = node.now_ms();
     let registry = node.registry.borrow();
     let busy = registry.servers().filter(|s| s.running.get() > 0);
@@ -177,11 +128,14 @@
             Phase::Draining | Phase::Closing => Stay::Leaves,
         },
         period_ms: period_ms(node.nodes()),
+        content: Content::Whole,
         boot: node.boot,
         started_unix_ms,
         number,
         unix_ms: unix_ms(),
         directory: node.directory.borrow().as_ref().map_or(0, |d| d.version),
+        directory_age_ms: now_ms.saturating_sub(node.directory_seen_ms.get()),
+        tenure: node.tenure.get(),
         registry: Told {
             revision: registry.revision,
             changed: registry.changed,
@@ -227,6 +181,14 @@
             }
         }
     }
+    if hello.content == Content::Whole {
+        take_in_whole(node, &hello, now_ms);
+    }
+    pull::confirm(node, &hello);
+    pull::consider(node, &hello, from);
+}
+
+fn take_in_whole(node: &Rc<Node>, hello: &Hello, now_ms: Millisecond) {
     let key = hello.key();
     let silence_ms = node.peers.borrow().silence_ms(&hello.node);
     for (workspace, used) in &hello.used {
@@ -244,8 +206,6 @@
         node.suspects.borrow_mut().merge(&hello.suspects, unix_ms());
     }
     sum_loads(node, now_ms);
-    pull::confirm(node, &hello);
-    pull::consider(node, &hello, from);
 }
 
 fn appeared(hello: &Hello, from: SocketAddr) {
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -7,7 +7,7 @@
 
 use super::role::{Role, Stay};
 
-/// State of one node, sent whole in one datagram.
+/// State of one node, sent in one datagram.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Hello {
     /// The node.
@@ -18,8 +18,11 @@
     pub role: Role,
     /// Whether it ends.
     pub stay: Stay,
-    /// Time to its next datagram.
+    /// Time to its next datagram with all of its state.
     pub period_ms: Millisecond,
+    /// What this datagram holds.
+    #[serde(default)]
+    pub content: Content,
     /// Number of its life.
     pub boot: u64,
     /// Unix time of its start.
@@ -30,17 +33,28 @@
     pub unix_ms: u64,
     /// Version of its directory; 0 without one.
     pub directory: u64,
+    /// Time since that version was last known to be the newest.
+    #[serde(default)]
+    pub directory_age_ms: Millisecond,
     /// How new its registry is.
     pub registry: Told,
+    /// Whether it holds the duties.
+    #[serde(default)]
+    pub tenure: Tenure,
     /// Its requests at each backend server.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub loads: Vec<(Name, u32, TokenCount)>,
     /// Backend servers that its work keeps busy, by service.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub busy: Vec<(Name, f64)>,
     /// Units used by workspace since it started.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub used: Vec<(Name, f64)>,
     /// Requests begun by window and workspace, for nodes that may hold the duties.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub begun: Begun,
     /// Requests that this node saw to crash servers, or to end well after all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<SuspectRecord>,
 }
 
@@ -61,6 +75,31 @@
     format!("{node}/{boot}").into()
 }
 
+/// What a datagram holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Content {
+    /// All of the sender's state.
+    #[default]
+    Whole,
+    /// What it knows of the store; the lists are left out, and come again after `period_ms`.
+    Pulse {
+        /// Time to the next one.
+        period_ms: Millisecond,
+    },
+}
+
+/// Whether a node holds the duties.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Tenure {
+    /// It does.
+    Holds,
+    /// It does not.
+    #[default]
+    None,
+}
+
 /// How new a node's registry is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Told {
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -6,6 +6,7 @@
 pub mod exchange;
 pub mod message;
 pub mod pull;
+pub mod pulse;
 pub mod role;
 pub mod serve;
 
@@ -14,10 +15,11 @@
 use base::units::Millisecond;
 use base::{Map, Name, Set};
 
+use crate::decide::watch::Rank;
 use crate::settings::Settings;
-use message::Hello;
+use message::{Content, Hello, Tenure};
 use policy::suspect::Share;
-use role::{Neighbour, Presence, Role, role};
+use role::{Neighbour, Presence, Role, rank, role};
 
 /// What a node says is used for so long, or for three of its periods if those are longer.
 const FRESH_MS: Millisecond = 1_000;
@@ -40,6 +42,8 @@
     pub hello: Hello,
     /// When.
     pub heard_ms: Millisecond,
+    /// Time between its pulses, if it sends any here.
+    pulse_ms: Option<Millisecond>,
     /// When the calendar began, by its calendar clock and our process's.
     epoch: Epoch,
 }
@@ -75,7 +79,11 @@
 impl Peer {
     /// Whether what it said last is still of use.
     pub fn presence(&self, now_ms: Millisecond) -> Presence {
-        let fresh_ms = FRESH_MS.max(3 * self.hello.period_ms);
+        let period_ms = match (self.hello.role, self.pulse_ms) {
+            (Role::Follows, Some(pulse_ms)) => pulse_ms,
+            (Role::Follows | Role::Listens, _) => self.hello.period_ms,
+        };
+        let fresh_ms = FRESH_MS.max(3 * period_ms);
         match now_ms.saturating_sub(self.heard_ms) <= fresh_ms {
             true => Presence::Fresh,
             false => Presence::Silent,
@@ -150,12 +158,13 @@
     }
 
     /// Takes in what a node says.
-    pub fn heard(&mut self, hello: Hello, address: SocketAddr, now_ms: Millisecond) -> News {
+    pub fn heard(&mut self, mut hello: Hello, address: SocketAddr, now_ms: Millisecond) -> News {
         let mut epoch = Epoch {
             ms: hello.unix_ms as i64 - now_ms as i64,
             at_ms: now_ms,
         };
-        let known = self.by_name.get(&hello.node);
+        let mut pulse_ms = None;
+        let known = self.by_name.get_mut(&hello.node);
         let news = match known {
             None => News::Appeared,
             Some(known) if known.hello.boot != hello.boot => {
@@ -169,6 +178,12 @@
             Some(known) if known.hello.number >= hello.number => return News::Stale,
             Some(known) => {
                 epoch = known.epoch.or(epoch);
+                pulse_ms = known.pulse_ms;
+                if let Content::Pulse { period_ms } = hello.content {
+                    pulse_ms = Some(period_ms);
+                    hello.loads = std::mem::take(&mut known.hello.loads);
+                    hello.busy = std::mem::take(&mut known.hello.busy);
+                }
                 News::Continued
             }
         };
@@ -177,6 +192,7 @@
             address,
             epoch,
             heard_ms: now_ms,
+            pulse_ms,
             hello,
         };
         self.by_name.insert(peer.hello.node.clone(), peer);
@@ -206,8 +222,36 @@
 
     /// What the node `own` is to do about the store.
     pub fn role(&self, own: &Name, failure_domain: &Name, now_ms: Millisecond) -> Role {
-        let neighbours: Vec<Neighbour<'_>> = self
-            .by_name
+        role(own, failure_domain, &self.neighbours(now_ms))
+    }
+
+    /// When it is the node `own`'s turn to ask the store.
+    pub fn rank(&self, own: &Name, failure_domain: &Name, now_ms: Millisecond) -> Rank {
+        if self.count() * 2 < self.listed() {
+            return Rank::Unknown;
+        }
+        Rank::After(rank(own, failure_domain, &self.neighbours(now_ms)))
+    }
+
+    /// How many nodes of its failure domain come before the node `own`.
+    pub fn place(&self, own: &Name, failure_domain: &Name, now_ms: Millisecond) -> usize {
+        let neighbours = self.neighbours(now_ms);
+        let near = neighbours
+            .iter()
+            .filter(|n| n.failure_domain == failure_domain);
+        let there = near.filter(|n| n.presence == Presence::Fresh && n.name < own);
+        there.count()
+    }
+
+    /// Whether a node that is heard holds the duties.
+    pub fn holder_is_heard(&self, now_ms: Millisecond) -> bool {
+        let heard = |p: &Peer| now_ms.saturating_sub(p.heard_ms) <= FRESH_MS;
+        let holds = |p: &Peer| p.hello.tenure == Tenure::Holds;
+        self.by_name.values().any(|p| holds(p) && heard(p))
+    }
+
+    fn neighbours(&self, now_ms: Millisecond) -> Vec<Neighbour<'_>> {
+        self.by_name
             .iter()
             .map(|(name, peer)| Neighbour {
                 name,
@@ -216,8 +260,7 @@
                 stay: peer.hello.stay,
                 presence: peer.presence(now_ms),
             })
-            .collect();
-        role(own, failure_domain, &neighbours)
+            .collect()
     }
 
     /// Silence after which a node may be cut off.
@@ -241,14 +284,18 @@
         peers.map(|p| p.address).collect()
     }
 
-    /// Addresses of the nodes of a failure domain.
-    pub fn near(&self, failure_domain: &Name) -> Vec<SocketAddr> {
-        let near = |p: &&Peer| p.hello.failure_domain == *failure_domain;
-        self.by_name
-            .values()
-            .filter(near)
-            .map(|p| p.address)
-            .collect()
+    /// Addresses of the other nodes that follow the store, and of those of a failure domain that do
+    /// not.
+    pub fn followers_and_near(&self, domain: &Name) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let (mut followers, mut near) = (Vec::new(), Vec::new());
+        for peer in self.by_name.values() {
+            match peer.hello.role {
+                Role::Follows => followers.push(peer.address),
+                Role::Listens if peer.hello.failure_domain == *domain => near.push(peer.address),
+                Role::Listens => {}
+            }
+        }
+        (followers, near)
     }
 
     /// Whether any other node of a failure domain has been heard of lately.
--- a/crates/gateway/src/peer/pull.rs
+++ b/crates/gateway/src/peer/pull.rs
@@ -10,6 +10,8 @@
 use serde::Serialize;
 
 use super::message::{DIRECTORY_PATH, Hello, REGISTRY_PATH, RegistryCopy, USAGE_PATH, UsageCopy};
+use crate::decide::standstill::Arrival;
+use crate::decide::watch::HELD_LIMIT_MS;
 use crate::http::{Body, Conn, ConnOptions, HeadWriter, Progress, response_head};
 use crate::node::Node;
 use crate::peer::role::{Presence, Role};
@@ -29,12 +31,16 @@
 
 /// A registry is taken from others when the store has not answered for so long: longer than it may
 /// keep a question for changes.
-const STORE_SILENT_MS: Millisecond = follow::WAIT_MS + 900;
+const STORE_SILENT_MS: Millisecond = HELD_LIMIT_MS + 900;
 
 /// For so long only neighbours are asked for the registry: half of the shortest drain bound of the
 /// users' pages, within which a leaving server must be known.
 const NEIGHBOURS_ONLY_MS: Millisecond = 1_000;
 
+/// Time that each node of a failure domain gives the one before it to tell of a change: two periods
+/// of datagrams and a question.
+const NEIGHBOUR_MS: Millisecond = 300;
+
 /// Outcome of a part that does not fit what is known.
 const GAP: &str = "gap";
 
@@ -112,7 +118,7 @@
     }
     match reach(node) {
         Reach::InTouch => node.registry_news.notify_waiters(),
-        Reach::Away if is_near(node, hello) || is_behind(node) => {
+        Reach::Away if is_near(node, hello) || may_ask_far(node) => {
             wanted.push(Wanted::Registry { since: revision })
         }
         Reach::Away => {}
@@ -120,11 +126,14 @@
     wanted
 }
 
-/// Takes over how new the registry of the sender of `hello` is, if this node has it too.
+/// Takes over how new the directory and the registry of the sender of `hello` are, if this node has
+/// them too.
 pub fn confirm(node: &Node, hello: &Hello) {
-    if reach(node) == Reach::Away {
-        follow::servers::confirm(node, hello.registry);
+    if node.arrival() == Arrival::MayHaveWaited {
+        return;
     }
+    follow::directory::confirm(node, hello.directory, hello.directory_age_ms);
+    follow::servers::confirm(node, hello.registry);
 }
 
 /// Whether the store answers this node.
@@ -151,11 +160,21 @@
     hello.failure_domain == *domain || neighbours == Presence::Silent
 }
 
-/// Whether this node's registry is old although it should be current: the store may turn away all nodes
-/// of its failure domain. Those that only listen wait for their neighbours all the same.
-fn is_behind(node: &Node) -> bool {
-    let age_ms = node.now_ms().saturating_sub(node.registry_seen_ms.get());
-    node.role() == Role::Follows && age_ms > NEIGHBOURS_ONLY_MS
+/// Whether this node may ask other failure domains for the registry: the first of its domain does
+/// so at once, the next ones if their neighbours have not told by then. Those that only listen wait
+/// for their neighbours all the same.
+fn may_ask_far(node: &Node) -> bool {
+    if node.role() == Role::Listens {
+        return false;
+    }
+    let own = &node.settings.node;
+    let now_ms = node.now_ms();
+    let place = node
+        .peers
+        .borrow()
+        .place(&own.name, &own.failure_domain, now_ms);
+    let age_ms = now_ms.saturating_sub(node.registry_seen_ms.get());
+    age_ms >= (NEIGHBOUR_MS * place as Millisecond).min(NEIGHBOURS_ONLY_MS)
 }
 
 /// Asks the nodes that have run longest what lives have counted that this node never heard.
--- a/crates/gateway/src/peer/role.rs
+++ b/crates/gateway/src/peer/role.rs
@@ -4,8 +4,8 @@
 //! others learn from them, and the pace falls with the number of nodes, so that neither the store's
 //! calls nor a node's datagrams grow with the fleet.
 
-use base::Name;
 use base::units::Millisecond;
+use base::{Map, Name};
 use serde::{Deserialize, Serialize};
 
 /// Fleets up to this size need no division of labour.
@@ -81,6 +81,35 @@
     }
 }
 
+/// Nodes that ask the store before the node `own` does. Each failure domain's first comes before any
+/// domain's second, so that the loss of a whole domain takes away one of the first only.
+pub fn rank(own: &Name, failure_domain: &Name, neighbours: &[Neighbour<'_>]) -> usize {
+    let others = neighbours.iter().filter(|n| {
+        let there = n.presence == Presence::Fresh && n.stay == Stay::Stays;
+        there && n.role == Role::Follows
+    });
+    let mut domains: Map<&Name, Vec<&Name>> = Map::default();
+    for other in others {
+        domains
+            .entry(other.failure_domain)
+            .or_default()
+            .push(other.name);
+    }
+    let near = domains.get(failure_domain).map_or(&[][..], Vec::as_slice);
+    let place = near.iter().filter(|name| **name < own).count();
+    let before = |domain: &Name, names: &[&Name]| match domain < failure_domain {
+        true => names.len().min(place + 1),
+        false => names.len().min(place),
+    };
+    domains
+        .iter()
+        .map(|(domain, names)| match *domain == failure_domain {
+            true => place,
+            false => before(domain, names),
+        })
+        .sum()
+}
+
 /// Time between two datagrams to each of the other nodes of a fleet.
 pub fn period_ms(nodes: usize) -> Millisecond {
     PERIOD_MS * nodes.div_ceil(SMALL_FLEET).max(1) as Millisecond
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -144,6 +144,10 @@
     pub retry_window_s: f64,
     /// Repeated sends in a window beside the ratio, over all nodes.
     pub retry_slack: f64,
+    /// A server that has said that it leaves gets no new request after so long.
+    pub drain_ms: Millisecond,
+    /// A new directory is in force everywhere after so long.
+    pub directory_ms: Millisecond,
     /// Two nodes never act as holder of a duty within so long of each other.
     pub lease_ms: Millisecond,
     /// Window of the usage reports.
@@ -159,6 +163,8 @@
             retry_ratio: 0.2,
             retry_window_s: 10.0,
             retry_slack: 52.0,
+            drain_ms: 2_000,
+            directory_ms: 2_000,
             lease_ms: 3_000,
             usage_window_s: 5.0,
             usage_due_s: 10.0,
@@ -193,6 +199,8 @@
             ("placing.wait_share", self.placing.wait_share),
             ("bounds.shutdown_s", bounds.shutdown_s),
             ("bounds.retry_window_s", bounds.retry_window_s),
+            ("bounds.drain_ms", bounds.drain_ms as f64),
+            ("bounds.directory_ms", bounds.directory_ms as f64),
             ("bounds.lease_ms", bounds.lease_ms as f64),
             ("bounds.usage_window_s", bounds.usage_window_s),
             ("bounds.usage_due_s", bounds.usage_due_s),
--- a/crates/gateway/tests/discovery_histories.rs
+++ b/crates/gateway/tests/discovery_histories.rs
@@ -17,7 +17,7 @@
 use gateway::belief::registry::ServerState;
 use gateway::follow::{self, directory, servers};
 use gateway::node::Node;
-use gateway::peer::message::{Hello, Told};
+use gateway::peer::exchange::hello;
 use gateway::peer::pull::{self, Wanted};
 use gateway::peer::serve;
 use outside::{Batch, Feed, FeedError, FeedRow, ReadError, Topic};
@@ -32,7 +32,14 @@
 
 /// Length of the part with trouble, and of the calm after it.
 const TROUBLE_MS: Millisecond = 30_000;
-const CALM_MS: Millisecond = 6_000;
+const CALM_MS: Millisecond = 12_000;
+
+/// Once it has been calm for so long, one node asks for all.
+const SETTLED_MS: Millisecond = 3_000;
+
+/// Questions a second that one node has to ask: for the directory each second, and for the registry
+/// four times within the drain bound. Twice as many are allowed, whatever the number of nodes.
+const CALM_QUESTIONS_PER_S: u64 = 2 * (1 + 2);
 
 /// The pages' bound from the word that a server leaves to the last request sent to it.
 const DRAIN_MS: Millisecond = 2_000;
@@ -57,6 +64,8 @@
     config: u64,
     history: Vec<(u64, Topics, String, Option<String>)>,
     forgotten: u64,
+    /// Questions of all nodes in the calm, answered or not.
+    calm_questions: u64,
     /// Until when each node is turned away.
     away_until_ms: [Millisecond; NODES],
     /// When a life of a server left: its identifier and start.
@@ -64,6 +73,12 @@
 }
 
 impl World {
+    /// When all has been calm for a while, and the store turns nobody away.
+    fn settled_ms(&self) -> Millisecond {
+        let away_ms = self.away_until_ms.iter().copied().max().unwrap_or(0);
+        away_ms.max(TROUBLE_MS) + SETTLED_MS
+    }
+
     fn put(&mut self, topic: Topics, key: &str, body: Option<String>) {
         self.revision += 1;
         if topic == Topics::Servers {
@@ -152,6 +167,13 @@
 }
 
 impl ModelFeed {
+    fn asked(&self) {
+        let mut world = self.world.lock().unwrap();
+        if world.now_ms > world.settled_ms() {
+            world.calm_questions += 1;
+        }
+    }
+
     fn world(&self) -> Result<MutexGuard<'_, World>, ReadError> {
         let world = self.world.lock().unwrap();
         match world.now_ms < world.away_until_ms[self.node] {
@@ -173,6 +195,7 @@
 #[async_trait]
 impl Feed for ModelFeed {
     async fn snapshot(&self, topic: Topic) -> Result<Batch, ReadError> {
+        self.asked();
         let world = self.world()?;
         let row = |(key, body): (&String, &String)| FeedRow {
             key: key.clone(),
@@ -197,6 +220,7 @@
         revision: u64,
         wait_ms: Millisecond,
     ) -> Result<Batch, FeedError> {
+        self.asked();
         for _ in 0..wait_ms / STEP_MS {
             let batch = {
                 let world = self
@@ -229,25 +253,6 @@
     }
 }
 
-fn hello(node: &Node) -> Hello {
-    Hello {
-        node: node.settings.node.name.clone(),
-        failure_domain: "a".into(),
-        period_ms: 120,
-        boot: node.boot,
-        directory: node.directory().map_or(0, |d| d.version),
-        registry: {
-            let registry = node.registry.borrow();
-            Told {
-                revision: registry.revision,
-                changed: registry.changed,
-                age_ms: 0,
-            }
-        },
-        ..Hello::default()
-    }
-}
-
 fn take_registry(from: &Node, to: &Node, since: u64) {
     let taken = servers::adopt_copy(to, serve::registry_copy(from, since));
     if taken == servers::Copy::Gap {
@@ -256,14 +261,20 @@
 }
 
 /// Each node hears of each other, and takes what it wants.
-fn tell(nodes: &[Rc<Node>]) {
+fn tell(nodes: &[Rc<Node>], number: u64) {
     for from in nodes {
+        let hello = hello(from, number, 1);
         for to in nodes {
             if Rc::ptr_eq(from, to) {
                 continue;
             }
-            pull::confirm(to, &hello(from));
-            for wanted in pull::wanted(to, &hello(from)) {
+            let now_ms = to.now_ms();
+            let address = format!("10.0.0.{}:7", &from.settings.node.name[1..]);
+            let mut peers = to.peers.borrow_mut();
+            peers.heard(hello.clone(), address.parse().unwrap(), now_ms);
+            drop(peers);
+            pull::confirm(to, &hello);
+            for wanted in pull::wanted(to, &hello) {
                 match wanted {
                     Wanted::Directory => {
                         let row = from.directory_stored.borrow().clone();
@@ -363,7 +374,7 @@
         }
         tokio::time::sleep(Duration::from_millis(STEP_MS)).await;
         if (step * STEP_MS).is_multiple_of(HELLO_MS) {
-            tell(&nodes);
+            tell(&nodes, step + 1);
         }
         for node in &nodes {
             servers::expire(node);
@@ -371,6 +382,12 @@
         check(seed, &world.lock().unwrap(), &nodes, &mut seen);
     }
     let world = world.lock().unwrap();
+    let calm_s = (world.now_ms - world.settled_ms()) / 1_000;
+    assert!(
+        world.calm_questions <= CALM_QUESTIONS_PER_S * calm_s,
+        "seed {seed}: {} questions in {calm_s} s of calm",
+        world.calm_questions
+    );
     let ready = world
         .rows
         .iter()
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -4,7 +4,8 @@
 
 use std::net::SocketAddr;
 
-use gateway::peer::message::Hello;
+use gateway::peer::message::{Content, Hello, Tenure};
+use gateway::peer::role::{Presence, Role};
 use gateway::peer::{News, Peers};
 
 const PERIOD_MS: u64 = 120;
@@ -120,3 +121,54 @@
     }
     assert_eq!(peers.clock_offset_ms(100_000), 0);
 }
+
+/// A node of a fleet in which whole datagrams go round in three seconds.
+fn of_large_fleet(number: u64, content: Content) -> Hello {
+    Hello {
+        period_ms: 3_000,
+        role: Role::Follows,
+        content,
+        loads: match content {
+            Content::Whole => vec![("server".into(), 2, 30)],
+            Content::Pulse { .. } => Vec::new(),
+        },
+        tenure: Tenure::Holds,
+        ..hello(1, 1, number)
+    }
+}
+
+const PULSE: Content = Content::Pulse {
+    period_ms: PERIOD_MS,
+};
+
+#[test]
+fn a_pulse_leaves_what_it_does_not_tell_as_it_was() {
+    let mut peers = peers();
+    peers.heard(of_large_fleet(1, Content::Whole), address(), 0);
+    peers.heard(of_large_fleet(2, PULSE), address(), 100);
+    let (_, peer) = peers.iter().next().unwrap();
+    assert_eq!(peer.hello.loads.len(), 1);
+    assert_eq!(peer.heard_ms, 100);
+}
+
+#[test]
+fn a_node_that_pulses_is_soon_missed() {
+    let mut peers = peers();
+    let presence = |peers: &Peers, now_ms| {
+        let (_, peer) = peers.iter().next().unwrap();
+        peer.presence(now_ms)
+    };
+    peers.heard(of_large_fleet(1, Content::Whole), address(), 0);
+    assert_eq!(presence(&peers, 5_000), Presence::Fresh);
+    peers.heard(of_large_fleet(2, PULSE), address(), 5_000);
+    assert_eq!(presence(&peers, 5_900), Presence::Fresh);
+    assert_eq!(presence(&peers, 6_100), Presence::Silent);
+}
+
+#[test]
+fn a_holder_of_the_duties_is_heard_for_a_second() {
+    let mut peers = peers();
+    peers.heard(of_large_fleet(1, PULSE), address(), 0);
+    assert!(peers.holder_is_heard(1_000));
+    assert!(!peers.holder_is_heard(1_100));
+}
--- a/crates/gateway/tests/registry.rs
+++ b/crates/gateway/tests/registry.rs
@@ -36,10 +36,7 @@
     let leaving = registry.put(record("x", ServerState::Draining, 1), Vec::new());
     assert_eq!(leaving, Change::Leaving(id()));
     assert_eq!(ready(&registry), 0);
-    assert_eq!(
-        registry.remove("x", Absence::Certain, 0),
-        Change::Gone(id())
-    );
+    assert_eq!(registry.remove("x", Absence::Certain), Change::Gone(id()));
     assert_eq!(registry.of_service("s").len(), 0);
 }
 
@@ -78,7 +75,7 @@
 fn an_entry_that_vanishes_beside_an_outage_is_used_until_its_grace_ends() {
     let mut registry = Registry::default();
     registry.put(record("x", ServerState::Ready, 1), Vec::new());
-    registry.remove("x", Absence::BesideOutage, 1_000);
+    registry.remove("x", Absence::BesideOutage { since_ms: 1_000 });
     assert_eq!(registry.expire(1_500), Vec::new());
     assert_eq!(ready(&registry), 1);
     assert_eq!(registry.expire(3_500), vec![Change::Gone(id())]);
@@ -89,7 +86,7 @@
 fn an_entry_that_comes_back_stays() {
     let mut registry = Registry::default();
     registry.put(record("x", ServerState::Ready, 1), Vec::new());
-    registry.remove("x", Absence::BesideOutage, 1_000);
+    registry.remove("x", Absence::BesideOutage { since_ms: 1_000 });
     registry.put(record("x", ServerState::Ready, 1), Vec::new());
     assert_eq!(registry.expire(9_000), Vec::new());
     assert_eq!(ready(&registry), 1);
