What is read from outside is bounded as a class, and an unexpected error ends one request or round only

Change: trailers (32 KB), heads before the own one (8), and bytes of other requests' answers (256 KB) have limits; a stream's pause counts from its last whole event. Bodies of requests and answers kept whole share a quarter of the process's memory (limits.memory_mb): beyond it a request gets 503 'no_room' unread, an answer counts as not held. Tasks that run as long as the process start again after a panic (E106), panics are log events (E105); the single question to a peer is freed also then.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -62,6 +62,8 @@
     DaemonStopped = 102, "daemon.stopped", Info, "The daemon has ended; fields count finished and handed-over requests.";
     LinesLeftOut = 103, "log.left_out", Warn, "Lines of ordinary events were left out of the log in the second before; fields count them.";
     SettingsRead = 104, "settings.read", Info, "The settings file has changed; fields say what of it took effect.";
+    TaskPanicked = 105, "task.panicked", Error, "A part of the daemon met an error that it did not expect; its request or connection ends, the daemon goes on. Report the place that the fields name.";
+    TaskRestarted = 106, "task.restarted", Error, "A task that runs as long as the daemon has ended by an unexpected error and was started again.";
     RequestAccepted = 200, "request.accepted", Info, "A request passed admission and has its number.";
     RequestRefused = 201, "request.refused", Info, "A request was refused before it ran; fields give code and reason.";
     RequestFinished = 202, "request.finished", Info, "A request got its final answer.";
--- a/crates/fuzz/src/target.rs
+++ b/crates/fuzz/src/target.rs
@@ -1,11 +1,17 @@
 //! Targets: readers of bytes from outside, each with its properties.
 
+use std::net::SocketAddr;
+use std::path::Path;
 use std::str::FromStr;
 
 use bytes::BytesMut;
 use gateway::http::{Body, Framing, HeadWriter, Progress, request_head, response_head};
+use gateway::node::Node;
+use gateway::peer::exchange;
+use gateway::settings::Settings;
 use gateway::sse::Events;
 use platform::DIALECT;
+use tokio::task::LocalSet;
 
 /// Limit of heads, in bytes.
 const HEAD_LIMIT_BYTES: usize = 4_096;
@@ -25,16 +31,19 @@
     Config,
     /// Entries of the registry.
     Registry,
+    /// Datagrams of other nodes.
+    Datagrams,
 }
 
 /// All targets.
-pub const ALL: [Target; 6] = [
+pub const ALL: [Target; 7] = [
     Target::Requests,
     Target::Responses,
     Target::Chunks,
     Target::Events,
     Target::Config,
     Target::Registry,
+    Target::Datagrams,
 ];
 
 impl Target {
@@ -47,6 +56,7 @@
             Self::Events => "events",
             Self::Config => "config",
             Self::Registry => "registry",
+            Self::Datagrams => "datagrams",
         }
     }
 
@@ -63,6 +73,7 @@
             Self::Events => events(input),
             Self::Config => config(input),
             Self::Registry => registry(input),
+            Self::Datagrams => datagrams(input),
         }
     }
 }
@@ -255,3 +266,29 @@
         Ok(_) | Err(_) => Ok(()),
     }
 }
+
+/// A node that hears nothing else; a datagram must not end it, nor change what it says of itself.
+fn datagrams(input: &[u8]) -> Result<(), &'static str> {
+    // What is asked because of a datagram is not carried out.
+    let tasks = LocalSet::new();
+    let _entered = tasks.enter();
+    let node = Node::new(settings(), DIALECT);
+    let from = SocketAddr::from(([127, 0, 0, 1], 7));
+    for part in input.split(|byte| *byte == b'\n') {
+        exchange::read(&node, part, from);
+    }
+    node.clock_offset_ms();
+    node.usage.borrow().total(0);
+    let own = exchange::hello(&node, 1, 1);
+    match own.directory == 0 && own.registry.revision == 0 && node.nodes() <= 1 + input.len() {
+        true => Ok(()),
+        false => Err("a datagram alone changed what is known of the store"),
+    }
+}
+
+fn settings() -> Settings {
+    let text = "[node]\nname = \"own\"\nfailure_domain = \"a\"\n[listen]\n\
+                callers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
+                metrics = \"127.0.0.1:0\"\n[store]\naddress = \"127.0.0.1:9\"\n[bounds]\n";
+    Settings::parse(text, Path::new("fuzz")).expect("these settings are valid")
+}
--- a/crates/fuzz/tests/corpus.rs
+++ b/crates/fuzz/tests/corpus.rs
@@ -34,6 +34,7 @@
 #[test_case(Target::Events)]
 #[test_case(Target::Config)]
 #[test_case(Target::Registry)]
+#[test_case(Target::Datagrams)]
 fn changed_inputs_keep_the_properties(target: Target) {
     let known: Vec<Vec<u8>> = corpus(target).into_iter().map(|(_, input)| input).collect();
     let mut rng = SmallRng::seed_from_u64(1);
--- a/crates/gateway/src/backend/exchange.rs
+++ b/crates/gateway/src/backend/exchange.rs
@@ -12,6 +12,7 @@
 use super::seen::{Naming, Seen};
 use crate::belief::Server;
 use crate::clock::Clock;
+use crate::decide::held::Part;
 use crate::decide::outcome::Cause;
 use crate::decide::promise::promises;
 use crate::dialect::HeaderNames;
@@ -24,6 +25,13 @@
 /// sheets give a fresh one 1 ms of a server's time.
 const DISCARD_MS: Millisecond = 5;
 
+/// Heads before the one that answers a request: those that announce it, and other requests' answers.
+/// A connection brings a second copy or two of what it was asked before.
+const FOREIGN_HEADS: u32 = 8;
+
+/// Bytes of other requests' answers that are passed over before the one that is waited for.
+const FOREIGN_LIMIT_BYTES: usize = 256 * 1024;
+
 /// Longest answer that is kept whole before it is passed on.
 pub const WHOLE_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
@@ -128,6 +136,10 @@
 struct Strays {
     /// How many were passed over.
     passed_over: u32,
+    /// Heads that only announce another one.
+    interim: u32,
+    /// Bytes of bodies that were passed over.
+    bytes: usize,
     /// The body of one that has not ended yet.
     body: Option<Body>,
 }
@@ -145,6 +157,10 @@
         if let Some(body) = &mut strays.body {
             let mut dropped = BytesMut::new();
             let progress = body.read(buf, &mut dropped).map_err(|_| Cause::Garbled)?;
+            strays.bytes += dropped.len();
+            if strays.bytes > FOREIGN_LIMIT_BYTES {
+                return Err(Cause::Garbled);
+            }
             if progress == Progress::More {
                 return Ok(None);
             }
@@ -154,7 +170,11 @@
         let Some(head) = head.map_err(|_| Cause::Garbled)? else {
             return Ok(None);
         };
+        if strays.passed_over + strays.interim >= FOREIGN_HEADS {
+            return Err(Cause::Garbled);
+        }
         if (100..200).contains(&head.status) {
+            strays.interim += 1;
             continue;
         }
         let place = match (origin, strays.passed_over) {
@@ -236,8 +256,8 @@
     ///
     /// # Errors
     ///
-    /// It breaks off or is too long to be kept.
-    pub async fn whole(&mut self) -> Result<Bytes, Cause> {
+    /// It breaks off, is too long to be kept, or there is no room for it now.
+    pub async fn whole(&mut self, held: &mut Part) -> Result<Bytes, Cause> {
         let mut whole = BytesMut::new();
         while let Some(part) = self.next().await? {
             if whole.is_empty() {
@@ -248,13 +268,20 @@
             if whole.len() > WHOLE_LIMIT_BYTES {
                 return Err(Cause::Garbled);
             }
+            held.set(whole.len()).map_err(|_| Cause::Unheld)?;
         }
         Ok(whole.freeze())
     }
 
     /// Ends an answer that is not passed on; its connection is kept if the body ends soon.
     pub async fn discard(mut self, server: &Server, clock: Clock) {
-        let rest = tokio::time::timeout(Duration::from_millis(DISCARD_MS), self.whole()).await;
+        let rest = async {
+            while let Some(part) = self.next().await? {
+                drop(part);
+            }
+            Ok::<(), Cause>(())
+        };
+        let rest = tokio::time::timeout(Duration::from_millis(DISCARD_MS), rest).await;
         if let Ok(Ok(_)) = rest {
             self.finish(server, clock.now_ms());
         }
--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -108,8 +108,8 @@
     pub fn load(&self) -> Load {
         let others = self.others.get();
         Load {
-            running: self.running.get() + others.running,
-            waiting_tokens: self.waiting_tokens.get() + others.waiting_tokens,
+            running: self.running.get().saturating_add(others.running),
+            waiting_tokens: (self.waiting_tokens.get()).saturating_add(others.waiting_tokens),
         }
     }
 
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use snafu::{ResultExt, Snafu};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep_until};
 
 use crate::backend::pool;
@@ -19,7 +19,7 @@
 use crate::front::accept::{ListenError, Listeners};
 use crate::node::{Node, Phase};
 use crate::settings::{Settings, ms};
-use crate::{duty, follow, log};
+use crate::{duty, follow, log, tasks};
 
 /// Time between two rounds of tidying up.
 const TIDY: Duration = Duration::from_millis(250);
@@ -96,6 +96,7 @@
     settings: Settings,
     connect: impl FnOnce(&Settings) -> Platform,
 ) -> Result<(), DaemonError> {
+    tasks::report_panics();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -118,25 +119,28 @@
     settings.listen = listeners.addresses();
     let node = Node::new(settings, platform.dialect);
     let (table, feed) = (platform.table, platform.feed);
-    let directory = follow::directory::take_in;
-    spawn_local(follow::follow(
-        node.clone(),
-        feed.clone(),
-        Topic::Directory,
-        directory,
-    ));
-    let servers = follow::servers::take_in;
-    spawn_local(follow::follow(
-        node.clone(),
-        feed.clone(),
-        Topic::Servers,
-        servers,
-    ));
-    spawn_local(follow::nodes::keep(node.clone(), table.clone(), feed));
+    let (n, f) = (node.clone(), feed.clone());
+    tasks::keep("directory", move || {
+        let take_in = follow::directory::take_in;
+        follow::follow(n.clone(), f.clone(), Topic::Directory, take_in)
+    });
+    let (n, f) = (node.clone(), feed.clone());
+    tasks::keep("servers", move || {
+        let take_in = follow::servers::take_in;
+        follow::follow(n.clone(), f.clone(), Topic::Servers, take_in)
+    });
+    let (n, t) = (node.clone(), table.clone());
+    tasks::keep("nodes", move || {
+        follow::nodes::keep(n.clone(), t.clone(), feed.clone())
+    });
     if let Some(duties) = platform.duties {
-        spawn_local(duty::keeper::keep(node.clone(), table, duties));
+        let n = node.clone();
+        tasks::keep("duties", move || {
+            duty::keeper::keep(n.clone(), table.clone(), duties.clone())
+        });
     }
-    spawn_local(tidy(node.clone()));
+    let n = node.clone();
+    tasks::keep("tidy", move || tidy(n.clone()));
     listeners.serve(&node);
     Ok(node)
 }
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod allowance;
 pub mod cache;
+pub mod held;
 pub mod outcome;
 pub mod patience;
 pub mod place;
--- a/crates/gateway/src/decide/outcome.rs
+++ b/crates/gateway/src/decide/outcome.rs
@@ -20,6 +20,8 @@
     Broken,
     /// The bytes were no answer to this request.
     Garbled,
+    /// This process has no room to hold the answer.
+    Unheld,
     /// Nothing came from the server for too long.
     Silent,
     /// The server ran the request and failed.
@@ -36,6 +38,7 @@
             Self::Misdirected => "misdirected",
             Self::Broken => "broken",
             Self::Garbled => "garbled",
+            Self::Unheld => "unheld",
             Self::Silent => "silent",
             Self::Failed => "failed",
         }
@@ -45,7 +48,9 @@
     pub fn run_state(self) -> RunState {
         match self {
             Self::Unreachable | Self::Refused | Self::Misdirected => RunState::NotRun,
-            Self::BareRefusal | Self::Broken | Self::Garbled | Self::Silent => RunState::Unknown,
+            Self::BareRefusal | Self::Broken | Self::Garbled | Self::Unheld | Self::Silent => {
+                RunState::Unknown
+            }
             Self::Failed => RunState::Ran,
         }
     }
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -77,7 +77,7 @@
             }
         }
         let newest = windows.keys().max().copied().unwrap_or(0);
-        windows.retain(|w, _| *w + KEPT > newest);
+        windows.retain(|w, _| w.saturating_add(KEPT) > newest);
     }
 
     /// All requests known to have begun in a window.
@@ -88,7 +88,8 @@
                 continue;
             };
             for (workspace, n) in counts {
-                *total.entry(workspace.clone()).or_default() += n;
+                let sum = total.entry(workspace.clone()).or_default();
+                *sum = sum.saturating_add(*n);
             }
         }
         total
@@ -100,7 +101,7 @@
     let newest = windows.keys().max().copied().unwrap_or(0);
     let mut recent = Vec::new();
     for (window, counts) in windows {
-        if window + RECENT > newest {
+        if window.saturating_add(RECENT) > newest {
             let counts = counts.iter().map(|(name, n)| (name.clone(), *n));
             recent.push((*window, counts.collect()));
         }
--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -18,6 +18,7 @@
 use crate::node::{Node, Phase};
 use crate::peer::{exchange, serve as serve_peer};
 use crate::settings::Listen;
+use crate::tasks;
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -110,7 +111,10 @@
             (Purpose::Callers, self.callers),
         ];
         for (purpose, listener) in listeners {
-            tokio::task::spawn_local(accept(node.clone(), purpose, listener));
+            let (node, listener) = (node.clone(), Rc::new(listener));
+            tasks::keep("accept", move || {
+                accept(node.clone(), purpose, listener.clone())
+            });
         }
         exchange::spawn(node, self.datagrams);
     }
@@ -131,7 +135,7 @@
     socket.listen(BACKLOG)
 }
 
-async fn accept(node: Rc<Node>, purpose: Purpose, listener: TcpListener) {
+async fn accept(node: Rc<Node>, purpose: Purpose, listener: Rc<TcpListener>) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -139,7 +139,7 @@
         let server = &attempt.server;
         let now_ms = self.node.now_ms();
         match cause {
-            Cause::Refused | Cause::BareRefusal | Cause::Failed => {}
+            Cause::Refused | Cause::BareRefusal | Cause::Failed | Cause::Unheld => {}
             Cause::Unreachable
             | Cause::Misdirected
             | Cause::Broken
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use base::units::Millisecond;
 use bytes::BytesMut;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -19,6 +20,9 @@
 /// Bytes that a caller may send ahead of its turn.
 const AHEAD_LIMIT_BYTES: usize = 64 * 1024;
 
+/// A node without room for a request's body has some again after a while: bodies end in seconds.
+const NO_ROOM_MS: Millisecond = 1_000;
+
 /// How long the rest of a refused request is read, so that the refusal is not lost by a reset.
 const LINGER: Duration = Duration::from_millis(800);
 
@@ -60,8 +64,10 @@
 async fn read(node: &Node, conn: &mut Conn, limits: &CallerLimits) -> Result<Request, Unread> {
     let head = read_head(conn, limits).await?;
     let received_ms = node.now_ms();
-    let body = read_body(conn, &head, limits).await?;
+    let mut held = node.held.part();
+    let body = read_body(conn, &head, limits, &mut held).await?;
     Ok(Request {
+        held,
         head,
         body,
         received_ms,
@@ -134,6 +140,10 @@
         Unread::Malformed => Reply::rejection(400, "malformed", "Send one whole HTTP/1.1 request."),
         Unread::HeadTooLarge => Reply::rejection(431, "head_too_large", "Send a shorter head."),
         Unread::BodyTooLarge => Reply::rejection(413, "body_too_large", "Send a shorter body."),
+        Unread::NoRoom => {
+            let text = "This node holds too many long requests; come back, or send it elsewhere.";
+            Reply::later(NotRun::unsent(), 503, "no_room", text, NO_ROOM_MS)
+        }
         Unread::TooSlow => {
             let text = "Send the request at once.";
             Reply::refusal(NotRun::unsent(), 408, "too_slow", text)
--- a/crates/gateway/src/front/request.rs
+++ b/crates/gateway/src/front/request.rs
@@ -7,6 +7,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::belief::directory::CallerLimits;
+use crate::decide::held::Part;
 use crate::http::{Body, Conn, HeadError, Progress, RequestHead, request_head};
 
 /// Longest wait for more of a body.
@@ -21,6 +22,8 @@
     pub body: Bytes,
     /// When its head was whole.
     pub received_ms: Millisecond,
+    /// Room for its body, held while it is served.
+    pub held: Part,
 }
 
 /// Why there is no request.
@@ -34,6 +37,8 @@
     HeadTooLarge,
     /// The body is too large.
     BodyTooLarge,
+    /// This process has no room to hold its body.
+    NoRoom,
     /// The rest did not come in time.
     TooSlow,
 }
@@ -68,6 +73,7 @@
     conn: &mut Conn,
     head: &RequestHead,
     limits: &CallerLimits,
+    held: &mut Part,
 ) -> Result<Bytes, Unread> {
     let mut body = Body::new(head.framing);
     if body.is_done() {
@@ -84,6 +90,7 @@
         if whole.len() > limits.body_bytes {
             return Err(Unread::BodyTooLarge);
         }
+        held.set(whole.len()).map_err(|_| Unread::NoRoom)?;
         if progress == Progress::Done {
             return Ok(whole.freeze());
         }
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -147,7 +147,7 @@
         }
     }
 
-    /// What a wait without a byte has come to.
+    /// What a wait without progress has come to.
     fn overdue(&self) -> End {
         match Instant::now() >= self.until {
             true => End::TimedOut,
@@ -162,9 +162,11 @@
             write_head(&mut out, &answer.head, BodyKind::Chunks, self.out);
         }
         let mut events = Events::after(self.last_event.as_deref());
+        let mut held = self.job.node.held.part();
         let mut last = Instant::now();
         loop {
-            let until = self.pause_end(&events).min(self.until);
+            // Counted from the last whole event: single bytes are no progress.
+            let until = self.pause_end(&events, last).min(self.until);
             let data = match timeout_at(until, answer.next()).await {
                 Ok(Ok(Some(data))) => data,
                 Ok(Ok(None)) if events.is_between() => break,
@@ -175,6 +177,9 @@
             let Ok(whole) = events.take(data) else {
                 return End::Failed(Cause::Garbled);
             };
+            if held.set(events.partial_bytes()).is_err() {
+                return End::Failed(Cause::Unheld);
+            }
             if whole.is_empty() {
                 continue;
             }
@@ -217,7 +222,7 @@
     }
 
     /// When a stream that may be resumed goes on elsewhere if nothing comes.
-    fn pause_end(&self, events: &Events) -> Instant {
+    fn pause_end(&self, events: &Events, last: Instant) -> Instant {
         let Patience::For(first_ms) = self.patience else {
             return self.until;
         };
@@ -226,12 +231,13 @@
             (_, Some(gap_ms)) => PAUSE_TARGETS * gap_ms,
             (_, None) => UNNAMED_PAUSE_MS,
         };
-        Instant::now() + Duration::from_millis(pause_ms)
+        last + Duration::from_millis(pause_ms)
     }
 
     /// Passes on an answer that is no stream, such as a failure.
     async fn pass_whole(&mut self, attempt: &Attempt<'_>, mut answer: Answer) -> End {
-        let body = match timeout_at(self.until, answer.whole()).await {
+        let mut held = self.job.node.held.part();
+        let body = match timeout_at(self.until, answer.whole(&mut held)).await {
             Ok(Ok(body)) => body,
             Ok(Err(cause)) => return End::Failed(cause),
             Err(_) => return End::TimedOut,
--- a/crates/gateway/src/front/whole.rs
+++ b/crates/gateway/src/front/whole.rs
@@ -13,6 +13,7 @@
 use super::serve::{Out, Served};
 use crate::backend::attempt::Attempt;
 use crate::backend::exchange::{Outgoing, send};
+use crate::decide::held::Part;
 use crate::decide::outcome::Cause;
 use crate::decide::patience::Patience;
 use crate::http::ResponseHead;
@@ -23,6 +24,8 @@
     head: ResponseHead,
     body: Bytes,
     verdict: Verdict,
+    /// Held until it has been passed on.
+    _held: Part,
 }
 
 /// Serves a request whose answer is no stream.
@@ -91,13 +94,15 @@
         }
     };
     attempt.first_byte();
-    let body = answer.whole().await?;
+    let mut held = job.node.held.part();
+    let body = answer.whole(&mut held).await?;
     let head = answer.head.clone();
     answer.finish(&server, clock.now_ms());
     Ok(Whole {
         head,
         body,
         verdict,
+        _held: held,
     })
 }
 
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -8,6 +8,12 @@
 /// Longest line of a chunk's size or of a trailer.
 const LINE_LIMIT_BYTES: usize = 4_096;
 
+/// Longest trailer section, as long as a head may be at most servers.
+const TRAILERS_LIMIT_BYTES: usize = 32 * 1024;
+
+/// Bytes that end a line.
+const CRLF_BYTES: usize = 2;
+
 /// Bytes that break the framing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("The chunks of the body are malformed."))]
@@ -28,7 +34,8 @@
     ChunkSize,
     ChunkData(u64),
     ChunkEnd,
-    Trailer,
+    /// So many bytes of it have been read.
+    Trailer(usize),
     UntilClose,
     Done,
 }
@@ -104,10 +111,11 @@
                     buf.advance(2);
                     self.state = State::ChunkSize;
                 }
-                State::Trailer => match line(buf)? {
+                State::Trailer(read) if read > TRAILERS_LIMIT_BYTES => return Err(FramingError),
+                State::Trailer(read) => match line(buf)? {
                     None => return Ok(Progress::More),
                     Some(line) if line.is_empty() => self.state = State::Done,
-                    Some(_) => {}
+                    Some(line) => self.state = State::Trailer(read + line.len() + CRLF_BYTES),
                 },
             }
         }
@@ -145,7 +153,7 @@
     let text = std::str::from_utf8(&line[..digits]).map_err(|_| FramingError)?;
     let bytes = u64::from_str_radix(text, 16).map_err(|_| FramingError)?;
     Ok(match bytes {
-        0 => State::Trailer,
+        0 => State::Trailer(0),
         bytes => State::ChunkData(bytes),
     })
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod settings;
 pub mod sheet;
 pub mod sse;
+pub mod tasks;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -190,6 +190,7 @@
     gauges.insert("registry_age_seconds", age_s(node.registry_seen_ms.get()));
     gauges.insert("store_silence_seconds", age_s(node.store_ok_ms.get()));
     gauges.insert("peers", (node.nodes() - 1) as f64);
+    gauges.insert("held_bytes", node.held.bytes() as f64);
     gauges.insert("requests_in_flight", f64::from(node.in_flight.get()));
     gauges.insert("caller_connections", f64::from(node.callers.get()));
     gauges
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -17,6 +17,7 @@
 use crate::decide::allowance::Word;
 use crate::log;
 use crate::node::{Node, Phase};
+use crate::tasks;
 
 /// Time between two groups of datagrams.
 const GROUP_PERIOD: Duration = Duration::from_millis(PERIOD_MS);
@@ -49,9 +50,14 @@
 pub fn spawn(node: &Rc<Node>, socket: UdpSocket) {
     let socket = Rc::new(socket);
     let started_unix_ms = unix_ms();
-    tokio::task::spawn_local(tell(node.clone(), socket.clone(), started_unix_ms));
-    tokio::task::spawn_local(pulse::tell(node.clone(), socket.clone(), started_unix_ms));
-    tokio::task::spawn_local(hear(node.clone(), socket));
+    let (n, s) = (node.clone(), socket.clone());
+    tasks::keep("tell", move || tell(n.clone(), s.clone(), started_unix_ms));
+    let (n, s) = (node.clone(), socket.clone());
+    tasks::keep("pulse", move || {
+        pulse::tell(n.clone(), s.clone(), started_unix_ms)
+    });
+    let n = node.clone();
+    tasks::keep("hear", move || hear(n.clone(), socket.clone()));
 }
 
 async fn tell(node: Rc<Node>, socket: Rc<UdpSocket>, started_unix_ms: u64) {
@@ -159,19 +165,27 @@
             tokio::time::sleep(PAUSE).await;
             continue;
         };
-        let Ok(hello) = serde_json::from_slice::<Hello>(&datagram[..bytes]) else {
-            continue;
-        };
-        take_in(&node, hello, from);
+        read(&node, &datagram[..bytes], from);
+    }
+}
+
+/// Takes in one datagram; bytes that are none of ours are counted and passed over.
+pub fn read(node: &Rc<Node>, datagram: &[u8], from: SocketAddr) {
+    match serde_json::from_slice::<Hello>(datagram) {
+        Ok(hello) if hello.is_plausible() => take_in(node, hello, from),
+        Ok(_) | Err(_) => node.metrics.called("peer", "unreadable"),
     }
 }
 
 /// Takes in what a node says of itself.
 pub fn take_in(node: &Rc<Node>, hello: Hello, from: SocketAddr) {
+    if hello.node == node.settings.node.name {
+        return;
+    }
     let now_ms = node.now_ms();
     let news = node.peers.borrow_mut().heard(hello.clone(), from, now_ms);
     match news {
-        News::Stale => return,
+        News::Stale | News::TooMany => return,
         News::Continued => {}
         News::Appeared => appeared(&hello, from),
         News::Restarted(before) => {
@@ -227,8 +241,8 @@
         }
         for (server, running, waiting_tokens) in &peer.hello.loads {
             let sum = sums.entry(server.clone()).or_default();
-            sum.running += running;
-            sum.waiting_tokens += waiting_tokens;
+            sum.running = sum.running.saturating_add(*running);
+            sum.waiting_tokens = sum.waiting_tokens.saturating_add(*waiting_tokens);
         }
     }
     for server in node.registry.borrow().servers() {
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -5,7 +5,14 @@
 use policy::suspect::SuspectRecord;
 use serde::{Deserialize, Serialize};
 
-use super::role::{Role, Stay};
+use super::NODES_LIMIT;
+use super::role::{Role, Stay, period_ms};
+
+/// Most requests of one node at one server: each has a port of the node's own.
+const REQUESTS_LIMIT: u32 = u16::MAX as u32;
+
+/// Most prompt tokens of one node that wait at one server: a million for each request.
+const TOKENS_LIMIT: TokenCount = 1_000_000 * REQUESTS_LIMIT as TokenCount;
 
 /// State of one node, sent in one datagram.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -64,6 +71,21 @@
         life_key(&self.node, self.boot)
     }
 
+    /// Whether its figures can be a node's: one datagram that was damaged must not fill a server or
+    /// keep a node that has ended.
+    pub fn is_plausible(&self) -> bool {
+        let pulse_ms = match self.content {
+            Content::Pulse { period_ms } => period_ms,
+            Content::Whole => 0,
+        };
+        let loads = self.loads.iter();
+        self.period_ms.max(pulse_ms) <= period_ms(NODES_LIMIT)
+            && loads
+                .clone()
+                .all(|(_, running, _)| *running <= REQUESTS_LIMIT)
+            && loads.clone().all(|(_, _, tokens)| *tokens <= TOKENS_LIMIT)
+    }
+
     /// Time since the start of this life, by its own calendar clock.
     pub fn age_ms(&self) -> Millisecond {
         self.unix_ms.saturating_sub(self.started_unix_ms)
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -27,6 +27,9 @@
 /// Silence for so many of its periods means that datagrams of a node were lost.
 const SILENT_PERIODS: f64 = 2.5;
 
+/// Most other nodes that are known: above the size to come (3,200, docs/CAPACITY.md).
+pub const NODES_LIMIT: usize = 4_096;
+
 /// A node that is not heard of for so long has ended, if most of the others are heard.
 const GONE_MS: Millisecond = 15_000;
 
@@ -83,7 +86,7 @@
             (Role::Follows, Some(pulse_ms)) => pulse_ms,
             (Role::Follows | Role::Listens, _) => self.hello.period_ms,
         };
-        let fresh_ms = FRESH_MS.max(3 * period_ms);
+        let fresh_ms = FRESH_MS.max(period_ms.saturating_mul(3));
         match now_ms.saturating_sub(self.heard_ms) <= fresh_ms {
             true => Presence::Fresh,
             false => Presence::Silent,
@@ -107,6 +110,8 @@
     Continued,
     /// The datagram is older than one that has come.
     Stale,
+    /// The sender is not known, and as many nodes are as there can be.
+    TooMany,
 }
 
 impl Peers {
@@ -132,7 +137,8 @@
 
     /// Adds an address to which word is sent.
     pub fn learn(&mut self, address: SocketAddr) {
-        if address != self.own && !self.known.contains(&address) {
+        let room = self.known.len() < NODES_LIMIT;
+        if room && address != self.own && !self.known.contains(&address) {
             self.known.push(address);
         }
     }
@@ -160,12 +166,14 @@
     /// Takes in what a node says.
     pub fn heard(&mut self, mut hello: Hello, address: SocketAddr, now_ms: Millisecond) -> News {
         let mut epoch = Epoch {
-            ms: hello.unix_ms as i64 - now_ms as i64,
+            ms: (hello.unix_ms as i64).saturating_sub(now_ms as i64),
             at_ms: now_ms,
         };
         let mut pulse_ms = None;
+        let room = self.by_name.len() < NODES_LIMIT;
         let known = self.by_name.get_mut(&hello.node);
         let news = match known {
+            None if !room => return News::TooMany,
             None => News::Appeared,
             Some(known) if known.hello.boot != hello.boot => {
                 // A clock that was set back may date the later life before the earlier one.
@@ -323,6 +331,6 @@
         let mut epochs_ms: Vec<i64> = self.by_name.values().map(|p| p.epoch.ms).collect();
         epochs_ms.push(own_epoch_ms);
         epochs_ms.sort_unstable();
-        epochs_ms[(epochs_ms.len() - 1) / 2] - own_epoch_ms
+        epochs_ms[(epochs_ms.len() - 1) / 2].saturating_sub(own_epoch_ms)
     }
 }
--- a/crates/gateway/src/peer/pull.rs
+++ b/crates/gateway/src/peer/pull.rs
@@ -57,6 +57,22 @@
     No,
 }
 
+/// Held while another node is asked, also if that ends by an unexpected error.
+struct OneQuestion;
+
+impl OneQuestion {
+    fn begin() -> Self {
+        ASKING.set(Asking::Yes);
+        Self
+    }
+}
+
+impl Drop for OneQuestion {
+    fn drop(&mut self) {
+        ASKING.set(Asking::No);
+    }
+}
+
 #[derive(Serialize)]
 struct PulledFields<'a> {
     from: SocketAddr,
@@ -95,13 +111,13 @@
     if wanted.is_empty() || ASKING.get() == Asking::Yes {
         return;
     }
-    ASKING.set(Asking::Yes);
+    let asking = OneQuestion::begin();
     let node = node.clone();
     tokio::task::spawn_local(async move {
         for what in wanted {
             take(&node, address, what).await;
         }
-        ASKING.set(Asking::No);
+        drop(asking);
     });
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,32 @@
     pub duties: Duties,
     /// What the operators' rules allow.
     pub bounds: Bounds,
+    /// What the process may use.
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+/// What a process may use.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub struct Limits {
+    /// Memory of the process, in megabytes.
+    pub memory_mb: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { memory_mb: 256.0 }
+    }
+}
+
+impl Limits {
+    /// Bytes that may be held for requests: a quarter of the memory.
+    pub fn held_bytes(&self) -> usize {
+        const HELD_SHARE: f64 = 0.25;
+        const BYTES_PER_MB: f64 = 1_000_000.0;
+        (self.memory_mb * BYTES_PER_MB * HELD_SHARE) as usize
+    }
 }
 
 /// Who a process is.
@@ -196,6 +222,7 @@
     fn check(&self) -> Result<(), SheetError> {
         let bounds = &self.bounds;
         sheet::above_zero(&[
+            ("limits.memory_mb", self.limits.memory_mb),
             ("placing.wait_share", self.placing.wait_share),
             ("bounds.shutdown_s", bounds.shutdown_s),
             ("bounds.retry_window_s", bounds.retry_window_s),
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -49,6 +49,11 @@
         self.partial.is_empty()
     }
 
+    /// Bytes of an event that is not whole yet.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Takes in bytes and gives back the events that are whole.
     ///
     /// # Errors
--- a/crates/standin/src/users/runner.rs
+++ b/crates/standin/src/users/runner.rs
@@ -56,12 +56,75 @@
     Unsigned,
     /// Breaks off its answer before its length is reached.
     Short,
+    /// Sends bytes of this kind without end, until the caller closes the connection.
+    Endless(Endless),
+    /// Sends an event, and then one byte of the next each so many milliseconds.
+    Drip(u64),
     /// Says nothing until the caller closes the connection.
     Hang,
     /// Goes down: its port refuses connections from now on.
     Crash,
 }
 
+/// Bytes that never become an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Endless {
+    /// One header line.
+    HeadLine,
+    /// Heads that announce another one.
+    Interim,
+    /// Answers that name another request.
+    Strays,
+    /// The body of an answer to another request.
+    StrayBody,
+    /// A body that ends with the connection.
+    Body,
+    /// The extension of a chunk.
+    Extension,
+    /// Lines after the last chunk.
+    Trailers,
+    /// An event.
+    Event,
+}
+
+impl Endless {
+    /// What comes first, and what then is repeated.
+    fn bytes(self, id: &str) -> (String, String) {
+        let named = format!(
+            "HTTP/1.1 200 X\r\nApricotledge-Request-Id: {id}\r\nApricotledge-Server-Signature: s\r\n"
+        );
+        let chunked = format!("{named}Transfer-Encoding: chunked\r\n");
+        let stray = "HTTP/1.1 200 X\r\nApricotledge-Request-Id: another\r\n";
+        let filler = "x".repeat(FILLER_BYTES);
+        match self {
+            Self::HeadLine => (format!("{named}X-Long: "), filler),
+            Self::Interim => (String::new(), "HTTP/1.1 102 X\r\n\r\n".repeat(64)),
+            Self::Strays => {
+                let whole = format!("{stray}Content-Length: 0\r\n\r\n");
+                (String::new(), whole.repeat(64))
+            }
+            Self::StrayBody => (
+                format!("{stray}Content-Length: 999999999999\r\n\r\n"),
+                filler,
+            ),
+            Self::Body => (format!("{named}\r\n"), filler),
+            Self::Extension => (format!("{chunked}\r\n1;"), filler),
+            Self::Trailers => (
+                format!("{chunked}\r\n2\r\nno\r\n0\r\n"),
+                "X-T: 1\r\n".repeat(64),
+            ),
+            Self::Event => {
+                let kind = "Content-Type: text/event-stream\r\n";
+                let chunk = format!("{FILLER_BYTES:x}\r\n{filler}\r\n");
+                (format!("{chunked}{kind}\r\n9\r\nid: 1\ndat\r\n"), chunk)
+            }
+        }
+    }
+}
+
+/// Bytes that are sent at once of what has no end.
+const FILLER_BYTES: usize = 4_096;
+
 /// A request that reached a runner.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -321,6 +384,20 @@
             shared.crashed.notify_one();
             None
         }
+        Behaviour::Endless(kind) => {
+            let (first, repeated) = kind.bytes(id);
+            connection.send(first.as_bytes()).await?;
+            while connection.send(repeated.as_bytes()).await.is_some() {}
+            shared.lock().left.push(id.to_owned());
+            None
+        }
+        Behaviour::Drip(gap_ms) => {
+            stream(connection, shared, id, after, after.unwrap_or(0) + 1, 1).await?;
+            loop {
+                connection.send(b"1\r\nx\r\n").await?;
+                wait(connection, shared, id, gap_ms).await?;
+            }
+        }
         Behaviour::Hang => {
             connection.closed().await;
             shared.lock().left.push(id.to_owned());
