Open usage is kept in the store by the holder of the duties, and a node takes its own lease back at once

Change: duty::checkpoint. The holder writes the counts of the open windows each 250 ms if they changed (one row); a new holder reads it and takes, for lives that it covers, the greater of it and of what they say. A lease whose row names this node is taken again with the next fencing number: a node's name is used by one process at a time, and this one has its addresses. The wait to hear others is gone, as ranks (decide::watch) do its work.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -194,7 +194,9 @@
             self.end_tenure("refused");
         }
         let waited = self.watch(row.version, now) >= body.term_ms + self.terms.margin_ms;
-        let others = body.holder.is_some() && own.is_none();
+        // A node's name is used by one process at a time, and this one has its addresses: an earlier
+        // life that held the lease has ended.
+        let others = body.holder.is_some_and(|holder| holder != self.node) && own.is_none();
         if others && !waited {
             return None;
         }
--- a/crates/gateway/src/duty/keeper.rs
+++ b/crates/gateway/src/duty/keeper.rs
@@ -10,26 +10,22 @@
 use outside::{CommitError, Condition, Duties, DutyError, Holder, Key, Table, UsageReport, Write};
 use serde::Serialize;
 
+use super::checkpoint::{self, USAGE_PARTITION};
 use super::scaling::Scaler;
 use crate::decide::watch::Rank;
 use crate::log;
 use crate::node::{Node, Phase};
-use crate::peer::message::Tenure;
+use crate::peer::message::{Begun, Tenure};
 use crate::peer::pull;
 use crate::peer::role::Role;
-use crate::settings::ms;
+use crate::settings::{FirstStart, ms};
 
 /// Name of the lease.
 const LEASE: &str = "duties";
 
-/// Partition of the usage rows: what was reported for a window, kept before it is reported.
-const USAGE_PARTITION: &str = "usage";
-
-/// Time between two rounds.
-const ROUND: Duration = Duration::from_millis(500);
-
-/// A process hears of the others within so long of its start, and then knows its role.
-const HEARING: Duration = Duration::from_millis(1_500);
+/// Time between two rounds, and two checkpoints: what a loss of all processes may take of a window of
+/// five seconds, with the age of the counts, is near the pages' tolerance of 5%.
+const ROUND: Duration = Duration::from_millis(250);
 
 /// Part of the time in which a report is due after which a window is summed up: late answers have
 /// then come and all nodes have told their counts, and a next holder still has time to report.
@@ -51,7 +47,6 @@
 
 /// Takes part in the duties until the process ends, while it follows the store.
 pub async fn keep(node: Rc<Node>, table: Arc<dyn Table>, duties: Arc<dyn Duties>) {
-    tokio::time::sleep(HEARING).await;
     let term_ms = node.settings.bounds.lease_ms;
     let terms = Terms {
         term_ms,
@@ -64,6 +59,8 @@
             continue;
         }
         let lease = LeaseHolder::spawn(LEASE, name.clone(), table.clone(), terms, node.boot);
+        // A node that has started again looks once whether its earlier life held the duties.
+        lease.stand_by(node.settings.node.first_start == FirstStart::Yes);
         let keeper = Keeper {
             table: table.clone(),
             scaler: Scaler::new(node.clone(), duties.clone()),
@@ -95,6 +92,7 @@
     async fn run(self, lease: &LeaseHolder) {
         let mut reported: Set<u64> = Set::default();
         let mut held = Held::No;
+        let mut kept = Begun::new();
         while takes_part(&self.node) {
             tokio::time::sleep(ROUND).await;
             self.scaler.observe();
@@ -109,17 +107,19 @@
                 held = Held::No;
                 continue;
             }
+            if held == Held::No && self.recall().await {
+                held = Held::Yes;
+            }
+            if held == Held::Yes {
+                self.keep_counts(&mut kept).await;
+            }
             self.scaler
                 .round(|| self.permit().map(|p| self.holder(p)))
                 .await;
             let Some(window) = self.due(&reported) else {
                 continue;
             };
-            if held == Held::No {
-                pull::usage(&self.node).await;
-                held = Held::Yes;
-            }
-            if self.report(window).await == Reported::Yes {
+            if held == Held::Yes && self.report(window).await == Reported::Yes {
                 reported.insert(window);
                 reported.retain(|w| w + 2 * self.windows_back() > window);
             }
@@ -138,6 +138,33 @@
         heard || later
     }
 
+    /// Learns what was counted before this node held the duties; says whether it has.
+    async fn recall(&self) -> bool {
+        pull::usage(&self.node).await;
+        let Ok(found) = checkpoint::read(&*self.table).await else {
+            return false;
+        };
+        if let Some(checkpoint) = found {
+            self.node.usage.borrow_mut().recall(checkpoint);
+        }
+        true
+    }
+
+    /// Keeps the counts of the open windows in the store, if they have changed.
+    async fn keep_counts(&self, kept: &mut Begun) {
+        let offset_ms = self.node.clock_offset_ms();
+        let mut checkpoint = self.node.usage.borrow().checkpoint(offset_ms);
+        checkpoint.begun.sort_unstable();
+        if checkpoint.begun == *kept || self.permit().is_none() {
+            return;
+        }
+        // One that was not taken is followed by the next.
+        let write = checkpoint::write(&checkpoint);
+        if self.table.commit(vec![write]).await.is_ok() {
+            *kept = checkpoint.begun;
+        }
+    }
+
     /// The oldest window whose report is due.
     fn due(&self, reported: &Set<u64>) -> Option<u64> {
         let offset_ms = self.node.clock_offset_ms();
--- a/crates/gateway/src/duty/mod.rs
+++ b/crates/gateway/src/duty/mod.rs
@@ -1,5 +1,6 @@
 //! What one node at a time does for all.
 
+pub mod checkpoint;
 pub mod keeper;
 pub mod scaling;
 pub mod usage;
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -3,8 +3,9 @@
 use base::units::Millisecond;
 use base::{Map, Name};
 
+use super::checkpoint::Checkpoint;
 use crate::clock::unix_ms;
-use crate::peer::message::{Begun, UsageCopy};
+use crate::peer::message::{Begun, LifeCopy, UsageCopy};
 
 /// Windows that are told to other nodes: those whose reports may still be due.
 const RECENT: u64 = 4;
@@ -19,7 +20,17 @@
 pub struct Usage {
     window_ms: Millisecond,
     own: Map<u64, Counts>,
-    others: Map<Name, Map<u64, Counts>>,
+    others: Map<Name, Life>,
+    /// Start of this life, by the calendar clock.
+    started_unix_ms: u64,
+    checkpoint: Option<Checkpoint>,
+}
+
+/// Another life of a node.
+#[derive(Debug, Default)]
+struct Life {
+    started_unix_ms: u64,
+    windows: Map<u64, Counts>,
 }
 
 impl Usage {
@@ -29,6 +40,8 @@
             window_ms,
             own: Map::default(),
             others: Map::default(),
+            started_unix_ms: unix_ms(),
+            checkpoint: None,
         }
     }
 
@@ -60,15 +73,43 @@
 
     /// The recent windows of every life that is known; `own` is the key of this one.
     pub fn copy(&self, own: &Name) -> UsageCopy {
+        let of = |name: &Name, started_unix_ms: u64, windows: &Map<u64, Counts>| LifeCopy {
+            life: name.clone(),
+            started_unix_ms,
+            begun: recent(windows),
+        };
         let others = self.others.iter();
-        let mut copy: UsageCopy = others.map(|(life, w)| (life.clone(), recent(w))).collect();
-        copy.push((own.clone(), self.recent()));
+        let mut copy: UsageCopy = others
+            .map(|(name, life)| of(name, life.started_unix_ms, &life.windows))
+            .collect();
+        copy.push(of(own, self.started_unix_ms, &self.own));
         copy
     }
 
-    /// Takes in what a life of another node has counted; counts only grow.
-    pub fn heard(&mut self, node: &Name, recent: &[(u64, Vec<(Name, u64)>)]) {
-        let windows = self.others.entry(node.clone()).or_default();
+    /// What is to be kept in the store of the recent windows, by a clock that is `offset_ms` ahead.
+    pub fn checkpoint(&self, offset_ms: i64) -> Checkpoint {
+        let newest = self.window(offset_ms);
+        let windows = newest.saturating_sub(RECENT)..=newest;
+        let known = windows.map(|window| (window, self.total(window)));
+        let begun = known.filter(|(_, counts)| !counts.is_empty());
+        Checkpoint {
+            at_unix_ms: unix_ms().saturating_add_signed(offset_ms),
+            begun: begun
+                .map(|(window, c)| (window, c.into_iter().collect()))
+                .collect(),
+        }
+    }
+
+    /// Takes in what was kept in the store: lives that had ended by then may be known from there only.
+    pub fn recall(&mut self, checkpoint: Checkpoint) {
+        self.checkpoint = Some(checkpoint);
+    }
+
+    /// Takes in what a life of another node, started at that time, has counted; counts only grow.
+    pub fn heard(&mut self, life: &Name, started_unix_ms: u64, recent: &[(u64, Vec<(Name, u64)>)]) {
+        let life = self.others.entry(life.clone()).or_default();
+        life.started_unix_ms = started_unix_ms;
+        let windows = &mut life.windows;
         for (window, counts) in recent {
             let known = windows.entry(*window).or_default();
             for (workspace, n) in counts {
@@ -80,20 +121,44 @@
         windows.retain(|w, _| w.saturating_add(KEPT) > newest);
     }
 
-    /// All requests known to have begun in a window.
+    /// All requests known to have begun in a window. Of the lives that a checkpoint may cover, the
+    /// greater of what it says and of what they say counts.
     pub fn total(&self, window: u64) -> Counts {
-        let mut total = self.own.get(&window).cloned().unwrap_or_default();
-        for windows in self.others.values() {
-            let Some(counts) = windows.get(&window) else {
-                continue;
+        let at_unix_ms = self.checkpoint.as_ref().map_or(0, |c| c.at_unix_ms);
+        let (mut covered, mut later) = (Counts::default(), Counts::default());
+        let own = std::iter::once((self.started_unix_ms, &self.own));
+        let others = self.others.values();
+        for (started_unix_ms, windows) in own.chain(others.map(|l| (l.started_unix_ms, &l.windows)))
+        {
+            let sum = match started_unix_ms <= at_unix_ms {
+                true => &mut covered,
+                false => &mut later,
             };
-            for (workspace, n) in counts {
-                let sum = total.entry(workspace.clone()).or_default();
-                *sum = sum.saturating_add(*n);
+            for (workspace, n) in windows.get(&window).into_iter().flatten() {
+                add(sum, workspace, *n);
             }
         }
-        total
+        for (workspace, n) in self.kept(window) {
+            let known = covered.entry(workspace.clone()).or_default();
+            *known = (*known).max(*n);
+        }
+        for (workspace, n) in &later {
+            add(&mut covered, workspace, *n);
+        }
+        covered
     }
+
+    /// What the checkpoint says of a window.
+    fn kept(&self, window: u64) -> &[(Name, u64)] {
+        let kept = self.checkpoint.iter().flat_map(|c| &c.begun);
+        let mut found = kept.filter(|(w, _)| *w == window);
+        found.next().map_or(&[], |(_, counts)| counts)
+    }
+}
+
+fn add(sum: &mut Counts, workspace: &Name, n: u64) {
+    let sum = sum.entry(workspace.clone()).or_default();
+    *sum = sum.saturating_add(n);
 }
 
 /// The newest windows of one life.
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -215,7 +215,9 @@
             bucket.heard(&key, word, now_ms);
         }
     }
-    node.usage.borrow_mut().heard(&key, &hello.begun);
+    let mut usage = node.usage.borrow_mut();
+    usage.heard(&key, hello.started_unix_ms, &hello.begun);
+    drop(usage);
     if !hello.suspects.is_empty() {
         node.suspects.borrow_mut().merge(&hello.suspects, unix_ms());
     }
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -148,7 +148,18 @@
 pub type Begun = Vec<(u64, Vec<(Name, u64)>)>;
 
 /// What a node knows to have begun at each life of a node, its own included.
-pub type UsageCopy = Vec<(Name, Begun)>;
+pub type UsageCopy = Vec<LifeCopy>;
+
+/// What is known to have begun at one life of a node.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct LifeCopy {
+    /// Key of the life.
+    pub life: Name,
+    /// Unix time of its start.
+    pub started_unix_ms: u64,
+    /// Requests begun.
+    pub begun: Begun,
+}
 
 /// Path at which a node gives what it knows of requests begun.
 pub const USAGE_PATH: &str = "/usage";
--- a/crates/gateway/src/peer/pull.rs
+++ b/crates/gateway/src/peer/pull.rs
@@ -236,10 +236,8 @@
     };
     let own = node.key();
     let mut usage = node.usage.borrow_mut();
-    for (life, begun) in &copy {
-        if *life != own {
-            usage.heard(life, begun);
-        }
+    for copy in copy.iter().filter(|copy| copy.life != own) {
+        usage.heard(&copy.life, copy.started_unix_ms, &copy.begun);
     }
     (copy.len() as u64, "taken")
 }
