Servers on demand are held for nine tenths of the work alone, and the shares of buying are settings

While reclaimable ones cannot be had, `tight_share` (0.5) makes up for them within the time to start, so that more of them beforehand pays for some seconds only. Change: [buying] comfort_share, tight_share, alone_share, checked; alone_share 0.6 -> 0.9.

--- a/crates/gateway/src/decide/scale.rs
+++ b/crates/gateway/src/decide/scale.rs
@@ -1,6 +1,6 @@
 //! How many backend servers to have, where, and how they are paid for.
 //!
-//! Servers on demand bear the work alone, if closely: reclaimable ones may all be lost within
+//! Servers on demand bear the work alone, if barely: reclaimable ones may all be lost within
 //! seconds. Reclaimable ones cost a part of the price and give the room in which requests do not
 //! wait for each other, also after the loss of any one failure domain. While none can be had, more
 //! servers on demand make up for them.
@@ -9,6 +9,7 @@
 use base::{Map, Name};
 use outside::Purchase;
 use policy::place::{Kind, Offer, Purchase as OfferPurchase, cheapest_additions};
+use serde::Deserialize;
 
 use crate::belief::directory::Scaling;
 
@@ -24,14 +25,27 @@
 /// A need is known well enough to give servers back once it was seen for so long.
 const KNOWN_MS: Millisecond = 6_000;
 
-/// Part of a server that work may keep busy when nothing is lost and nothing is missing.
-const COMFORT_SHARE: f64 = 0.22;
-
-/// Part of a server that work may keep busy while reclaimable servers cannot be had.
-const TIGHT_SHARE: f64 = 0.5;
+/// Parts of a server that work may keep busy: what is held against what. Settings.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct Shares {
+    /// When nothing is lost and nothing is missing.
+    pub comfort_share: f64,
+    /// While reclaimable servers cannot be had.
+    pub tight_share: f64,
+    /// When all reclaimable servers are lost.
+    pub alone_share: f64,
+}
 
-/// Part of a server that work may keep busy when all reclaimable servers are lost.
-const ALONE_SHARE: f64 = 0.6;
+impl Default for Shares {
+    fn default() -> Self {
+        Self {
+            comfort_share: 0.22,
+            tight_share: 0.5,
+            alone_share: 0.9,
+        }
+    }
+}
 
 /// Part of the servers that is kept on demand before any work is known.
 const UNKNOWN_SHARE: f64 = 1.0 / 3.0;
@@ -91,6 +105,7 @@
 /// What the holder of the duty remembers of one service.
 #[derive(Clone, Debug, Default)]
 pub struct Scale {
+    shares: Shares,
     ordered: Map<Place, Ordered>,
     refused_until_ms: Map<Place, Millisecond>,
     needs: Vec<(Millisecond, f64)>,
@@ -128,6 +143,14 @@
 type Wanted = Map<Place, u32>;
 
 impl Scale {
+    /// Nothing has been ordered yet.
+    pub fn new(shares: Shares) -> Self {
+        Self {
+            shares,
+            ..Self::default()
+        }
+    }
+
     /// Takes in that a kind is not to be had.
     pub fn refused(&mut self, order: &Order, now_ms: Millisecond) {
         let place = (order.failure_domain.clone(), order.purchase);
@@ -210,11 +233,12 @@
                 certainty: Certainty::Settled,
             });
         };
-        let busy = peak.busy.min(total * GROWTH * ALONE_SHARE);
+        let shares = self.shares;
+        let busy = peak.busy.min(total * GROWTH * shares.alone_share);
         Some(Goal {
-            alone: busy / ALONE_SHARE,
-            tight: busy / TIGHT_SHARE,
-            comfortable: busy / COMFORT_SHARE,
+            alone: busy / shares.alone_share,
+            tight: busy / shares.tight_share,
+            comfortable: busy / shares.comfort_share,
             certainty: peak.certainty,
         })
     }
--- a/crates/gateway/src/duty/scaling.rs
+++ b/crates/gateway/src/duty/scaling.rs
@@ -59,7 +59,7 @@
         for service in directory.services.values() {
             let need = self.need(service);
             let mut scales = self.scales.borrow_mut();
-            let scale = scales.entry(service.name.clone()).or_default();
+            let scale = self.scale(&mut scales, service);
             scale.observe(need, self.node.now_ms());
         }
     }
@@ -96,7 +96,7 @@
             return Vec::new();
         }
         let mut scales = self.scales.borrow_mut();
-        let scale = scales.entry(service.name.clone()).or_default();
+        let scale = self.scale(&mut scales, service);
         scale.plan(scaling, &present, self.node.now_ms())
     }
 
@@ -109,7 +109,7 @@
         };
         let outcome = self.duties.order_servers(holder, &asked).await;
         let mut scales = self.scales.borrow_mut();
-        let scale = scales.entry(service.name.clone()).or_default();
+        let scale = self.scale(&mut scales, service);
         match &outcome {
             Ok(()) => {}
             Err(DutyError::Refused) => scale.refused(order, self.node.now_ms()),
@@ -138,6 +138,11 @@
         log::emit(events::Code::ServersOrdered, &fields);
     }
 
+    fn scale<'a>(&self, scales: &'a mut Map<Name, Scale>, service: &Service) -> &'a mut Scale {
+        let scale = scales.entry(service.name.clone());
+        scale.or_insert_with(|| Scale::new(self.node.settings.buying))
+    }
+
     /// Servers that stay, by failure domain.
     fn present(&self, service: &Name) -> Map<Name, Present> {
         let mut present: Map<Name, Present> = Map::default();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 
 use crate::decide::rule::Rule;
+use crate::decide::scale::Shares;
 use crate::decide::shed::WAIT_SHARE;
 use crate::sheet::{self, SheetError};
 
@@ -29,6 +30,9 @@
     /// How servers are chosen.
     #[serde(default)]
     pub placing: Placing,
+    /// How many servers are held.
+    #[serde(default)]
+    pub buying: Shares,
     /// The platform's calls for duties.
     #[serde(default)]
     pub duties: Duties,
@@ -224,6 +228,9 @@
         sheet::above_zero(&[
             ("limits.memory_mb", self.limits.memory_mb),
             ("placing.wait_share", self.placing.wait_share),
+            ("buying.comfort_share", self.buying.comfort_share),
+            ("buying.tight_share", self.buying.tight_share),
+            ("buying.alone_share", self.buying.alone_share),
             ("bounds.shutdown_s", bounds.shutdown_s),
             ("bounds.retry_window_s", bounds.retry_window_s),
             ("bounds.drain_ms", bounds.drain_ms as f64),
