A node whose seeds are all gone takes its turn after a while

Cause, found on the last reading: a node that had heard fewer than half of the addresses listed took its rank for unknown, and so never asked first, and never stood for the duties; with stale seeds and two nodes left that is for ever. It also looked at the list of nodes after 20 s only while it heard nobody. Change: the rank counts after 1.5 s or two periods of the fleet; alone, a node looks each 5 s, as before. Test: peers.rs, a_node_whose_seeds_are_all_gone_takes_its_turn_after_a_while (Unknown at any age before).

--- a/crates/gateway/src/follow/nodes.rs
+++ b/crates/gateway/src/follow/nodes.rs
@@ -38,8 +38,9 @@
             let mut peers = node.peers.borrow_mut();
             addresses.for_each(|address| peers.learn(address));
         }
-        let first = node.rank() == Rank::After(0);
-        tokio::time::sleep(if first { PERIOD } else { SLOW_PERIOD }).await;
+        let looks_for_all = alone || node.rank() == Rank::After(0);
+        let period = if looks_for_all { PERIOD } else { SLOW_PERIOD };
+        tokio::time::sleep(period).await;
     }
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -202,7 +202,8 @@
     pub fn rank(&self) -> Rank {
         let own = &self.settings.node;
         let peers = self.peers.borrow();
-        peers.rank(&own.name, &own.failure_domain, self.now_ms())
+        let age_ms = self.clock.age_ms();
+        peers.rank(&own.name, &own.failure_domain, age_ms, self.now_ms())
     }
 
     /// Number of this life's next datagram.
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -19,7 +19,7 @@
 use crate::settings::Settings;
 use message::{Content, Hello, Tenure};
 use policy::suspect::Share;
-use role::{Neighbour, Presence, Role, rank, role};
+use role::{Neighbour, Presence, Role, period_ms, rank, role};
 
 /// What a node says is used for so long, or for three of its periods if those are longer.
 const FRESH_MS: Millisecond = 1_000;
@@ -27,6 +27,9 @@
 /// Silence for so many of its periods means that datagrams of a node were lost.
 const SILENT_PERIODS: f64 = 2.5;
 
+/// A node that has started hears of the others within so long, or within two of their periods.
+const HEARING_MS: Millisecond = 1_500;
+
 /// Most other nodes that are known: above the size to come (3,200, docs/CAPACITY.md).
 pub const NODES_LIMIT: usize = 4_096;
 
@@ -233,9 +236,17 @@
         role(own, failure_domain, &self.neighbours(now_ms))
     }
 
-    /// When it is the node `own`'s turn to ask the store.
-    pub fn rank(&self, own: &Name, failure_domain: &Name, now_ms: Millisecond) -> Rank {
-        if self.count() * 2 < self.listed() {
+    /// When it is the turn of the node `own`, which has run for `age_ms`, to ask the store. Addresses
+    /// that have not been heard by the time at which all have spoken twice are of nodes that are down.
+    pub fn rank(
+        &self,
+        own: &Name,
+        failure_domain: &Name,
+        age_ms: Millisecond,
+        now_ms: Millisecond,
+    ) -> Rank {
+        let hearing_ms = HEARING_MS.max(2 * period_ms(self.listed() + 1));
+        if age_ms < hearing_ms && self.count() * 2 < self.listed() {
             return Rank::Unknown;
         }
         Rank::After(rank(own, failure_domain, &self.neighbours(now_ms)))
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 
+use gateway::decide::watch::Rank;
 use gateway::peer::message::{Content, Hello, Tenure};
 use gateway::peer::role::{Presence, Role};
 use gateway::peer::{News, Peers};
@@ -172,3 +173,17 @@
     assert!(peers.holder_is_heard(1_000));
     assert!(!peers.holder_is_heard(1_100));
 }
+
+/// Seeds may be of nodes that are gone for good: the few that are left must take their turns.
+#[test]
+fn a_node_whose_seeds_are_all_gone_takes_its_turn_after_a_while() {
+    let mut peers = peers();
+    for port in 1..4 {
+        peers.learn(SocketAddr::from(([10, 0, 0, 9], port)));
+    }
+    let rank = |peers: &Peers, age_ms| peers.rank(&"own".into(), &"a".into(), age_ms, age_ms);
+    assert_eq!(rank(&peers, 100), Rank::Unknown);
+    assert_eq!(rank(&peers, 2_000), Rank::After(0));
+    peers.heard(hello(1, 1, 1), address(), 2_000);
+    assert_eq!(rank(&peers, 2_100), Rank::After(1));
+}
