Logs and metrics tell what backend servers say of themselves

Answers' log fields (E202, E302) and apricotledge_server_signals_total tell of a limit, of leaving, and of a time to hold off; what can't be read is counted and changes nothing. Nothing acts on them yet. The stand-in's runners add fields to their heads.

--- a/crates/gateway/src/backend/seen.rs
+++ b/crates/gateway/src/backend/seen.rs
@@ -1,12 +1,21 @@
 //! What an answer's head shows of where it came from, for logs and metrics.
 
+use std::time::SystemTime;
+
 use serde::Serialize;
 
 use super::exchange::Sent;
 use super::pool::Origin;
+use crate::decide::signal::{Reading, Signals, hold_off_ms, leaving, limit_per_s};
 use crate::dialect::HeaderNames;
 use crate::http::ResponseHead;
 
+/// Status with which a server turns a request away and may say for how long.
+const UNAVAILABLE: u16 = 503;
+
+/// Status of a server that is not the one that was asked.
+const MISDIRECTED: u16 = 421;
+
 /// Whether a server says that it did not run the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -48,7 +57,7 @@
 }
 
 /// What is known of an answer that was taken as a request's own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Seen {
     /// Status code.
     pub status: u16,
@@ -62,6 +71,9 @@
     pub sent: Sent,
     /// Answers to other requests that were passed over before it.
     pub passed_over: u32,
+    /// What the server says of itself.
+    #[serde(skip_serializing_if = "Signals::is_silent")]
+    pub signals: Signals,
 }
 
 impl Seen {
@@ -88,6 +100,23 @@
             connection,
             sent,
             passed_over,
+            signals: signals(head, names),
         }
     }
 }
+
+/// What the head of an answer says of the server that was asked.
+fn signals(head: &ResponseHead, names: &HeaderNames) -> Signals {
+    if head.status == MISDIRECTED {
+        return Signals::default();
+    }
+    let fields = &head.fields;
+    Signals {
+        leaving: leaving(fields.all(names.leaving)),
+        limit_per_s: limit_per_s(fields.all(names.limit)),
+        hold_off_ms: match head.status {
+            UNAVAILABLE => hold_off_ms(fields.all("retry-after"), SystemTime::now()),
+            _ => Reading::Absent,
+        },
+    }
+}
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -12,6 +12,7 @@
 pub mod rule;
 pub mod scale;
 pub mod shed;
+pub mod signal;
 pub mod speed;
 pub mod standstill;
 pub mod watch;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -25,6 +25,10 @@
     pub last_event: &'static str,
     /// Says that the server did not run the request.
     pub not_run: &'static str,
+    /// Says that the server takes no new work until it ends.
+    pub leaving: &'static str,
+    /// Requests a second that the server takes from all nodes together.
+    pub limit: &'static str,
     /// The server's digest of its answer.
     pub signature: &'static str,
     /// The caller's key, after a scheme and a space.
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -117,6 +117,7 @@
     /// Takes note of where an attempt's answer came from, and counts one that is a failure.
     pub fn answered(&self, seen: Seen) {
         self.seen.set(Some(seen));
+        self.node.metrics.signalled(&seen.signals);
         if seen.status >= 400 {
             self.node.metrics.server_failed(&seen);
         }
--- a/crates/gateway/src/http/fields.rs
+++ b/crates/gateway/src/http/fields.rs
@@ -63,10 +63,15 @@
         self.text(name)?.parse().ok()
     }
 
+    /// Values of all fields of that name.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let same = move |(have, _): &(&str, &[u8])| have.eq_ignore_ascii_case(name);
+        self.iter().filter(same).map(|(_, value)| value)
+    }
+
     /// Number of fields of that name.
     pub fn count(&self, name: &str) -> usize {
-        let same = |(have, _): &(&str, &[u8])| have.eq_ignore_ascii_case(name);
-        self.iter().filter(same).count()
+        self.all(name).count()
     }
 
     /// Whether a comma-separated field lists `word`.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
 use crate::backend::seen::Seen;
 use crate::belief::RouteKind;
 use crate::decide::outcome::Cause;
+use crate::decide::signal::Signals;
 use crate::node::Node;
 
 /// How a request ended.
@@ -59,6 +60,12 @@
     connection: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SignalLabels {
+    signal: &'static str,
+    reading: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct DependencyLabels {
     dependency: &'static str,
@@ -76,6 +83,7 @@
     failed_attempts: Family<ReasonLabels, Counter>,
     server_failures: Family<FailureLabels, Counter>,
     calls: Family<DependencyLabels, Counter>,
+    signals: Family<SignalLabels, Counter>,
 }
 
 impl Metrics {
@@ -88,6 +96,7 @@
         let failed_attempts = Family::default();
         let server_failures = Family::default();
         let calls = Family::default();
+        let signals = Family::default();
         registry.register("requests", "Requests that ended", requests.clone());
         registry.register("request_seconds", "Time to the end", durations_s.clone());
         registry.register("refusals", "Requests refused here", refusals.clone());
@@ -102,6 +111,11 @@
             server_failures.clone(),
         );
         registry.register("platform_calls", "Calls to the platform", calls.clone());
+        registry.register(
+            "server_signals",
+            "Answers in which a backend server says something of itself",
+            signals.clone(),
+        );
         Self {
             registry,
             requests,
@@ -110,6 +124,7 @@
             failed_attempts,
             server_failures,
             calls,
+            signals,
         }
     }
 
@@ -148,6 +163,22 @@
         self.server_failures.get_or_create(&labels).inc();
     }
 
+    /// Counts what a backend server says of itself in one answer.
+    pub fn signalled(&self, signals: &Signals) {
+        let readings = [
+            ("leaving", signals.leaving.label()),
+            ("limit", signals.limit_per_s.label()),
+            ("hold_off", signals.hold_off_ms.label()),
+        ];
+        for (signal, reading) in readings {
+            let Some(reading) = reading else {
+                continue;
+            };
+            let labels = SignalLabels { signal, reading };
+            self.signals.get_or_create(&labels).inc();
+        }
+    }
+
     /// Counts a call to the platform.
     pub fn called(&self, dependency: &'static str, outcome: &'static str) {
         let labels = DependencyLabels {
--- a/crates/standin/src/users/exchange.rs
+++ b/crates/standin/src/users/exchange.rs
@@ -38,6 +38,8 @@
     ahead: Vec<u8>,
     /// Bytes to be sent where the next answer is due.
     late: Vec<u8>,
+    /// Lines that are added to the head of an answer.
+    lines: String,
 }
 
 impl Connection {
@@ -46,6 +48,7 @@
             stream,
             ahead: Vec::new(),
             late: Vec::new(),
+            lines: String::new(),
         }
     }
 
@@ -69,7 +72,22 @@
     }
 
     pub(super) async fn send(&mut self, bytes: &[u8]) -> Option<()> {
-        self.stream.write_all(bytes).await.ok()
+        let rest = bytes.strip_prefix(b"HTTP/1.1 ");
+        let end = rest.and_then(|rest| rest.iter().position(|b| *b == b'\n'));
+        let (Some(end), false) = (end, self.lines.is_empty()) else {
+            return self.stream.write_all(bytes).await.ok();
+        };
+        let (status, rest) = bytes.split_at(b"HTTP/1.1 ".len() + end + 1);
+        let whole = [status, self.lines.as_bytes(), rest].concat();
+        self.stream.write_all(&whole).await.ok()
+    }
+
+    /// Adds fields to the heads of answers from now on.
+    pub(super) fn say(&mut self, fields: &[(&str, String)]) {
+        let lines = fields
+            .iter()
+            .map(|(name, value)| format!("{name}: {value}\r\n"));
+        self.lines = lines.collect();
     }
 
     /// Keeps bytes back until the next request has come.
--- a/crates/standin/src/users/runner.rs
+++ b/crates/standin/src/users/runner.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpStream};
@@ -140,6 +140,8 @@
     pub body: Vec<u8>,
     /// Whether the runner ran it.
     pub ran: bool,
+    /// When it came.
+    pub at: Instant,
 }
 
 /// What a runner is.
@@ -155,9 +157,16 @@
     pub usual: Behaviour,
 }
 
+/// Header fields, by name and value.
+pub type HeaderFields = Vec<(&'static str, String)>;
+
 #[derive(Default)]
 struct State {
     script: VecDeque<Behaviour>,
+    /// Fields of the next answers, one entry each.
+    next_fields: VecDeque<HeaderFields>,
+    /// Fields of all answers after those.
+    usual_fields: HeaderFields,
     arrivals: Vec<Arrival>,
     /// Requests whose callers closed the connection while they ran.
     left: Vec<String>,
@@ -219,6 +228,16 @@
         self.shared.lock().script.extend(next);
     }
 
+    /// Adds fields to the heads of all answers from now on, 421 apart.
+    pub fn always_say(&self, fields: HeaderFields) {
+        self.shared.lock().usual_fields = fields;
+    }
+
+    /// Adds fields to the heads of the next answers, one entry for each.
+    pub fn say_next(&self, fields: impl IntoIterator<Item = HeaderFields>) {
+        self.shared.lock().next_fields.extend(fields);
+    }
+
     /// Requests that reached it.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.shared.lock().arrivals.clone()
@@ -240,6 +259,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Fields of the next answer.
+    fn fields(&self) -> HeaderFields {
+        let mut state = self.lock();
+        let next = state.next_fields.pop_front();
+        next.unwrap_or_else(|| state.usual_fields.clone())
+    }
+
     /// Takes note of a request and says what is to be done with it.
     fn arrive(&self, request: &Request) -> (String, Option<Behaviour>) {
         let field = |name: &str| request.fields.get(name).cloned();
@@ -267,6 +293,7 @@
                         | Behaviour::Marked(_)
                 )
             ),
+            at: Instant::now(),
         });
         (id, behaviour)
     }
@@ -299,7 +326,10 @@
                     .send(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
                     .await
             }
-            Some(behaviour) => act(&mut connection, &shared, &id, behaviour, after).await,
+            Some(behaviour) => {
+                connection.say(&shared.fields());
+                act(&mut connection, &shared, &id, behaviour, after).await
+            }
         };
         if kept.is_none() {
             return;
