--- a/crates/standin/src/users/mod.rs
+++ b/crates/standin/src/users/mod.rs
@@ -6,5 +6,5 @@
 pub mod store;
 
 pub use cloud::Cloud;
-pub use runner::{Arrival, Behaviour, Endless, Runner, RunnerOptions};
+pub use runner::{Arrival, Behaviour, Endless, HeaderFields, Runner, RunnerOptions};
 pub use store::{Outage, Store};
--- a/crates/standin/src/users/runner.rs
+++ b/crates/standin/src/users/runner.rs
@@ -142,6 +142,10 @@
     pub ran: bool,
     /// When it came.
     pub at: Instant,
+    /// What the runner does with it; `None` if it was meant for another one.
+    pub behaviour: Option<Behaviour>,
+    /// Fields that the runner adds to the head of its answer.
+    pub said: HeaderFields,
 }
 
 /// What a runner is.
@@ -259,15 +263,8 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Fields of the next answer.
-    fn fields(&self) -> HeaderFields {
-        let mut state = self.lock();
-        let next = state.next_fields.pop_front();
-        next.unwrap_or_else(|| state.usual_fields.clone())
-    }
-
-    /// Takes note of a request and says what is to be done with it.
-    fn arrive(&self, request: &Request) -> (String, Option<Behaviour>) {
+    /// Takes note of a request; says what is to be done with it and what the answer says besides.
+    fn arrive(&self, request: &Request) -> (String, Option<Behaviour>, HeaderFields) {
         let field = |name: &str| request.fields.get(name).cloned();
         let id = field("apricotledge-request-id").unwrap_or_default();
         let expected = field("apricotledge-expect-instance");
@@ -277,6 +274,13 @@
             true => None,
             false => Some(state.script.pop_front().unwrap_or(self.options.usual)),
         };
+        let said = match behaviour {
+            None => HeaderFields::new(),
+            Some(_) => {
+                let next = state.next_fields.pop_front();
+                next.unwrap_or_else(|| state.usual_fields.clone())
+            }
+        };
         state.arrivals.push(Arrival {
             id: id.clone(),
             method: request.method.clone(),
@@ -294,8 +298,10 @@
                 )
             ),
             at: Instant::now(),
+            behaviour,
+            said: said.clone(),
         });
-        (id, behaviour)
+        (id, behaviour, said)
     }
 }
 
@@ -315,7 +321,7 @@
 async fn serve(stream: TcpStream, shared: Arc<Shared>) {
     let mut connection = Connection::new(stream);
     while let Some(request) = connection.request().await {
-        let (id, behaviour) = shared.arrive(&request);
+        let (id, behaviour, said) = shared.arrive(&request);
         let after = request
             .fields
             .get("last-event-id")
@@ -327,7 +333,7 @@
                     .await
             }
             Some(behaviour) => {
-                connection.say(&shared.fields());
+                connection.say(&said);
                 act(&mut connection, &shared, &id, behaviour, after).await
             }
         };
