--- a/crates/gateway/src/decide/backpressure.rs
+++ b/crates/gateway/src/decide/backpressure.rs
@@ -56,6 +56,9 @@
     }
 }
 
+/// Room lost to a limit is made up for during so long; what lasts longer is the server's pace.
+const LOST_MS: Millisecond = 20_000;
+
 /// Where knowledge comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -159,6 +162,8 @@
     leaving_ms: Option<Millisecond>,
     held_until_ms: Millisecond,
     limit: Option<Limit>,
+    /// Fleet time since which a limit has been in force.
+    limited_since_ms: Option<Millisecond>,
 }
 
 impl Backpressure {
@@ -224,6 +229,11 @@
         let before = self.limit_per_s(fleet_ms);
         self.limit = Some(next);
         let after = self.limit_per_s(fleet_ms);
+        self.limited_since_ms = match (before, after) {
+            (_, None) => None,
+            (None, Some(_)) => Some(fleet_ms),
+            (Some(_), Some(_)) => self.limited_since_ms,
+        };
         if before == after {
             return None;
         }
@@ -254,6 +264,19 @@
         self.limit?.in_force(fleet_ms)
     }
 
+    /// Part of a server of so many slots that a limit has taken away of late: nothing if it still
+    /// takes one request a second for each slot.
+    pub fn lost_part(&self, slots: u32, fleet_ms: Millisecond) -> f64 {
+        let limit = self.limit_per_s(fleet_ms).zip(self.limited_since_ms);
+        let Some((per_s, since_ms)) = limit else {
+            return 0.0;
+        };
+        match fleet_ms.saturating_sub(since_ms) <= LOST_MS {
+            true => 1.0 - (per_s / f64::from(slots)).min(1.0),
+            false => 0.0,
+        }
+    }
+
     /// What other nodes should know; `None` if there is nothing.
     pub fn notice(
         &self,
--- a/crates/gateway/src/decide/scale.rs
+++ b/crates/gateway/src/decide/scale.rs
@@ -111,6 +111,8 @@
     needs: Vec<(Millisecond, f64)>,
     /// Servers that were there before any need was known.
     first_total: Option<f64>,
+    /// Servers whose room is lost for now.
+    lost: f64,
 }
 
 /// What is to be held, in servers.
@@ -173,6 +175,11 @@
         self.needs.push((now_ms, busy));
     }
 
+    /// Takes in how many servers' room is lost to what they say of themselves.
+    pub fn lacks(&mut self, lost: f64) {
+        self.lost = lost;
+    }
+
     /// Forgets what was ordered: another node may have ordered since.
     pub fn forget_orders(&mut self) {
         self.ordered.clear();
@@ -235,10 +242,12 @@
         };
         let shares = self.shares;
         let busy = peak.busy.min(total * GROWTH * shares.alone_share);
+        let tight = busy / shares.tight_share + self.lost;
         Some(Goal {
             alone: busy / shares.alone_share,
-            tight: busy / shares.tight_share,
-            comfortable: busy / shares.comfort_share,
+            tight,
+            // The comfortable number leaves room for some loss.
+            comfortable: tight.max(busy / shares.comfort_share),
             certainty: peak.certainty,
         })
     }
--- a/crates/gateway/src/decide/turns.rs
+++ b/crates/gateway/src/decide/turns.rs
@@ -21,8 +21,12 @@
 /// Turns are looked for so far ahead.
 const AHEAD_MS: f64 = 10_000.0;
 
-/// A plan for a limit is kept while it allows no more, and not much less, than the limit.
-const KEPT_SHARE: f64 = 0.9;
+/// A plan is kept while the limit is at most so many times what it was made for: each new one may
+/// bring a request beside those of the one before.
+const KEPT_TIMES: f64 = 1.25;
+
+/// A plan for a higher limit waits until the one before has lasted for a window of the users' rule.
+const RAISE_MS: Millisecond = 4_000;
 
 /// The nodes that draw for slots.
 #[derive(Clone, Debug)]
@@ -125,8 +129,8 @@
     own: VecDeque<Own>,
     /// First slot that has not been looked at.
     next_slot: u64,
-    /// Fleet time at which the latest turn that was taken opens.
-    taken_ms: Millisecond,
+    /// Fleet time at which the plan was made for its limit.
+    planned_ms: Millisecond,
 }
 
 impl Turns {
@@ -155,7 +159,6 @@
 
     /// Takes a turn that was given as the next one.
     pub fn take(&mut self, turn: &Turn) {
-        self.taken_ms = self.taken_ms.max(turn.opens_ms);
         if let Some(own) = self.of(turn) {
             own.used += 1;
         }
@@ -175,33 +178,39 @@
         self.own.iter_mut().find(|own| own.slot == turn.slot)
     }
 
-    /// The grid in use; another limit or another contest begins a new plan.
+    /// The grid in use; another limit or another contest begins a new plan, with slots to come.
     fn plan(&mut self, per_s: f64, contest: &Contest, fleet_ms: Millisecond) -> Grid {
-        let now_ms = fleet_ms as f64;
-        let kept = |grid: &Grid| grid.per_s <= per_s && grid.per_s >= per_s * KEPT_SHARE;
-        let grid = self.grid.filter(kept);
-        if let Some(grid) = grid
+        let raised = fleet_ms >= self.planned_ms + RAISE_MS;
+        let kept = |grid: &Grid| {
+            let fits = per_s <= grid.per_s * KEPT_TIMES || !raised;
+            grid.per_s <= per_s && fits
+        };
+        let known = self.grid.filter(kept);
+        if let Some(grid) = known
             && self.mark == contest.mark
         {
             return grid;
         }
-        let used: Vec<Own> = match grid {
-            // Only the contest has changed: turns that were taken stay taken.
-            Some(_) => self.own.iter().copied().filter(|o| o.used > 0).collect(),
-            None => Vec::new(),
+        let grid = known.unwrap_or_else(|| Grid::new(per_s));
+        let now = grid.slot(fleet_ms as f64);
+        self.next_slot = match self.grid {
+            None => now,
+            Some(_) => now + 1,
         };
-        let grid = grid.unwrap_or_else(|| Grid::new(per_s));
-        let oldest_ms = now_ms - grid.usable_ms();
-        let fresh_ms = (self.taken_ms as f64 + grid.slot_ms).max(oldest_ms);
+        match known {
+            // Only the contest has changed: what was taken ahead stays taken.
+            Some(_) => self.own.retain(|own| own.used > 0),
+            None => {
+                self.own.clear();
+                self.plan += 1;
+                self.planned_ms = fleet_ms;
+            }
+        }
+        if let Some(last) = self.own.back() {
+            self.next_slot = self.next_slot.max(last.slot + 1);
+        }
         self.grid = Some(grid);
         self.mark = contest.mark;
-        self.plan += u64::from(used.is_empty());
-        self.next_slot = match used.last() {
-            Some(last) => (last.slot + 1).max(grid.slot(oldest_ms)),
-            None if self.taken_ms > 0 => grid.slot(fresh_ms),
-            None => grid.slot(now_ms),
-        };
-        self.own = used.into();
         grid
     }
 
--- a/crates/gateway/src/duty/scaling.rs
+++ b/crates/gateway/src/duty/scaling.rs
@@ -61,6 +61,7 @@
             let mut scales = self.scales.borrow_mut();
             let scale = self.scale(&mut scales, service);
             scale.observe(need, self.node.now_ms());
+            scale.lacks(self.lost(&service.name));
         }
     }
 
@@ -149,7 +150,8 @@
         for server in self.node.registry.borrow().of_service(service) {
             let record = &server.record;
             let here = present.entry(record.failure_domain.clone()).or_default();
-            if record.state == ServerState::Draining {
+            let leaves = server.wishes.backpressure.borrow().leaves();
+            if record.state == ServerState::Draining || leaves {
                 continue;
             }
             match record.purchase {
@@ -160,6 +162,17 @@
         present
     }
 
+    /// Servers whose room limits have taken away of late.
+    fn lost(&self, service: &Name) -> f64 {
+        let fleet_ms = self.node.fleet_ms();
+        let registry = self.node.registry.borrow();
+        let lost = registry.of_service(service).iter().map(|server| {
+            let believed = server.wishes.backpressure.borrow();
+            believed.lost_part(server.record.slots, fleet_ms)
+        });
+        lost.sum()
+    }
+
     /// Servers whose places the requests that run now would fill.
     fn batches(&self, service: &Service) -> f64 {
         let registry = self.node.registry.borrow();
--- a/crates/gateway/tests/limit_histories.rs
+++ b/crates/gateway/tests/limit_histories.rs
@@ -1,9 +1,8 @@
 //! Random histories of a server with a limit, under nodes that are killed, started, cut off, frozen, and
 //! tell each other what the server says over messages that are lost, late and out of order.
 //!
-//! Invariants are the users' rules, with what nodes had heard from the server itself: in any 4 s no
-//! more than one and a half times the limit and five; no request after leaving; two at most while
-//! it wants none.
+//! Invariant is the users' rule LIMIT, with what nodes had heard from the server itself: in any 4 s no
+//! more than one and a half times the limit and five, for as long as the server names it.
 
 use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -27,6 +26,9 @@
 /// From the first naming, the rule counts after so long.
 const CONTACT_MS: Millisecond = 3_000;
 
+/// A server that names no limit in so many answers, one after the other, names none any more.
+const UNNAMED_MOST: u32 = 5;
+
 /// Time between a node's datagrams to a group of twelve others.
 const HELLO_MS: Millisecond = 120;
 const GROUP: usize = 12;
@@ -85,6 +87,8 @@
     /// Part of the answers that name the limit.
     named_share: f64,
     first_named_ms: Option<Millisecond>,
+    /// Answers without the limit since one with it.
+    unnamed: u32,
     sent: u64,
 }
 
@@ -116,6 +120,7 @@
             limit_per_s,
             named_share,
             first_named_ms: None,
+            unnamed: 0,
             sent: 0,
         }
     }
@@ -177,6 +182,13 @@
             if answer.signals.limit_per_s.given().is_some() {
                 node.told_ms.get_or_insert(now_ms);
                 self.first_named_ms.get_or_insert(now_ms);
+                self.unnamed = 0;
+                continue;
+            }
+            self.unnamed += 1;
+            if self.unnamed >= UNNAMED_MOST {
+                // The server no longer says so; the rule counts anew from its next word.
+                self.first_named_ms = None;
             }
         }
         let (due, rest) = std::mem::take(&mut self.messages)
--- a/crates/gateway/tests/scaling.rs
+++ b/crates/gateway/tests/scaling.rs
@@ -300,3 +300,17 @@
     let later = scale.plan(&scaling(Some(0.22)), &present, 13_000);
     assert!(later.iter().any(|o| o.purchase == Purchase::Reclaimable));
 }
+
+#[test]
+fn room_lost_to_limits_is_made_up_for_only_where_work_is_tight() {
+    let mut world = World::new(everywhere(0, 6));
+    world.pass(30_000, Need::Busy(3.0));
+    let before = world.all();
+    world.scale.lacks(4.0);
+    world.pass(10_000, Need::Busy(3.0));
+    assert_eq!(world.all(), before, "the comfortable number has room");
+    world.scale.lacks(f64::from(before));
+    world.pass(10_000, Need::Busy(3.0));
+    let tight = before + 6;
+    assert!(world.all() >= tight, "{} of {tight}", world.all());
+}
