A part of the registry names what is gone since, not all that there is

Test: two changes in a registry of 3,000 servers are told in under 500 bytes; a part is not taken where an entry that vanished beside an outage may be back.

--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -1,11 +1,12 @@
 //! The backend servers that are known, with what this node has seen of each.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use base::units::{Millisecond, TokenCount};
-use base::{Map, Name};
+use base::{Map, Name, Set};
 use outside::Purchase;
 use policy::suspect::Digest;
 
@@ -196,8 +197,15 @@
     stored: Map<Name, Stored>,
     /// Wishes of servers whose entries are gone: the same life may register itself again.
     departed: Map<Name, Departed>,
+    /// Entries that others may no longer take over, and the revisions at which that was learned.
+    gone: VecDeque<(u64, Name)>,
+    /// Revision since which `gone` holds all.
+    gone_from: u64,
 }
 
+/// Entries remembered as gone: far more than go while a datagram is on its way.
+const GONE_LIMIT: usize = 4_096;
+
 /// What is kept of a server whose entry is gone.
 #[derive(Debug)]
 struct Departed {
@@ -251,6 +259,37 @@
         ids.filter(|id| !self.vanished.contains_key(*id))
     }
 
+    /// Whether entries vanished beside an outage, of which it isn't known yet whether they come back.
+    pub fn has_vanished(&self) -> bool {
+        !self.vanished.is_empty()
+    }
+
+    /// Entries that were listed at revision `since` and no longer are; `None` if that isn't known.
+    pub fn gone_since(&self, since: u64) -> Option<Set<Name>> {
+        if since == 0 || since < self.gone_from || self.revision < since {
+            return None;
+        }
+        let gone = self.gone.iter().filter(|(revision, _)| *revision > since);
+        let gone = gone.map(|(_, id)| id.clone());
+        let listed = |id: &Name| self.stored.contains_key(id) && !self.vanished.contains_key(id);
+        Some(gone.filter(|id| !listed(id)).collect())
+    }
+
+    fn note_gone(&mut self, id: Name) {
+        if self.gone.len() >= GONE_LIMIT
+            && let Some((revision, _)) = self.gone.pop_front()
+        {
+            self.gone_from = revision;
+        }
+        self.gone.push_back((self.revision, id));
+    }
+
+    /// Takes in that all entries are known as of the registry's revision, but not what went before.
+    pub fn begin_history(&mut self) {
+        self.gone.clear();
+        self.gone_from = self.revision;
+    }
+
     /// Those of the listed entries that have changed after revision `since`, as stored.
     pub fn stored_since(&self, since: u64) -> impl Iterator<Item = (&Name, &[u8])> {
         let listed = self.listed().filter_map(|id| self.stored.get_key_value(id));
@@ -315,16 +354,20 @@
     /// Takes in that an entry is absent.
     pub fn remove(&mut self, id: &str, absence: Absence) -> Change {
         let Some((name, _)) = self.by_id.get_key_value(id) else {
+            // It came and went between two questions here, but others may have seen it.
+            self.note_gone(id.into());
             return Change::None;
         };
         let name = name.clone();
         if let Absence::BesideOutage { since_ms } = absence {
             let until_ms = since_ms + VANISHED_GRACE_MS;
-            self.vanished.entry(name).or_insert(until_ms);
+            self.vanished.entry(name.clone()).or_insert(until_ms);
+            self.note_gone(name);
             self.changed = self.revision;
             return Change::None;
         }
         self.changed = self.revision;
+        self.note_gone(name.clone());
         self.vanished.remove(&name);
         self.stored.remove(&name);
         if let Some(server) = self.by_id.remove(&name) {
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -11,7 +11,7 @@
 use crate::belief::registry::{Absence, Change, Registry};
 use crate::log;
 use crate::node::Node;
-use crate::peer::message::{RegistryCopy, Told};
+use crate::peer::message::{Listing, RegistryCopy, Told};
 
 /// Entries that vanish so soon after the store failed to answer may be back: the pages give them
 /// two seconds from its return.
@@ -54,9 +54,10 @@
         return Copy::Gap;
     }
     seen(node, copy.revision);
-    let listed: Set<Name> = copy.listed.into_iter().collect();
-    for id in &listed {
-        node.registry.borrow_mut().keep(id);
+    if let Listing::All(listed) = &copy.listing {
+        for id in listed {
+            node.registry.borrow_mut().keep(id);
+        }
     }
     let rows = copy.rows.into_iter().map(|(id, row)| FeedRow {
         key: id.to_string(),
@@ -64,15 +65,27 @@
     });
     // The other node has waited for entries that might come back.
     apply(node, rows.collect(), Extent::Changes, Absence::Certain);
-    remove_others(node, &listed, Absence::Certain);
+    match copy.listing {
+        Listing::All(listed) => {
+            let listed: Set<Name> = listed.into_iter().collect();
+            remove_others(node, &listed, Absence::Certain);
+        }
+        Listing::Since { gone, .. } => remove(node, &gone, Absence::Certain),
+    }
     Copy::Taken
 }
 
-/// Whether a copy lists an entry that it does not hold and that is not known here.
+/// Whether a copy does not tell all that is to be known here: it lists an entry that it does not hold,
+/// begins later than what is known, or can't tell whether a vanished entry is back.
 fn leaves_gap(registry: &Registry, copy: &RegistryCopy) -> bool {
-    let held: Set<&Name> = copy.rows.iter().map(|(id, _)| id).collect();
-    let lacks = |id: &&Name| !held.contains(id) && registry.server(id).is_none();
-    copy.listed.iter().any(|id| lacks(&id))
+    match &copy.listing {
+        Listing::All(listed) => {
+            let held: Set<&Name> = copy.rows.iter().map(|(id, _)| id).collect();
+            let lacks = |id: &&Name| !held.contains(id) && registry.server(id).is_none();
+            listed.iter().any(|id| lacks(&id))
+        }
+        Listing::Since { revision, .. } => *revision > registry.revision || registry.has_vanished(),
+    }
 }
 
 /// Takes over how new a node says its registry is, if nothing has changed in it since ours.
@@ -137,11 +150,16 @@
 /// Takes in that only the servers listed have an entry.
 fn remove_others(node: &Node, listed: &Set<Name>, absence: Absence) {
     let mut registry = node.registry.borrow_mut();
-    let known: Vec<Name> = registry.servers().map(|s| s.record.id.clone()).collect();
-    let others = known.iter().filter(|id| !listed.contains(*id));
-    let changes: Vec<Change> = others.map(|id| registry.remove(id, absence)).collect();
+    registry.begin_history();
+    let known = registry.servers().map(|s| s.record.id.clone());
+    let others: Vec<Name> = known.filter(|id| !listed.contains(id)).collect();
     drop(registry);
-    for change in changes {
+    remove(node, &others, absence);
+}
+
+fn remove(node: &Node, ids: &[Name], absence: Absence) {
+    for id in ids {
+        let change = node.registry.borrow_mut().remove(id, absence);
         report(node, &change);
     }
 }
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -143,12 +143,27 @@
 pub struct RegistryCopy {
     /// Revision of the store up to which it is known.
     pub revision: u64,
-    /// Identifiers of all entries.
-    pub listed: Vec<Name>,
+    /// Which entries there are.
+    pub listing: Listing,
     /// The entries that changed after the revision that was asked for, as stored: JSON text.
     pub rows: Vec<(Name, String)>,
 }
 
+/// Which entries a registry has.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Listing {
+    /// These and no others.
+    All(Vec<Name>),
+    /// Those that it had at a revision, the changed ones, and not those that are gone since.
+    Since {
+        /// The revision.
+        revision: u64,
+        /// Identifiers of entries that are gone since.
+        gone: Vec<Name>,
+    },
+}
+
 /// Requests begun, by window and workspace.
 pub type Begun = Vec<(u64, Vec<(Name, u64)>)>;
 
--- a/crates/gateway/src/peer/serve.rs
+++ b/crates/gateway/src/peer/serve.rs
@@ -1,6 +1,6 @@
 //! Answers to other nodes' questions.
 
-use super::message::{DIRECTORY_PATH, REGISTRY_PATH, RegistryCopy, USAGE_PATH};
+use super::message::{DIRECTORY_PATH, Listing, REGISTRY_PATH, RegistryCopy, USAGE_PATH};
 use crate::http::RequestHead;
 use crate::node::Node;
 
@@ -37,7 +37,13 @@
     let text = |row: &[u8]| String::from_utf8_lossy(row).into_owned();
     RegistryCopy {
         revision: registry.revision,
-        listed: registry.listed().cloned().collect(),
+        listing: match registry.gone_since(since) {
+            Some(gone) => Listing::Since {
+                revision: since,
+                gone: gone.into_iter().collect(),
+            },
+            None => Listing::All(registry.listed().cloned().collect()),
+        },
         rows: rows.map(|(id, row)| (id.clone(), text(row))).collect(),
     }
 }
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -8,7 +8,7 @@
 use async_trait::async_trait;
 use gateway::follow::{self, Extent, servers};
 use gateway::node::Node;
-use gateway::peer::message::{Hello, RegistryCopy, Told};
+use gateway::peer::message::{Hello, Listing, RegistryCopy, Told};
 use gateway::peer::pull::{self, Wanted};
 use gateway::peer::serve;
 use outside::{Batch, Feed, FeedError, FeedRow, ReadError, Topic};
@@ -28,7 +28,7 @@
 fn copy(revision: u64, ids: &[&str]) -> RegistryCopy {
     RegistryCopy {
         revision,
-        listed: ids.iter().map(|id| (*id).into()).collect(),
+        listing: Listing::All(ids.iter().map(|id| (*id).into()).collect()),
         rows: ids
             .iter()
             .map(|id| ((*id).into(), "ready".to_owned()))
@@ -69,7 +69,10 @@
     servers::take_in(&node, batch(11, vec![row("x", None)]), Extent::Changes);
     assert!(knows(&node, "x"), "it is used until its grace ends");
     let given = serve::registry_copy(&node, 0);
-    let told = (given.revision, given.listed.len(), given.rows.len());
+    let Listing::All(listed) = &given.listing else {
+        panic!("all was asked for");
+    };
+    let told = (given.revision, listed.len(), given.rows.len());
     assert_eq!(told, (11, 0, 0));
 }
 
@@ -220,6 +223,39 @@
     assert_eq!(to.registry.borrow().revision, 0);
 }
 
+#[test]
+fn a_part_of_a_large_registry_does_not_grow_with_it() {
+    let (from, to) = (node("n"), node("m"));
+    let ids: Vec<String> = (0..3_000).map(|n| format!("server-{n}")).collect();
+    let rows = ids.iter().map(|id| row(id, Some("ready"))).collect();
+    servers::take_in(&from, batch(10, rows), Extent::All);
+    servers::adopt_copy(&to, serve::registry_copy(&from, 0));
+    let gone = vec![row("server-7", None), row("new", Some("ready"))];
+    servers::take_in(&from, batch(12, gone), Extent::Changes);
+    let part = serve::registry_copy(&from, 10);
+    let bytes = serde_json::to_vec(&part).unwrap().len();
+    assert!(bytes < 500, "{bytes} bytes for two changes");
+    assert_eq!(servers::adopt_copy(&to, part), servers::Copy::Taken);
+    assert!(knows(&to, "new") && !knows(&to, "server-7") && knows(&to, "server-8"));
+}
+
+#[test]
+fn a_part_is_not_taken_while_an_entry_may_come_back() {
+    let (from, to) = (node("n"), node("m"));
+    let both = vec![row("x", Some("ready")), row("y", Some("ready"))];
+    servers::take_in(&from, batch(10, both), Extent::All);
+    servers::adopt_copy(&to, serve::registry_copy(&from, 0));
+    to.store_failed_ms.set(to.now_ms().max(1));
+    servers::take_in(&to, batch(11, vec![row("x", None)]), Extent::Changes);
+    let more = vec![row("z", Some("ready"))];
+    servers::take_in(&from, batch(12, more), Extent::Changes);
+    let part = serve::registry_copy(&from, 11);
+    assert_eq!(servers::adopt_copy(&to, part), servers::Copy::Gap);
+    let whole = serve::registry_copy(&from, 0);
+    assert_eq!(servers::adopt_copy(&to, whole), servers::Copy::Taken);
+    assert!(knows(&to, "x"));
+}
+
 #[test]
 fn news_is_asked_for_before_the_pace_is_up() {
     paused(async {
