Metrics and log fields of servers that leave, hold off or have a limit; fleet time only where it is needed

servers_leaving, servers_held_off, servers_limited, servers_withheld_total by reason, and for each limited server its limit and the requests that this node sent under it; E301 says how many servers are withheld and when the first one opens; E302 says for which reason a send was withheld. The median of all clocks is worked out only where a server has said something, so that an ordinary placing costs what it did.

--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -9,7 +9,7 @@
 use base::units::{Millisecond, TokenCount};
 use policy::suspect::{Candidate as SuspectCandidate, Treatment};
 
-use crate::backend::gate::{self, Gate, Permit};
+use crate::backend::gate::{self, Gate, Opening, Permit};
 use crate::backend::pool::Reuse;
 use crate::backend::seen::Seen;
 use crate::belief::Server;
@@ -70,7 +70,11 @@
         let candidates: Vec<Candidate> = servers
             .iter()
             .map(|server| {
-                let opens_in_ms = gate.opening(server).wait_ms().unwrap_or(Millisecond::MAX);
+                let opening = gate.opening(server);
+                if let Opening::In { reason, .. } = opening {
+                    node.metrics.withheld(reason);
+                }
+                let opens_in_ms = opening.wait_ms().unwrap_or(Millisecond::MAX);
                 view.candidate(server, slots(node, job, server), opens_in_ms)
             })
             .collect();
@@ -143,7 +147,7 @@
     /// It has been used.
     pub fn permit(&mut self) -> Result<Permit, Cause> {
         self.ended.set(Ended::LeftOrOverdue);
-        self.permit.take().ok_or(Cause::Withheld)
+        self.permit.take().ok_or(Cause::Unreachable)
     }
 
     /// Takes note of where the server's answer came from.
--- a/crates/gateway/src/backend/exchange.rs
+++ b/crates/gateway/src/backend/exchange.rs
@@ -86,10 +86,10 @@
     names: &HeaderNames,
     clock: Clock,
 ) -> Result<Answer, Cause> {
-    permit.check().map_err(|_| Cause::Withheld)?;
+    permit.check().map_err(Cause::Withheld)?;
     let link = Link::open(server, request.reuse, clock.now_ms()).await;
     let mut link = link.map_err(|_| Cause::Unreachable)?;
-    permit.redeem().map_err(|_| Cause::Withheld)?;
+    permit.redeem().map_err(Cause::Withheld)?;
     let (head, seen) = converse(&mut link, request, names).await?;
     server.heard(clock.now_ms());
     let body = Body::new(head.framing);
--- a/crates/gateway/src/backend/gate.rs
+++ b/crates/gateway/src/backend/gate.rs
@@ -6,6 +6,7 @@
 use std::cell::OnceCell;
 use std::rc::Rc;
 
+use base::Name;
 use base::units::Millisecond;
 use serde::Serialize;
 
@@ -48,7 +49,7 @@
 pub struct Gate<'a> {
     node: &'a Node,
     now_ms: Millisecond,
-    fleet_ms: Millisecond,
+    offset_ms: OnceCell<i64>,
     contest: OnceCell<Contest>,
 }
 
@@ -58,11 +59,16 @@
         Self {
             node,
             now_ms: node.now_ms(),
-            fleet_ms: node.fleet_ms(),
+            offset_ms: OnceCell::new(),
             contest: OnceCell::new(),
         }
     }
 
+    /// From the calendar clock to fleet time; worked out only where a server has said something.
+    fn offset_ms(&self) -> i64 {
+        *self.offset_ms.get_or_init(|| self.node.clock_offset_ms())
+    }
+
     /// When a server may get a request.
     pub fn opening(&self, server: &Server) -> Opening {
         self.open(server).0
@@ -76,12 +82,13 @@
         if let Some(turn) = &turn {
             server.wishes.turns.borrow_mut().take(turn);
         }
+        let said = server.wishes.backpressure.borrow().is_any();
         Some(Permit {
             wishes: server.wishes.clone(),
             turn,
             wait_ms,
             clock: self.node.clock,
-            offset_ms: self.node.clock_offset_ms(),
+            offset_ms: if said { self.offset_ms() } else { 0 },
         })
     }
 
@@ -94,17 +101,18 @@
             return (Opening::Never(Reason::Leaving), None);
         }
         let held_ms = believed.held_until_ms().saturating_sub(self.now_ms);
-        let Some(per_s) = believed.limit_per_s(self.fleet_ms) else {
+        let fleet_ms = unix_ms().saturating_add_signed(self.offset_ms());
+        let Some(per_s) = believed.limit_per_s(fleet_ms) else {
             return (after(held_ms, Reason::HeldOff), None);
         };
         let mut turns = server.wishes.turns.borrow_mut();
-        let from_ms = self.fleet_ms + held_ms;
+        let from_ms = fleet_ms + held_ms;
         let contest = self.contest.get_or_init(|| self.node.contest());
         let turn = turns.next(per_s, contest, &server.record.id, from_ms);
         let Some(turn) = turn else {
             return (Opening::Never(Reason::Limited), None);
         };
-        let turn_ms = turn.opens_ms.saturating_sub(self.fleet_ms);
+        let turn_ms = turn.opens_ms.saturating_sub(fleet_ms);
         let opening = match turn_ms > held_ms {
             true => after(turn_ms, Reason::Limited),
             false => after(held_ms, Reason::HeldOff),
@@ -167,7 +175,10 @@
     /// Why it may not be sent.
     pub fn redeem(mut self) -> Result<(), Reason> {
         self.check()?;
-        self.turn = None;
+        if self.turn.take().is_some() {
+            let sends = &self.wishes.limited_sends;
+            sends.set(sends.get() + 1);
+        }
         Ok(())
     }
 }
@@ -188,6 +199,43 @@
     age_ms: Millisecond,
 }
 
+/// Servers by what they have said of themselves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Withheld {
+    /// They leave.
+    pub leaving: u32,
+    /// They want nothing from this node for a while.
+    pub held_off: u32,
+    /// They have a limit.
+    pub limited: u32,
+}
+
+/// Counts servers by what they have said of themselves.
+pub fn withheld<'a>(node: &Node, servers: impl IntoIterator<Item = &'a Rc<Server>>) -> Withheld {
+    let (now_ms, fleet_ms) = (node.now_ms(), node.fleet_ms());
+    let mut withheld = Withheld::default();
+    for server in servers {
+        let believed = server.wishes.backpressure.borrow();
+        withheld.leaving += u32::from(believed.leaves());
+        withheld.held_off += u32::from(believed.held_until_ms() > now_ms);
+        withheld.limited += u32::from(believed.limit_per_s(fleet_ms).is_some());
+    }
+    withheld
+}
+
+/// Servers with a limit, up to as many as one datagram tells of: requests a second, and those that this
+/// node has sent under it.
+pub fn limited(node: &Node) -> Vec<(Name, f64, u64)> {
+    let fleet_ms = node.fleet_ms();
+    let registry = node.registry.borrow();
+    let limited = registry.servers().filter_map(|server| {
+        let per_s = server.wishes.backpressure.borrow().limit_per_s(fleet_ms)?;
+        let sends = server.wishes.limited_sends.get();
+        Some((server.record.id.clone(), per_s, sends))
+    });
+    limited.take(NOTICES_LIMIT).collect()
+}
+
 /// Takes in what a server says of itself in an answer to a request sent at `sent_ms`, on the node's
 /// clock.
 pub fn answered(node: &Node, server: &Server, signals: &Signals, sent_ms: Millisecond) {
--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -88,6 +88,8 @@
     pub backpressure: RefCell<Backpressure>,
     /// This node's turns under a limit.
     pub turns: RefCell<Turns>,
+    /// Requests that this node sent under a limit.
+    pub limited_sends: Cell<u64>,
 }
 
 /// Requests and prompt tokens on a server.
--- a/crates/gateway/src/decide/outcome.rs
+++ b/crates/gateway/src/decide/outcome.rs
@@ -3,6 +3,7 @@
 use base::outcome::RunState;
 use base::units::Millisecond;
 
+use super::backpressure::Reason;
 use crate::belief::RouteKind;
 
 /// Why an attempt ended without a whole answer.
@@ -11,7 +12,7 @@
     /// No connection could be opened.
     Unreachable,
     /// The server said something of itself meanwhile that forbids the send.
-    Withheld,
+    Withheld(Reason),
     /// The server said that it did not run the request.
     Refused,
     /// The server refused the request without saying that it did not run it.
@@ -35,7 +36,9 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::Unreachable => "unreachable",
-            Self::Withheld => "withheld",
+            Self::Withheld(Reason::Leaving) => "withheld_leaving",
+            Self::Withheld(Reason::HeldOff) => "withheld_held_off",
+            Self::Withheld(Reason::Limited) => "withheld_limited",
             Self::Refused => "refused",
             Self::BareRefusal => "bare_refusal",
             Self::Misdirected => "misdirected",
@@ -50,7 +53,7 @@
     /// What it says of the request.
     pub fn run_state(self) -> RunState {
         match self {
-            Self::Unreachable | Self::Withheld | Self::Refused | Self::Misdirected => {
+            Self::Unreachable | Self::Withheld(_) | Self::Refused | Self::Misdirected => {
                 RunState::NotRun
             }
             Self::BareRefusal | Self::Broken | Self::Garbled | Self::Unheld | Self::Silent => {
@@ -62,7 +65,7 @@
 
     /// Whether the attempt reached the server and so counts as a send.
     pub fn arrived(self) -> bool {
-        !matches!(self, Self::Unreachable | Self::Withheld)
+        !matches!(self, Self::Unreachable | Self::Withheld(_))
     }
 }
 
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -12,6 +12,7 @@
 use super::job::Job;
 use super::reply::Reply;
 use crate::backend::attempt::Attempt;
+use crate::backend::gate::{self, Withheld};
 use crate::backend::lost;
 use crate::backend::seen::Seen;
 use crate::belief::Server;
@@ -70,6 +71,9 @@
     slots: u32,
     left_ms: Millisecond,
     registry_age_ms: Millisecond,
+    /// Servers that have said that they leave, asked to hold off, or have a limit.
+    withheld: Withheld,
+    opens_in_ms: Option<Millisecond>,
 }
 
 impl<'a, 'b> Attempts<'a, 'b> {
@@ -141,7 +145,7 @@
         let server = &attempt.server;
         let now_ms = self.node.now_ms();
         match cause {
-            Cause::Withheld
+            Cause::Withheld(_)
             | Cause::Refused
             | Cause::BareRefusal
             | Cause::Failed
@@ -155,7 +159,7 @@
         if cause == Cause::Broken {
             lost::note(self.node, server, self.job.digest());
         }
-        if cause != Cause::Withheld {
+        if !matches!(cause, Cause::Withheld(_)) {
             self.avoid.push(server.record.id.clone());
         }
         self.latest = Some(cause);
@@ -194,7 +198,7 @@
 
     fn refusal(&self, lacking: NoServer) -> Reply {
         let Some(proof) = self.trail.not_run() else {
-            self.report_none("none_left");
+            self.report_none("none_left", None);
             return self.give_up();
         };
         let (code, text) = match lacking {
@@ -207,15 +211,16 @@
                 "No server of the service takes a request in the time that is left.",
             ),
         };
-        self.report_none(code);
         let opens_in_ms = match lacking {
-            NoServer::Closed { opens_in_ms } => opens_in_ms,
-            NoServer::None | NoServer::Full | NoServer::Busy { .. } | NoServer::TooLate => 0,
+            NoServer::Closed { opens_in_ms } => Some(opens_in_ms),
+            NoServer::None | NoServer::Full | NoServer::Busy { .. } | NoServer::TooLate => None,
         };
-        Reply::later(proof, 503, code, text, opens_in_ms + self.come_back_ms())
+        self.report_none(code, opens_in_ms);
+        let back_ms = opens_in_ms.unwrap_or(0) + self.come_back_ms();
+        Reply::later(proof, 503, code, text, back_ms)
     }
 
-    fn report_none(&self, code: &'static str) {
+    fn report_none(&self, code: &'static str, opens_in_ms: Option<Millisecond>) {
         let registry = self.node.registry.borrow();
         let servers = registry.of_service(&self.job.service.name);
         let drains = |s: &&Rc<Server>| s.record.state == ServerState::Draining;
@@ -228,6 +233,8 @@
             slots: servers.iter().map(|s| s.record.slots).sum(),
             left_ms: self.job.left_ms(),
             registry_age_ms: self.node.now_ms() - self.node.registry_seen_ms.get(),
+            withheld: gate::withheld(self.node, servers),
+            opens_in_ms,
         };
         crate::log::emit(events::Code::RouteNone, &fields);
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,8 +10,10 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::backend::gate;
 use crate::backend::seen::Seen;
 use crate::belief::RouteKind;
+use crate::decide::backpressure::Reason;
 use crate::decide::outcome::Cause;
 use crate::decide::signal::Signals;
 use crate::node::Node;
@@ -84,6 +86,7 @@
     server_failures: Family<FailureLabels, Counter>,
     calls: Family<DependencyLabels, Counter>,
     signals: Family<SignalLabels, Counter>,
+    withheld: Family<ReasonLabels, Counter>,
 }
 
 impl Metrics {
@@ -97,6 +100,7 @@
         let server_failures = Family::default();
         let calls = Family::default();
         let signals = Family::default();
+        let withheld = Family::default();
         registry.register("requests", "Requests that ended", requests.clone());
         registry.register("request_seconds", "Time to the end", durations_s.clone());
         registry.register("refusals", "Requests refused here", refusals.clone());
@@ -116,6 +120,11 @@
             "Answers in which a backend server says something of itself",
             signals.clone(),
         );
+        registry.register(
+            "servers_withheld",
+            "Times that a choice of servers met one which does not want a request now",
+            withheld.clone(),
+        );
         Self {
             registry,
             requests,
@@ -125,6 +134,7 @@
             server_failures,
             calls,
             signals,
+            withheld,
         }
     }
 
@@ -179,6 +189,12 @@
         }
     }
 
+    /// Counts that a server was met which does not want a request now.
+    pub fn withheld(&self, reason: Reason) {
+        let reason = reason.label();
+        self.withheld.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
     /// Counts a call to the platform.
     pub fn called(&self, dependency: &'static str, outcome: &'static str) {
         let labels = DependencyLabels {
@@ -195,6 +211,13 @@
             let _ = writeln!(text, "# TYPE apricotledge_{name} gauge");
             let _ = writeln!(text, "apricotledge_{name} {value}");
         }
+        for (server, per_s, sends) in gate::limited(node) {
+            let _ = writeln!(
+                text,
+                "apricotledge_server_limit_per_second{{server=\"{server}\"}} {per_s}\n\
+                 apricotledge_server_limited_sends{{server=\"{server}\"}} {sends}"
+            );
+        }
         // Writing to a string does not fail.
         let _ = prometheus_client::encoding::text::encode(&mut text, &self.registry);
         text
@@ -222,6 +245,10 @@
     gauges.insert("store_silence_seconds", age_s(node.store_ok_ms.get()));
     gauges.insert("peers", (node.nodes() - 1) as f64);
     gauges.insert("held_bytes", node.held.bytes() as f64);
+    let withheld = gate::withheld(node, node.registry.borrow().servers());
+    gauges.insert("servers_leaving", f64::from(withheld.leaving));
+    gauges.insert("servers_held_off", f64::from(withheld.held_off));
+    gauges.insert("servers_limited", f64::from(withheld.limited));
     gauges.insert("requests_in_flight", f64::from(node.in_flight.get()));
     gauges.insert("caller_connections", f64::from(node.callers.get()));
     gauges
