--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Steps take so many times as long from now on.
+    pub fn slow(&mut self, times: f64) {
+        self.step_part *= times;
+    }
+
     /// Takes a request, if it has a place.
     pub fn take(&mut self, task: Task) -> Admission {
         let places = (self.sheet.slots + self.sheet.queue) as usize;
--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -34,6 +34,9 @@
     /// Part of the shortest time owed that the work of others may take before a new request.
     #[serde(default = "wait_share")]
     pub wait_share: f64,
+    /// Whether nodes keep the limits that servers name.
+    #[serde(default)]
+    pub limits: LimitsRule,
     /// How callers come.
     #[serde(default)]
     pub traffic: Traffic,
@@ -44,6 +47,17 @@
     pub troubles: Vec<Trouble>,
 }
 
+/// What nodes do about the limits that servers name.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LimitsRule {
+    /// They keep them together.
+    #[default]
+    Kept,
+    /// A baseline: they do not read them.
+    Ignored,
+}
+
 /// Nodes and servers.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -192,6 +206,20 @@
         /// Time to their return.
         for_s: f64,
     },
+    /// Servers are in need: their steps take longer, and their answers name a limit.
+    Limit {
+        /// When.
+        at_s: f64,
+        /// Part of all servers.
+        share: f64,
+        /// The limit, as a part of what each server would get if the requests of all kinds were spread
+        /// evenly.
+        part: f64,
+        /// Times as long as a step takes.
+        times: f64,
+        /// For how long.
+        for_s: f64,
+    },
     /// More callers come.
     Burst {
         /// When.
@@ -245,10 +273,16 @@
         Ok(experiment)
     }
 
+    /// Servers at the start.
+    pub fn servers(&self) -> u32 {
+        let domains = self.fleet.domains.iter();
+        domains.map(|d| d.on_demand + d.reclaimable).sum()
+    }
+
     fn check(&self) -> Result<(), SheetError> {
         let domains = &self.fleet.domains;
         let nodes: usize = domains.iter().map(|d| d.nodes).sum();
-        let servers: u32 = domains.iter().map(|d| d.on_demand + d.reclaimable).sum();
+        let servers = self.servers();
         sheet::above_zero(&[
             ("length_s", self.length_s),
             ("seeds", self.seeds.len() as f64),
--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -7,17 +7,22 @@
 use base::{Map, Name};
 use gateway::belief::Server;
 use gateway::belief::registry::{Load, ServerRecord, ServerState};
+use gateway::decide::backpressure::{Notice, Now, Opening, Timing};
 use gateway::decide::outcome::Trail;
 use gateway::decide::patience::{NoServer, Patience, Waiting};
 use gateway::decide::place::{Candidate, Demand, ENGINE_QUEUE_SHARE, View, home, untried};
 use gateway::decide::prompt::Prompt;
 use gateway::decide::repeats::{Draw, Repeats, Terms};
 use gateway::decide::rule::{Chance, Limits, Rule, pick};
+use gateway::decide::signal::Signals;
+use gateway::decide::turns::{Contest, Turn};
 use gateway::decide::work::Work;
 use outside::Purchase;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::experiment::LimitsRule;
+
 /// Terms of repeated sends, by the rules' example.
 const TERMS: Terms = Terms {
     ratio: 0.2,
@@ -40,6 +45,8 @@
     rule: Rule,
     memory_tokens: TokenCount,
     nodes: usize,
+    limits: LimitsRule,
+    contest: Contest,
     turn: u64,
     rng: SmallRng,
 }
@@ -53,6 +60,8 @@
     pub memory_tokens: TokenCount,
     /// Number of nodes.
     pub nodes: usize,
+    /// What they do about limits.
+    pub limits: LimitsRule,
 }
 
 /// A request that is to be sent.
@@ -78,8 +87,8 @@
 }
 
 impl Node {
-    /// A node that knows no server.
-    pub fn new(failure_domain: Name, make: Make, seed: u64) -> Self {
+    /// A node that knows no server; `number` is its place among all.
+    pub fn new(failure_domain: Name, make: Make, number: usize, seed: u64) -> Self {
         Self {
             failure_domain,
             servers: Map::default(),
@@ -89,6 +98,8 @@
             rule: make.rule,
             memory_tokens: make.memory_tokens,
             nodes: make.nodes,
+            limits: make.limits,
+            contest: Contest::new(address(number), (0..make.nodes).map(address)),
             turn: 0,
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -122,7 +133,13 @@
     /// No server is to have it.
     pub fn send(&mut self, ask: &Ask<'_>, now_ms: Millisecond) -> Result<Sent, NoServer> {
         let prompt = ask.prompt;
-        let servers = untried(self.known(), ask.avoid);
+        let known = self.known();
+        let open = known.iter().filter(|server| self.is_open(server, now_ms));
+        let open: Vec<Rc<Server>> = open.cloned().collect();
+        if open.is_empty() && !known.is_empty() {
+            return Err(NoServer::Full);
+        }
+        let servers = untried(open, ask.avoid);
         let view = View {
             prompt,
             home: home(prompt, &servers),
@@ -139,6 +156,9 @@
         self.turn += 1;
         let choice = pick(self.rule, &demand, &candidates, chance, ask.limits)?;
         let server = servers[choice.place].clone();
+        if let Some(turn) = self.opening(&server, now_ms).1 {
+            server.wishes.turns.borrow_mut().take(&turn);
+        }
         let tokens_ahead = server.takes(choice.tokens_to_read);
         server
             .cache
@@ -155,6 +175,55 @@
         })
     }
 
+    /// Whether a server may get a request at once. Requests do not wait here for a turn.
+    fn is_open(&self, server: &Server, now_ms: Millisecond) -> bool {
+        self.opening(server, now_ms).0 == Opening::Now
+    }
+
+    fn opening(&self, server: &Server, now_ms: Millisecond) -> (Opening, Option<Turn>) {
+        if self.limits == LimitsRule::Ignored {
+            return (Opening::Now, None);
+        }
+        let believed = server.wishes.backpressure.borrow();
+        believed.opening(instants(now_ms), |per_s, from_ms| {
+            let mut turns = server.wishes.turns.borrow_mut();
+            turns.next(per_s, &self.contest, &server.record.id, from_ms)
+        })
+    }
+
+    /// Takes in what a server says of itself with a first token.
+    pub fn saw_signals(&mut self, sent: &Sent, signals: &Signals, now_ms: Millisecond) {
+        let now = instants(now_ms);
+        let timing = Timing {
+            sent_ms: instants(sent.at_ms).fleet_ms,
+            answered_ms: now.fleet_ms,
+            now_ms,
+        };
+        let mut believed = sent.server.wishes.backpressure.borrow_mut();
+        believed.answered(signals, timing);
+    }
+
+    /// What it tells of servers.
+    pub fn notices(&self, now_ms: Millisecond) -> Vec<Notice> {
+        let notices = self.servers.values().filter_map(|server| {
+            let believed = server.wishes.backpressure.borrow();
+            let record = &server.record;
+            believed.notice(&record.id, record.born_unix_ms, instants(now_ms).fleet_ms)
+        });
+        notices.collect()
+    }
+
+    /// Takes in what another node tells of servers.
+    pub fn notice(&mut self, notices: &[Notice], now_ms: Millisecond) {
+        for notice in notices {
+            let Some(server) = self.servers.get(&notice.server) else {
+                continue;
+            };
+            let mut believed = server.wishes.backpressure.borrow_mut();
+            believed.heard(notice, instants(now_ms).fleet_ms);
+        }
+    }
+
     /// How long a server is waited for without a token.
     pub fn patience(
         &mut self,
@@ -257,6 +326,21 @@
     }
 }
 
+/// Where a node would listen.
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::from(0x0A00_0001 + number as u32), 1))
+}
+
+/// All nodes have the same clock.
+fn instants(now_ms: Millisecond) -> Now {
+    /// Fleet time of the start.
+    const ORIGIN_MS: Millisecond = 1_000_000_000;
+    Now {
+        node_ms: now_ms,
+        fleet_ms: ORIGIN_MS + now_ms,
+    }
+}
+
 fn read(sent: &mut Sent) {
     sent.server.has_read(sent.waiting_tokens);
     sent.waiting_tokens = 0;
--- a/crates/emulator/src/requests.rs
+++ b/crates/emulator/src/requests.rs
@@ -10,6 +10,7 @@
 use gateway::decide::repeats::Draw;
 use gateway::decide::rule::Limits;
 use gateway::decide::shed::wait_limit_ms;
+use gateway::decide::signal::{Reading, Signals};
 use rand::Rng;
 
 use crate::engine::{Admission, RequestId, Task};
@@ -289,7 +290,14 @@
             return;
         };
         place.token = Token::Some;
-        self.nodes[request.node].saw_first(&mut place.sent, now_ms);
+        let limit_per_s = self.supply.host(place.host).limit_per_s;
+        let signals = Signals {
+            limit_per_s: limit_per_s.map_or(Reading::Absent, Reading::Given),
+            ..Signals::default()
+        };
+        let node = &mut self.nodes[request.node];
+        node.saw_signals(&place.sent, &signals, now_ms);
+        node.saw_first(&mut place.sent, now_ms);
         let asked_ms = request.asked_ms;
         request.first_ms.get_or_insert(now_ms - asked_ms);
     }
--- a/crates/emulator/src/supply.rs
+++ b/crates/emulator/src/supply.rs
@@ -49,6 +49,8 @@
     pub pace: Pace,
     /// Number of its life; steps of an earlier one mean nothing.
     pub life: u64,
+    /// Requests a second that its answers name as a limit.
+    pub limit_per_s: Option<f64>,
     since_us: Microsecond,
     price_per_s: f64,
 }
@@ -114,6 +116,7 @@
             state: State::Up,
             pace: Pace::Idle,
             life: 0,
+            limit_per_s: None,
             since_us: now_us,
             price_per_s: price_per_s(experiment, failure_domain, purchase),
         });
--- a/crates/emulator/src/troubles.rs
+++ b/crates/emulator/src/troubles.rs
@@ -19,6 +19,13 @@
                 ..
             } => self.reclaim(domain, *notice_s, *dry_s),
             Trouble::Crash { share, for_s, .. } => self.crash(*share, *for_s),
+            Trouble::Limit {
+                share,
+                part,
+                times,
+                for_s,
+                ..
+            } => self.limit(*share, *part, *times, *for_s),
             Trouble::Burst { .. } => {}
         }
     }
@@ -38,11 +45,35 @@
         }
     }
 
-    fn crash(&mut self, share: f64, for_s: f64) {
+    /// Servers drawn from those that run.
+    fn some(&mut self, share: f64) -> Vec<HostId> {
         let up = self.supply.in_state(State::Up).map(|(id, _)| id);
         let mut up: Vec<HostId> = up.collect();
         up.shuffle(&mut self.rng);
         up.truncate((up.len() as f64 * share).round() as usize);
+        up
+    }
+
+    fn limit(&mut self, share: f64, part: f64, times: f64, for_s: f64) {
+        let all_per_s: f64 = self.experiment.kinds.iter().map(|k| k.per_s).sum();
+        let limit_per_s = part * all_per_s / f64::from(self.experiment.servers());
+        for host in self.some(share) {
+            let there = self.supply.host(host);
+            there.limit_per_s = Some(limit_per_s);
+            there.engine.slow(times);
+            self.schedule
+                .add(seconds(for_s), Event::Relieved { host, times });
+        }
+    }
+
+    pub(crate) fn relieved(&mut self, host: HostId, times: f64) {
+        let there = self.supply.host(host);
+        there.limit_per_s = None;
+        there.engine.slow(1.0 / times);
+    }
+
+    fn crash(&mut self, share: f64, for_s: f64) {
+        let up = self.some(share);
         // All at once: no request goes from one to another of them.
         for host in &up {
             self.supply.host(*host).state = State::Down;
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -80,6 +80,13 @@
         /// The server.
         host: HostId,
     },
+    /// A server is no longer in need.
+    Relieved {
+        /// The server.
+        host: HostId,
+        /// Times as long as its steps took.
+        times: f64,
+    },
     /// A crashed server is back.
     Back {
         /// The server.
@@ -128,12 +135,18 @@
             rule,
             memory_tokens: experiment.engine.memory_tokens,
             nodes: domains.iter().map(|d| d.nodes).sum(),
+            limits: experiment.limits,
         };
         let mut nodes = Vec::new();
         for domain in domains {
             for _ in 0..domain.nodes {
                 let number = nodes.len() as u64;
-                nodes.push(Node::new(domain.name.clone(), make, seed ^ (number << 32)));
+                nodes.push(Node::new(
+                    domain.name.clone(),
+                    make,
+                    nodes.len(),
+                    seed ^ (number << 32),
+                ));
             }
         }
         let mut world = Self {
@@ -167,7 +180,9 @@
         }
         for (place, trouble) in self.experiment.troubles.iter().enumerate() {
             let at_s = match trouble {
-                Trouble::Reclaim { at_s, .. } | Trouble::Crash { at_s, .. } => *at_s,
+                Trouble::Reclaim { at_s, .. }
+                | Trouble::Crash { at_s, .. }
+                | Trouble::Limit { at_s, .. } => *at_s,
                 // Part of the traffic.
                 Trouble::Burst { .. } => continue,
             };
@@ -212,6 +227,7 @@
             Event::Started { order } => self.started(order),
             Event::Trouble { place } => self.trouble(place),
             Event::Taken { host } => self.taken(host),
+            Event::Relieved { host, times } => self.relieved(host, times),
             Event::Back { host } => self.back(host),
         }
     }
@@ -281,10 +297,13 @@
     }
 
     fn hello(&mut self, node: usize) {
+        let now_ms = self.now_ms();
         let told = self.nodes[node].loads();
+        let notices = self.nodes[node].notices(now_ms);
         for (other, hearer) in self.nodes.iter_mut().enumerate() {
             if other != node {
                 hearer.hear(node, &told);
+                hearer.notice(&notices, now_ms);
             }
         }
         self.schedule.add(self.hello_us(), Event::Hello { node });
--- a/crates/emulator/tests/plays.rs
+++ b/crates/emulator/tests/plays.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use emulator::experiment::Experiment;
+use emulator::experiment::{Experiment, LimitsRule};
 use emulator::figures::Figures;
 use emulator::world::play;
 use gateway::decide::rule::Rule;
@@ -57,6 +57,7 @@
 #[test_case(""; "calm")]
 #[test_case("[[troubles]]\nkind = \"crash\"\nat_s = 5.0\nshare = 0.5\nfor_s = 3.0\n"; "a crash")]
 #[test_case("[[troubles]]\nkind = \"reclaim\"\nat_s = 5.0\ndomain = \"b\"\nnotice_s = 1.0\ndry_s = 9.0\n"; "a reclaim")]
+#[test_case("[[troubles]]\nkind = \"limit\"\nat_s = 5.0\nshare = 0.34\npart = 0.1\ntimes = 5.0\nfor_s = 9.0\n"; "limits")]
 #[test_case("[[troubles]]\nkind = \"burst\"\nat_s = 5.0\ntimes = 3.0\nfor_s = 5.0\n"; "a burst")]
 fn every_request_ends_once_and_each_play_is_the_same(troubles: &str) {
     let experiment = experiment(troubles);
@@ -148,3 +149,15 @@
         assert!(more > less, "seed {seed}: {more} against {less}");
     }
 }
+
+#[test]
+fn limits_of_a_third_of_the_servers_cost_callers_little() {
+    let trouble = "[[troubles]]\nkind = \"limit\"\nat_s = 5.0\nshare = 0.34\npart = 0.1\n\
+                   times = 5.0\nfor_s = 9.0\n";
+    let kept = play(&experiment(trouble), Rule::Predicted, 1);
+    let mut ignoring = experiment(trouble);
+    ignoring.limits = LimitsRule::Ignored;
+    let ignored = play(&ignoring, Rule::Predicted, 1);
+    let (kept, ignored) = (kept.served(), ignored.served());
+    assert!(kept >= ignored - 0.02, "{kept} against {ignored}");
+}
--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -9,12 +9,13 @@
 use base::units::{Millisecond, TokenCount};
 use policy::suspect::{Candidate as SuspectCandidate, Treatment};
 
-use crate::backend::gate::{self, Gate, Opening, Permit};
+use crate::backend::gate::{self, Gate, Permit};
 use crate::backend::pool::Reuse;
 use crate::backend::seen::Seen;
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
 use crate::clock::unix_ms;
+use crate::decide::backpressure::Opening;
 use crate::decide::outcome::Cause;
 use crate::decide::patience::NoServer;
 use crate::decide::place::{Candidate, Choice, Demand, ENGINE_QUEUE_SHARE, View, home, untried};
--- a/crates/gateway/src/backend/gate.rs
+++ b/crates/gateway/src/backend/gate.rs
@@ -13,38 +13,11 @@
 use crate::belief::Server;
 use crate::belief::registry::Wishes;
 use crate::clock::{Clock, unix_ms};
-use crate::decide::backpressure::{Change, Notice, Origin, Reason, Timing};
+use crate::decide::backpressure::{Change, Notice, Now, Opening, Origin, Reason, Timing};
 use crate::decide::signal::Signals;
 use crate::decide::turns::{Contest, Turn};
 use crate::node::Node;
 
-/// When a server may get a request of this node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Opening {
-    /// At once.
-    Now,
-    /// After so long.
-    In {
-        /// Time until then.
-        wait_ms: Millisecond,
-        /// Why not before.
-        reason: Reason,
-    },
-    /// Not any more, or not within the time that is looked ahead.
-    Never(Reason),
-}
-
-impl Opening {
-    /// Time until then; `None` for never.
-    pub fn wait_ms(self) -> Option<Millisecond> {
-        match self {
-            Self::Now => Some(0),
-            Self::In { wait_ms, .. } => Some(wait_ms),
-            Self::Never(_) => None,
-        }
-    }
-}
-
 /// What a node looks at when it weighs servers: nodes and instants, worked out once for all.
 pub struct Gate<'a> {
     node: &'a Node,
@@ -97,34 +70,15 @@
         if !believed.is_any() {
             return (Opening::Now, None);
         }
-        if believed.leaves() {
-            return (Opening::Never(Reason::Leaving), None);
-        }
-        let held_ms = believed.held_until_ms().saturating_sub(self.now_ms);
-        let fleet_ms = unix_ms().saturating_add_signed(self.offset_ms());
-        let Some(per_s) = believed.limit_per_s(fleet_ms) else {
-            return (after(held_ms, Reason::HeldOff), None);
-        };
-        let mut turns = server.wishes.turns.borrow_mut();
-        let from_ms = fleet_ms + held_ms;
-        let contest = self.contest.get_or_init(|| self.node.contest());
-        let turn = turns.next(per_s, contest, &server.record.id, from_ms);
-        let Some(turn) = turn else {
-            return (Opening::Never(Reason::Limited), None);
+        let now = Now {
+            node_ms: self.now_ms,
+            fleet_ms: unix_ms().saturating_add_signed(self.offset_ms()),
         };
-        let turn_ms = turn.opens_ms.saturating_sub(fleet_ms);
-        let opening = match turn_ms > held_ms {
-            true => after(turn_ms, Reason::Limited),
-            false => after(held_ms, Reason::HeldOff),
-        };
-        (opening, Some(turn))
-    }
-}
-
-fn after(wait_ms: Millisecond, reason: Reason) -> Opening {
-    match wait_ms {
-        0 => Opening::Now,
-        _ => Opening::In { wait_ms, reason },
+        believed.opening(now, |per_s, from_ms| {
+            let contest = self.contest.get_or_init(|| self.node.contest());
+            let mut turns = server.wishes.turns.borrow_mut();
+            turns.next(per_s, contest, &server.record.id, from_ms)
+        })
     }
 }
 
--- a/crates/gateway/src/decide/backpressure.rs
+++ b/crates/gateway/src/decide/backpressure.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::signal::{LIMIT_MOST_PER_S, Reading, Signals};
+use super::turns::Turn;
 
 /// Answers without a limit that change nothing yet: a server may name it in some answers only.
 const UNNAMED_SPARED: u8 = 2;
@@ -156,6 +157,49 @@
     }
 }
 
+/// When a server may get a request of this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Opening {
+    /// At once.
+    Now,
+    /// After so long.
+    In {
+        /// Time until then.
+        wait_ms: Millisecond,
+        /// Why not before.
+        reason: Reason,
+    },
+    /// Not any more, or not within the time that is looked ahead.
+    Never(Reason),
+}
+
+impl Opening {
+    fn after(wait_ms: Millisecond, reason: Reason) -> Self {
+        match wait_ms {
+            0 => Self::Now,
+            _ => Self::In { wait_ms, reason },
+        }
+    }
+
+    /// Time until then; `None` for never.
+    pub fn wait_ms(self) -> Option<Millisecond> {
+        match self {
+            Self::Now => Some(0),
+            Self::In { wait_ms, .. } => Some(wait_ms),
+            Self::Never(_) => None,
+        }
+    }
+}
+
+/// Now, on the node's clock and as fleet time.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    /// On the node's clock.
+    pub node_ms: Millisecond,
+    /// As fleet time.
+    pub fleet_ms: Millisecond,
+}
+
 /// A node's belief of one life of a server.
 #[derive(Clone, Debug, Default)]
 pub struct Backpressure {
@@ -249,6 +293,31 @@
         self.leaves() || self.held_until_ms > 0 || self.limit.is_some()
     }
 
+    /// When the server may get a request, and the turn that it then uses under a limit; `next_turn`
+    /// gives the next free one at a limit a second, from a fleet time on.
+    pub fn opening(
+        &self,
+        now: Now,
+        next_turn: impl FnOnce(f64, Millisecond) -> Option<Turn>,
+    ) -> (Opening, Option<Turn>) {
+        if self.leaves() {
+            return (Opening::Never(Reason::Leaving), None);
+        }
+        let held_ms = self.held_until_ms.saturating_sub(now.node_ms);
+        let Some(per_s) = self.limit_per_s(now.fleet_ms) else {
+            return (Opening::after(held_ms, Reason::HeldOff), None);
+        };
+        let Some(turn) = next_turn(per_s, now.fleet_ms + held_ms) else {
+            return (Opening::Never(Reason::Limited), None);
+        };
+        let turn_ms = turn.opens_ms.saturating_sub(now.fleet_ms);
+        let opening = match turn_ms > held_ms {
+            true => Opening::after(turn_ms, Reason::Limited),
+            false => Opening::after(held_ms, Reason::HeldOff),
+        };
+        (opening, Some(turn))
+    }
+
     /// Whether the server has said that it leaves.
     pub fn leaves(&self) -> bool {
         self.leaving_ms.is_some()
