--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -15,7 +15,7 @@
 use gateway::decide::repeats::{Draw, Repeats, Terms};
 use gateway::decide::rule::{Chance, Limits, Rule, pick};
 use gateway::decide::signal::Signals;
-use gateway::decide::turns::{Contest, Turn};
+use gateway::decide::turns::{Rendezvous, Turn};
 use gateway::decide::work::Work;
 use outside::Purchase;
 use rand::rngs::SmallRng;
@@ -46,7 +46,7 @@
     memory_tokens: TokenCount,
     nodes: usize,
     limits: LimitsRule,
-    contest: Contest,
+    rendezvous: Rendezvous,
     turn: u64,
     rng: SmallRng,
 }
@@ -99,7 +99,7 @@
             memory_tokens: make.memory_tokens,
             nodes: make.nodes,
             limits: make.limits,
-            contest: Contest::new(address(number), (0..make.nodes).map(address)),
+            rendezvous: Rendezvous::new(address(number), (0..make.nodes).map(address)),
             turn: 0,
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -157,7 +157,7 @@
         let choice = pick(self.rule, &demand, &candidates, chance, ask.limits)?;
         let server = servers[choice.place].clone();
         if let Some(turn) = self.opening(&server, now_ms).1 {
-            server.wishes.turns.borrow_mut().take(&turn);
+            server.flow.turns.borrow_mut().take(&turn);
         }
         let tokens_ahead = server.takes(choice.tokens_to_read);
         server
@@ -184,10 +184,10 @@
         if self.limits == LimitsRule::Ignored {
             return (Opening::Now, None);
         }
-        let believed = server.wishes.backpressure.borrow();
+        let believed = server.flow.backpressure.borrow();
         believed.opening(instants(now_ms), |per_s, from_ms| {
-            let mut turns = server.wishes.turns.borrow_mut();
-            turns.next(per_s, &self.contest, &server.record.id, from_ms)
+            let mut turns = server.flow.turns.borrow_mut();
+            turns.next(per_s, &self.rendezvous, &server.record.id, from_ms)
         })
     }
 
@@ -199,14 +199,14 @@
             answered_ms: now.fleet_ms,
             now_ms,
         };
-        let mut believed = sent.server.wishes.backpressure.borrow_mut();
+        let mut believed = sent.server.flow.backpressure.borrow_mut();
         believed.answered(signals, timing);
     }
 
     /// What it tells of servers.
     pub fn notices(&self, now_ms: Millisecond) -> Vec<Notice> {
         let notices = self.servers.values().filter_map(|server| {
-            let believed = server.wishes.backpressure.borrow();
+            let believed = server.flow.backpressure.borrow();
             let record = &server.record;
             believed.notice(&record.id, record.born_unix_ms, instants(now_ms).fleet_ms)
         });
@@ -219,7 +219,7 @@
             let Some(server) = self.servers.get(&notice.server) else {
                 continue;
             };
-            let mut believed = server.wishes.backpressure.borrow_mut();
+            let mut believed = server.flow.backpressure.borrow_mut();
             believed.heard(notice, instants(now_ms).fleet_ms);
         }
     }
--- a/crates/gateway/src/backend/gate.rs
+++ b/crates/gateway/src/backend/gate.rs
@@ -11,11 +11,11 @@
 use serde::Serialize;
 
 use crate::belief::Server;
-use crate::belief::registry::Wishes;
+use crate::belief::registry::FlowControl;
 use crate::clock::{Clock, unix_ms};
 use crate::decide::backpressure::{Change, Notice, Now, Opening, Origin, Reason, Timing};
 use crate::decide::signal::Signals;
-use crate::decide::turns::{Contest, Turn};
+use crate::decide::turns::{Rendezvous, Turn};
 use crate::node::Node;
 
 /// What a node looks at when it weighs servers: nodes and instants, worked out once for all.
@@ -23,7 +23,7 @@
     node: &'a Node,
     now_ms: Millisecond,
     offset_ms: OnceCell<i64>,
-    contest: OnceCell<Contest>,
+    rendezvous: OnceCell<Rendezvous>,
 }
 
 impl<'a> Gate<'a> {
@@ -33,7 +33,7 @@
             node,
             now_ms: node.now_ms(),
             offset_ms: OnceCell::new(),
-            contest: OnceCell::new(),
+            rendezvous: OnceCell::new(),
         }
     }
 
@@ -53,11 +53,11 @@
         let (opening, turn) = self.open(server);
         let wait_ms = opening.wait_ms()?;
         if let Some(turn) = &turn {
-            server.wishes.turns.borrow_mut().take(turn);
+            server.flow.turns.borrow_mut().take(turn);
         }
-        let said = server.wishes.backpressure.borrow().is_any();
+        let said = server.flow.backpressure.borrow().is_any();
         Some(Permit {
-            wishes: server.wishes.clone(),
+            flow: server.flow.clone(),
             turn,
             wait_ms,
             clock: self.node.clock,
@@ -66,7 +66,7 @@
     }
 
     fn open(&self, server: &Server) -> (Opening, Option<Turn>) {
-        let believed = server.wishes.backpressure.borrow();
+        let believed = server.flow.backpressure.borrow();
         if !believed.is_any() {
             return (Opening::Now, None);
         }
@@ -75,9 +75,9 @@
             fleet_ms: unix_ms().saturating_add_signed(self.offset_ms()),
         };
         believed.opening(now, |per_s, from_ms| {
-            let contest = self.contest.get_or_init(|| self.node.contest());
-            let mut turns = server.wishes.turns.borrow_mut();
-            turns.next(per_s, contest, &server.record.id, from_ms)
+            let rendezvous = self.rendezvous.get_or_init(|| self.node.rendezvous());
+            let mut turns = server.flow.turns.borrow_mut();
+            turns.next(per_s, rendezvous, &server.record.id, from_ms)
         })
     }
 }
@@ -85,7 +85,7 @@
 /// The right to send one request to one server. A turn that is not used is given back.
 #[derive(Debug)]
 pub struct Permit {
-    wishes: Rc<Wishes>,
+    flow: Rc<FlowControl>,
     turn: Option<Turn>,
     wait_ms: Millisecond,
     clock: Clock,
@@ -104,7 +104,7 @@
     ///
     /// Why not.
     pub fn check(&self) -> Result<(), Reason> {
-        let believed = self.wishes.backpressure.borrow();
+        let believed = self.flow.backpressure.borrow();
         if believed.leaves() {
             return Err(Reason::Leaving);
         }
@@ -130,7 +130,7 @@
     pub fn redeem(mut self) -> Result<(), Reason> {
         self.check()?;
         if self.turn.take().is_some() {
-            let sends = &self.wishes.limited_sends;
+            let sends = &self.flow.limited_sends;
             sends.set(sends.get() + 1);
         }
         Ok(())
@@ -140,7 +140,7 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         if let Some(turn) = &self.turn {
-            self.wishes.turns.borrow_mut().give_back(turn);
+            self.flow.turns.borrow_mut().give_back(turn);
         }
     }
 }
@@ -169,7 +169,7 @@
     let (now_ms, fleet_ms) = (node.now_ms(), node.fleet_ms());
     let mut withheld = Withheld::default();
     for server in servers {
-        let believed = server.wishes.backpressure.borrow();
+        let believed = server.flow.backpressure.borrow();
         withheld.leaving += u32::from(believed.leaves());
         withheld.held_off += u32::from(believed.held_until_ms() > now_ms);
         withheld.limited += u32::from(believed.limit_per_s(fleet_ms).is_some());
@@ -183,8 +183,8 @@
     let fleet_ms = node.fleet_ms();
     let registry = node.registry.borrow();
     let limited = registry.servers().filter_map(|server| {
-        let per_s = server.wishes.backpressure.borrow().limit_per_s(fleet_ms)?;
-        let sends = server.wishes.limited_sends.get();
+        let per_s = server.flow.backpressure.borrow().limit_per_s(fleet_ms)?;
+        let sends = server.flow.limited_sends.get();
         Some((server.record.id.clone(), per_s, sends))
     });
     limited.take(NOTICES_LIMIT).collect()
@@ -193,7 +193,7 @@
 /// Takes in what a server says of itself in an answer to a request sent at `sent_ms`, on the node's
 /// clock.
 pub fn answered(node: &Node, server: &Server, signals: &Signals, sent_ms: Millisecond) {
-    let mut believed = server.wishes.backpressure.borrow_mut();
+    let mut believed = server.flow.backpressure.borrow_mut();
     if signals.is_silent() && !believed.is_any() {
         return;
     }
@@ -222,7 +222,7 @@
             continue;
         };
         drop(registry);
-        let changes = (server.wishes.backpressure.borrow_mut()).heard(notice, fleet_ms);
+        let changes = (server.flow.backpressure.borrow_mut()).heard(notice, fleet_ms);
         let age_ms = fleet_ms.saturating_sub(notice.latest_ms());
         report(node, &server, &changes, Origin::Peer, age_ms);
     }
@@ -237,7 +237,7 @@
     let fleet_ms = node.fleet_ms();
     let notices = registry.servers().filter_map(|server| {
         let record = &server.record;
-        let believed = server.wishes.backpressure.borrow();
+        let believed = server.flow.backpressure.borrow();
         believed.notice(&record.id, record.born_unix_ms, fleet_ms)
     });
     let mut notices: Vec<Notice> = notices.collect();
--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -78,13 +78,13 @@
     /// Prompt parts that it is thought to keep.
     pub cache: RefCell<Cache>,
     /// What it says of itself; shared by all states of its life.
-    pub wishes: Rc<Wishes>,
+    pub flow: Rc<FlowControl>,
 }
 
 /// What one life of a server says of itself, and what follows for this node.
 #[derive(Debug, Default)]
-pub struct Wishes {
-    /// What is believed of them.
+pub struct FlowControl {
+    /// What is believed of it.
     pub backpressure: RefCell<Backpressure>,
     /// This node's turns under a limit.
     pub turns: RefCell<Turns>,
@@ -117,7 +117,7 @@
             idle: RefCell::default(),
             speed: RefCell::default(),
             cache: RefCell::default(),
-            wishes: Rc::default(),
+            flow: Rc::default(),
         }
     }
 
@@ -197,7 +197,7 @@
     vanished: Map<Name, Millisecond>,
     /// Entries as stored, for peers that the store turns away.
     stored: Map<Name, Stored>,
-    /// Wishes of servers whose entries are gone: the same life may register itself again.
+    /// Flow control of servers whose entries are gone: the same life may register itself again.
     departed: Map<Name, Departed>,
     /// Entries that others may no longer take over, and the revisions at which that was learned.
     gone: VecDeque<(u64, Name)>,
@@ -212,10 +212,10 @@
 #[derive(Debug)]
 struct Departed {
     born_unix_ms: u64,
-    wishes: Rc<Wishes>,
+    flow: Rc<FlowControl>,
 }
 
-/// Most servers of which wishes are kept when their entries are gone.
+/// Most servers whose flow control is kept when their entries are gone.
 const DEPARTED_LIMIT: usize = 1_024;
 
 /// An entry as stored.
@@ -385,13 +385,13 @@
         let same_life = known.filter(|k| k.born_unix_ms == record.born_unix_ms);
         let mut server = Server::new(record);
         if let Some(known) = same_life {
-            server.wishes = known.wishes;
+            server.flow = known.flow;
         }
         server
     }
 
     fn remember(&mut self, server: &Server) {
-        if !server.wishes.backpressure.borrow().is_any() {
+        if !server.flow.backpressure.borrow().is_any() {
             return;
         }
         if self.departed.len() >= DEPARTED_LIMIT {
@@ -399,7 +399,7 @@
         }
         let departed = Departed {
             born_unix_ms: server.record.born_unix_ms,
-            wishes: server.wishes.clone(),
+            flow: server.flow.clone(),
         };
         self.departed.insert(server.record.id.clone(), departed);
     }
@@ -438,7 +438,7 @@
 /// no longer chosen.
 fn moved(known: &Rc<Server>, record: ServerRecord) -> Rc<Server> {
     let server = Server {
-        wishes: known.wishes.clone(),
+        flow: known.flow.clone(),
         ..Server::new(record)
     };
     server.heard_ms.set(known.heard_ms.get());
--- a/crates/gateway/src/decide/backpressure.rs
+++ b/crates/gateway/src/decide/backpressure.rs
@@ -1,5 +1,5 @@
-//! What a node believes of a backend server's wishes: that it leaves, how many requests a second it
-//! takes from all nodes together, and until when it wants none from this node.
+//! What a node believes a backend server accepts: that it leaves, how many requests a second it takes
+//! from all nodes together, and until when it takes none from this node.
 //!
 //! Instants called fleet time are Unix time by the median of all nodes' clocks, so that nodes can
 //! tell each other how old their knowledge is.
--- a/crates/gateway/src/decide/scale.rs
+++ b/crates/gateway/src/decide/scale.rs
@@ -176,7 +176,7 @@
     }
 
     /// Takes in how many servers' room is lost to what they say of themselves.
-    pub fn lacks(&mut self, lost: f64) {
+    pub fn set_lost_servers(&mut self, lost: f64) {
         self.lost = lost;
     }
 
--- a/crates/gateway/src/decide/turns.rs
+++ b/crates/gateway/src/decide/turns.rs
@@ -30,15 +30,15 @@
 
 /// The nodes that draw for slots.
 #[derive(Clone, Debug)]
-pub struct Contest {
+pub struct Rendezvous {
     own: u64,
     others: Vec<u64>,
-    /// Tells contests apart.
+    /// Tells rendezvous apart.
     mark: u64,
 }
 
-impl Contest {
-    /// A contest of the node at `own` and others, by their addresses.
+impl Rendezvous {
+    /// A rendezvous of the node at `own` and others, by their addresses.
     pub fn new(own: SocketAddr, others: impl IntoIterator<Item = SocketAddr>) -> Self {
         let own = hash(&own);
         let others = others.into_iter().map(|other| hash(&other));
@@ -138,12 +138,12 @@
     pub fn next(
         &mut self,
         per_s: f64,
-        contest: &Contest,
+        rendezvous: &Rendezvous,
         server: &str,
         fleet_ms: Millisecond,
     ) -> Option<Turn> {
-        let grid = self.plan(per_s, contest, fleet_ms);
-        self.look(&grid, contest, hash(&server), fleet_ms);
+        let grid = self.plan(per_s, rendezvous, fleet_ms);
+        self.look(&grid, rendezvous, hash(&server), fleet_ms);
         let free = self.own.iter().filter(|own| own.used < grid.turns);
         let turn = |own: &Own| {
             let opens_ms = grid.opens_ms(own.slot, own.used);
@@ -178,8 +178,8 @@
         self.own.iter_mut().find(|own| own.slot == turn.slot)
     }
 
-    /// The grid in use; another limit or another contest begins a new plan, with slots to come.
-    fn plan(&mut self, per_s: f64, contest: &Contest, fleet_ms: Millisecond) -> Grid {
+    /// The grid in use; another limit or another rendezvous begins a new plan, with slots to come.
+    fn plan(&mut self, per_s: f64, rendezvous: &Rendezvous, fleet_ms: Millisecond) -> Grid {
         let raised = fleet_ms >= self.planned_ms + RAISE_MS;
         let kept = |grid: &Grid| {
             let fits = per_s <= grid.per_s * KEPT_TIMES || !raised;
@@ -187,7 +187,7 @@
         };
         let known = self.grid.filter(kept);
         if let Some(grid) = known
-            && self.mark == contest.mark
+            && self.mark == rendezvous.mark
         {
             return grid;
         }
@@ -198,7 +198,7 @@
             Some(_) => now + 1,
         };
         match known {
-            // Only the contest has changed: what was taken ahead stays taken.
+            // Only the rendezvous has changed: what was taken ahead stays taken.
             Some(_) => self.own.retain(|own| own.used > 0),
             None => {
                 self.own.clear();
@@ -210,12 +210,12 @@
             self.next_slot = self.next_slot.max(last.slot + 1);
         }
         self.grid = Some(grid);
-        self.mark = contest.mark;
+        self.mark = rendezvous.mark;
         grid
     }
 
     /// Draws for the slots that have come into sight, and drops those that are over.
-    fn look(&mut self, grid: &Grid, contest: &Contest, server: u64, fleet_ms: Millisecond) {
+    fn look(&mut self, grid: &Grid, rendezvous: &Rendezvous, server: u64, fleet_ms: Millisecond) {
         let now_ms = fleet_ms as f64;
         let is_over =
             |own: &Own| grid.opens_ms(own.slot, grid.turns - 1) + grid.usable_ms() <= now_ms;
@@ -226,7 +226,7 @@
         let end = grid.slot(now_ms + AHEAD_MS) + 1;
         self.next_slot = self.next_slot.max(first);
         while self.next_slot < end {
-            if contest.wins(server, self.next_slot) {
+            if rendezvous.wins(server, self.next_slot) {
                 let slot = self.next_slot;
                 self.own.push_back(Own { slot, used: 0 });
             }
--- a/crates/gateway/src/duty/scaling.rs
+++ b/crates/gateway/src/duty/scaling.rs
@@ -61,7 +61,7 @@
             let mut scales = self.scales.borrow_mut();
             let scale = self.scale(&mut scales, service);
             scale.observe(need, self.node.now_ms());
-            scale.lacks(self.lost(&service.name));
+            scale.set_lost_servers(self.lost(&service.name));
         }
     }
 
@@ -150,7 +150,7 @@
         for server in self.node.registry.borrow().of_service(service) {
             let record = &server.record;
             let here = present.entry(record.failure_domain.clone()).or_default();
-            let leaves = server.wishes.backpressure.borrow().leaves();
+            let leaves = server.flow.backpressure.borrow().leaves();
             if record.state == ServerState::Draining || leaves {
                 continue;
             }
@@ -167,7 +167,7 @@
         let fleet_ms = self.node.fleet_ms();
         let registry = self.node.registry.borrow();
         let lost = registry.of_service(service).iter().map(|server| {
-            let believed = server.wishes.backpressure.borrow();
+            let believed = server.flow.backpressure.borrow();
             believed.lost_part(server.record.slots, fleet_ms)
         });
         lost.sum()
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -19,7 +19,7 @@
 use crate::decide::repeats::{Draw, Repeats, Terms};
 use crate::decide::rule::Chance;
 use crate::decide::standstill::{Arrival, Standstill};
-use crate::decide::turns::Contest;
+use crate::decide::turns::Rendezvous;
 use crate::decide::watch::Rank;
 use crate::decide::work::Work;
 use crate::dialect::Dialect;
@@ -165,9 +165,9 @@
     }
 
     /// The nodes that take turns at servers with a limit.
-    pub fn contest(&self) -> Contest {
+    pub fn rendezvous(&self) -> Rendezvous {
         let own = self.settings.listen.peers;
-        Contest::new(own, self.peers.borrow().contestants(self.clock.age_ms()))
+        Rendezvous::new(own, self.peers.borrow().participants(self.clock.age_ms()))
     }
 
     /// The directory in force.
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -253,7 +253,7 @@
 
     /// Addresses of the other nodes that take turns with a node which has run for `age_ms`: those
     /// that stay, and until all have spoken twice those that are only listed.
-    pub fn contestants(&self, age_ms: Millisecond) -> Vec<SocketAddr> {
+    pub fn participants(&self, age_ms: Millisecond) -> Vec<SocketAddr> {
         if age_ms < self.hearing_ms() {
             return self.known.clone();
         }
--- a/crates/gateway/tests/backpressure.rs
+++ b/crates/gateway/tests/backpressure.rs
@@ -6,7 +6,7 @@
 use base::units::Millisecond;
 use gateway::decide::backpressure::{Backpressure, Change, Limit, Notice, Timing};
 use gateway::decide::signal::{Reading, Signals, hold_off_ms, leaving, limit_per_s};
-use gateway::decide::turns::{Contest, Turns};
+use gateway::decide::turns::{Rendezvous, Turns};
 use test_case::test_case;
 
 fn values<'a>(texts: &'a [&'a str]) -> impl Iterator<Item = &'a [u8]> {
@@ -198,8 +198,8 @@
     SocketAddr::from(([10, 0, 0, number], 7_600))
 }
 
-fn contest(own: u8, nodes: u8) -> Contest {
-    Contest::new(address(own), (0..nodes).map(address))
+fn rendezvous(own: u8, nodes: u8) -> Rendezvous {
+    Rendezvous::new(address(own), (0..nodes).map(address))
 }
 
 #[test]
@@ -207,9 +207,9 @@
     let mut opened: Vec<Millisecond> = Vec::new();
     for own in 0..6 {
         let mut turns = Turns::default();
-        let contest = contest(own, 6);
+        let rendezvous = rendezvous(own, 6);
         for now_ms in (1_000_000..1_060_000).step_by(50) {
-            let Some(turn) = turns.next(1.8, &contest, "s", now_ms) else {
+            let Some(turn) = turns.next(1.8, &rendezvous, "s", now_ms) else {
                 continue;
             };
             if turn.opens_ms <= now_ms {
@@ -227,25 +227,25 @@
 #[test]
 fn a_turn_that_was_not_used_is_given_back_and_runs_out() {
     let mut turns = Turns::default();
-    let contest = contest(0, 1);
-    let turn = turns.next(1.0, &contest, "s", 5_000_100).unwrap();
+    let rendezvous = rendezvous(0, 1);
+    let turn = turns.next(1.0, &rendezvous, "s", 5_000_100).unwrap();
     turns.take(&turn);
-    let next = turns.next(1.0, &contest, "s", 5_000_100).unwrap();
+    let next = turns.next(1.0, &rendezvous, "s", 5_000_100).unwrap();
     assert_eq!(next.opens_ms, turn.opens_ms + 1_000);
     turns.give_back(&turn);
-    assert_eq!(turns.next(1.0, &contest, "s", 5_000_100), Some(turn));
-    let later = turns.next(1.0, &contest, "s", turn.closes_ms).unwrap();
+    assert_eq!(turns.next(1.0, &rendezvous, "s", 5_000_100), Some(turn));
+    let later = turns.next(1.0, &rendezvous, "s", turn.closes_ms).unwrap();
     assert!(later.opens_ms >= turn.opens_ms + 1_000);
 }
 
 #[test]
 fn a_limit_that_changes_does_not_give_a_turn_twice() {
     let mut turns = Turns::default();
-    let contest = contest(0, 1);
+    let rendezvous = rendezvous(0, 1);
     let mut taken = 0;
     for (step, now_ms) in (5_000_000..5_010_000).step_by(20).enumerate() {
         let per_s = if step % 2 == 0 { 1.0 } else { 1.5 };
-        let turn = turns.next(per_s, &contest, "s", now_ms);
+        let turn = turns.next(per_s, &rendezvous, "s", now_ms);
         if let Some(turn) = turn.filter(|t| t.opens_ms <= now_ms) {
             turns.take(&turn);
             taken += 1;
--- a/crates/gateway/tests/limit_histories.rs
+++ b/crates/gateway/tests/limit_histories.rs
@@ -11,7 +11,7 @@
 use base::units::Millisecond;
 use gateway::decide::backpressure::{Backpressure, Notice, Timing};
 use gateway::decide::signal::{Leaving, Reading, Signals};
-use gateway::decide::turns::{Contest, Turns};
+use gateway::decide::turns::{Rendezvous, Turns};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use test_case::test_case;
@@ -219,13 +219,13 @@
             self.tell(number);
         }
         // Requests wait at every node: one asks for a turn in each step.
-        let contest = contest(&self.nodes[number], number, now_ms);
+        let rendezvous = rendezvous(&self.nodes[number], number, now_ms);
         let node = &mut self.nodes[number];
         let fleet_ms = now_ms.saturating_add_signed(node.skew_ms);
         let wants = match node.believed.limit_per_s(fleet_ms) {
             None => self.rng.random_bool(0.1),
             Some(per_s) => {
-                let turn = node.turns.next(per_s, &contest, "server", fleet_ms);
+                let turn = node.turns.next(per_s, &rendezvous, "server", fleet_ms);
                 match turn.filter(|turn| turn.opens_ms <= fleet_ms) {
                     Some(turn) => {
                         node.turns.take(&turn);
@@ -322,19 +322,19 @@
     SocketAddr::from((host, 7_600))
 }
 
-/// As `Peers::contestants` has it.
-fn contest(node: &Node, number: usize, now_ms: Millisecond) -> Contest {
+/// As `Peers::participants` has it.
+fn rendezvous(node: &Node, number: usize, now_ms: Millisecond) -> Rendezvous {
     let others = (0..node.heard_ms.len()).filter(|other| *other != number);
     let periods = 2 * HELLO_MS * node.heard_ms.len().div_ceil(GROUP) as Millisecond;
     if now_ms < node.started_ms + HEARING_MS.max(periods) {
-        return Contest::new(node.address, others.map(address));
+        return Rendezvous::new(node.address, others.map(address));
     }
     let gone = |other: &usize| node.heard_ms[*other].is_none_or(|ms| ms + GONE_MS < now_ms);
     let ended = others.clone().filter(gone).count();
     let known = node.heard_ms.iter().flatten().count();
     match ended * 2 > known {
-        true => Contest::new(node.address, others.map(address)),
-        false => Contest::new(node.address, others.filter(|o| !gone(o)).map(address)),
+        true => Rendezvous::new(node.address, others.map(address)),
+        false => Rendezvous::new(node.address, others.filter(|o| !gone(o)).map(address)),
     }
 }
 
--- a/crates/gateway/tests/scaling.rs
+++ b/crates/gateway/tests/scaling.rs
@@ -306,10 +306,10 @@
     let mut world = World::new(everywhere(0, 6));
     world.pass(30_000, Need::Busy(3.0));
     let before = world.all();
-    world.scale.lacks(4.0);
+    world.scale.set_lost_servers(4.0);
     world.pass(10_000, Need::Busy(3.0));
     assert_eq!(world.all(), before, "the comfortable number has room");
-    world.scale.lacks(f64::from(before));
+    world.scale.set_lost_servers(f64::from(before));
     world.pass(10_000, Need::Busy(3.0));
     let tight = before + 6;
     assert!(world.all() >= tight, "{} of {tight}", world.all());
