What an entry that comes back had said holds only for the same life at the same address

Found by reading: a server whose entry names no start would have been taken for leaving for ever after it had left once and come back. Tests: the same life, another one, none named, another address.

--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -212,6 +212,7 @@
 #[derive(Debug)]
 struct Departed {
     born_unix_ms: u64,
+    address: SocketAddr,
     flow: Rc<FlowControl>,
 }
 
@@ -382,7 +383,10 @@
     /// A server whose entry is new; what is known of the same life holds on.
     fn revived(&mut self, record: ServerRecord) -> Server {
         let known = self.departed.remove(&record.id);
-        let same_life = known.filter(|k| k.born_unix_ms == record.born_unix_ms);
+        let same_life = known.filter(|k| {
+            let named = record.born_unix_ms > 0;
+            named && k.born_unix_ms == record.born_unix_ms && k.address == record.address
+        });
         let mut server = Server::new(record);
         if let Some(known) = same_life {
             server.flow = known.flow;
@@ -399,6 +403,7 @@
         }
         let departed = Departed {
             born_unix_ms: server.record.born_unix_ms,
+            address: server.record.address,
             flow: server.flow.clone(),
         };
         self.departed.insert(server.record.id.clone(), departed);
--- a/crates/gateway/tests/registry.rs
+++ b/crates/gateway/tests/registry.rs
@@ -2,7 +2,10 @@
 
 use base::Name;
 use gateway::belief::registry::{Absence, Change, Registry, ServerRecord, ServerState};
+use gateway::decide::backpressure::Timing;
+use gateway::decide::signal::{Leaving, Reading, Signals};
 use outside::Purchase;
+use test_case::test_case;
 
 fn record(id: &str, state: ServerState, born_unix_ms: u64) -> ServerRecord {
     ServerRecord {
@@ -91,3 +94,44 @@
     assert_eq!(registry.expire(9_000), Vec::new());
     assert_eq!(ready(&registry), 1);
 }
+
+/// A server that said that it leaves, whose entry goes and comes back as `record`.
+fn back_after_leaving(first: ServerRecord, record: ServerRecord) -> bool {
+    let mut registry = Registry::default();
+    registry.put(first, Vec::new());
+    let leaves = Signals {
+        leaving: Reading::Given(Leaving::Now),
+        ..Signals::default()
+    };
+    let timing = Timing {
+        sent_ms: 1,
+        answered_ms: 2,
+        now_ms: 2,
+    };
+    let flow = registry.server("x").unwrap().flow.clone();
+    flow.backpressure.borrow_mut().answered(&leaves, timing);
+    registry.remove("x", Absence::Certain);
+    registry.put(record, Vec::new());
+    let back = registry.server("x").unwrap();
+    back.flow.backpressure.borrow().leaves()
+}
+
+#[test_case(1, 1 => true; "the same life")]
+#[test_case(1, 2 => false; "another life")]
+#[test_case(0, 0 => false; "no life is named")]
+fn an_entry_that_comes_back_keeps_what_its_life_said(first: u64, then: u64) -> bool {
+    let ready = |born| record("x", ServerState::Ready, born);
+    back_after_leaving(ready(first), ready(then))
+}
+
+#[test]
+fn an_entry_at_another_address_starts_clean() {
+    let moved = ServerRecord {
+        address: "127.0.0.1:2".parse().unwrap(),
+        ..record("x", ServerState::Ready, 1)
+    };
+    assert!(!back_after_leaving(
+        record("x", ServerState::Ready, 1),
+        moved
+    ));
+}
