Proofs: the history is taken when the backend servers' journals have been read to their end

Traced: a stand-in writes its effect into a pipe before it answers, and the harness reads the pipe on a thread of its own; the history was taken while that thread lagged. Shown by a run: with a pause of 20 ms for each line the test failed with 21 such operations; with the servers ended and the thread joined before the history is taken it passes under the same pause. The check and its bound are as before.

--- a/crates/proof/src/deployment/mod.rs
+++ b/crates/proof/src/deployment/mod.rs
@@ -157,16 +157,18 @@
         }
     }
 
-    /// Adds what the backend servers' journals hold of the recorded operations to the history, and
-    /// returns it. Call it once, at the end.
-    pub fn history(&self) -> Vec<Event> {
-        for backend in self.engines.iter().chain(&self.desks) {
-            for line in backend.process.lines() {
-                let Some(entry) = journal::parse(&line) else {
-                    continue;
-                };
-                self.record_journal(&backend.vm, entry);
-            }
+    /// Ends the backend servers, adds what their journals hold of the recorded operations to the
+    /// history, and returns it. Call it once, at the end.
+    pub fn history(&mut self) -> Vec<Event> {
+        let mut entries = Vec::new();
+        for backend in self.engines.iter_mut().chain(&mut self.desks) {
+            // What is still in the pipe of a process that runs would be missing.
+            let lines = backend.process.kill_for_lines();
+            let read = lines.iter().filter_map(|line| journal::parse(line));
+            entries.extend(read.map(|entry| (backend.vm.clone(), entry)));
+        }
+        for (vm, entry) in entries {
+            self.record_journal(&vm, entry);
         }
         self.recorder.events()
     }
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread::JoinHandle;
 
 use rustix::process::{Pid, Signal, kill_process};
 
@@ -17,6 +18,7 @@
     name: String,
     child: Child,
     lines: Arc<Mutex<Vec<String>>>,
+    collector: Option<JoinHandle<()>>,
 }
 
 impl Process {
@@ -36,11 +38,12 @@
             .unwrap_or_else(|e| panic!("{name} cannot be started: {e}"));
         let lines = Arc::new(Mutex::new(Vec::new()));
         let stdout = child.stdout.take().expect("standard output is piped");
-        collect(stdout, lines.clone());
+        let collector = collect(stdout, lines.clone());
         Self {
             name: name.to_owned(),
             child,
             lines,
+            collector: Some(collector),
         }
     }
 
@@ -73,6 +76,19 @@
         self.held_lines().clone()
     }
 
+    /// Ends it at once, and gives back all that it wrote to standard output.
+    ///
+    /// # Panics
+    ///
+    /// Panics if its output could not be collected.
+    pub fn kill_for_lines(&mut self) -> Vec<String> {
+        self.kill();
+        if let Some(collector) = self.collector.take() {
+            collector.join().expect("the collector does not panic");
+        }
+        self.lines()
+    }
+
     fn held_lines(&self) -> MutexGuard<'_, Vec<String>> {
         self.lines.lock().expect("no holder panics")
     }
@@ -125,11 +141,11 @@
     }
 }
 
-fn collect(stdout: impl Read + Send + 'static, lines: Arc<Mutex<Vec<String>>>) {
+fn collect(stdout: impl Read + Send + 'static, lines: Arc<Mutex<Vec<String>>>) -> JoinHandle<()> {
     std::thread::spawn(move || {
         for line in BufReader::new(stdout).lines() {
             let Ok(line) = line else { return };
             lines.lock().expect("no holder panics").push(line);
         }
-    });
+    })
 }
--- a/crates/proof/tests/claims.rs
+++ b/crates/proof/tests/claims.rs
@@ -94,7 +94,7 @@
 
 #[tokio::test]
 async fn while_the_table_hangs_only_the_first_call_waits_for_it() {
-    let deployment = small().await;
+    let mut deployment = small().await;
     let hang = Fault {
         kind: FaultKind::Hang,
         delay_ms: 0,
--- a/crates/proof/tests/filings.rs
+++ b/crates/proof/tests/filings.rs
@@ -22,7 +22,7 @@
     Deployment::open(plan).await
 }
 
-async fn finish(deployment: Deployment) -> Vec<Event> {
+async fn finish(mut deployment: Deployment) -> Vec<Event> {
     let events = deployment.history();
     deployment.close().await;
     assert_eq!(all(&events), []);
--- a/crates/proof/tests/leaving.rs
+++ b/crates/proof/tests/leaving.rs
@@ -39,7 +39,7 @@
         decode_tokens_per_s: 1_000,
         ..Plan::default()
     };
-    let deployment = Deployment::open(plan).await;
+    let mut deployment = Deployment::open(plan).await;
     deployment.control(&Control::ListLag { lag_ms }).await;
     let caller = deployment.caller("village-schools");
     let mut requests = Requests::seeded(11);
--- a/crates/proof/tests/streams.rs
+++ b/crates/proof/tests/streams.rs
@@ -28,7 +28,7 @@
 }
 
 /// Ends a run in which every stream must have been answered.
-async fn finish(deployment: Deployment, running: Running) -> Vec<Event> {
+async fn finish(mut deployment: Deployment, running: Running) -> Vec<Event> {
     let outcomes = running.outcomes().await;
     let events = deployment.history();
     deployment.close().await;
