--- a/crates/gateway/src/backend/gate.rs
+++ b/crates/gateway/src/backend/gate.rs
@@ -1,6 +1,6 @@
 //! The one way to a backend server: what it says of itself binds each send.
 //!
-//! A request is sent with a [`Permit`], which only [`admit`] gives out. It is looked at again when a
+//! A request is sent with a [`Permit`], which only [`Gate::admit`] gives out. It is looked at again when a
 //! connection is open, as a server may have said more meanwhile.
 
 use std::cell::OnceCell;
