Buying: on-demand servers by what the loss of one failure domain would leave

An order without an answer was forgotten, and its servers were ordered again elsewhere. Reclaimable servers that were wanted but not to be had took the room of those on demand.

Change: what the loss of any one domain leaves must serve the load at tight_share; after a reclaim, for 20 s, on-demand servers alone must carry it at alone_share (0.7). Orders are not waited for, on-demand ones go first, unanswered ones are repeated for the same domain, and a release waits until the last order is answered. On a first start reclaimable servers are ordered before all servers have registered.

--- a/crates/emulator/src/orders.rs
+++ b/crates/emulator/src/orders.rs
@@ -2,15 +2,15 @@
 
 use base::{Map, Name};
 use gateway::belief::directory::Scaling;
-use gateway::decide::scale::{Need, PresentServers};
+use gateway::decide::scale::{Need, PresentServers, Registrations};
 use outside::Purchase;
 
 use crate::schedule::MS;
 use crate::supply::{Filled, HostId, State};
 use crate::world::{Event, ORDERS_US, World, seconds};
 
-/// Work that tells nothing yet, in servers, as in the daemon.
-const TELLING_WORK: f64 = 0.05;
+/// Work below this, in servers, is too little to estimate demand from, as in the daemon.
+const SIGNIFICANT_WORK: f64 = 0.05;
 
 impl World<'_> {
     pub(crate) fn orders(&mut self) {
@@ -20,11 +20,14 @@
         };
         let busy: f64 = self.nodes.iter_mut().map(|n| n.busy(now_ms)).sum();
         let busy = busy.max(self.nodes[0].batches());
-        if busy > TELLING_WORK {
-            self.scale.observe(Need::Busy(busy), now_ms);
-        }
+        let need = match busy > SIGNIFICANT_WORK {
+            true => Need::Busy(busy),
+            false => Need::Unknown,
+        };
         let present = self.present();
-        for order in self.scale.plan(&scaling, &present, now_ms) {
+        self.scale.observe(need, &present, now_ms);
+        let registrations = Registrations::Complete;
+        for order in self.scale.plan(&scaling, &present, registrations, now_ms) {
             let now_us = self.schedule.now_us();
             let domain = &order.failure_domain;
             match self
@@ -33,6 +36,7 @@
             {
                 Filled::Refused => self.scale.record_refusal(&order, now_ms),
                 Filled::Taken { starting, ending } => {
+                    self.scale.record_acceptance(&order);
                     for order in starting {
                         let after_us = scaling.boot_ms * MS;
                         self.schedule.add(after_us, Event::Started { order });
--- a/crates/emulator/tests/plays.rs
+++ b/crates/emulator/tests/plays.rs
@@ -161,3 +161,24 @@
     let (kept, ignored) = (kept.served(), ignored.served());
     assert!(kept >= ignored - 0.02, "{kept} against {ignored}");
 }
+
+/// An experiment of the folder `experiments`.
+fn stored(name: &str) -> Experiment {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../experiments");
+    Experiment::open(&folder.join(name)).unwrap()
+}
+
+/// Reclaimable servers alone carry the load until the first notice. From then on each further
+/// notice must find the replacements running.
+#[test]
+fn callers_hardly_notice_failure_domains_reclaimed_one_after_the_other() {
+    let experiment = stored("reclaims-in-series.toml");
+    for seed in &experiment.seeds {
+        let figures = play(&experiment, Rule::Predicted, *seed);
+        let asked = figures.asked as f64;
+        let in_time = figures.in_time as f64 / asked;
+        assert!(in_time >= 0.95, "seed {seed}: {in_time} in time");
+        let failed = figures.failed as f64 / asked;
+        assert!(failed <= 0.002, "seed {seed}: {failed} failed");
+    }
+}
--- a/crates/gateway/src/decide/scale/mod.rs
+++ b/crates/gateway/src/decide/scale/mod.rs
@@ -1,9 +1,12 @@
 //! Decides how many backend servers of each kind to run in each failure domain.
 //!
-//! On-demand servers alone carry the load, if barely, because all reclaimable servers may be lost
-//! within seconds. Reclaimable servers cost a fraction of the price. They provide the room in which
-//! requests do not wait for each other, even after the loss of a failure domain. While none can be
-//! bought, additional on-demand servers replace them.
+//! Reclaimable servers cost a fraction of the price, and the platform may take those of a failure
+//! domain away at once, with a notice shorter than the time that a new server takes to start. So
+//! the servers that would be left after the loss of any one failure domain must serve the load
+//! well. After a reclaim further ones are to be expected, and the servers that would be left after
+//! the loss of all reclaimable ones must carry the load, if barely, until others have started.
+//! On-demand servers make up what is missing: none while the reclaimable servers of the other
+//! failure domains suffice.
 
 use base::units::Millisecond;
 use base::{Map, Name};
@@ -13,6 +16,11 @@
 
 use crate::belief::directory::Scaling;
 
+mod reclaims;
+
+pub use reclaims::Exposure;
+use reclaims::{Loss, ReclaimHistory};
+
 /// Delay before a kind of server that was refused is ordered again.
 const REFUSAL_BACKOFF_MS: Millisecond = 2_500;
 
@@ -31,9 +39,11 @@
 pub struct UtilizationShares {
     /// Utilization while all servers of both kinds are there.
     pub comfort_share: f64,
-    /// Utilization while no reclaimable servers can be bought.
+    /// Utilization after the loss of the reclaimable servers of one failure domain, and while none
+    /// can be bought.
     pub tight_share: f64,
-    /// Utilization of the on-demand servers if all reclaimable ones are lost.
+    /// Utilization of the on-demand servers if all reclaimable ones are lost, until others have
+    /// started.
     pub alone_share: f64,
 }
 
@@ -42,13 +52,13 @@
         Self {
             comfort_share: 0.22,
             tight_share: 0.5,
-            alone_share: 0.9,
+            alone_share: 0.7,
         }
     }
 }
 
-/// Share of the initial servers that is kept on demand before any need is known.
-const INITIAL_ON_DEMAND_SHARE: f64 = 1.0 / 3.0;
+/// Share of the initial servers that must be left after a loss before any need is known.
+const INITIAL_ALONE_SHARE: f64 = 1.0 / 3.0;
 
 /// Largest factor by which one decision may grow the servers. The need is overestimated while
 /// servers are overloaded.
@@ -99,6 +109,33 @@
 struct PlacedOrder {
     wanted: u32,
     at_ms: Millisecond,
+    answer: OrderAnswer,
+}
+
+/// Whether the platform has answered an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OrderAnswer {
+    Pending,
+    Accepted,
+    /// The answer was lost. The platform may carry out the order, also later.
+    Lost,
+}
+
+/// The need and the number of servers at one time.
+#[derive(Clone, Copy, Debug)]
+struct Observation {
+    at_ms: Millisecond,
+    busy: f64,
+    servers: u32,
+}
+
+/// Whether all running servers are in the registry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Registrations {
+    Complete,
+    /// Some on-demand servers may not have registered yet, and there are no reclaimable ones. Only
+    /// reclaimable servers are ordered.
+    Partial,
 }
 
 /// Decides the orders for one service and remembers the ones it has placed.
@@ -107,8 +144,9 @@
     shares: UtilizationShares,
     ordered: Map<Pool, PlacedOrder>,
     refused_until_ms: Map<Pool, Millisecond>,
-    needs: Vec<(Millisecond, f64)>,
-    /// Number of servers before any need was known.
+    needs: Vec<Observation>,
+    reclaims: ReclaimHistory,
+    /// Highest number of servers before any need was known.
     first_total: Option<f64>,
     /// Number of servers whose capacity is lost to limits for now.
     lost_servers: f64,
@@ -117,19 +155,22 @@
 /// Numbers of servers to hold.
 #[derive(Clone, Copy, Debug)]
 struct Goal {
-    /// On-demand servers, whatever else is there.
-    on_demand_alone: f64,
+    /// Servers that must be left after a loss of reclaimable ones.
+    alone: f64,
     /// Servers of both kinds while reclaimable ones cannot be bought.
     tight: f64,
-    /// Servers of both kinds that are enough even after the loss of one failure domain.
+    /// Servers of both kinds with which requests hardly wait for each other.
     comfortable: f64,
     certainty: Certainty,
 }
 
-/// The highest recent need, in busy servers.
+/// The highest recent need.
 #[derive(Clone, Copy, Debug)]
 struct Peak {
+    /// Servers that the load keeps busy.
     busy: f64,
+    /// Servers that were present.
+    servers: u32,
     certainty: Certainty,
 }
 
@@ -151,6 +192,16 @@
         }
     }
 
+    /// Records that the platform carries out an order.
+    pub fn record_acceptance(&mut self, order: &Order) {
+        self.set_answer(order, OrderAnswer::Accepted);
+    }
+
+    /// Records that the answer to an order was lost. The order is placed again in the next round.
+    pub fn record_unanswered(&mut self, order: &Order) {
+        self.set_answer(order, OrderAnswer::Lost);
+    }
+
     /// Records that a kind of server cannot be bought now.
     pub fn record_refusal(&mut self, order: &Order, now_ms: Millisecond) {
         let pool = (order.failure_domain.clone(), order.purchase);
@@ -159,21 +210,39 @@
             .insert(pool, now_ms + REFUSAL_BACKOFF_MS);
     }
 
-    /// Records that an order may not have arrived.
-    pub fn record_unanswered(&mut self, order: &Order) {
+    /// Ignores the answer if another number has been ordered since.
+    fn set_answer(&mut self, order: &Order, answer: OrderAnswer) {
         let pool = (order.failure_domain.clone(), order.purchase);
-        self.ordered.remove(&pool);
+        let placed = self.ordered.get_mut(&pool);
+        if let Some(placed) = placed.filter(|placed| placed.wanted == order.wanted) {
+            placed.answer = answer;
+        }
     }
 
-    /// Records the need of a service. Each node does so, so that a node that takes over the
-    /// decisions knows the recent need.
-    pub fn observe(&mut self, need: Need, now_ms: Millisecond) {
+    /// Records the need and the servers of a service. Each node does so, so that a node that takes
+    /// over the decisions knows the recent past.
+    pub fn observe(
+        &mut self,
+        need: Need,
+        present: &Map<Name, PresentServers>,
+        now_ms: Millisecond,
+    ) {
+        self.reclaims.observe(present, now_ms);
         let Need::Busy(busy) = need else {
             return;
         };
         self.needs
-            .retain(|(at_ms, _)| at_ms + PEAK_WINDOW_MS > now_ms);
-        self.needs.push((now_ms, busy));
+            .retain(|seen| seen.at_ms + PEAK_WINDOW_MS > now_ms);
+        self.needs.push(Observation {
+            at_ms: now_ms,
+            busy,
+            servers: total(present),
+        });
+    }
+
+    /// How many failure domains may be reclaimed before a replacement has started.
+    pub fn exposure(&self, now_ms: Millisecond) -> Exposure {
+        self.reclaims.exposure(now_ms)
     }
 
     /// Sets the number of servers whose capacity is lost to limits that they announced.
@@ -187,11 +256,13 @@
         self.refused_until_ms.clear();
     }
 
-    /// Decides which orders to place now.
+    /// Decides which orders to place now, the most urgent first: additional on-demand servers,
+    /// additional reclaimable ones, and releases.
     pub fn plan(
         &mut self,
         scaling: &Scaling,
         present: &Map<Name, PresentServers>,
+        registrations: Registrations,
         now_ms: Millisecond,
     ) -> Vec<Order> {
         let Some(goal) = self.goal(present, now_ms) else {
@@ -204,48 +275,44 @@
             if wanted < here && goal.certainty == Certainty::Recent {
                 continue;
             }
+            // An order for fewer servers than are registering would release some of them.
+            if registrations == Registrations::Partial && pool.1 == Purchase::OnDemand {
+                continue;
+            }
             if !self.is_due(&pool, wanted, here, scaling.boot_ms, now_ms) {
                 continue;
             }
-            let at_ms = now_ms;
-            self.ordered
-                .insert(pool.clone(), PlacedOrder { wanted, at_ms });
-            orders.push(Order {
+            let placed = PlacedOrder {
+                wanted,
+                at_ms: now_ms,
+                answer: OrderAnswer::Pending,
+            };
+            self.ordered.insert(pool.clone(), placed);
+            let order = Order {
                 failure_domain: pool.0,
                 purchase: pool.1,
                 wanted,
-            });
+            };
+            orders.push((Urgency::of(&order, here), order));
         }
-        orders.sort_by(|a, b| {
-            let key = |o: &Order| (o.purchase == Purchase::OnDemand, o.failure_domain.clone());
-            key(a).cmp(&key(b))
+        orders.sort_by(|(a_urgency, a), (b_urgency, b)| {
+            let by_domain = || a.failure_domain.cmp(&b.failure_domain);
+            a_urgency.cmp(b_urgency).then_with(by_domain)
         });
-        orders
+        orders.into_iter().map(|(_, order)| order).collect()
     }
 
     /// Numbers of servers to hold; `None` if the present servers are to stay as they are.
     fn goal(&mut self, present: &Map<Name, PresentServers>, now_ms: Millisecond) -> Option<Goal> {
-        let reclaimable: u32 = present.values().map(|p| p.reclaimable).sum();
-        let on_demand: u32 = present.values().map(|p| p.on_demand).sum();
-        let total = f64::from(reclaimable + on_demand);
         let Some(peak) = self.peak(now_ms) else {
-            // Servers of both kinds were ordered for a need that was known then.
-            if self.first_total.is_none() && reclaimable > 0 {
-                return None;
-            }
-            let total = *self.first_total.get_or_insert(total);
-            return Some(Goal {
-                on_demand_alone: total * INITIAL_ON_DEMAND_SHARE,
-                tight: total,
-                comfortable: total,
-                certainty: Certainty::Settled,
-            });
+            return self.goal_before_need(present);
         };
         let shares = self.shares;
-        let busy = peak.busy.min(total * MAX_GROWTH * shares.alone_share);
+        let servers = f64::from(peak.servers.max(total(present)));
+        let busy = peak.busy.min(servers * MAX_GROWTH * shares.alone_share);
         let tight = busy / shares.tight_share + self.lost_servers;
         Some(Goal {
-            on_demand_alone: busy / shares.alone_share,
+            alone: busy / shares.alone_share,
             tight,
             // The comfortable number has spare capacity, so part of the lost servers needs no
             // replacement.
@@ -254,19 +321,38 @@
         })
     }
 
+    /// Numbers of servers to hold before any need is known: as many as there were at first.
+    fn goal_before_need(&mut self, present: &Map<Name, PresentServers>) -> Option<Goal> {
+        // Servers of both kinds were ordered for a need that was known then.
+        let has_reclaimable = present.values().any(|p| p.reclaimable > 0);
+        if self.first_total.is_none() && has_reclaimable {
+            return None;
+        }
+        let on_demand: u32 = present.values().map(|p| p.on_demand).sum();
+        let first = self.first_total.unwrap_or(0.0).max(f64::from(on_demand));
+        self.first_total = Some(first);
+        Some(Goal {
+            alone: first * INITIAL_ALONE_SHARE,
+            tight: first,
+            comfortable: first,
+            certainty: Certainty::Settled,
+        })
+    }
+
     /// The highest recent need; `None` if none is known.
     fn peak(&self, now_ms: Millisecond) -> Option<Peak> {
-        let known = self
-            .needs
-            .iter()
-            .filter(|(at_ms, _)| at_ms + PEAK_WINDOW_MS > now_ms);
-        let (first_ms, _) = known.clone().next()?;
+        let recent = self.needs.iter();
+        let recent = recent.filter(|seen| seen.at_ms + PEAK_WINDOW_MS > now_ms);
+        let first_ms = recent.clone().next()?.at_ms;
         let certainty = match now_ms - first_ms >= SETTLED_MS {
             true => Certainty::Settled,
             false => Certainty::Recent,
         };
-        let busy = known.map(|(_, busy)| *busy).fold(0.0, f64::max);
-        Some(Peak { busy, certainty })
+        Some(Peak {
+            busy: recent.clone().map(|seen| seen.busy).fold(0.0, f64::max),
+            servers: recent.map(|seen| seen.servers).max().unwrap_or(0),
+            certainty,
+        })
     }
 
     fn wanted(
@@ -278,20 +364,19 @@
     ) -> Wanted {
         let domains = domains(scaling, present);
         let expected = self.expected_on_demand(scaling, present, &domains, now_ms);
-        let reclaimable = self.reclaimable(scaling, present, &expected, goal, now_ms);
+        let reclaimable = self.reclaimable(scaling, present, &domains, goal, now_ms);
         let ready = |domain: &Name| {
             let here = present.get(domain).map_or(0, |p| p.reclaimable);
-            let wanted = reclaimable.get(domain).copied().unwrap_or(0);
-            here.min(wanted)
+            here.min(reclaimable[domain])
         };
-        let ready: u32 = domains.iter().map(ready).sum();
-        // On-demand servers leave only once the reclaimable servers that replace them are running.
-        let needed = goal.on_demand_alone.max(goal.tight - f64::from(ready));
-        let on_demand = self.on_demand(scaling, &expected, needed, &reclaimable, now_ms);
+        let ready: Map<Name, u32> = domains.iter().map(|d| (d.clone(), ready(d))).collect();
+        let needed = self.needed_on_demand(goal, &ready, now_ms);
+        let on_demand = self.on_demand(scaling, &expected, needed, &ready, now_ms);
         let mut wanted = Wanted::default();
-        for domain in &domains {
-            let reclaimable = reclaimable.get(domain).copied().unwrap_or(0);
+        for (domain, coming) in &expected {
             let on_demand = on_demand.get(domain).copied().unwrap_or(0);
+            let room = scaling.max.saturating_sub(on_demand.max(*coming));
+            let reclaimable = reclaimable[domain].min(room);
             let on_demand = on_demand.max(scaling.min.saturating_sub(reclaimable));
             if scaling.reclaimable_price.is_some() {
                 wanted.insert((domain.clone(), Purchase::Reclaimable), reclaimable);
@@ -301,6 +386,18 @@
         wanted
     }
 
+    /// Number of on-demand servers that the load needs beside the running reclaimable ones. On-demand
+    /// servers leave only once the reclaimable servers that replace them are running.
+    fn needed_on_demand(&self, goal: &Goal, ready: &Map<Name, u32>, now_ms: Millisecond) -> f64 {
+        let by_domain: Vec<u32> = ready.values().copied().collect();
+        let missing = |wanted: f64, loss| wanted - f64::from(reclaims::left(&by_domain, loss));
+        let after_loss = match self.exposure(now_ms) {
+            Exposure::OneDomain => missing(goal.tight, Loss::OneDomain),
+            Exposure::AllDomains => missing(goal.alone, Loss::AllDomains),
+        };
+        missing(goal.tight, Loss::None).max(after_loss)
+    }
+
     /// On-demand servers by failure domain, including ordered ones that are still starting.
     fn expected_on_demand(
         &self,
@@ -326,29 +423,28 @@
         &self,
         scaling: &Scaling,
         present: &Map<Name, PresentServers>,
-        expected: &[(Name, u32)],
+        domains: &[Name],
         goal: &Goal,
         now_ms: Millisecond,
     ) -> Map<Name, u32> {
-        let mut wanted: Map<Name, u32> = Map::default();
+        let mut wanted: Map<Name, u32> = domains.iter().map(|d| (d.clone(), 0)).collect();
         let Some(part) = scaling.reclaimable_price else {
             return wanted;
         };
-        let offers: Vec<Offer> = expected
+        let offers: Vec<Offer> = domains
             .iter()
-            .map(|(domain, _)| offer(scaling, domain, OfferPurchase::Reclaimable, part))
+            .map(|domain| offer(scaling, domain, OfferPurchase::Reclaimable, part))
             .collect();
         let listed: Vec<&Offer> = offers.iter().collect();
-        let additional = goal.comfortable - goal.on_demand_alone.ceil();
-        for offer_index in cheapest_additions(additional, &Map::default(), &listed) {
+        let left_share = 1.0 - 1.0 / domains.len().max(1) as f64;
+        let left = goal.tight.max(goal.comfortable * left_share);
+        for offer_index in cheapest_additions(left, &Map::default(), &listed) {
             let domain = &offers[offer_index].kind.failure_domain;
             *wanted.entry(domain.clone()).or_default() += 1;
         }
-        for (domain, on_demand) in expected {
+        for (domain, count) in &mut wanted {
             let here = present.get(domain).map_or(0, |p| p.reclaimable);
-            let count = wanted.entry(domain.clone()).or_default();
-            let room = scaling.max.saturating_sub(*on_demand);
-            *count = (*count).min(room);
+            *count = (*count).min(scaling.max);
             if self.is_refused(domain, Purchase::Reclaimable, now_ms) {
                 *count = (*count).min(here);
             }
@@ -409,12 +505,37 @@
     ) -> bool {
         match self.ordered.get(pool) {
             None => wanted != here,
+            // Two orders on their way may arrive in reverse. A late release would undo the other.
+            Some(ordered) if ordered.answer == OrderAnswer::Pending => wanted > ordered.wanted,
             Some(ordered) if ordered.wanted != wanted => true,
+            Some(ordered) if ordered.answer == OrderAnswer::Lost => wanted != here,
             Some(ordered) => wanted != here && now_ms > ordered.at_ms + boot_ms + ORDER_GRACE_MS,
         }
     }
 }
 
+/// Order in which orders are placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    MoreOnDemand,
+    MoreReclaimable,
+    Release,
+}
+
+impl Urgency {
+    fn of(order: &Order, here: u32) -> Self {
+        match order.purchase {
+            _ if order.wanted <= here => Self::Release,
+            Purchase::OnDemand => Self::MoreOnDemand,
+            Purchase::Reclaimable => Self::MoreReclaimable,
+        }
+    }
+}
+
+fn total(present: &Map<Name, PresentServers>) -> u32 {
+    present.values().map(|p| p.reclaimable + p.on_demand).sum()
+}
+
 /// Failure domains that may have servers, sorted by name.
 fn domains(scaling: &Scaling, present: &Map<Name, PresentServers>) -> Vec<Name> {
     let mut domains: Vec<Name> = scaling.domain_prices.keys().cloned().collect();
--- a/crates/gateway/src/duty/runner.rs
+++ b/crates/gateway/src/duty/runner.rs
@@ -65,7 +65,7 @@
         lease.pause_acquisition(node.settings.node.first_start == FirstStart::Yes);
         let runner = DutyRunner {
             table: table.clone(),
-            scaler: Scaler::new(node.clone(), duties.clone()),
+            scaler: Rc::new(Scaler::new(node.clone(), duties.clone())),
             duties: duties.clone(),
             node: node.clone(),
             lease_handle: lease.handle(),
@@ -85,7 +85,7 @@
     node: Rc<Node>,
     table: Arc<dyn Table>,
     duties: Arc<dyn Duties>,
-    scaler: Scaler,
+    scaler: Rc<Scaler>,
     lease_handle: LeaseHandle,
 }
 
@@ -115,9 +115,7 @@
             if counts == CountsState::Loaded {
                 self.write_checkpoint(&mut written).await;
             }
-            self.scaler
-                .round(|| self.permit().map(|p| self.holder(p)))
-                .await;
+            self.scaler.round(|| self.permit().map(|p| self.holder(p)));
             let Some(window) = self.due_window(&reported) else {
                 continue;
             };
--- a/crates/gateway/src/duty/scaling.rs
+++ b/crates/gateway/src/duty/scaling.rs
@@ -11,10 +11,11 @@
 
 use crate::belief::Service;
 use crate::belief::registry::ServerState;
-use crate::decide::scale::{Need, Order, PresentServers, ScalePlanner};
+use crate::decide::scale::{Exposure, Need, Order, PresentServers, Registrations, ScalePlanner};
 use crate::log;
 use crate::node::Node;
 use crate::peer::role::Presence;
+use crate::settings::FirstStart;
 
 /// Servers register within this time of their start.
 const REGISTRATION_MS: Millisecond = 5_000;
@@ -37,6 +38,7 @@
     wanted: u32,
     busy: Option<f64>,
     present: u32,
+    exposure: Exposure,
     fence: u64,
     outcome: String,
 }
@@ -60,7 +62,7 @@
             let need = self.need(service);
             let mut planners = self.planners.borrow_mut();
             let planner = self.planner(&mut planners, service);
-            planner.observe(need, self.node.now_ms());
+            planner.observe(need, &self.present(&service.name), self.node.now_ms());
             planner.set_lost_servers(self.lost_servers(&service.name));
         }
     }
@@ -72,9 +74,10 @@
         }
     }
 
-    /// Places the orders that are due. `holder` proves the lease and is asked for again before each
+    /// Places the orders that are due, without waiting for their answers: an order without an answer
+    /// must not delay the next ones. `holder` proves the lease and is asked for again before each
     /// order.
-    pub async fn round(&self, holder: impl Fn() -> Option<DutyHolder>) {
+    pub fn round(self: &Rc<Self>, holder: impl Fn() -> Option<DutyHolder>) {
         let Some(directory) = self.node.directory() else {
             return;
         };
@@ -84,7 +87,10 @@
                 let Some(holder) = holder() else {
                     return;
                 };
-                self.send_order(&holder, service, need, &order).await;
+                let (scaler, service) = (self.clone(), service.clone());
+                tokio::task::spawn_local(async move {
+                    scaler.send_order(&holder, &service, need, &order).await;
+                });
             }
         }
     }
@@ -94,12 +100,15 @@
             return Vec::new();
         };
         let present = self.present(&service.name);
-        if present.is_empty() || !self.registrations_are_in() {
+        let Some(registrations) = self.registrations() else {
+            return Vec::new();
+        };
+        if present.is_empty() {
             return Vec::new();
         }
         let mut planners = self.planners.borrow_mut();
         let planner = self.planner(&mut planners, service);
-        planner.plan(scaling, &present, self.node.now_ms())
+        planner.plan(scaling, &present, registrations, self.node.now_ms())
     }
 
     async fn send_order(&self, holder: &DutyHolder, service: &Service, need: Need, order: &Order) {
@@ -113,7 +122,7 @@
         let mut planners = self.planners.borrow_mut();
         let planner = self.planner(&mut planners, service);
         match &outcome {
-            Ok(()) => {}
+            Ok(()) => planner.record_acceptance(order),
             Err(DutyError::Refused) => planner.record_refusal(order, self.node.now_ms()),
             Err(DutyError::NotExecuted { .. } | DutyError::Unknown { .. }) => {
                 planner.record_unanswered(order)
@@ -133,6 +142,7 @@
                 Need::Busy(servers) => Some(servers),
                 Need::Unknown => None,
             },
+            exposure: planner.exposure(self.node.now_ms()),
             fence: holder.fence,
             outcome: match &outcome {
                 Ok(()) => "taken".to_owned(),
@@ -189,9 +199,17 @@
             .sum()
     }
 
-    /// Whether servers have had time to register since this process started.
-    fn registrations_are_in(&self) -> bool {
-        self.node.now_ms() > REGISTRATION_MS
+    /// Whether servers have had time to register since this process started; `None` if nothing may
+    /// be ordered yet. On the first start of the system no server has been ordered before, so that
+    /// additional ones can be ordered at once.
+    fn registrations(&self) -> Option<Registrations> {
+        if self.node.now_ms() > REGISTRATION_MS {
+            return Some(Registrations::Complete);
+        }
+        match self.node.settings.node.first_start {
+            FirstStart::Yes => Some(Registrations::Partial),
+            FirstStart::No => None,
+        }
     }
 
     fn need(&self, service: &Service) -> Need {
