--- a/crates/emulator/src/lab/error.rs
+++ b/crates/emulator/src/lab/error.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use emulator::account::report::ReportError;
 use gateway::config_file::ConfigFileError;
 use snafu::Snafu;
 
@@ -15,6 +16,15 @@
         /// Why.
         source: ConfigFileError,
     },
+    /// A report of a bench run cannot be used.
+    #[snafu(transparent)]
+    Report { source: ReportError },
+    /// A log cannot be read.
+    #[snafu(display("The log {} cannot be read: {source}. Check the path.", path.display()))]
+    Log {
+        path: PathBuf,
+        source: std::io::Error,
+    },
     /// A file of figures cannot be read or written.
     #[snafu(display("The figures {} cannot be read or written: {source}.", path.display()))]
     Csv {
--- a/crates/emulator/src/lab/main.rs
+++ b/crates/emulator/src/lab/main.rs
@@ -1,5 +1,6 @@
 //! Plays experiments over the emulator.
 
+mod account;
 mod compare;
 mod error;
 mod options;
@@ -16,6 +17,7 @@
         Action::Compare(compare) => compare::run(&compare),
         Action::Sweep(sweep) => sweep::run(&sweep),
         Action::Plot(plot) => plot::run(&plot),
+        Action::Account(account) => account::run(&account),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/emulator/src/lab/options.rs
+++ b/crates/emulator/src/lab/options.rs
@@ -13,6 +13,19 @@
     Sweep(Sweep),
     /// Draws a column of a result.
     Plot(Plot),
+    /// Accounts for the worth of a day.
+    Account(Account),
+}
+
+/// See [`Action::Account`].
+#[derive(Clone, Debug)]
+pub struct Account {
+    /// Price of a reclaimable server as a share of the price on demand.
+    pub reclaimable_price: f64,
+    /// The report of a bench run.
+    pub report: PathBuf,
+    /// The log of all nodes in that run.
+    pub log: PathBuf,
 }
 
 /// See [`Action::Compare`].
@@ -58,7 +71,7 @@
     let play = play.help("Plays an experiment for each of its rules and prints a table");
     let side_by_side = compare().command("compare");
     let side_by_side = side_by_side.help("The same as play");
-    construct!([play, side_by_side, sweep(), plot()])
+    construct!([play, side_by_side, sweep(), plot(), account()])
         .to_options()
         .descr("Plays experiments over a model of callers, nodes and model engines.")
 }
@@ -107,6 +120,28 @@
         .help("Draws a column of a sweep's figures, one line for each rule")
 }
 
+fn account() -> impl Parser<Action> {
+    let reclaimable_price = long("reclaimable-price")
+        .help("Price of a reclaimable server as a share of the price on demand")
+        .argument::<f64>("SHARE")
+        .guard(
+            |share| (0.0..=1.0).contains(share),
+            "--reclaimable-price: give a share from 0 to 1",
+        )
+        .fallback(1.0);
+    let report = positional::<PathBuf>("REPORT").help("Report of a bench run of one day");
+    let log = positional::<PathBuf>("LOG").help("Log of all nodes in that run");
+    construct!(Account {
+        reclaimable_price,
+        report,
+        log
+    })
+    .map(Action::Account)
+    .to_options()
+    .command("account")
+    .help("Accounts for the worth that a day lost, by kind of request, moment and reason")
+}
+
 fn csv() -> impl Parser<Option<PathBuf>> {
     long("csv")
         .help("Writes each play's figures to this file")
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,6 +1,7 @@
 //! A model of what the gateway's decisions serve: callers, nodes that know each other's loads late,
 //! and model engines, in virtual time. The decisions are the gateway's own code.
 
+pub mod account;
 pub mod callers;
 pub mod engine;
 pub mod experiment;
