Buying: a lost order that is carried out late no longer undoes a newer one

Change: an order after a lost one in the same failure domain carries a higher number, from the 1,000 that a tenure of the lease now leaves for its holder. A refusal of an overtaken order is no shortage. A lost release is countermanded though its servers are still there.

The refusal of a request by an allowance now logs the rate, burst and level that it was decided by.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -26,6 +26,10 @@
     Chart::parse(include_str!("../charts/lease.toml")).expect("charts/lease.toml is valid")
 });
 
+/// Difference between the fencing numbers of two tenures. The numbers between them belong to the
+/// earlier holder, which may use a higher one to invalidate its own earlier calls.
+pub const FENCE_STEP: u64 = 1_000;
+
 /// Fencing token: higher for each tenure of a lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Fence(pub u64);
@@ -202,7 +206,7 @@
         if held_by_other && !term_expired {
             return None;
         }
-        let fence = Fence(body.fence.0 + 1);
+        let fence = Fence(body.fence.0 + FENCE_STEP);
         Some(self.write_grant(Condition::VersionIs(row.version), fence, now, rng))
     }
 
--- a/crates/gateway/src/decide/scale/mod.rs
+++ b/crates/gateway/src/decide/scale/mod.rs
@@ -100,6 +100,9 @@
     pub purchase: Purchase,
     /// Wanted number, including the servers that are there.
     pub wanted: u32,
+    /// Earlier orders for this failure domain whose answers were lost. The platform may still carry
+    /// those out, so this order needs a higher fencing number than they had.
+    pub lost_before: u64,
 }
 
 /// Servers of one failure domain that are paid for in one way.
@@ -144,6 +147,8 @@
     shares: UtilizationShares,
     ordered: Map<Pool, PlacedOrder>,
     refused_until_ms: Map<Pool, Millisecond>,
+    /// Orders whose answers were lost, by failure domain.
+    lost: Map<Name, u64>,
     needs: Vec<Observation>,
     reclaims: ReclaimHistory,
     /// Highest number of servers before any need was known.
@@ -199,17 +204,28 @@
 
     /// Records that the answer to an order was lost. The order is placed again in the next round.
     pub fn record_unanswered(&mut self, order: &Order) {
+        let lost = self.lost.entry(order.failure_domain.clone()).or_default();
+        *lost = (*lost).max(order.lost_before + 1);
         self.set_answer(order, OrderAnswer::Lost);
     }
 
-    /// Records that a kind of server cannot be bought now.
+    /// Records that the platform refused an order: none can be bought now, or the order was
+    /// overtaken by one with a higher fencing number and is placed again.
     pub fn record_refusal(&mut self, order: &Order, now_ms: Millisecond) {
+        if order.lost_before < self.lost_before(&order.failure_domain) {
+            self.set_answer(order, OrderAnswer::Lost);
+            return;
+        }
         let pool = (order.failure_domain.clone(), order.purchase);
         self.ordered.remove(&pool);
         self.refused_until_ms
             .insert(pool, now_ms + REFUSAL_BACKOFF_MS);
     }
 
+    fn lost_before(&self, failure_domain: &Name) -> u64 {
+        self.lost.get(failure_domain).copied().unwrap_or(0)
+    }
+
     /// Ignores the answer if another number has been ordered since.
     fn set_answer(&mut self, order: &Order, answer: OrderAnswer) {
         let pool = (order.failure_domain.clone(), order.purchase);
@@ -254,6 +270,7 @@
     pub fn forget_orders(&mut self) {
         self.ordered.clear();
         self.refused_until_ms.clear();
+        self.lost.clear();
     }
 
     /// Decides which orders to place now, the most urgent first: additional on-demand servers,
@@ -289,6 +306,7 @@
             };
             self.ordered.insert(pool.clone(), placed);
             let order = Order {
+                lost_before: self.lost_before(&pool.0),
                 failure_domain: pool.0,
                 purchase: pool.1,
                 wanted,
@@ -508,7 +526,8 @@
             // Two orders on their way may arrive in reverse. A late release would undo the other.
             Some(ordered) if ordered.answer == OrderAnswer::Pending => wanted > ordered.wanted,
             Some(ordered) if ordered.wanted != wanted => true,
-            Some(ordered) if ordered.answer == OrderAnswer::Lost => wanted != here,
+            // The lost order may still be carried out, so the right number is confirmed.
+            Some(ordered) if ordered.answer == OrderAnswer::Lost => true,
             Some(ordered) => wanted != here && now_ms > ordered.at_ms + boot_ms + ORDER_GRACE_MS,
         }
     }
--- a/crates/gateway/src/duty/scaling.rs
+++ b/crates/gateway/src/duty/scaling.rs
@@ -6,6 +6,7 @@
 
 use base::units::Millisecond;
 use base::{Map, Name};
+use fleet::lease::FENCE_STEP;
 use outside::{Duties, DutyError, DutyHolder, Purchase, ServerOrder};
 use serde::Serialize;
 
@@ -84,9 +85,10 @@
         for service in directory.services.values() {
             let need = self.need(service);
             for order in self.orders(service) {
-                let Some(holder) = holder() else {
+                let Some(mut holder) = holder() else {
                     return;
                 };
+                holder.fence += order.lost_before.min(FENCE_STEP - 1);
                 let (scaler, service) = (self.clone(), service.clone());
                 tokio::task::spawn_local(async move {
                     scaler.send_order(&holder, &service, need, &order).await;
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -49,6 +49,14 @@
     pub disposition: ConnDisposition,
 }
 
+#[derive(Serialize)]
+struct AllowanceFields {
+    rate_per_s: f64,
+    burst: f64,
+    /// Units that are left; negative after late reports of other nodes.
+    level: f64,
+}
+
 #[derive(Serialize)]
 struct RefusedFields<'a> {
     request: Option<&'a str>,
@@ -57,6 +65,8 @@
     code: &'static str,
     status: u16,
     retry_after_ms: Option<Millisecond>,
+    /// The workspace's allowance, as this node knows it.
+    allowance: Option<AllowanceFields>,
     directory_version: u64,
     directory_age_ms: Millisecond,
     registry_age_ms: Millisecond,
@@ -283,6 +293,7 @@
     let now_ms = node.now_ms();
     let directory = node.directory();
     let fields = RefusedFields {
+        allowance: workspace.and_then(|w| allowance_fields(node, w)),
         request: request.head.fields.text(node.dialect.names.request_id),
         route,
         workspace: workspace.map(|w| &*w.name),
@@ -299,6 +310,16 @@
     ServeOutcome::Local(reply)
 }
 
+fn allowance_fields(node: &Node, workspace: &Workspace) -> Option<AllowanceFields> {
+    let allowance = workspace.allowance?;
+    let buckets = node.buckets.borrow();
+    Some(AllowanceFields {
+        rate_per_s: allowance.rate_per_s,
+        burst: allowance.burst,
+        level: buckets.get(&workspace.name)?.level().round(),
+    })
+}
+
 /// Whether the connection stays open after this request.
 pub fn conn_disposition(node: &Node, request: &Request) -> ConnDisposition {
     match node.phase.get() {
