--- a/crates/gateway/src/decide/scale/mod.rs
+++ b/crates/gateway/src/decide/scale/mod.rs
@@ -8,62 +8,24 @@
 //! On-demand servers make up what is missing: none while the reclaimable servers of the other
 //! failure domains suffice.
 
+mod goal;
+mod orders;
+mod reclaims;
+
 use base::units::Millisecond;
 use base::{Map, Name};
 use outside::Purchase;
 use policy::place::{Offer, Purchase as OfferPurchase, VmKind, cheapest_additions};
-use serde::Deserialize;
 
 use crate::belief::directory::Scaling;
 
-mod reclaims;
-
+use goal::{Certainty, Goal, NeedHistory};
+pub use goal::{Need, UtilizationShares};
+pub use orders::Order;
+use orders::{OrderBook, Pool, Urgency};
 pub use reclaims::Exposure;
 use reclaims::{Loss, ReclaimHistory};
 
-/// Delay before a kind of server that was refused is ordered again.
-const REFUSAL_BACKOFF_MS: Millisecond = 2_500;
-
-/// Time beyond the boot time of a server after which an order counts as not carried out.
-const ORDER_GRACE_MS: Millisecond = 2_500;
-
-/// Time for which the highest need is kept, because traffic comes in waves.
-const PEAK_WINDOW_MS: Millisecond = 20_000;
-
-/// Time over which a need must have been observed before servers are released.
-const SETTLED_MS: Millisecond = 6_000;
-
-/// Target utilization of the servers, as settings.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
-#[serde(default)]
-pub struct UtilizationShares {
-    /// Utilization while all servers of both kinds are there.
-    pub comfort_share: f64,
-    /// Utilization after the loss of the reclaimable servers of one failure domain, and while none
-    /// can be bought.
-    pub tight_share: f64,
-    /// Utilization of the on-demand servers if all reclaimable ones are lost, until others have
-    /// started.
-    pub alone_share: f64,
-}
-
-impl Default for UtilizationShares {
-    fn default() -> Self {
-        Self {
-            comfort_share: 0.22,
-            tight_share: 0.5,
-            alone_share: 0.7,
-        }
-    }
-}
-
-/// Share of the initial servers that must be left after a loss before any need is known.
-const INITIAL_ALONE_SHARE: f64 = 1.0 / 3.0;
-
-/// Largest factor by which one decision may grow the servers. The need is overestimated while
-/// servers are overloaded.
-const MAX_GROWTH: f64 = 2.0;
-
 /// Factor from prices to the integer unit in which they are compared.
 const MICROS: f64 = 1_000_000.0;
 
@@ -83,55 +45,6 @@
     }
 }
 
-/// Load of a service.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Need {
-    /// The service has not received a request yet.
-    Unknown,
-    /// The load would keep this many servers busy all the time.
-    Busy(f64),
-}
-
-/// The wanted number of servers of one kind in one failure domain.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Order {
-    pub failure_domain: Name,
-    /// Whether the servers are reclaimable or on demand.
-    pub purchase: Purchase,
-    /// Wanted number, including the servers that are there.
-    pub wanted: u32,
-    /// Earlier orders for this failure domain whose answers were lost. The platform may still carry
-    /// those out, so this order needs a higher fencing number than they had.
-    pub lost_before: u64,
-}
-
-/// Servers of one failure domain that are paid for in one way.
-type Pool = (Name, Purchase);
-
-#[derive(Clone, Copy, Debug)]
-struct PlacedOrder {
-    wanted: u32,
-    at_ms: Millisecond,
-    answer: OrderAnswer,
-}
-
-/// Whether the platform has answered an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum OrderAnswer {
-    Pending,
-    Accepted,
-    /// The answer was lost. The platform may carry out the order, also later.
-    Lost,
-}
-
-/// The need and the number of servers at one time.
-#[derive(Clone, Copy, Debug)]
-struct Observation {
-    at_ms: Millisecond,
-    busy: f64,
-    servers: u32,
-}
-
 /// Whether all running servers are in the registry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Registrations {
@@ -145,47 +58,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct ScalePlanner {
     shares: UtilizationShares,
-    ordered: Map<Pool, PlacedOrder>,
-    refused_until_ms: Map<Pool, Millisecond>,
-    /// Orders whose answers were lost, by failure domain.
-    lost: Map<Name, u64>,
-    needs: Vec<Observation>,
+    orders: OrderBook,
+    needs: NeedHistory,
     reclaims: ReclaimHistory,
-    /// Highest number of servers before any need was known.
-    first_total: Option<f64>,
     /// Number of servers whose capacity is lost to limits for now.
     lost_servers: f64,
 }
 
-/// Numbers of servers to hold.
-#[derive(Clone, Copy, Debug)]
-struct Goal {
-    /// Servers that must be left after a loss of reclaimable ones.
-    alone: f64,
-    /// Servers of both kinds while reclaimable ones cannot be bought.
-    tight: f64,
-    /// Servers of both kinds with which requests hardly wait for each other.
-    comfortable: f64,
-    certainty: Certainty,
-}
-
-/// The highest recent need.
-#[derive(Clone, Copy, Debug)]
-struct Peak {
-    /// Servers that the load keeps busy.
-    busy: f64,
-    /// Servers that were present.
-    servers: u32,
-    certainty: Certainty,
-}
-
-/// Whether a need has been observed for long enough to release servers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Certainty {
-    Settled,
-    Recent,
-}
-
 /// Wanted numbers of servers by failure domain and kind.
 type Wanted = Map<Pool, u32>;
 
@@ -197,44 +76,6 @@
         }
     }
 
-    /// Records that the platform carries out an order.
-    pub fn record_acceptance(&mut self, order: &Order) {
-        self.set_answer(order, OrderAnswer::Accepted);
-    }
-
-    /// Records that the answer to an order was lost. The order is placed again in the next round.
-    pub fn record_unanswered(&mut self, order: &Order) {
-        let lost = self.lost.entry(order.failure_domain.clone()).or_default();
-        *lost = (*lost).max(order.lost_before + 1);
-        self.set_answer(order, OrderAnswer::Lost);
-    }
-
-    /// Records that the platform refused an order: none can be bought now, or the order was
-    /// overtaken by one with a higher fencing number and is placed again.
-    pub fn record_refusal(&mut self, order: &Order, now_ms: Millisecond) {
-        if order.lost_before < self.lost_before(&order.failure_domain) {
-            self.set_answer(order, OrderAnswer::Lost);
-            return;
-        }
-        let pool = (order.failure_domain.clone(), order.purchase);
-        self.ordered.remove(&pool);
-        self.refused_until_ms
-            .insert(pool, now_ms + REFUSAL_BACKOFF_MS);
-    }
-
-    fn lost_before(&self, failure_domain: &Name) -> u64 {
-        self.lost.get(failure_domain).copied().unwrap_or(0)
-    }
-
-    /// Ignores the answer if another number has been ordered since.
-    fn set_answer(&mut self, order: &Order, answer: OrderAnswer) {
-        let pool = (order.failure_domain.clone(), order.purchase);
-        let placed = self.ordered.get_mut(&pool);
-        if let Some(placed) = placed.filter(|placed| placed.wanted == order.wanted) {
-            placed.answer = answer;
-        }
-    }
-
     /// Records the need and the servers of a service. Each node does so, so that a node that takes
     /// over the decisions knows the recent past.
     pub fn observe(
@@ -244,16 +85,7 @@
         now_ms: Millisecond,
     ) {
         self.reclaims.observe(present, now_ms);
-        let Need::Busy(busy) = need else {
-            return;
-        };
-        self.needs
-            .retain(|seen| seen.at_ms + PEAK_WINDOW_MS > now_ms);
-        self.needs.push(Observation {
-            at_ms: now_ms,
-            busy,
-            servers: total(present),
-        });
+        self.needs.observe(need, present, now_ms);
     }
 
     /// How many failure domains may be reclaimed before a replacement has started.
@@ -266,11 +98,24 @@
         self.lost_servers = lost_servers;
     }
 
+    /// Records that the platform carries out an order.
+    pub fn record_acceptance(&mut self, order: &Order) {
+        self.orders.record_acceptance(order);
+    }
+
+    /// Records that the answer to an order was lost. The order is placed again in the next round.
+    pub fn record_unanswered(&mut self, order: &Order) {
+        self.orders.record_unanswered(order);
+    }
+
+    /// Records that the platform refused an order.
+    pub fn record_refusal(&mut self, order: &Order, now_ms: Millisecond) {
+        self.orders.record_refusal(order, now_ms);
+    }
+
     /// Forgets the placed orders, since another node may have placed some meanwhile.
     pub fn forget_orders(&mut self) {
-        self.ordered.clear();
-        self.refused_until_ms.clear();
-        self.lost.clear();
+        self.orders = OrderBook::default();
     }
 
     /// Decides which orders to place now, the most urgent first: additional on-demand servers,
@@ -282,7 +127,8 @@
         registrations: Registrations,
         now_ms: Millisecond,
     ) -> Vec<Order> {
-        let Some(goal) = self.goal(present, now_ms) else {
+        let (shares, lost_servers) = (&self.shares, self.lost_servers);
+        let Some(goal) = self.needs.goal(shares, lost_servers, present, now_ms) else {
             return Vec::new();
         };
         let wanted = self.wanted(scaling, present, &goal, now_ms);
@@ -296,21 +142,13 @@
             if registrations == Registrations::Partial && pool.1 == Purchase::OnDemand {
                 continue;
             }
-            if !self.is_due(&pool, wanted, here, scaling.boot_ms, now_ms) {
+            if !self
+                .orders
+                .is_due(&pool, wanted, here, scaling.boot_ms, now_ms)
+            {
                 continue;
             }
-            let placed = PlacedOrder {
-                wanted,
-                at_ms: now_ms,
-                answer: OrderAnswer::Pending,
-            };
-            self.ordered.insert(pool.clone(), placed);
-            let order = Order {
-                lost_before: self.lost_before(&pool.0),
-                failure_domain: pool.0,
-                purchase: pool.1,
-                wanted,
-            };
+            let order = self.orders.place(pool, wanted, now_ms);
             orders.push((Urgency::of(&order, here), order));
         }
         orders.sort_by(|(a_urgency, a), (b_urgency, b)| {
@@ -320,59 +158,6 @@
         orders.into_iter().map(|(_, order)| order).collect()
     }
 
-    /// Numbers of servers to hold; `None` if the present servers are to stay as they are.
-    fn goal(&mut self, present: &Map<Name, PresentServers>, now_ms: Millisecond) -> Option<Goal> {
-        let Some(peak) = self.peak(now_ms) else {
-            return self.goal_before_need(present);
-        };
-        let shares = self.shares;
-        let servers = f64::from(peak.servers.max(total(present)));
-        let busy = peak.busy.min(servers * MAX_GROWTH * shares.alone_share);
-        let tight = busy / shares.tight_share + self.lost_servers;
-        Some(Goal {
-            alone: busy / shares.alone_share,
-            tight,
-            // The comfortable number has spare capacity, so part of the lost servers needs no
-            // replacement.
-            comfortable: tight.max(busy / shares.comfort_share),
-            certainty: peak.certainty,
-        })
-    }
-
-    /// Numbers of servers to hold before any need is known: as many as there were at first.
-    fn goal_before_need(&mut self, present: &Map<Name, PresentServers>) -> Option<Goal> {
-        // Servers of both kinds were ordered for a need that was known then.
-        let has_reclaimable = present.values().any(|p| p.reclaimable > 0);
-        if self.first_total.is_none() && has_reclaimable {
-            return None;
-        }
-        let on_demand: u32 = present.values().map(|p| p.on_demand).sum();
-        let first = self.first_total.unwrap_or(0.0).max(f64::from(on_demand));
-        self.first_total = Some(first);
-        Some(Goal {
-            alone: first * INITIAL_ALONE_SHARE,
-            tight: first,
-            comfortable: first,
-            certainty: Certainty::Settled,
-        })
-    }
-
-    /// The highest recent need; `None` if none is known.
-    fn peak(&self, now_ms: Millisecond) -> Option<Peak> {
-        let recent = self.needs.iter();
-        let recent = recent.filter(|seen| seen.at_ms + PEAK_WINDOW_MS > now_ms);
-        let first_ms = recent.clone().next()?.at_ms;
-        let certainty = match now_ms - first_ms >= SETTLED_MS {
-            true => Certainty::Settled,
-            false => Certainty::Recent,
-        };
-        Some(Peak {
-            busy: recent.clone().map(|seen| seen.busy).fold(0.0, f64::max),
-            servers: recent.map(|seen| seen.servers).max().unwrap_or(0),
-            certainty,
-        })
-    }
-
     fn wanted(
         &self,
         scaling: &Scaling,
@@ -427,10 +212,9 @@
         let mut expected = Vec::new();
         for domain in domains {
             let here = present.get(domain).map_or(0, |p| p.on_demand);
-            let ordered = self.ordered.get(&(domain.clone(), Purchase::OnDemand));
-            let coming = ordered.filter(|o| now_ms <= o.at_ms + scaling.boot_ms + ORDER_GRACE_MS);
-            let count = coming.map_or(here, |o| o.wanted.max(here));
-            expected.push((domain.clone(), count));
+            let pool = (domain.clone(), Purchase::OnDemand);
+            let coming = self.orders.starting(&pool, scaling.boot_ms, now_ms);
+            expected.push((domain.clone(), coming.unwrap_or(0).max(here)));
         }
         expected
     }
@@ -463,7 +247,10 @@
         for (domain, count) in &mut wanted {
             let here = present.get(domain).map_or(0, |p| p.reclaimable);
             *count = (*count).min(scaling.max);
-            if self.is_refused(domain, Purchase::Reclaimable, now_ms) {
+            if self
+                .orders
+                .is_refused(domain, Purchase::Reclaimable, now_ms)
+            {
                 *count = (*count).min(here);
             }
         }
@@ -480,7 +267,8 @@
         reclaimable: &Map<Name, u32>,
         now_ms: Millisecond,
     ) -> Map<Name, u32> {
-        let room = |domain: &Name| match self.is_refused(domain, Purchase::OnDemand, now_ms) {
+        let room = |domain: &Name| match self.orders.is_refused(domain, Purchase::OnDemand, now_ms)
+        {
             true => 0,
             false => scaling
                 .max
@@ -506,49 +294,6 @@
         }
         wanted
     }
-
-    fn is_refused(&self, domain: &Name, purchase: Purchase, now_ms: Millisecond) -> bool {
-        let pool = (domain.clone(), purchase);
-        let until_ms = self.refused_until_ms.get(&pool);
-        until_ms.is_some_and(|until_ms| *until_ms > now_ms)
-    }
-
-    fn is_due(
-        &self,
-        pool: &Pool,
-        wanted: u32,
-        here: u32,
-        boot_ms: Millisecond,
-        now_ms: Millisecond,
-    ) -> bool {
-        match self.ordered.get(pool) {
-            None => wanted != here,
-            // Two orders on their way may arrive in reverse. A late release would undo the other.
-            Some(ordered) if ordered.answer == OrderAnswer::Pending => wanted > ordered.wanted,
-            Some(ordered) if ordered.wanted != wanted => true,
-            // The lost order may still be carried out, so the right number is confirmed.
-            Some(ordered) if ordered.answer == OrderAnswer::Lost => true,
-            Some(ordered) => wanted != here && now_ms > ordered.at_ms + boot_ms + ORDER_GRACE_MS,
-        }
-    }
-}
-
-/// Order in which orders are placed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Urgency {
-    MoreOnDemand,
-    MoreReclaimable,
-    Release,
-}
-
-impl Urgency {
-    fn of(order: &Order, here: u32) -> Self {
-        match order.purchase {
-            _ if order.wanted <= here => Self::Release,
-            Purchase::OnDemand => Self::MoreOnDemand,
-            Purchase::Reclaimable => Self::MoreReclaimable,
-        }
-    }
 }
 
 fn total(present: &Map<Name, PresentServers>) -> u32 {
