--- a/crates/bench/src/load/deploy.rs
+++ b/crates/bench/src/load/deploy.rs
@@ -83,7 +83,7 @@
     pub price_per_h: f64,
     /// Its process.
     pub process: Process,
-    /// Where it listens.
+    /// Address on which it listens.
     pub address: SocketAddr,
 }
 
@@ -95,7 +95,7 @@
     pub document: Value,
     /// Engines.
     pub runners: Vec<Runner>,
-    /// Where callers reach the entry VMs.
+    /// Addresses of the entry VMs for callers.
     pub entries: Vec<SocketAddr>,
     daemons: Vec<Process>,
     admin: SocketAddr,
--- a/crates/bench/src/load/drive.rs
+++ b/crates/bench/src/load/drive.rs
@@ -17,7 +17,7 @@
 /// Longest wait for one answer.
 const ANSWER_LIMIT: Duration = Duration::from_secs(60);
 
-/// How a request ended.
+/// Outcome of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum End {
     /// Every token came.
@@ -28,7 +28,7 @@
     Broken(String),
 }
 
-/// What the caller saw.
+/// Observation of the caller.
 #[derive(Clone, Debug)]
 pub struct Seen {
     /// The end.
--- a/crates/bench/src/load/mod.rs
+++ b/crates/bench/src/load/mod.rs
@@ -13,7 +13,7 @@
 use deploy::{Deployment, Plan, User};
 use tally::Summary;
 
-/// What is sent.
+/// Requests of the load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scenario {
     /// Below the capacity.
--- a/crates/bench/src/load/work.rs
+++ b/crates/bench/src/load/work.rs
@@ -13,9 +13,8 @@
 /// Calm load as a part of what overload sends, so that overload is 1.5 times the capacity.
 const CALM_PART: f64 = 0.3;
 
-/// One request.
 pub struct Request {
-    /// When it is sent, from the start.
+    /// Time from the start at which it is sent.
     pub at: Duration,
     /// Place of its workspace in the configuration.
     pub workspace: usize,
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,7 +6,7 @@
 
 use bpaf::Bpaf;
 
-/// What to measure.
+/// Measurement and its options.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options)]
 enum Command {
--- a/crates/bench/src/slope/mod.rs
+++ b/crates/bench/src/slope/mod.rs
@@ -13,7 +13,7 @@
 use bpaf::Bpaf;
 use serde::Serialize;
 
-/// What is varied and measured.
+/// Quantity that is varied, and the one that is measured.
 #[derive(Clone, Copy, Debug, Bpaf)]
 pub enum Subject {
     /// Routing decision against servers and prompt blocks
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -39,7 +39,7 @@
 /// What became of a request at the daemons asked before the one that answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Earlier {
-    /// None was asked.
+    /// No daemon was asked.
     None,
     /// Some were asked; the request may have taken effect there.
     Unanswered,
--- a/crates/cli/src/commands/explain/line.rs
+++ b/crates/cli/src/commands/explain/line.rs
@@ -4,7 +4,6 @@
 
 use serde_json::{Map, Value};
 
-/// One event of a log.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Line {
     /// Unix time, by the node's clock.
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -47,7 +47,7 @@
     /// No daemon answered.
     #[snafu(display("No daemon answered: {}. Check --admin, and that the daemons run.", reasons.join("; ")))]
     Unreachable {
-        /// What was seen at each address.
+        /// Result at each address.
         reasons: Vec<String>,
     },
     /// The key was not taken.
@@ -91,7 +91,7 @@
     Unreadable {
         /// The daemon.
         address: SocketAddr,
-        /// What is wrong with it.
+        /// Description of the problem.
         source: serde_json::Error,
     },
     /// The result could not be written.
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-/// How a run ended.
+/// Exit code of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
 pub enum Exit {
@@ -22,7 +22,7 @@
     Invalid = 6,
     /// The change was accepted but is not in force everywhere yet.
     NotInForce = 7,
-    /// There is no such thing.
+    /// The named item does not exist.
     NotFound = 8,
 }
 
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -36,7 +36,7 @@
     Applied(Applied),
     /// The configuration in force.
     Config(ConfigView),
-    /// What a document would change.
+    /// Changes that a document would make.
     Diff {
         /// Version compared with.
         version: u64,
@@ -49,7 +49,6 @@
     Status(Status),
     /// A daemon drains.
     Drain(DrainReply),
-    /// One request.
     Request(RequestView),
     /// The catalogue of log events.
     Catalogue {
@@ -80,7 +79,7 @@
     Lagging {
         /// The new version.
         version: u64,
-        /// How long was waited.
+        /// Time waited.
         waited_ms: Millisecond,
         /// The entry VMs that lag.
         entry_vms: Vec<Laggard>,
@@ -104,13 +103,12 @@
 pub struct Laggard {
     /// Its name.
     pub name: String,
-    /// Whether it takes new work.
+    /// Whether it accepts new requests.
     pub state: conf::admin::NodeState,
     /// The version in force there.
     pub config_version: u64,
 }
 
-/// One event of the catalogue.
 #[derive(Debug, Serialize)]
 pub struct Event {
     /// Its number.
@@ -119,7 +117,7 @@
     pub name: &'static str,
     /// Its severity.
     pub level: String,
-    /// What it means.
+    /// Meaning of the event.
     pub meaning: &'static str,
 }
 
--- a/crates/cli/tests/cli/support.rs
+++ b/crates/cli/tests/cli/support.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 
-/// One scripted answer.
+/// A scripted answer.
 enum Scripted {
     /// A whole answer.
     Reply(u16, String),
@@ -163,7 +163,7 @@
     Ok(response.body(Full::from(body)).expect("a response"))
 }
 
-/// How the tool ended.
+/// Exit status of the tool.
 pub struct Run {
     pub code: i32,
     pub stdout: String,
@@ -186,7 +186,7 @@
     }
 }
 
-/// One run of the tool.
+/// A finished run of the tool.
 pub struct Tool {
     command: Command,
 }
--- a/crates/conf/src/admin.rs
+++ b/crates/conf/src/admin.rs
@@ -39,31 +39,29 @@
     pub backend_servers: Vec<BackendServer>,
 }
 
-/// One entry VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryVm {
     /// Its name.
     pub name: Name,
     /// Number of its current life; greater after each restart.
     pub incarnation: u64,
-    /// Whether it takes new work.
+    /// Whether it accepts new requests.
     pub state: NodeState,
     /// Configuration version it last reported in force.
     pub config_version: u64,
 }
 
-/// One backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendServer {
     /// The VM's identifier.
     pub id: Name,
     /// The service it offers.
     pub service: Name,
-    /// Where it listens.
+    /// Address on which it listens.
     pub address: SocketAddr,
     /// The failure domain it stands in.
     pub failure_domain: Name,
-    /// Whether it takes new work.
+    /// Whether it accepts new requests.
     pub state: NodeState,
     /// Requests running there, by its last report.
     pub running: u64,
@@ -125,7 +123,7 @@
     pub at_ms: Millisecond,
     /// SHA-256 of the document, in hexadecimal.
     pub digest: String,
-    /// What changed, in a line.
+    /// The change, in one line.
     pub summary: String,
 }
 
@@ -147,7 +145,7 @@
     pub service: Name,
     /// State in the request's chart.
     pub state: String,
-    /// Whether it has run.
+    /// Whether the request has run.
     pub run_state: RunState,
     /// The entry VM that holds it.
     pub entry_vm: Name,
@@ -173,18 +171,18 @@
 /// Body of an answer that reports a failure, to callers and operators alike.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ErrorReply {
-    /// What failed.
+    /// Description of the failure.
     pub error: ErrorBody,
 }
 
-/// What failed.
+/// Description of the failure.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ErrorBody {
     /// Stable code.
     pub code: String,
     /// A sentence for people.
     pub message: String,
-    /// Whether what was asked for was done.
+    /// Whether the command was carried out.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub run_state: Option<RunState>,
 }
--- a/crates/conf/src/fault.rs
+++ b/crates/conf/src/fault.rs
@@ -4,14 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
-/// One fault.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fault {
     /// JSON path of the faulty value, such as `$.services[0].timeout_ms`.
     pub path: String,
-    /// What is wrong, as a sentence.
+    /// The problem, as a sentence.
     pub problem: String,
-    /// How to mend it, as a sentence.
+    /// The mend, as a sentence.
     pub mend: String,
 }
 
--- a/crates/conf/src/model.rs
+++ b/crates/conf/src/model.rs
@@ -13,7 +13,7 @@
     pub name: Name,
     /// The region it belongs to.
     pub region: Name,
-    /// One-way latency to callers.
+    /// Latency to callers in one direction.
     pub client_one_way_latency_ms: f64,
     /// One-way latency to every other failure domain.
     pub one_way_latency_ms: Map<Name, f64>,
@@ -59,7 +59,7 @@
     }
 }
 
-/// What counts as on time.
+/// Target times of the answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LatencyTarget {
     /// Target of a model service.
@@ -76,7 +76,7 @@
     },
 }
 
-/// What stands behind a service.
+/// Kind of backend of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ServiceKind {
     /// Model engines.
@@ -107,13 +107,13 @@
 pub struct Service {
     /// Its name.
     pub name: Name,
-    /// What stands behind it.
+    /// Kind of backend.
     pub kind: ServiceKind,
     /// Whether its backend servers refuse orders with an old fencing number.
     pub fencing: Fencing,
     /// Longest time from acceptance to the end of the answer.
     pub timeout_ms: Millisecond,
-    /// What counts as on time.
+    /// Target times of the answers.
     pub latency_target: LatencyTarget,
     /// Limits on repeated attempts.
     pub retry: RetryLimits,
--- a/crates/conf/src/sections.rs
+++ b/crates/conf/src/sections.rs
@@ -42,13 +42,12 @@
 }
 
 impl<T> Section<T> {
-    /// Whether a member has the name.
     pub(crate) fn has(&self, name: &str) -> bool {
         self.names.iter().any(|(_, known)| known == name)
     }
 }
 
-/// All lists of a document.
+/// Lists of a document that are checked alike.
 pub(crate) struct Sections {
     pub(crate) failure_domains: Section<FailureDomain>,
     pub(crate) vm_classes: Section<VmClass>,
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -23,9 +23,9 @@
 /// Settings of one daemon.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// Who the daemon is.
+    /// Identity of the daemon.
     pub node: Node,
-    /// Where it listens.
+    /// Address on which it listens.
     pub listen: Listen,
     /// The platform's services.
     pub platform: Platform,
@@ -45,7 +45,7 @@
     pub log_format: LogFormat,
 }
 
-/// Who a daemon is.
+/// Identity of a daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Node {
     /// The VM's identifier in the platform's VM list.
@@ -109,7 +109,7 @@
     pub caller_stall_ms: Millisecond,
     /// Connecting to a backend server.
     pub connect_ms: Millisecond,
-    /// One call to the platform.
+    /// Timeout of one call to the platform.
     pub platform_ms: Millisecond,
     /// From the start of a drain to the end of the process.
     pub drain_deadline_ms: Millisecond,
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -42,16 +42,14 @@
     Done(RequestId),
 }
 
-/// Whether a request found a place.
+/// Whether an engine accepted a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
-    /// It did.
     Taken,
     /// Running and waiting places are full.
     Full,
 }
 
-/// One engine.
 #[derive(Debug)]
 pub struct Engine {
     sheet: EngineSheet,
@@ -215,7 +213,6 @@
     }
 }
 
-/// One step of an engine.
 #[derive(Clone, Debug)]
 pub struct Step {
     /// Its time.
--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -14,7 +14,7 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Experiment {
-    /// What it is called in tables.
+    /// Name in tables.
     pub name: String,
     /// Seeds; each is played once for each rule.
     pub seeds: Vec<u64>,
@@ -37,12 +37,12 @@
     /// Whether nodes keep the limits that servers name.
     #[serde(default)]
     pub limits: LimitsRule,
-    /// How callers come.
+    /// Arrival pattern of the callers.
     #[serde(default)]
     pub traffic: Traffic,
     /// Kinds of requests.
     pub kinds: Vec<Kind>,
-    /// What goes wrong.
+    /// Faults that occur.
     #[serde(default)]
     pub troubles: Vec<Trouble>,
 }
@@ -51,7 +51,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LimitsRule {
-    /// They keep them together.
+    /// Nodes keep a server's limit together.
     #[default]
     Kept,
     /// A baseline: they do not read them.
@@ -71,7 +71,6 @@
     pub domains: Vec<Domain>,
 }
 
-/// One failure domain.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Domain {
@@ -89,7 +88,7 @@
     pub price: f64,
 }
 
-/// How an engine works.
+/// Speed and capacity of an engine.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EngineSheet {
@@ -111,7 +110,7 @@
     pub step_parts: Vec<f64>,
 }
 
-/// What may be ordered.
+/// Limits and prices of orders.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ScalingSheet {
@@ -182,15 +181,13 @@
     pub answer_tokens: f64,
 }
 
-/// What goes wrong.
+/// Faults that occur.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Trouble {
     /// All reclaimable servers of a failure domain leave, and none is to be had for a while.
     Reclaim {
-        /// When.
         at_s: f64,
-        /// Where.
         domain: Name,
         /// Time from the notice to the end.
         notice_s: f64,
@@ -199,7 +196,6 @@
     },
     /// Servers crash and are back later, knowing nothing.
     Crash {
-        /// When.
         at_s: f64,
         /// Part of all servers.
         share: f64,
@@ -208,7 +204,6 @@
     },
     /// Servers are in need: their steps take longer, and their answers name a limit.
     Limit {
-        /// When.
         at_s: f64,
         /// Part of all servers.
         share: f64,
@@ -222,7 +217,6 @@
     },
     /// More callers come.
     Burst {
-        /// When.
         at_s: f64,
         /// Times as many.
         times: f64,
--- a/crates/emulator/src/lab/error.rs
+++ b/crates/emulator/src/lab/error.rs
@@ -12,10 +12,7 @@
 pub enum LabError {
     /// An experiment cannot be played.
     #[snafu(transparent)]
-    Experiment {
-        /// Why.
-        source: ConfigFileError,
-    },
+    Experiment { source: ConfigFileError },
     /// A report of a bench run cannot be used.
     #[snafu(transparent)]
     Report { source: ReportError },
@@ -30,7 +27,6 @@
     Csv {
         /// The file.
         path: PathBuf,
-        /// Why.
         source: csv::Error,
     },
     /// A file has no such column, or nothing in it.
@@ -52,7 +48,6 @@
     Picture {
         /// The file.
         path: PathBuf,
-        /// Why.
         reason: String,
     },
 }
--- a/crates/emulator/src/lab/options.rs
+++ b/crates/emulator/src/lab/options.rs
@@ -4,7 +4,7 @@
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
 
-/// What is asked for.
+/// Command and its options.
 #[derive(Clone, Debug)]
 pub enum Action {
     /// Plays an experiment for each of its rules.
--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -35,12 +35,11 @@
 /// Requests at each server.
 pub type Loads = Map<Name, Load>;
 
-/// One node.
 pub struct Node {
-    /// Where it stands.
+    /// Its failure domain.
     pub failure_domain: Name,
     servers: Map<Name, Rc<Server>>,
-    /// What each other node told last.
+    /// Last heartbeat of each other node.
     told: Map<usize, Loads>,
     repeats: RetryBudget,
     work: OfferedLoad,
@@ -53,7 +52,7 @@
     rng: SmallRng,
 }
 
-/// What nodes are made of.
+/// Settings that all nodes share.
 #[derive(Clone, Copy, Debug)]
 pub struct Make {
     /// The rule of choice.
@@ -62,7 +61,7 @@
     pub memory_tokens: TokenCount,
     /// Number of nodes.
     pub nodes: usize,
-    /// What they do about limits.
+    /// Whether nodes obey the rate limits of servers.
     pub limits: LimitsRule,
 }
 
@@ -205,7 +204,7 @@
         believed.record_answer(signals, timing);
     }
 
-    /// What it tells of servers.
+    /// Loads of the servers, for its heartbeat.
     pub fn notices(&self, now_ms: Millisecond) -> Vec<Notice> {
         let notices = self.servers.values().filter_map(|server| {
             let believed = server.flow.backpressure.borrow();
@@ -328,12 +327,12 @@
     }
 }
 
-/// Where a node would listen.
+/// Address that identifies a node.
 fn address(number: usize) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::from(0x0A00_0001 + number as u32), 1))
 }
 
-/// All nodes have the same clock.
+/// The emulated nodes share one clock.
 fn instants(now_ms: Millisecond) -> Now {
     /// Fleet time of the start.
     const ORIGIN_MS: Millisecond = 1_000_000_000;
--- a/crates/emulator/src/requests.rs
+++ b/crates/emulator/src/requests.rs
@@ -27,13 +27,12 @@
 /// A request that waits for a server looks again after so long; the daemon is told of each place.
 const LOOK_MS: Millisecond = 5;
 
-/// One request.
 pub struct Request {
     /// Its kind.
     pub kind: usize,
     /// The node that its caller asked.
     pub node: usize,
-    /// Whether its answer is counted.
+    /// Whether it belongs to the measured time.
     pub counted: Counted,
     asked_ms: Millisecond,
     prompt: Prompt,
@@ -51,9 +50,7 @@
 /// Whether a request counts: those at the start of a play only warm it up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Counted {
-    /// It does.
     Yes,
-    /// It does not.
     No,
 }
 
@@ -63,7 +60,7 @@
     Ended,
 }
 
-/// Where a request runs.
+/// Server and attempt of a running request.
 struct Place {
     sent: Sent,
     host: HostId,
@@ -97,7 +94,6 @@
         }
     }
 
-    /// Whether it has ended.
     pub fn has_ended(&self) -> bool {
         self.state == Life::Ended
     }
--- a/crates/emulator/src/supply.rs
+++ b/crates/emulator/src/supply.rs
@@ -10,42 +10,35 @@
 /// Number of a server.
 pub type HostId = usize;
 
-/// Where a server is in its life.
+/// State of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
-    /// It runs.
     Up,
-    /// It finishes what it has.
+    /// It finishes its requests and gets no new ones.
     Leaving,
     /// It has crashed and will be back.
     Down,
-    /// It is gone for good.
     Gone,
 }
 
-/// Whether an engine is amid a step.
+/// Whether an engine is processing a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Pace {
-    /// It is.
     Stepping,
-    /// It waits for work.
     Idle,
 }
 
-/// One server.
 #[derive(Debug)]
 pub struct Host {
     /// Its identifier.
     pub id: Name,
-    /// Where it stands.
+    /// Its failure domain.
     pub failure_domain: Name,
-    /// How it is paid for.
+    /// Whether it is reclaimable or on demand.
     pub purchase: Purchase,
     /// Its engine.
     pub engine: Engine,
-    /// Where it is in its life.
     pub state: State,
-    /// Whether its engine is amid a step.
     pub pace: Pace,
     /// Number of its life; steps of an earlier one mean nothing.
     pub life: u64,
@@ -55,7 +48,6 @@
     price_per_s: f64,
 }
 
-/// All servers.
 #[derive(Debug, Default)]
 pub struct Supply {
     hosts: Vec<Host>,
@@ -67,10 +59,10 @@
     paid: f64,
 }
 
-/// What came of an order.
+/// Outcome of an order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Filled {
-    /// None of the kind is to be had.
+    /// No server of the kind can be bought now.
     Refused,
     /// So many start, by order number, and these end.
     Taken {
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -19,7 +19,7 @@
 /// Time between two looks at the number of servers, as in the daemon.
 pub const ORDERS_US: Microsecond = 500 * MS;
 
-/// What happens.
+/// Event of a play.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// A clump of callers of a kind may come.
@@ -94,11 +94,9 @@
     },
 }
 
-/// One play.
 pub struct World<'a> {
-    /// What is played.
     pub experiment: &'a Experiment,
-    /// What comes.
+    /// Events to come.
     pub schedule: Schedule<Event>,
     /// Servers.
     pub supply: Supply,
@@ -106,7 +104,7 @@
     pub nodes: Vec<Node>,
     /// Requests.
     pub requests: Vec<Request>,
-    /// What callers got.
+    /// Results of the callers.
     pub figures: Figures,
     /// Chance.
     pub rng: SmallRng,
--- a/crates/fuzz/src/target.rs
+++ b/crates/fuzz/src/target.rs
@@ -35,7 +35,6 @@
     Datagrams,
 }
 
-/// All targets.
 pub const ALL: [Target; 7] = [
     Target::Requests,
     Target::Responses,
--- a/crates/gateway/src/belief/directory.rs
+++ b/crates/gateway/src/belief/directory.rs
@@ -71,7 +71,7 @@
     pub access: Access,
 }
 
-/// Who may call a route.
+/// Callers that a route admits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Access {
     /// Callers need no key.
--- a/crates/gateway/src/decide/shed.rs
+++ b/crates/gateway/src/decide/shed.rs
@@ -8,7 +8,6 @@
 
 /// Default share of the shortest target time of a service's routes that the work of earlier
 /// requests may take before a new request starts.
-/// new request; a setting.
 pub const WAIT_SHARE: f64 = 1.0;
 
 /// Reduction of that time per rank: it is divided by 1 plus this value times the rank, so that less
--- a/crates/proof/src/caller.rs
+++ b/crates/proof/src/caller.rs
@@ -71,7 +71,7 @@
     pub workspace: String,
     /// Its bearer key.
     pub key: String,
-    /// Where the entry VMs listen.
+    /// Addresses of the entry VMs.
     pub entries: Balancer,
     /// Where the caller records what it does.
     pub recorder: Recorder,
--- a/crates/proof/src/check/mod.rs
+++ b/crates/proof/src/check/mod.rs
@@ -27,7 +27,7 @@
 pub struct Violation {
     /// Which promise.
     pub promise: Promise,
-    /// What was seen.
+    /// What broke the invariant.
     pub detail: String,
 }
 
@@ -37,7 +37,7 @@
     }
 }
 
-/// What always holds.
+/// Invariants that each run is checked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Promise {
     /// An accepted request is answered whole.
@@ -118,13 +118,13 @@
 pub struct Operation<'a> {
     /// Its number in the history.
     pub id: OperationId,
-    /// Who called.
+    /// Name of the caller.
     pub workspace: &'a str,
     /// The request's number.
     pub request_id: &'a str,
-    /// What was asked.
+    /// The request.
     pub ask: &'a Ask,
-    /// How it ended, if it did.
+    /// Outcome; `None` if it has not ended.
     pub outcome: Option<&'a Outcome>,
 }
 
@@ -141,7 +141,7 @@
 /// A history with its operations put together.
 #[derive(Debug)]
 pub struct History<'a> {
-    /// All events, in order.
+    /// Events in order of time.
     pub events: &'a [Event],
     /// All operations, in order of call.
     pub operations: Vec<Operation<'a>>,
--- a/crates/proof/src/deployment/backends.rs
+++ b/crates/proof/src/deployment/backends.rs
@@ -19,7 +19,7 @@
     pub vm: String,
     /// Its process.
     pub process: Process,
-    /// Where its own process listens.
+    /// Address of its process, behind the relay.
     pub address: SocketAddr,
     /// What stands between it and the entry VMs.
     pub relay: Relay,
--- a/crates/proof/src/deployment/entries.rs
+++ b/crates/proof/src/deployment/entries.rs
@@ -15,20 +15,18 @@
     pub vm: String,
     /// Its process.
     pub process: Process,
-    /// Where callers reach it.
+    /// Address for callers.
     pub callers: SocketAddr,
-    /// Where operators reach it.
+    /// Address for operators.
     pub admin: SocketAddr,
-    /// Where peers reach it.
+    /// Address for peers.
     pub peers: SocketAddr,
-    /// Whether the platform lists it.
     pub listing: Listing,
 }
 
 /// Whether the platform lists a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listing {
-    /// It does.
     Listed,
     /// No more.
     Removed,
--- a/crates/proof/src/deployment/mod.rs
+++ b/crates/proof/src/deployment/mod.rs
@@ -28,7 +28,7 @@
 /// Failure domains of the example configuration.
 const FAILURE_DOMAINS: [&str; 3] = ["vake", "saburtalo", "didube"];
 
-/// What to start.
+/// Processes of a deployment.
 #[derive(Clone, Debug)]
 pub struct Plan {
     /// Entry VMs.
@@ -68,7 +68,7 @@
     pub desks: Vec<Backend>,
     /// Entry VMs.
     pub entries: Vec<Entry>,
-    /// Where callers reach the entry VMs.
+    /// Addresses of the entry VMs for callers.
     pub balancer: Balancer,
     /// Where operators reach the entry VMs.
     pub admins: Balancer,
--- a/crates/proof/src/history.rs
+++ b/crates/proof/src/history.rs
@@ -8,7 +8,7 @@
 /// Number of an operation within one history.
 pub type OperationId = u64;
 
-/// One thing that happened.
+/// Event of a history.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "event")]
 pub enum Event {
@@ -16,18 +16,17 @@
     Called {
         /// The operation.
         operation: OperationId,
-        /// Who called.
+        /// Name of the caller.
         workspace: String,
         /// Its number, sent as `x-request-id`.
         request_id: String,
-        /// What was asked.
+        /// The request.
         ask: Ask,
     },
     /// The operation ended for its caller.
     Returned {
         /// The operation.
         operation: OperationId,
-        /// How.
         outcome: Outcome,
     },
     /// A request arrived at a backend server.
@@ -36,7 +35,7 @@
         vm: String,
         /// The request's number.
         request_id: String,
-        /// When, since the Unix epoch.
+        /// Time since the Unix epoch.
         at_unix_ms: Millisecond,
     },
     /// A call to a plain service took effect.
@@ -45,7 +44,7 @@
     NoticeGiven {
         /// Its VM.
         vm: String,
-        /// When, since the Unix epoch.
+        /// Time since the Unix epoch.
         at_unix_ms: Millisecond,
     },
     /// A backend server was lost, or cut off, without notice.
@@ -67,7 +66,7 @@
     },
 }
 
-/// What a caller asked for.
+/// Request of a caller.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "kind")]
 pub enum Ask {
@@ -98,7 +97,7 @@
     pub body_hash: String,
 }
 
-/// How an operation ended.
+/// Outcome of an operation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "kind")]
 pub enum Outcome {
@@ -127,22 +126,19 @@
     Broken {
         /// Whether the request had been accepted.
         acceptance: Acceptance,
-        /// What came of it.
+        /// Outcome.
         text: String,
-        /// What was seen.
+        /// Observation.
         reason: String,
     },
 }
 
-/// What an error says about running.
+/// Run state that an error states.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunStateSaid {
-    /// It was not run.
     NotRun,
-    /// It was run.
     Ran,
-    /// It may have run.
     Unknown,
     /// Nothing was said.
     Nothing,
@@ -160,13 +156,12 @@
     }
 }
 
-/// Whether a request had been accepted.
+/// Whether a request was accepted before it failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Acceptance {
     /// The head of its answer had come.
     Accepted,
-    /// It had not.
     NotAccepted,
 }
 
--- a/crates/proof/src/load.rs
+++ b/crates/proof/src/load.rs
@@ -74,7 +74,7 @@
         self.0.join_all().await
     }
 
-    /// How many have not ended.
+    /// Number of unfinished operations.
     pub fn count(&mut self) -> usize {
         while self.0.try_join_next().is_some() {}
         self.0.len()
--- a/crates/proof/src/mixed/inject.rs
+++ b/crates/proof/src/mixed/inject.rs
@@ -74,7 +74,7 @@
     FaultInjected::ListLags,
 ];
 
-/// What ends a fault.
+/// End of a fault.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Healing {
     EngineEnds(usize),
--- a/crates/proof/src/mixed/mod.rs
+++ b/crates/proof/src/mixed/mod.rs
@@ -20,21 +20,21 @@
 /// Time that a leaving entry VM has in the run.
 const DRAIN_DEADLINE_MS: Millisecond = 1_500;
 
-/// What to run.
+/// Size and duration of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct MixedPlan {
     /// Seed of faults and requests.
     pub seed: u64,
-    /// How long faults are injected.
+    /// Time during which faults are injected.
     pub duration_ms: Millisecond,
 }
 
-/// What a run gave.
+/// Result of a run.
 #[derive(Clone, Debug)]
 pub struct Report {
     /// Seed of the run.
     pub seed: u64,
-    /// What the history holds.
+    /// Events of the run.
     pub counts: Counts,
     /// How often each fault was injected.
     pub faults: BTreeMap<FaultInjected, u32>,
@@ -54,7 +54,7 @@
     }
 }
 
-/// Whether load is still to be made.
+/// Whether the load generators go on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     Running,
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -133,7 +133,7 @@
         guard::until(&what, async || self.child.try_wait().ok().flatten()).await
     }
 
-    /// Whether it still runs.
+    /// Whether the process is still running.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
--- a/crates/proof/src/relay.rs
+++ b/crates/proof/src/relay.rs
@@ -10,14 +10,14 @@
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 
-/// What the relay does with bytes.
+/// Fault of a relay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
     /// Passes them on.
     Pass,
     /// Passes them on later.
     Delay {
-        /// How much later, each way.
+        /// Delay in each direction.
         delay_ms: Millisecond,
     },
     /// Keeps connections open and passes nothing on.
@@ -65,7 +65,7 @@
         }
     }
 
-    /// Where the relay listens.
+    /// Address on which the relay listens.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
--- a/crates/proof/src/wire.rs
+++ b/crates/proof/src/wire.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("No answer: {reason}."))]
 pub struct NoAnswer {
-    /// What was seen.
+    /// Observation.
     pub reason: String,
 }
 
@@ -171,7 +171,6 @@
     unread: Vec<u8>,
 }
 
-/// One event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SseEvent {
     /// A chunk, in JSON.
@@ -180,7 +179,7 @@
     Done,
     /// The body ended, or broke, without `[DONE]`.
     Broken {
-        /// What was seen.
+        /// Observation.
         reason: String,
     },
 }
--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -41,7 +41,7 @@
     by_use: BTreeMap<u64, u64>,
 }
 
-/// What storing changed.
+/// Cache blocks that were added and evicted.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Change {
     /// Blocks that were not there before.
@@ -66,7 +66,7 @@
         self.last_use.len()
     }
 
-    /// Whether nothing is cached.
+    /// Whether the cache is empty.
     pub fn is_empty(&self) -> bool {
         self.last_use.is_empty()
     }
--- a/crates/standin/src/engine/framing.rs
+++ b/crates/standin/src/engine/framing.rs
@@ -16,9 +16,8 @@
 /// Last event of a stream.
 const END_MARKER: &str = "data: [DONE]\n\n";
 
-/// What the generator sends.
+/// Output of the generator.
 pub enum Piece {
-    /// One token.
     Token(String),
     /// The end, with the counts.
     Finished(Usage),
--- a/crates/standin/src/engine/generate.rs
+++ b/crates/standin/src/engine/generate.rs
@@ -18,7 +18,7 @@
 /// Tokens that may wait for a slow reader.
 const CHANNEL_TOKENS: usize = 64;
 
-/// One request on its way.
+/// A request in progress.
 struct Job {
     engine: Arc<Engine>,
     request_id: String,
@@ -28,7 +28,7 @@
     prompt: String,
 }
 
-/// What became of a token or a wait.
+/// Result of generating a token or of waiting.
 enum Reader {
     Present,
     Gone,
--- a/crates/standin/src/engine/message.rs
+++ b/crates/standin/src/engine/message.rs
@@ -37,12 +37,12 @@
     pub continue_final_message: bool,
 }
 
-/// One message of a chat.
+/// A message of a chat.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct ChatMessage {
-    /// Who speaks.
+    /// Role of the author.
     pub role: String,
-    /// What is said.
+    /// Text of the message.
     #[serde(default)]
     pub content: String,
 }
@@ -156,7 +156,7 @@
 /// `POST /orders`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
-    /// What is to be done.
+    /// The command.
     pub kind: OrderKind,
     /// To which model, adapter or role.
     pub name: String,
@@ -189,7 +189,7 @@
     Ignored,
 }
 
-/// How a truncated stream ends.
+/// End of a truncated stream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Truncation {
@@ -216,7 +216,7 @@
     pub crash_on: Option<String>,
     /// Streams end after so many tokens.
     pub truncate_after_tokens: Option<u64>,
-    /// How they end.
+    /// How a truncated stream ends.
     pub truncation: Truncation,
     /// Streams stop sending after so many tokens, and stay open.
     pub hang_after_tokens: Option<u64>,
@@ -226,7 +226,7 @@
     pub refuse_new: bool,
     /// A request whose caller left is generated to its end all the same.
     pub answer_after_cancel: bool,
-    /// Whether fencing numbers are checked.
+    /// Whether calls with old fencing numbers are rejected.
     pub fencing: Fencing,
     /// The engine vanishes now.
     pub exit: bool,
--- a/crates/standin/src/engine/words.rs
+++ b/crates/standin/src/engine/words.rs
@@ -16,7 +16,7 @@
     (0..count).map(|index| word(digest, index)).collect()
 }
 
-/// Where an answer goes on.
+/// Position at which an answer is continued.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Position {
     /// Digest of the prompt without any partial answer.
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -13,7 +13,7 @@
 
 use crate::server::{Answer, Body, Dropped, text};
 
-/// What goes wrong with a call.
+/// Fault of a call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FaultKind {
@@ -43,7 +43,7 @@
 /// A switch: which fault, and for how many calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fault {
-    /// What goes wrong.
+    /// Faults that occur.
     #[serde(default)]
     pub kind: FaultKind,
     /// Delay of [`FaultKind::Slow`].
--- a/crates/standin/src/journal.rs
+++ b/crates/standin/src/journal.rs
@@ -9,13 +9,13 @@
 /// Start of every journal line.
 pub const PREFIX: &str = "journal ";
 
-/// Whether a stand-in writes a journal.
+/// Whether a stand-in writes a journal of its calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Journal {
     /// Nothing is written.
     #[default]
     Off,
-    /// One line for each entry.
+    /// A line for each entry.
     On,
 }
 
@@ -34,7 +34,7 @@
 pub struct Arrival {
     /// The `x-request-id` header.
     pub request_id: String,
-    /// When, since the Unix epoch.
+    /// Time since the Unix epoch.
     pub at_unix_ms: Millisecond,
 }
 
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -26,7 +26,7 @@
     pub journal: Journal,
 }
 
-/// One call that took effect.
+/// A call that took effect.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Effect {
     /// Position in the log, from 1.
--- a/crates/standin/src/platform/control.rs
+++ b/crates/standin/src/platform/control.rs
@@ -44,12 +44,12 @@
     Fault {
         /// Which calls.
         area: Area,
-        /// What goes wrong.
+        /// Faults that occur.
         fault: Fault,
     },
     /// Whether orders for VMs are refused.
     RefuseStarts {
-        /// Whether they are.
+        /// True to refuse them.
         refuse: bool,
     },
 }
--- a/crates/standin/src/platform/table.rs
+++ b/crates/standin/src/platform/table.rs
@@ -53,7 +53,7 @@
 /// Attributes of an item by name.
 pub type Item = BTreeMap<String, Attribute>;
 
-/// What the table answers.
+/// Answer of the table.
 pub enum Reply {
     /// Success, with its body.
     Done(Value),
@@ -64,7 +64,7 @@
 }
 
 impl Reply {
-    /// Whether a condition did not hold.
+    /// Whether a condition failed.
     pub fn is_conflict(&self) -> bool {
         matches!(self, Self::Cancelled(_))
     }
--- a/crates/standin/src/platform/vms.rs
+++ b/crates/standin/src/platform/vms.rs
@@ -15,11 +15,11 @@
 use super::control::{Area, Platform};
 use crate::server::{Answer, json, query_value, read_json, text};
 
-/// What runs on a VM.
+/// Process of a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum VmRole {
-    /// One of the system's daemons.
+    /// A daemon of the system.
     Entry,
     /// A model engine or plain service.
     Backend,
@@ -30,13 +30,13 @@
 pub struct Vm {
     /// Identifier.
     pub id: String,
-    /// Where its process listens.
+    /// Address of its process.
     pub address: SocketAddr,
-    /// Where it stands.
+    /// Its failure domain.
     pub failure_domain: String,
     /// Its class.
     pub class: String,
-    /// What runs there.
+    /// Process of the VM.
     pub role: VmRole,
     /// The service a backend server offers.
     #[serde(default)]
@@ -97,7 +97,7 @@
         self.lag = Duration::from_millis(lag_ms);
     }
 
-    /// Whether orders are refused.
+    /// Whether orders for VMs are refused.
     pub fn refuse_starts(&mut self, refuse: bool) {
         self.refuse_starts = refuse;
     }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -90,7 +90,7 @@
         })
     }
 
-    /// Where the server listens.
+    /// Address on which the server listens.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
--- a/crates/standin/src/users/cloud.rs
+++ b/crates/standin/src/users/cloud.rs
@@ -16,11 +16,11 @@
 pub struct Taken {
     /// Path.
     pub path: String,
-    /// Who called.
+    /// Name of the caller.
     pub holder: String,
     /// Under which number.
     pub fence: u64,
-    /// With what.
+    /// Body of the call.
     pub body: Value,
 }
 
@@ -55,7 +55,7 @@
         })
     }
 
-    /// Where it listens.
+    /// Address on which it listens.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
--- a/crates/standin/src/users/runner.rs
+++ b/crates/standin/src/users/runner.rs
@@ -69,7 +69,7 @@
 /// Bytes that never become an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Endless {
-    /// One header line.
+    /// A header line.
     HeadLine,
     /// Heads that announce another one.
     Interim,
@@ -138,9 +138,9 @@
     pub fields: BTreeMap<String, String>,
     /// Body.
     pub body: Vec<u8>,
-    /// Whether the runner ran it.
+    /// Whether the runner ran the request.
     pub ran: bool,
-    /// When it came.
+    /// Arrival time.
     pub at: Instant,
     /// What the runner does with it; `None` if it was meant for another one.
     pub behaviour: Option<Behaviour>,
@@ -148,7 +148,7 @@
     pub said: HeaderFields,
 }
 
-/// What a runner is.
+/// Identity and capacity of a runner.
 #[derive(Clone, Debug)]
 pub struct RunnerOptions {
     /// Its identifier.
@@ -216,12 +216,12 @@
         &self.shared.options.id
     }
 
-    /// Where it listens.
+    /// Address on which it listens.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
-    /// What it would register itself as.
+    /// Registry entry of the runner.
     pub fn entry(&self, state: &str) -> Value {
         let options = &self.shared.options;
         json!({
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -15,7 +15,7 @@
 
 use super::exchange::{Connection, Request, json as answer};
 
-/// What is wrong with the store.
+/// Fault of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Outage {
     /// Nothing.
@@ -75,7 +75,7 @@
         })
     }
 
-    /// Where it listens.
+    /// Address on which it listens.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
