Duties: the right to act is asked for in the task that sends the order

Orders are sent by tasks of their own since they no longer wait for each other, so the permit was asked for before the task ran. DutyTenure is asked directly before the send, by reports and orders alike. An order that could not be sent is placed again, and an answer that never comes does not block releases for good (an_answer_that_never_comes_does_not_block_releases_for_good).

--- a/crates/gateway/src/decide/scale/orders.rs
+++ b/crates/gateway/src/decide/scale/orders.rs
@@ -128,14 +128,18 @@
         boot_ms: Millisecond,
         now_ms: Millisecond,
     ) -> bool {
-        match self.placed.get(pool) {
-            None => wanted != here,
+        let Some(placed) = self.placed.get(pool) else {
+            return wanted != here;
+        };
+        let is_overdue = now_ms > placed.at_ms + boot_ms + ORDER_GRACE_MS;
+        match placed.answer {
             // Two orders on their way may arrive in reverse. A late release would undo the other.
-            Some(ordered) if ordered.answer == OrderAnswer::Pending => wanted > ordered.wanted,
-            Some(ordered) if ordered.wanted != wanted => true,
+            OrderAnswer::Pending if !is_overdue => wanted > placed.wanted,
             // The lost order may still be carried out, so the right number is confirmed.
-            Some(ordered) if ordered.answer == OrderAnswer::Lost => true,
-            Some(ordered) => wanted != here && now_ms > ordered.at_ms + boot_ms + ORDER_GRACE_MS,
+            OrderAnswer::Lost => true,
+            OrderAnswer::Pending | OrderAnswer::Accepted => {
+                wanted != placed.wanted || (is_overdue && wanted != here)
+            }
         }
     }
 }
--- a/crates/gateway/src/duty/mod.rs
+++ b/crates/gateway/src/duty/mod.rs
@@ -4,4 +4,5 @@
 pub mod checkpoint;
 pub mod runner;
 pub mod scaling;
+pub mod tenure;
 pub mod usage;
--- a/crates/gateway/src/duty/runner.rs
+++ b/crates/gateway/src/duty/runner.rs
@@ -5,15 +5,14 @@
 use std::time::Duration;
 
 use base::{Map, Name, Set};
-use fleet::lease::{LeasePermit, LeaseTerms};
-use fleet::{LeaseHandle, LeaseHolder};
-use outside::{
-    CommitError, Condition, Duties, DutyError, DutyHolder, Key, Table, UsageReport, Write,
-};
+use fleet::LeaseHolder;
+use fleet::lease::LeaseTerms;
+use outside::{CommitError, Condition, Duties, DutyError, Key, Table, UsageReport, Write};
 use serde::Serialize;
 
 use super::checkpoint::{self, USAGE_PARTITION};
 use super::scaling::Scaler;
+use super::tenure::DutyTenure;
 use crate::decide::store_poll::PollRank;
 use crate::log;
 use crate::node::{Node, Phase};
@@ -63,12 +62,13 @@
         let lease = LeaseHolder::spawn(LEASE_NAME, name.clone(), table.clone(), terms, node.boot);
         // After a restart the node looks once whether its earlier life still holds the lease.
         lease.pause_acquisition(node.settings.node.first_start == FirstStart::Yes);
+        let tenure = DutyTenure::new(lease.handle(), name.clone());
         let runner = DutyRunner {
             table: table.clone(),
-            scaler: Rc::new(Scaler::new(node.clone(), duties.clone())),
+            scaler: Rc::new(Scaler::new(node.clone(), duties.clone(), tenure.clone())),
             duties: duties.clone(),
             node: node.clone(),
-            lease_handle: lease.handle(),
+            tenure,
         };
         runner.run_while_taking_part(&lease).await;
         node.tenure.set(Tenure::None);
@@ -86,7 +86,7 @@
     table: Arc<dyn Table>,
     duties: Arc<dyn Duties>,
     scaler: Rc<Scaler>,
-    lease_handle: LeaseHandle,
+    tenure: DutyTenure,
 }
 
 impl DutyRunner {
@@ -99,7 +99,7 @@
             tokio::time::sleep(ROUND_PERIOD).await;
             self.scaler.observe();
             lease.pause_acquisition(self.leaves_lease_to_others());
-            let tenure = match self.permit() {
+            let tenure = match self.tenure.permit() {
                 Some(_) => Tenure::Holds,
                 None => Tenure::None,
             };
@@ -115,7 +115,7 @@
             if counts == CountsState::Loaded {
                 self.write_checkpoint(&mut written).await;
             }
-            self.scaler.round(|| self.permit().map(|p| self.holder(p)));
+            self.scaler.round();
             let Some(window) = self.due_window(&reported) else {
                 continue;
             };
@@ -156,7 +156,7 @@
         let offset_ms = self.node.clock_offset_ms();
         let mut checkpoint = self.node.usage.borrow().checkpoint(offset_ms);
         checkpoint.begun.sort_unstable();
-        if checkpoint.begun == *written || self.permit().is_none() {
+        if checkpoint.begun == *written || self.tenure.permit().is_none() {
             return;
         }
         // If this write fails, the next round writes again.
@@ -184,17 +184,16 @@
     }
 
     async fn report(&self, window: u64) -> ReportOutcome {
-        if self.permit().is_none() {
+        if self.tenure.permit().is_none() {
             return ReportOutcome::Pending;
         }
         let Some(counts) = self.final_counts(window).await else {
             return ReportOutcome::Pending;
         };
         // The lease is checked again, as the store may have taken long to answer.
-        let Some(permit) = self.permit() else {
+        let Some(holder) = self.tenure.holder() else {
             return ReportOutcome::Pending;
         };
-        let holder = self.holder(permit);
         let report = UsageReport { window, counts };
         let outcome = self.duties.report_usage(&holder, &report).await;
         let fields = UsageFields {
@@ -235,17 +234,6 @@
             Err(CommitError::NotApplied { .. }) => None,
         }
     }
-
-    fn permit(&self) -> Option<LeasePermit> {
-        self.lease_handle.permit()
-    }
-
-    fn holder(&self, permit: LeasePermit) -> DutyHolder {
-        DutyHolder {
-            node: self.node.settings.node.name.clone(),
-            fence: permit.fence.0,
-        }
-    }
 }
 
 /// Whether the counts from before this node held the lease are loaded.
--- a/crates/gateway/src/duty/scaling.rs
+++ b/crates/gateway/src/duty/scaling.rs
@@ -7,9 +7,10 @@
 use base::units::Millisecond;
 use base::{Map, Name};
 use fleet::lease::FENCE_STEP;
-use outside::{Duties, DutyError, DutyHolder, Purchase, ServerOrder};
+use outside::{Duties, DutyError, Purchase, ServerOrder};
 use serde::Serialize;
 
+use super::tenure::DutyTenure;
 use crate::belief::Service;
 use crate::belief::registry::ServerState;
 use crate::decide::scale::{Exposure, Need, Order, PresentServers, Registrations, ScalePlanner};
@@ -28,6 +29,7 @@
 pub struct Scaler {
     node: Rc<Node>,
     duties: Arc<dyn Duties>,
+    tenure: DutyTenure,
     planners: RefCell<Map<Name, ScalePlanner>>,
 }
 
@@ -46,10 +48,11 @@
 
 impl Scaler {
     /// A scaler that has ordered nothing yet.
-    pub fn new(node: Rc<Node>, duties: Arc<dyn Duties>) -> Self {
+    pub fn new(node: Rc<Node>, duties: Arc<dyn Duties>, tenure: DutyTenure) -> Self {
         Self {
             node,
             duties,
+            tenure,
             planners: RefCell::default(),
         }
     }
@@ -76,22 +79,17 @@
     }
 
     /// Places the orders that are due, without waiting for their answers: an order without an answer
-    /// must not delay the next ones. `holder` proves the lease and is asked for again before each
-    /// order.
-    pub fn round(self: &Rc<Self>, holder: impl Fn() -> Option<DutyHolder>) {
+    /// must not delay the next ones.
+    pub fn round(self: &Rc<Self>) {
         let Some(directory) = self.node.directory() else {
             return;
         };
         for service in directory.services.values() {
             let need = self.need(service);
             for order in self.orders(service) {
-                let Some(mut holder) = holder() else {
-                    return;
-                };
-                holder.fence += order.lost_before.min(FENCE_STEP - 1);
                 let (scaler, service) = (self.clone(), service.clone());
                 tokio::task::spawn_local(async move {
-                    scaler.send_order(&holder, &service, need, &order).await;
+                    scaler.send_order(&service, need, &order).await;
                 });
             }
         }
@@ -113,14 +111,21 @@
         planner.plan(scaling, &present, registrations, self.node.now_ms())
     }
 
-    async fn send_order(&self, holder: &DutyHolder, service: &Service, need: Need, order: &Order) {
+    async fn send_order(&self, service: &Service, need: Need, order: &Order) {
+        let Some(mut holder) = self.tenure.holder() else {
+            let mut planners = self.planners.borrow_mut();
+            self.planner(&mut planners, service)
+                .record_unanswered(order);
+            return;
+        };
+        holder.fence += order.lost_before.min(FENCE_STEP - 1);
         let request = ServerOrder {
             service: service.name.clone(),
             failure_domain: order.failure_domain.clone(),
             purchase: order.purchase,
             wanted: order.wanted,
         };
-        let outcome = self.duties.order_servers(holder, &request).await;
+        let outcome = self.duties.order_servers(&holder, &request).await;
         let mut planners = self.planners.borrow_mut();
         let planner = self.planner(&mut planners, service);
         match &outcome {
--- a/crates/gateway/tests/scaling.rs
+++ b/crates/gateway/tests/scaling.rs
@@ -302,23 +302,45 @@
 #[test]
 fn no_release_is_ordered_before_the_last_order_is_answered() {
     let mut scale = ScalePlanner::default();
-    let present = in_each_domain(0, 2);
+    let present = in_each_domain(0, 4);
     let scaling = scaling(None);
     let registrations = Registrations::Complete;
-    scale.observe(Need::Busy(6.0), &present, 10_000);
-    let first = scale.plan(&scaling, &present, registrations, 10_000);
-    assert!(!first.is_empty());
-    let at_ms = 40_000;
-    for settled_ms in [at_ms - 7_000, at_ms] {
-        scale.observe(Need::Busy(1.0), &in_each_domain(0, 4), settled_ms);
+    for at_ms in [10_000, 20_000] {
+        scale.observe(Need::Busy(6.0), &present, at_ms);
     }
-    let before = scale.plan(&scaling, &in_each_domain(0, 4), registrations, at_ms);
+    scale.set_lost_servers(6.0);
+    let first = scale.plan(&scaling, &present, registrations, 20_000);
+    assert!(first.iter().all(|o| o.wanted == 6) && first.len() == 3);
+    scale.set_lost_servers(0.0);
+    let before = scale.plan(&scaling, &present, registrations, 21_000);
     assert_eq!(before, Vec::new());
     for order in &first {
         scale.record_acceptance(order);
     }
-    let after = scale.plan(&scaling, &in_each_domain(0, 4), registrations, at_ms);
-    assert!(!after.is_empty());
+    let after = scale.plan(&scaling, &present, registrations, 21_000);
+    assert!(after.iter().all(|o| o.wanted == 4) && after.len() == 3);
+}
+
+/// A call ends within seconds, so an answer that is still missing later will not come any more.
+#[test]
+fn an_answer_that_never_comes_does_not_block_releases_for_good() {
+    let mut scale = ScalePlanner::default();
+    let present = in_each_domain(0, 4);
+    let scaling = scaling(None);
+    let registrations = Registrations::Complete;
+    for at_ms in [10_000, 20_000] {
+        scale.observe(Need::Busy(6.0), &present, at_ms);
+    }
+    scale.set_lost_servers(6.0);
+    assert!(
+        !scale
+            .plan(&scaling, &present, registrations, 20_000)
+            .is_empty()
+    );
+    scale.set_lost_servers(0.0);
+    scale.observe(Need::Busy(6.0), &in_each_domain(0, 6), 27_000);
+    let later = scale.plan(&scaling, &in_each_domain(0, 6), registrations, 27_000);
+    assert!(later.iter().all(|o| o.wanted == 4) && later.len() == 3);
 }
 
 /// Reclaimable servers that are wanted but cannot be bought must not take the place of others.
