Buying: an order whose answer was lost is repeated after 500 ms at the earliest

Since orders are not waited for, a platform that rejects calls at once would get them in each round of 250 ms; before, the rounds themselves waited.

--- a/crates/gateway/src/decide/scale/mod.rs
+++ b/crates/gateway/src/decide/scale/mod.rs
@@ -103,7 +103,7 @@
         self.orders.record_acceptance(order);
     }
 
-    /// Records that the answer to an order was lost. The order is placed again in the next round.
+    /// Records that the answer to an order was lost. The order is placed again soon.
     pub fn record_unanswered(&mut self, order: &Order) {
         self.orders.record_unanswered(order);
     }
--- a/crates/gateway/src/decide/scale/orders.rs
+++ b/crates/gateway/src/decide/scale/orders.rs
@@ -10,6 +10,10 @@
 /// Time beyond the boot time of a server after which an order counts as not carried out.
 const ORDER_GRACE_MS: Millisecond = 2_500;
 
+/// Shortest time between two orders for the same servers if the answer to the first one is lost. A
+/// platform that is down may reject calls at once.
+const LOST_RETRY_MS: Millisecond = 500;
+
 /// The wanted number of servers of one kind in one failure domain.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Order {
@@ -57,7 +61,7 @@
         self.set_answer(order, OrderAnswer::Accepted);
     }
 
-    /// Records that the answer to an order was lost. The order is placed again in the next round.
+    /// Records that the answer to an order was lost. The order is placed again soon.
     pub fn record_unanswered(&mut self, order: &Order) {
         let lost = self.lost.entry(order.failure_domain.clone()).or_default();
         *lost = (*lost).max(order.lost_before + 1);
@@ -136,7 +140,7 @@
             // Two orders on their way may arrive in reverse. A late release would undo the other.
             OrderAnswer::Pending if !is_overdue => wanted > placed.wanted,
             // The lost order may still be carried out, so the right number is confirmed.
-            OrderAnswer::Lost => true,
+            OrderAnswer::Lost => now_ms >= placed.at_ms + LOST_RETRY_MS,
             OrderAnswer::Pending | OrderAnswer::Accepted => {
                 wanted != placed.wanted || (is_overdue && wanted != here)
             }
--- a/crates/gateway/tests/scaling.rs
+++ b/crates/gateway/tests/scaling.rs
@@ -404,6 +404,27 @@
     assert!(orders.iter().all(|o| o.wanted == 4 && o.lost_before == 1));
 }
 
+/// A platform that is down may reject calls at once, and each call has its price.
+#[test]
+fn a_platform_that_is_down_is_not_asked_in_every_round() {
+    let mut scale = ScalePlanner::default();
+    let scaling = scaling(None);
+    let present = in_each_domain(0, 2);
+    let (mut orders, round_ms, rounds) = (0, 250, 40);
+    for round in 0..rounds {
+        let now_ms = 10_000 + round * round_ms;
+        scale.observe(Need::Busy(6.0), &present, now_ms);
+        for order in scale.plan(&scaling, &present, Registrations::Complete, now_ms) {
+            scale.record_unanswered(&order);
+            orders += 1;
+        }
+    }
+    assert!(
+        orders <= 3 * rounds / 2,
+        "{orders} orders in {rounds} rounds"
+    );
+}
+
 /// An order that is overtaken by one with a higher fencing number is refused, though servers can be
 /// bought.
 #[test]
