--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -65,7 +65,7 @@
     TaskPanicked = 105, "task.panicked", Error, "A task panicked; its request or connection ends and the daemon keeps running. Report the source location in the fields as a bug.";
     TaskRestarted = 106, "task.restarted", Error, "A task that runs for the lifetime of the daemon panicked and was restarted.";
     RequestAccepted = 200, "request.accepted", Info, "A request passed admission and has its number.";
-    RequestRefused = 201, "request.refused", Info, "A request was refused before it ran; fields give code and reason.";
+    RequestRefused = 201, "request.refused", Info, "A request was refused before it ran; fields give code and reason, and the allowance with its level.";
     RequestFinished = 202, "request.finished", Info, "A request got its final answer.";
     RequestSuspected = 203, "request.suspected", Warn, "A backend server crashed while it ran a request; fields give the server and how the request is run from now on.";
     RouteChosen = 300, "route.chosen", Info, "A backend server was chosen; fields give the reason and the scores of the alternatives.";
@@ -107,7 +107,7 @@
     LedgerSwept = 606, "ledger.swept", Info, "Answers older than their retention were dropped; their keys stay closed.";
 
     UsageReported = 611, "usage.reported", Info, "The usage of a window was reported to the platform; fields give the outcome.";
-    ServersOrdered = 612, "servers.ordered", Info, "A number of backend servers was ordered; fields give the need that it answers and the outcome.";
+    ServersOrdered = 612, "servers.ordered", Info, "A number of backend servers was ordered; fields give the need that it answers, the exposure to reclaims and the outcome.";
 
     PlacementDecided = 700, "placement.decided", Info, "VMs were bought, returned or given a new role; fields give the reason and the alternatives.";
 }
