--- a/crates/emulator/src/callers.rs
+++ b/crates/emulator/src/callers.rs
@@ -4,6 +4,7 @@
 
 use base::units::TokenCount;
 use gateway::decide::prompt::{Prompt, PromptPart};
+use policy::suspect::PartId;
 use rand::Rng;
 use rand::rngs::SmallRng;
 use rustc_hash::FxHasher;
@@ -75,14 +76,17 @@
     let shared_tokens = (kind.shared_tokens * (1.0 - COMMON_SHARE)) as TokenCount;
     let parts = vec![
         PromptPart {
+            id: PartId::new(common),
             chain: common,
             tokens: common_tokens,
         },
         PromptPart {
+            id: PartId::new(shared),
             chain: shared,
             tokens: shared_tokens,
         },
         PromptPart {
+            id: PartId::new(own),
             chain: own,
             tokens: size(kind.own_tokens, rng),
         },
--- a/crates/emulator/tests/engines.rs
+++ b/crates/emulator/tests/engines.rs
@@ -4,6 +4,7 @@
 use emulator::experiment::EngineSheet;
 use emulator::schedule::Microsecond;
 use gateway::decide::prompt::{Prompt, PromptPart};
+use policy::suspect::PartId;
 
 fn sheet() -> EngineSheet {
     EngineSheet {
@@ -19,7 +20,11 @@
 }
 
 fn task(id: usize, shared: u64, own_tokens: u64, answer_tokens: u64) -> Task {
-    let part = |chain: u64, tokens: u64| PromptPart { chain, tokens };
+    let part = |chain: u64, tokens: u64| PromptPart {
+        id: PartId::new(chain),
+        chain,
+        tokens,
+    };
     let parts = vec![part(shared, 2_000), part(1_000 + id as u64, own_tokens)];
     Task {
         id,
--- a/crates/gateway/src/backend/crash_check.rs
+++ b/crates/gateway/src/backend/crash_check.rs
@@ -1,10 +1,13 @@
 //! Distinguishes a crashed server from a broken connection, and reports the requests that a crash
 //! makes suspects.
 
+use std::cmp::Reverse;
 use std::rc::Rc;
 use std::time::Duration;
 
-use policy::suspect::{Loss, RequestDigest};
+use base::units::Millisecond;
+use base::{Map, Name, Set};
+use policy::suspect::{Loss, PartId, RequestDigest};
 use serde::Serialize;
 use tokio::net::TcpStream;
 
@@ -19,17 +22,38 @@
 /// A server that accepts no connection within this time is considered down.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Most parts of prompts in a log line.
+const LOGGED_PARTS: usize = 6;
+
+/// A request whose connection broke.
+#[derive(Debug)]
+pub struct BrokenRequest {
+    pub digest: RequestDigest,
+    pub workspace: Name,
+    /// Parts of its prompt that other requests may share.
+    pub parts: Vec<PartId>,
+    /// When it was sent to the server.
+    pub started_ms: Millisecond,
+}
+
 #[derive(Serialize)]
 struct SuspectedFields<'a> {
     server: &'a str,
+    service: &'a str,
     requests: usize,
+    workspaces: usize,
+    /// Age of the request that was sent last.
+    youngest_ms: Millisecond,
+    /// Parts that most of the prompts share, and how many have them.
+    parts: Vec<(PartId, usize)>,
+    loss: Loss,
 }
 
 /// Records that the connection of a request broke. The first broken connection starts one check for
 /// a crash, which covers all those that break within the same window.
-pub fn note_broken_connection(node: &Rc<Node>, server: &Rc<Server>, digest: RequestDigest) {
+pub fn note_broken_connection(node: &Rc<Node>, server: &Rc<Server>, request: BrokenRequest) {
     let mut broken = server.broken_requests.borrow_mut();
-    broken.push(digest);
+    broken.push(request);
     if broken.len() > 1 {
         return;
     }
@@ -44,19 +68,16 @@
     let up = tokio::time::timeout(PROBE_TIMEOUT, probe)
         .await
         .is_ok_and(|c| c.is_ok());
-    let digests = server.broken_requests.take();
+    let broken = server.broken_requests.take();
     if up {
         return;
     }
-    let fields = SuspectedFields {
-        server: &server.record.id,
-        requests: digests.len(),
-    };
-    crate::log::emit(events::Code::RequestSuspected, &fields);
     let loss = match is_draining_or_gone(node, server) {
         true => Loss::Announced,
         false => Loss::Crash,
     };
+    report(node, server, &broken, loss);
+    let digests: Vec<RequestDigest> = broken.iter().map(|request| request.digest).collect();
     let record = &server.record;
     let mut suspects = node.suspects.borrow_mut();
     suspects.server_lost(
@@ -68,6 +89,32 @@
     );
 }
 
+fn report(node: &Node, server: &Server, broken: &[BrokenRequest], loss: Loss) {
+    let started_ms = broken.iter().map(|request| request.started_ms).max();
+    let workspaces: Set<&Name> = broken.iter().map(|request| &request.workspace).collect();
+    let fields = SuspectedFields {
+        server: &server.record.id,
+        service: &server.record.service,
+        requests: broken.len(),
+        workspaces: workspaces.len(),
+        youngest_ms: node.now_ms().saturating_sub(started_ms.unwrap_or(0)),
+        parts: most_shared_parts(broken),
+        loss,
+    };
+    crate::log::emit(events::Code::RequestSuspected, &fields);
+}
+
+fn most_shared_parts(broken: &[BrokenRequest]) -> Vec<(PartId, usize)> {
+    let mut counts: Map<PartId, usize> = Map::default();
+    for part in broken.iter().flat_map(|request| &request.parts) {
+        *counts.entry(*part).or_default() += 1;
+    }
+    let mut counts: Vec<(PartId, usize)> = counts.into_iter().collect();
+    counts.sort_unstable_by_key(|(part, count)| (Reverse(*count), *part));
+    counts.truncate(LOGGED_PARTS);
+    counts
+}
+
 fn is_draining_or_gone(node: &Node, server: &Server) -> bool {
     let registry = node.registry.borrow();
     let known = registry.server(&server.record.id);
--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -8,8 +8,8 @@
 use base::units::{Millisecond, TokenCount};
 use base::{Map, Name, Set};
 use outside::Purchase;
-use policy::suspect::RequestDigest;
 
+use crate::backend::crash_check::BrokenRequest;
 use crate::backend::pool::IdleConn;
 use crate::decide::backpressure::Backpressure;
 use crate::decide::prefix_cache::PrefixCache;
@@ -62,7 +62,7 @@
     /// Consecutive failures.
     pub failures: Cell<u32>,
     /// Requests whose connections broke, until it is known whether the server is down.
-    pub broken_requests: RefCell<Vec<RequestDigest>>,
+    pub broken_requests: RefCell<Vec<BrokenRequest>>,
     /// Open connections to the server.
     pub connections: Rc<Cell<u32>>,
     /// Connections that are open and unused.
--- a/crates/gateway/src/decide/prompt.rs
+++ b/crates/gateway/src/decide/prompt.rs
@@ -3,12 +3,18 @@
 use std::hash::{Hash, Hasher};
 
 use base::units::TokenCount;
+use policy::suspect::PartId;
 use rustc_hash::FxHasher;
 
+/// Most parts of one prompt that are watched for crashes.
+const SHARED_PARTS_LIMIT: usize = 64;
+
 /// A part of a prompt. A cached part can be used only after the same preceding parts, so it is
 /// identified together with them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
+    /// Identifier of the part by itself, which doesn't depend on the parts before it.
+    pub id: PartId,
     /// Hash of this part and all parts before it.
     pub chain: u64,
     pub tokens: TokenCount,
@@ -39,7 +45,8 @@
             };
             id.hash(&mut hasher);
             let chain = hasher.finish();
-            prompt.parts.push(PromptPart { chain, tokens });
+            let id = PartId::parse(id);
+            prompt.parts.push(PromptPart { id, chain, tokens });
         }
         let (input, output) = usage.and_then(|u| u.split_once(',')).unwrap_or_default();
         prompt.input_tokens = input.trim().parse().unwrap_or(0);
@@ -59,6 +66,13 @@
         listed.max(self.input_tokens)
     }
 
+    /// Identifiers of the parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> Vec<PartId> {
+        let shared = self.parts.len().saturating_sub(1);
+        let shared = &self.parts[..shared.min(SHARED_PARTS_LIMIT)];
+        shared.iter().map(|part| part.id).collect()
+    }
+
     /// Hash of the longest prefix that other requests may share: all parts but the last, or the
     /// only part.
     pub fn shared_chain(&self) -> Option<u64> {
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -160,7 +160,8 @@
             | FailureCause::Silent => server.record_failure(now_ms),
         }
         if cause == FailureCause::Broken {
-            crash_check::note_broken_connection(self.node, server, self.job.digest());
+            let request = self.job.broken(attempt.started_ms);
+            crash_check::note_broken_connection(self.node, server, request);
         }
         if !matches!(cause, FailureCause::Withheld(_)) {
             self.avoid.push(server.record.id.clone());
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -3,12 +3,14 @@
 use std::cell::{Cell, OnceCell};
 use std::sync::Arc;
 
+use base::Name;
 use base::units::Millisecond;
 use bytes::{Bytes, BytesMut};
 use policy::suspect::RequestDigest;
 
 use super::request::Request;
 use crate::backend::answer_summary::AnswerSummary;
+use crate::backend::crash_check::BrokenRequest;
 use crate::belief::{Route, Server, Service, Workspace};
 use crate::decide::prompt::Prompt;
 use crate::http::HeadWriter;
@@ -101,6 +103,22 @@
         self.deadline_ms.saturating_sub(self.node.now_ms())
     }
 
+    /// The request as one whose connection broke after it was sent at `started_ms`.
+    pub fn broken(&self, started_ms: Millisecond) -> BrokenRequest {
+        BrokenRequest {
+            digest: self.digest(),
+            workspace: self.workspace_name(),
+            parts: self.prompt.shared_parts(),
+            started_ms,
+        }
+    }
+
+    /// Name of the caller's workspace; empty on a route that is open to anyone.
+    pub fn workspace_name(&self) -> Name {
+        let workspace = self.workspace.as_ref();
+        workspace.map_or_else(|| "".into(), |w| w.name.clone())
+    }
+
     /// Digest by which a request that crashes servers is recognized when it is sent again.
     pub fn digest(&self) -> RequestDigest {
         *self.digest.get_or_init(|| {
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -10,9 +10,11 @@
 //! Entry VMs exchange records. Instants are sent as ages, because the clocks of the VMs differ.
 
 mod digest;
+mod part_id;
 mod record;
 
 pub use digest::RequestDigest;
+pub use part_id::PartId;
 pub use record::{IncidentAge, Nature, SuspectRecord};
 
 use std::collections::VecDeque;
@@ -59,7 +61,8 @@
 }
 
 /// Kind of loss of a backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Loss {
     /// The server disappeared without a notice.
     Crash,
