Suspects: a part of prompts that crashes servers is quarantined

Cause: what is refused was learned per whole request (workspace, target, body), and these requests differ in all but the part. Ruled out: losses taken for announced ones (all 562 were taken for crashes).

Fix: crashes are counted per part over all nodes; three in sequence without a completion quarantine the part that explains them best; it is looked up before each send.

--- a/crates/gateway/src/backend/crash_check.rs
+++ b/crates/gateway/src/backend/crash_check.rs
@@ -7,10 +7,11 @@
 
 use base::units::Millisecond;
 use base::{Map, Name, Set};
-use policy::suspect::{Loss, PartId, RequestDigest};
+use policy::suspect::{Loss, PartId, RequestDigest, RunOnServer};
 use serde::Serialize;
 use tokio::net::TcpStream;
 
+use super::quarantine;
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
 use crate::clock::unix_ms;
@@ -34,6 +35,8 @@
     pub parts: Vec<PartId>,
     /// When it was sent to the server.
     pub started_ms: Millisecond,
+    /// When its connection broke.
+    pub broken_ms: Millisecond,
 }
 
 #[derive(Serialize)]
@@ -79,14 +82,37 @@
     report(node, server, &broken, loss);
     let digests: Vec<RequestDigest> = broken.iter().map(|request| request.digest).collect();
     let record = &server.record;
-    let mut suspects = node.suspects.borrow_mut();
-    suspects.server_lost(
+    node.suspects.borrow_mut().server_lost(
         &record.id,
         &record.failure_domain,
         loss,
         &digests,
         unix_ms(),
     );
+    if loss == Loss::Crash {
+        suspect_parts(node, server, &broken);
+    }
+}
+
+fn suspect_parts(node: &Node, server: &Server, broken: &[BrokenRequest]) {
+    let now_ms = node.now_ms();
+    let crashed_ms = broken.iter().map(|request| request.broken_ms).min();
+    let runs: Vec<RunOnServer<'_>> = broken
+        .iter()
+        .map(|request| RunOnServer {
+            workspace: &request.workspace,
+            parts: &request.parts,
+            started_ms: request.started_ms,
+        })
+        .collect();
+    let changes = node.suspect_parts.borrow_mut().server_crashed(
+        &server.record.service,
+        &server.record.id,
+        &runs,
+        crashed_ms.unwrap_or(now_ms),
+        now_ms,
+    );
+    quarantine::apply(node, &changes);
 }
 
 fn report(node: &Node, server: &Server, broken: &[BrokenRequest], loss: Loss) {
--- a/crates/gateway/src/backend/mod.rs
+++ b/crates/gateway/src/backend/mod.rs
@@ -6,3 +6,4 @@
 pub mod exchange;
 pub mod gate;
 pub mod pool;
+pub mod quarantine;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -212,6 +212,7 @@
         let now_ms = node.now_ms();
         follow::servers::expire(&node);
         node.suspects.borrow_mut().expire(unix_ms());
+        node.suspect_parts.borrow_mut().expire(now_ms);
         for server in node.registry.borrow().servers() {
             pool::close_expired(server, now_ms);
         }
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -97,11 +97,17 @@
         let started = Instant::now();
         let left_ms = self.job.left_ms();
         loop {
+            if let Some(refused_for_ms) = self.job.refused_for_ms() {
+                return Err(self.quarantine_reply(refused_for_ms));
+            }
             let no_server = match Attempt::place(self.job, &self.avoid, self.history.run_state) {
                 Ok(mut attempt) => {
                     self.report_choice(&attempt);
                     attempt.wait_for_turn().await;
-                    return Ok(attempt);
+                    return match self.job.refused_for_ms() {
+                        Some(refused_for_ms) => Err(self.quarantine_reply(refused_for_ms)),
+                        None => Ok(attempt),
+                    };
                 }
                 Err(no_server) => no_server,
             };
@@ -187,6 +193,13 @@
         LocalReply::unknown(504, "timed_out", text)
     }
 
+    fn quarantine_reply(&self, refused_for_ms: Millisecond) -> LocalReply {
+        let Some(proof) = self.history.not_run_proof() else {
+            return self.final_reply();
+        };
+        LocalReply::part_in_quarantine(proof, refused_for_ms)
+    }
+
     fn final_reply(&self) -> LocalReply {
         if let Some(proof) = self.history.not_run_proof() {
             let text = "No server took the request; it was not run.";
--- a/crates/gateway/src/front/in_flight.rs
+++ b/crates/gateway/src/front/in_flight.rs
@@ -9,6 +9,7 @@
 use super::job::{Job, MayHaveRun};
 use super::serve::ServeOutcome;
 use crate::backend::answer_summary::AnswerSummary;
+use crate::backend::quarantine;
 use crate::clock::unix_ms;
 use crate::metrics::RequestOutcome;
 
@@ -75,6 +76,11 @@
             let mut suspects = self.job.node.suspects.borrow_mut();
             suspects.completed(self.job.digest(), unix_ms());
         }
+        if outcome == RequestOutcome::Passed && (200..300).contains(&status) {
+            let service = &self.job.service.name;
+            let parts = || self.job.prompt.shared_parts();
+            quarantine::record_completion(self.job.node, service, parts);
+        }
         self.report(outcome, status, code, run_state(served));
     }
 
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -110,9 +110,21 @@
             workspace: self.workspace_name(),
             parts: self.prompt.shared_parts(),
             started_ms,
+            broken_ms: self.node.now_ms(),
         }
     }
 
+    /// Time for which requests with the parts of this prompt are refused; `None` if it may run.
+    pub fn refused_for_ms(&self) -> Option<Millisecond> {
+        let suspects = self.node.suspect_parts.borrow();
+        if suspects.is_empty() {
+            return None;
+        }
+        let parts = self.prompt.shared_parts();
+        let workspace = self.workspace_name();
+        suspects.refused_for_ms(&self.service.name, &workspace, &parts, self.node.now_ms())
+    }
+
     /// Name of the caller's workspace; empty on a route that is open to anyone.
     pub fn workspace_name(&self) -> Name {
         let workspace = self.workspace.as_ref();
--- a/crates/gateway/src/front/local_reply.rs
+++ b/crates/gateway/src/front/local_reply.rs
@@ -87,6 +87,12 @@
         }
     }
 
+    /// The reply to a request whose prompt holds a part that crashes servers.
+    pub fn part_in_quarantine(proof: NotRunProof, refused_for_ms: Millisecond) -> Self {
+        let text = "A part of this prompt has crashed the servers that ran it; leave it out.";
+        Self::later(proof, 503, "part_crashes_servers", text, refused_for_ms)
+    }
+
     /// Replies to a request that ran or may have run, but has no answer that can be relayed.
     pub fn unknown(status: u16, code: &'static str, message: &'static str) -> Self {
         Self {
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -264,6 +264,11 @@
 }
 
 fn check_suspect(job: &Job<'_>) -> Option<LocalReply> {
+    if let Some(refused_for_ms) = job.refused_for_ms() {
+        job.refund();
+        let proof = NotRunProof::unsent();
+        return Some(LocalReply::part_in_quarantine(proof, refused_for_ms));
+    }
     let suspects = job.node.suspects.borrow();
     if suspects.is_empty() {
         return None;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -6,7 +6,7 @@
 
 use base::units::Millisecond;
 use base::{Map, Name};
-use policy::suspect::SuspectRequests;
+use policy::suspect::{SuspectParts, SuspectRequests};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::Notify;
@@ -76,6 +76,8 @@
     pub usage: RefCell<Usage>,
     /// Requests that may crash the servers that run them.
     pub suspects: RefCell<SuspectRequests>,
+    /// Parts of prompts that may crash the servers that run requests with them.
+    pub suspect_parts: RefCell<SuspectParts>,
     pub phase: Cell<Phase>,
     /// Number of requests being served.
     pub in_flight: Cell<u32>,
@@ -121,6 +123,7 @@
             offered_loads: RefCell::default(),
             usage: RefCell::new(Usage::new(ms(settings.bounds.usage_window_s))),
             suspects: RefCell::default(),
+            suspect_parts: RefCell::default(),
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
             callers: Cell::new(0),
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -12,7 +12,7 @@
 use super::message::{HeartbeatContent, NodeHeartbeat, RegistryVersion};
 use super::role::{DrainState, HEARTBEAT_PERIOD_MS, Presence, SMALL_FLEET_NODES, period_ms};
 use super::{PeerUpdate, pull, pulse};
-use crate::backend::gate;
+use crate::backend::{gate, quarantine};
 use crate::belief::registry::Load;
 use crate::clock::unix_ms;
 use crate::decide::allowance::PeerUsage;
@@ -165,6 +165,7 @@
             .collect(),
         begun: node.usage.borrow().recent_windows(),
         suspects,
+        parts: quarantine::report(node),
         notices: gate::notices(node),
     }
 }
@@ -210,6 +211,7 @@
         }
     }
     gate::apply_notices(node, &heartbeat.notices);
+    quarantine::merge(node, &heartbeat.parts);
     if heartbeat.content == HeartbeatContent::Whole {
         apply_full_heartbeat(node, &heartbeat, now_ms);
     }
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -2,7 +2,7 @@
 
 use base::Name;
 use base::units::{Millisecond, TokenCount};
-use policy::suspect::SuspectRecord;
+use policy::suspect::{PartReport, SuspectRecord};
 use serde::{Deserialize, Serialize};
 
 use super::NODES_LIMIT;
@@ -62,6 +62,9 @@
     /// Requests that the sender saw crash servers, and requests that it saw complete after all.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<SuspectRecord>,
+    /// Parts of prompts that the sender saw crash servers, and those in quarantine.
+    #[serde(default, skip_serializing_if = "PartReport::is_empty")]
+    pub parts: PartReport,
     /// Backpressure announced by backend servers.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub notices: Vec<Notice>,
--- a/crates/gateway/src/peer/pulse.rs
+++ b/crates/gateway/src/peer/pulse.rs
@@ -15,6 +15,7 @@
 use super::exchange::{heartbeat, send_to};
 use super::message::{HeartbeatContent, NodeHeartbeat, Tenure};
 use super::role::{HEARTBEAT_PERIOD_MS, Role, SMALL_FLEET_NODES};
+use crate::backend::quarantine;
 use crate::node::Node;
 
 /// Time between two pulses to the other nodes that follow the store.
@@ -36,16 +37,27 @@
     let mut rounds = PulseRounds::default();
     loop {
         tokio::time::sleep(PULSE_PERIOD).await;
-        if node.node_count() <= SMALL_FLEET_NODES || node.role() == Role::Listens {
+        let domain = &node.settings.node.failure_domain;
+        let (followers, listeners) = node.peers.borrow().pulse_recipients(domain);
+        if node.node_count() <= SMALL_FLEET_NODES {
             rounds = PulseRounds::default();
             continue;
         }
-        let domain = &node.settings.node.failure_domain;
-        let (followers, listeners) = node.peers.borrow().pulse_recipients(domain);
+        if node.role() == Role::Listens {
+            rounds = PulseRounds::default();
+            // Crashes are counted by the nodes that follow the store, as these reach all others
+            // soon.
+            if quarantine::has_fresh_evidence(&node) {
+                let mut pulse = heartbeat(&node, node.next_datagram_number(), started_unix_ms);
+                send(&node, &socket, &mut pulse, HEARTBEAT_PERIOD_MS, &followers);
+            }
+            continue;
+        }
         let mut pulse = heartbeat(&node, node.next_datagram_number(), started_unix_ms);
-        send(&socket, &mut pulse, HEARTBEAT_PERIOD_MS, &followers);
+        send(&node, &socket, &mut pulse, HEARTBEAT_PERIOD_MS, &followers);
         if rounds.listeners_are_due((pulse.directory, pulse.registry.changed, pulse.tenure)) {
             send(
+                &node,
                 &socket,
                 &mut pulse,
                 HEARTBEAT_PERIOD_MS * LISTENER_PULSE_ROUNDS,
@@ -56,18 +68,25 @@
 }
 
 fn send(
+    node: &Node,
     socket: &UdpSocket,
     pulse: &mut NodeHeartbeat,
     period_ms: Millisecond,
     addresses: &[SocketAddr],
 ) {
+    reduce(node, pulse, period_ms);
+    send_to(socket, pulse, addresses);
+}
+
+/// Reduces a whole heartbeat to a pulse.
+pub fn reduce(node: &Node, pulse: &mut NodeHeartbeat, period_ms: Millisecond) {
     pulse.content = HeartbeatContent::Pulse { period_ms };
     pulse.loads.clear();
     pulse.busy.clear();
     pulse.used.clear();
     pulse.begun.clear();
     pulse.suspects.clear();
-    send_to(socket, pulse, addresses);
+    pulse.parts = quarantine::fresh_report(node);
 }
 
 /// Chooses the pulses that also go to listening nodes.
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -10,11 +10,20 @@
 //! Entry VMs exchange records. Instants are sent as ages, because the clocks of the VMs differ.
 
 mod digest;
+mod part;
 mod part_id;
+mod parts;
+mod quarantine;
 mod record;
 
 pub use digest::RequestDigest;
+pub use part::PartRecord;
 pub use part_id::PartId;
+pub use parts::{PARTS_LIMIT, QUARANTINES_LIMIT, RunOnServer, SEQUENCE_LIMIT, SuspectParts};
+pub use quarantine::{
+    PartReport, QuarantineChange, QuarantineOutcome, QuarantineRecord,
+    REFUSAL_MS as PART_REFUSAL_MS,
+};
 pub use record::{IncidentAge, Nature, SuspectRecord};
 
 use std::collections::VecDeque;
--- a/crates/policy/src/suspect/record.rs
+++ b/crates/policy/src/suspect/record.rs
@@ -11,7 +11,7 @@
 const INCIDENT_LIMIT: usize = 4;
 
 /// Reports of the same loss, or of the same completion, differ by no more than this time.
-const SAME_EVENT_MS: Millisecond = 5_000;
+pub const SAME_EVENT_MS: Millisecond = 5_000;
 
 /// Known cause of a loss. The order matters: a departure replaces a crash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/standin/src/users/runner.rs
+++ b/crates/standin/src/users/runner.rs
@@ -64,6 +64,23 @@
     Hang,
     /// Goes down: its port refuses connections from now on.
     Crash,
+    /// Goes down at a request whose prompt has this part, and answers others.
+    CrashAtPart(&'static str),
+}
+
+impl Behaviour {
+    /// What it means for a request with these fields.
+    fn at(self, fields: &BTreeMap<String, String>) -> Self {
+        let Self::CrashAtPart(part) = self else {
+            return self;
+        };
+        let parts = fields.get("apricotledge-prefix-hash");
+        let mut parts = parts.map_or("", String::as_str).split(',');
+        match parts.any(|p| p.split(':').next() == Some(part)) {
+            true => Self::Crash,
+            false => Self::Answer,
+        }
+    }
 }
 
 /// Bytes that never become an answer.
@@ -338,6 +355,7 @@
             }
             Some(behaviour) => {
                 connection.say(&said);
+                let behaviour = behaviour.at(&request.fields);
                 act(&mut connection, &shared, &id, behaviour, after).await
             }
         };
@@ -420,7 +438,7 @@
             connection.send(&bytes).await?;
             None
         }
-        Behaviour::Crash => {
+        Behaviour::Crash | Behaviour::CrashAtPart(_) => {
             shared.crashed.notify_one();
             None
         }
