--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -38,12 +38,24 @@
     silent_ms: Millisecond,
 }
 
+#[derive(Serialize)]
+struct RestoredFields<'a> {
+    topic: &'a str,
+    /// Era before; 0 at the start.
+    before: Option<u64>,
+    era: u64,
+    asked_since: Option<u64>,
+    answered: Option<u64>,
+    history_gone: bool,
+}
+
 /// Handler of a topic's rows.
 type ApplyBatch = fn(&Rc<Node>, FeedBatch, BatchScope);
 
 /// Follows a topic until the process ends.
 pub async fn follow(node: Rc<Node>, feed: Arc<dyn Feed>, topic: Topic, apply_batch: ApplyBatch) {
     let mut revision = None;
+    let mut era = None;
     loop {
         if node.role() == Role::Listens {
             tokio::time::sleep(RETRY_DELAY).await;
@@ -60,6 +72,10 @@
                 changes(&*feed, topic, since, wait_ms).await
             }
         };
+        if era.is_some_and(|era| era != feed.era()) {
+            report_restored(topic, era, feed.era(), revision, &outcome);
+        }
+        era = Some(feed.era());
         match outcome {
             Ok((batch, scope)) => {
                 record_store_answer(&node, topic);
@@ -157,6 +173,24 @@
     Ok((batch, BatchScope::Changes))
 }
 
+fn report_restored(
+    topic: Topic,
+    before: Option<u64>,
+    era: u64,
+    asked_since: Option<u64>,
+    outcome: &Result<(FeedBatch, BatchScope), FeedError>,
+) {
+    let fields = RestoredFields {
+        topic: topic_name(topic),
+        before,
+        era,
+        asked_since,
+        answered: outcome.as_ref().ok().map(|(batch, _)| batch.revision),
+        history_gone: matches!(outcome, Err(FeedError::HistoryGone)),
+    };
+    log::emit(events::Code::StoreRestored, &fields);
+}
+
 fn record_store_answer(node: &Node, topic: Topic) {
     let now_ms = node.now_ms();
     let was_failing = node.store_failed_ms.get() > node.store_ok_ms.get();
--- a/crates/outside/src/feed.rs
+++ b/crates/outside/src/feed.rs
@@ -52,6 +52,12 @@
 /// Client of change feeds.
 #[async_trait]
 pub trait Feed: Send + Sync {
+    /// Number of times that the store was restored from an earlier copy, according to its last
+    /// response; 0 for a store that doesn't say so.
+    fn era(&self) -> u64 {
+        0
+    }
+
     /// Reads all rows of a topic.
     async fn snapshot(&self, topic: Topic) -> Result<FeedBatch, ReadError>;
 
--- a/crates/outside/src/http/client.rs
+++ b/crates/outside/src/http/client.rs
@@ -6,7 +6,7 @@
 
 use base::units::{ByteCount, Millisecond};
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::{Client as PooledClient, Error as PooledError};
@@ -41,6 +41,8 @@
 pub struct Response {
     /// Status code.
     pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
 }
@@ -142,11 +144,12 @@
         let request = self.request(call)?;
         let response = self.pool.request(request).await;
         let response = response.map_err(|e| self.classify(&e))?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), limit).collect().await;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, limit).collect().await;
         let body = body.map_err(|e| self.unanswered(&e.to_string()))?;
         Ok(Response {
-            status,
+            status: head.status,
+            headers: head.headers,
             body: body.to_bytes(),
         })
     }
