Following: revisions of a store that was restored from a copy are greater than those before

Cause: the store gives out versions again, and a batch below the registry's revision is passed over until the store has counted past it; a cursor that the new history has passed hides changes without a word. Class: a counter is compared across two histories.

Fix: a revision, and the version of a row, hold the era of the store before the version, in the platform's client; an answer of another era than the cursor's starts the feed again. Servers that the copy doesn't have get the grace of an outage. Between nodes revisions travel as before.

--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -4,6 +4,7 @@
 
 use base::units::Millisecond;
 use base::{Name, Set};
+use outside::revision::restorations_of;
 use outside::{FeedBatch, FeedRow};
 use serde::Serialize;
 
@@ -40,11 +41,23 @@
     if revision < node.registry.borrow().revision {
         return;
     }
-    let absence = absence(node);
+    let absence = match is_restored(node, revision) {
+        true => Absence::NearOutage {
+            since_ms: node.now_ms(),
+        },
+        false => absence(node),
+    };
     mark_current(node, revision);
     apply(node, batch.rows, scope, absence);
 }
 
+/// Whether the store was restored from a copy since the registry's revision. Servers that registered
+/// after the copy was made do so again.
+fn is_restored(node: &Node, revision: u64) -> bool {
+    let known = node.registry.borrow().revision;
+    known > 0 && restorations_of(revision) > restorations_of(known)
+}
+
 /// Adopts another node's copy of the registry if it is newer.
 pub fn adopt_copy(node: &Node, copy: RegistryCopy) -> CopyOutcome {
     if copy.revision <= node.registry.borrow().revision {
--- a/crates/outside/src/lib.rs
+++ b/crates/outside/src/lib.rs
@@ -7,6 +7,7 @@
 mod feed;
 pub mod http;
 mod objects;
+pub mod revision;
 mod table;
 mod vms;
 
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -42,6 +42,15 @@
     version: u64,
     outage: Outage,
     calls: u64,
+    /// Restorations so far.
+    restored: u64,
+}
+
+/// State of the store at one moment, from which it can be restored.
+pub struct StoreCopy {
+    rows: BTreeMap<Name, (String, u64)>,
+    history: Vec<(u64, Name, Option<String>)>,
+    version: u64,
 }
 
 #[derive(Default)]
@@ -114,6 +123,35 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Takes a copy of all rows.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.shared.lock();
+        StoreCopy {
+            rows: state.rows.clone(),
+            history: state.history.clone(),
+            version: state.version,
+        }
+    }
+
+    /// Goes back to a copy: later writes are lost, and their versions are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.shared.lock();
+        state.rows = copy.rows;
+        state.history = copy.history;
+        state.version = copy.version;
+        state.restored += 1;
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Value of a row of the system's own table.
+    pub fn own_row(&self, part: &str, key: &str) -> Option<String> {
+        let name = ("apricotledge".to_owned(), part.to_owned(), key.to_owned());
+        let state = self.shared.lock();
+        let (value, _) = state.rows.get(&name)?;
+        String::from_utf8(BASE64.decode(value).ok()?).ok()
+    }
+
     /// Calls so far, refused ones too.
     pub fn calls(&self) -> u64 {
         self.shared.lock().calls
@@ -177,12 +215,20 @@
         if outage == Outage::LosesAnswers && request.method == "POST" {
             return connection.closed().await;
         }
+        let reply = with_era(&reply, shared.lock().restored + 1);
         if connection.send(&reply).await.is_none() {
             return;
         }
     }
 }
 
+/// Adds the header field with the era.
+fn with_era(reply: &[u8], era: u64) -> Vec<u8> {
+    let line_end = reply.iter().position(|byte| *byte == b'\n');
+    let (line, rest) = reply.split_at(line_end.map_or(0, |at| at + 1));
+    [line, format!("Store-Era: {era}\r\n").as_bytes(), rest].concat()
+}
+
 async fn reply(shared: &Shared, request: &Request) -> Vec<u8> {
     match request.path() {
         "/rows-tx" => transact(shared, &request.body),
@@ -249,7 +295,7 @@
         let changed = shared.changed.notified();
         {
             let state = shared.lock();
-            if since < state.forgotten {
+            if since < state.forgotten || since > state.version {
                 return answer(410, &json!({}));
             }
             let changes = changes(&state, &table, since);
