Registry: an entry that the server wrote before one that is known is outdated

Fix: a write is ordered by the server's start and its own count (sequence), not by the store alone; the last writes of 1,024 removed entries are remembered. A server that is alive writes again and is used.

Both cases of the new test fail without the order. The stand-in's servers now count their writes, as the users' do.

--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -117,6 +117,7 @@
             state: ServerState::Ready,
             purchase: Purchase::OnDemand,
             born_unix_ms: born,
+            sequence: 0,
         };
         self.servers
             .insert(id.clone(), Rc::new(Server::new(record)));
--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -35,6 +35,25 @@
     /// Unix time at which the server started. A greater value under the same identifier is a new
     /// life (incarnation) of the server.
     pub born_unix_ms: u64,
+    /// Number of the write of this entry in the server's life; 0 if it names none.
+    pub sequence: u64,
+}
+
+impl ServerRecord {
+    /// Order of the writes of one identifier.
+    fn written(&self) -> Written {
+        Written {
+            born_unix_ms: self.born_unix_ms,
+            sequence: self.sequence,
+        }
+    }
+}
+
+/// When an entry was written, in the server's own count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Written {
+    born_unix_ms: u64,
+    sequence: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -196,6 +215,8 @@
     stored: Map<Name, StoredEntry>,
     /// Flow control of servers whose entries were removed: the same life may register again.
     retained_flows: Map<Name, RetainedFlow>,
+    /// Last writes of removed entries. A restored store may list them again.
+    departed: VecDeque<(Name, Written)>,
     /// Removed entries, with the revisions at which the removals were learned.
     gone: VecDeque<(u64, Name)>,
     /// Revision since which `gone` is complete.
@@ -205,6 +226,9 @@
 /// Most removed entries that are remembered: far more than are removed while a datagram travels.
 const GONE_LIMIT: usize = 4_096;
 
+/// Most removed entries whose last writes are remembered.
+const DEPARTED_LIMIT: usize = 1_024;
+
 /// Flow control of a server whose entry was removed.
 #[derive(Debug)]
 struct RetainedFlow {
@@ -222,6 +246,7 @@
     row: Vec<u8>,
     /// Revision of its last change, heartbeats left out.
     changed: u64,
+    written: Written,
 }
 
 /// What the absence of an entry means.
@@ -296,11 +321,12 @@
         changed.map(|(id, stored)| (id, &*stored.row))
     }
 
-    /// Adds or updates an entry as of the registry's current revision. An older life is ignored.
+    /// Adds or updates an entry as of the registry's current revision. A write that is older than
+    /// one already known is ignored.
     pub fn upsert(&mut self, record: ServerRecord, row: Vec<u8>) -> ServerChange {
         let id = record.id.clone();
-        let known = self.by_id.get(&id);
-        if known.is_some_and(|known| known.record.born_unix_ms > record.born_unix_ms) {
+        let written = record.written();
+        if self.is_outdated(&id, written) {
             return ServerChange::None;
         }
         let reappeared = self.vanished.remove(&id).is_some();
@@ -311,10 +337,23 @@
             (true, _) | (false, None) => self.revision,
         };
         self.changed = self.changed.max(changed);
-        self.stored.insert(id, StoredEntry { row, changed });
+        let entry = StoredEntry {
+            row,
+            changed,
+            written,
+        };
+        self.stored.insert(id, entry);
         change
     }
 
+    fn is_outdated(&self, id: &Name, written: Written) -> bool {
+        if let Some(known) = self.stored.get(id) {
+            return known.written > written;
+        }
+        let mut departed = self.departed.iter();
+        written.sequence > 0 && departed.any(|(other, last)| other == id && *last >= written)
+    }
+
     /// Records that an entry is still there and unchanged.
     pub fn confirm_present(&mut self, id: &Name) {
         if self.vanished.remove(id).is_some() {
@@ -369,7 +408,9 @@
         self.changed = self.revision;
         self.record_gone(name.clone());
         self.vanished.remove(&name);
-        self.stored.remove(&name);
+        if let Some(entry) = self.stored.remove(&name) {
+            self.record_departed(&name, entry.written);
+        }
         if let Some(server) = self.by_id.remove(&name) {
             self.remove_from_service(&server);
             self.retain_flow(&server);
@@ -377,6 +418,14 @@
         ServerChange::Gone(name)
     }
 
+    fn record_departed(&mut self, id: &Name, written: Written) {
+        self.departed.retain(|(other, _)| other != id);
+        if self.departed.len() >= DEPARTED_LIMIT {
+            self.departed.pop_front();
+        }
+        self.departed.push_back((id.clone(), written));
+    }
+
     /// A server for a new entry. It keeps the flow control of an earlier entry of the same life.
     fn new_server(&mut self, record: ServerRecord) -> Server {
         let known = self.retained_flows.remove(&record.id);
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -7,13 +7,16 @@
 use std::sync::{Arc, Mutex};
 
 use async_trait::async_trait;
+use gateway::belief::registry::ServerState;
 use gateway::follow::{self, BatchScope, servers};
 use gateway::node::Node;
 use gateway::peer::message::{Listing, NodeHeartbeat, RegistryCopy, RegistryVersion};
 use gateway::peer::pull::{self, PullRequest};
 use gateway::peer::serve;
+use outside::revision::pack;
 use outside::{Feed, FeedBatch, FeedError, FeedRow, ReadError, Topic};
 use support::node;
+use test_case::test_case;
 
 fn row(key: &str, body: Option<&str>) -> FeedRow {
     FeedRow {
@@ -321,3 +324,44 @@
         ..NodeHeartbeat::default()
     }
 }
+
+#[test_case("draining 5 9", "ready 5 7"; "it drained")]
+#[test_case("gone", "ready 5 7"; "it was gone")]
+fn a_server_that_left_is_in_use_again_after_the_store_was_restored(left: &str, restored: &str) {
+    let node = node("n");
+    let rows = |row_text| vec![row("x", Some(row_text)), row("y", Some("ready 1 1"))];
+    servers::apply_batch(
+        &node,
+        batch(pack(1, 10), rows("ready 5 8")),
+        BatchScope::All,
+    );
+    let leaving = match left {
+        "gone" => row("x", None),
+        _ => row("x", Some(left)),
+    };
+    servers::apply_batch(
+        &node,
+        batch(pack(1, 20), vec![leaving]),
+        BatchScope::Changes,
+    );
+    servers::apply_batch(&node, batch(pack(2, 9), rows(restored)), BatchScope::All);
+    assert!(
+        !is_ready(&node, "x"),
+        "an entry from before the server left"
+    );
+    assert!(is_ready(&node, "y"));
+    // A copy from a node that started after the restoration.
+    let mut copy = registry_copy(pack(2, 11), &["x", "y"]);
+    copy.rows[0].1 = restored.to_owned();
+    servers::adopt_copy(&node, copy);
+    assert!(!is_ready(&node, "x"), "the same entry from another node");
+    let again = vec![row("x", Some("ready 5 10"))];
+    servers::apply_batch(&node, batch(pack(2, 12), again), BatchScope::Changes);
+    assert!(is_ready(&node, "x"), "the server registered again");
+}
+
+fn is_ready(node: &Node, id: &str) -> bool {
+    let registry = node.registry.borrow();
+    let server = registry.server(id);
+    server.is_some_and(|s| s.record.state == ServerState::Ready)
+}
--- a/crates/gateway/tests/registry.rs
+++ b/crates/gateway/tests/registry.rs
@@ -17,6 +17,7 @@
         state,
         purchase: Purchase::OnDemand,
         born_unix_ms,
+        sequence: 0,
     }
 }
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -64,7 +64,9 @@
 /// Decodes a server row: `ready` or `draining`, optionally followed by its start time.
 fn server(id: &str, body: &[u8]) -> Result<ServerRecord, DecodeError> {
     let text = std::str::from_utf8(body).unwrap_or_default();
-    let (state, born) = text.split_once(' ').unwrap_or((text, "1"));
+    let mut words = text.split(' ');
+    let state = words.next().unwrap_or_default();
+    let mut number = |default| words.next().map_or(default, |n| n.parse().unwrap_or(1));
     Ok(ServerRecord {
         id: id.into(),
         service: "s".into(),
@@ -80,6 +82,7 @@
             }
         },
         purchase: Purchase::OnDemand,
-        born_unix_ms: born.parse().unwrap_or(1),
+        born_unix_ms: number(1),
+        sequence: number(0),
     })
 }
--- a/crates/standin/src/users/runner.rs
+++ b/crates/standin/src/users/runner.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -197,6 +198,8 @@
     options: RunnerOptions,
     state: Mutex<State>,
     crashed: Notify,
+    /// Registry entries written so far.
+    writes: AtomicU64,
 }
 
 /// A running runner.
@@ -219,6 +222,7 @@
             options,
             state: Mutex::default(),
             crashed: Notify::new(),
+            writes: AtomicU64::new(0),
         });
         let task = tokio::spawn(accept(listener, shared.clone()));
         Ok(Self {
@@ -238,12 +242,13 @@
         self.address
     }
 
-    /// Registry entry of the runner.
+    /// The next registry entry of the runner.
     pub fn entry(&self, state: &str) -> Value {
         let options = &self.shared.options;
         json!({
             "service": options.service, "address": self.address.to_string(), "zone": options.zone,
-            "version": "v1", "slots": 4, "state": state, "coldRemainingMs": 0, "sequence": 1,
+            "version": "v1", "slots": 4, "state": state, "coldRemainingMs": 0,
+            "sequence": self.shared.writes.fetch_add(1, Ordering::Relaxed) + 1,
             "born": 1,
         })
     }
