Lease: a tenure after a restoration of the store exceeds all fencing numbers before it

A condition on a version that the store gave out again for another write holds.

Numbers of a store that was never restored are as before.

--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -118,7 +118,11 @@
                 LeaseAction::Read(key) => {
                     let row = get_row(&*self.table, &key).await;
                     let now = self.clock.read();
-                    self.with_lease(|lease, rng| lease.on_row(row, now, rng))
+                    let restorations = self.table.restorations();
+                    self.with_lease(|lease, rng| {
+                        lease.note_restorations(restorations);
+                        lease.on_row(row, now, rng)
+                    })
                 }
                 LeaseAction::Commit(write) => {
                     let result = commit_rows(&*self.table, vec![write]).await;
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -30,6 +30,10 @@
 /// earlier holder, which may use a higher one to invalidate its own earlier calls.
 pub const FENCE_STEP: u64 = 1_000;
 
+/// Bits of a fencing number below the number of restorations of the store. A restored store may have
+/// lost tenures, so the first tenure after a restoration exceeds all numbers given out before it.
+const RESTORATION_SHIFT: u32 = 32;
+
 /// Fencing token: higher for each tenure of a lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Fence(pub u64);
@@ -123,6 +127,8 @@
     tenure: Option<Tenure>,
     sent_writes: VecDeque<SentWrite>,
     observed_row: Option<ObservedRow>,
+    /// Restorations of the store, as known before the next row is handled.
+    restorations: u64,
 }
 
 impl Lease {
@@ -136,9 +142,20 @@
             tenure: None,
             sent_writes: VecDeque::new(),
             observed_row: None,
+            restorations: 0,
         }
     }
 
+    /// Records how often the store was restored, before a row that it returned is handled.
+    pub fn note_restorations(&mut self, restorations: u64) {
+        self.restorations = self.restorations.max(restorations);
+    }
+
+    /// The lowest fencing number that no tenure before the last restoration had.
+    fn lowest_fence(&self) -> u64 {
+        (self.restorations << RESTORATION_SHIFT) + 1
+    }
+
     /// State of `charts/lease.toml`.
     pub fn state(&self) -> &str {
         self.chart.state()
@@ -182,7 +199,8 @@
     ) -> Option<LeaseAction> {
         let Ok(row) = row else { return None };
         let Some(row) = row else {
-            return Some(self.write_grant(Condition::Absent, Fence(1), now, rng));
+            let fence = Fence(self.lowest_fence());
+            return Some(self.write_grant(Condition::Absent, fence, now, rng));
         };
         let Ok(body) = serde_json::from_str::<LeaseRow>(&row.body) else {
             return None;
@@ -206,7 +224,7 @@
         if held_by_other && !term_expired {
             return None;
         }
-        let fence = Fence(body.fence.0 + FENCE_STEP);
+        let fence = Fence((body.fence.0 + FENCE_STEP).max(self.lowest_fence()));
         Some(self.write_grant(Condition::VersionIs(row.version), fence, now, rng))
     }
 
--- /dev/null
+++ b/crates/fleet/tests/restored_lease.rs
@@ -0,0 +1,73 @@
+//! The row of a lease after the store was restored from an earlier copy of itself.
+
+use fleet::clock::ClockReading;
+use fleet::lease::{FENCE_STEP, Fence, Lease, LeaseAction, LeaseRow, LeaseTerms};
+use outside::revision::pack;
+use outside::{Condition, Key, Row, Write};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use test_case::test_case;
+
+const TERMS: LeaseTerms = LeaseTerms {
+    term_ms: 3_000,
+    margin_ms: 500,
+};
+
+fn at(ms: u64) -> ClockReading {
+    ClockReading {
+        min_elapsed_ms: ms,
+        max_elapsed_ms: ms,
+    }
+}
+
+fn row(holder: Option<&str>, fence: u64, version: u64) -> Row {
+    let body = LeaseRow {
+        holder: holder.map(Into::into),
+        nonce: 7,
+        fence: Fence(fence),
+        term_ms: TERMS.term_ms,
+    };
+    Row {
+        key: Key::new("lease", "duties"),
+        body: serde_json::to_string(&body).unwrap(),
+        version,
+    }
+}
+
+/// The grant that the node `b` writes when it finds `found` in the store of `era`.
+fn grant(found: Option<Row>, era: u64) -> (LeaseRow, Condition) {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut lease = Lease::new("duties", "b".into(), TERMS);
+    lease.note_restorations(outside::revision::restorations(era));
+    let first = lease.on_row(Ok(found.clone()), at(0), &mut rng);
+    let action = first.or_else(|| lease.on_row(Ok(found), at(10_000), &mut rng));
+    let Some(LeaseAction::Commit(Write::Put {
+        body, condition, ..
+    })) = action
+    else {
+        panic!("{action:?}");
+    };
+    (serde_json::from_str(&body).unwrap(), condition)
+}
+
+#[test_case(Some(row(None, 1, pack(2, 40))); "an older tenure")]
+#[test_case(Some(row(Some("a"), 1, pack(2, 40))); "an older tenure of another node")]
+#[test_case(Some(row(Some("b"), 1, pack(2, 40))); "an older tenure of this node")]
+#[test_case(None; "no tenure")]
+fn a_tenure_that_the_restored_store_lost_had_the_fencing_number_of_the_next(found: Option<Row>) {
+    // Before, the lease changed hands five times.
+    let lost_fence = 1 + 5 * FENCE_STEP;
+    let (granted, _) = grant(found, 2);
+    assert!(granted.fence.0 > lost_fence + FENCE_STEP, "{granted:?}");
+    let again = row(Some("a"), granted.fence.0, pack(2, 60));
+    let (next, _) = grant(Some(again), 2);
+    assert_eq!(next.fence.0, granted.fence.0 + FENCE_STEP);
+}
+
+#[test]
+fn fencing_numbers_of_a_store_that_was_not_restored_begin_at_one() {
+    assert_eq!(grant(None, 1).0.fence, Fence(1));
+    let (next, condition) = grant(Some(row(None, 1, pack(1, 40))), 1);
+    assert_eq!(next.fence, Fence(1 + FENCE_STEP));
+    assert_eq!(condition, Condition::VersionIs(40));
+}
--- a/crates/outside/src/table.rs
+++ b/crates/outside/src/table.rs
@@ -105,6 +105,12 @@
 /// Transactional table service of the platform. Reads are strongly consistent.
 #[async_trait]
 pub trait Table: Send + Sync {
+    /// Number of times that the store was restored from an earlier copy, according to its last
+    /// response. Row versions of different restorations differ ([`crate::revision`]).
+    fn restorations(&self) -> u64 {
+        0
+    }
+
     /// Reads one row.
     async fn get(&self, key: &Key) -> Result<Option<Row>, ReadError>;
 
