Duties: final counts of usage windows are told between nodes, as a restored store loses them

Fix: whole heartbeats carry the final counts of the last windows to the nodes that may hold the duties; these are reported again as they are. What remains: a holder that ends within a heartbeat of its report, and a restoration of the store before the next one reports.

--- a/crates/gateway/src/duty/runner.rs
+++ b/crates/gateway/src/duty/runner.rs
@@ -215,8 +215,18 @@
     }
 
     /// The counts of a window. They are stored before they are reported, so that every holder
-    /// reports the same.
+    /// reports the same. Nodes also tell them each other, as a restored store may have lost them.
     async fn final_counts(&self, window: u64) -> Option<Map<Name, u64>> {
+        if let Some(settled) = self.node.usage.borrow().settled(window) {
+            return Some(settled.clone());
+        }
+        let counts = self.stored_counts(window).await?;
+        self.node.usage.borrow_mut().settle(window, &counts);
+        Some(counts)
+    }
+
+    /// The counts of a window that the store has. Stores those of this node if it has none.
+    async fn stored_counts(&self, window: u64) -> Option<Map<Name, u64>> {
         let key = Key::new(USAGE_PARTITION, window.to_string());
         let counts = self.node.usage.borrow().total(window);
         let body = serde_json::to_string(&counts).ok()?;
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -24,6 +24,8 @@
     /// Unix time at which this process started.
     started_unix_ms: u64,
     checkpoint: Option<Checkpoint>,
+    /// Final counts of windows that may have been reported.
+    settled: Map<u64, Counts>,
 }
 
 /// Counts of another life of a node.
@@ -42,6 +44,34 @@
             others: Map::default(),
             started_unix_ms: unix_ms(),
             checkpoint: None,
+            settled: Map::default(),
+        }
+    }
+
+    /// Records the final counts of a window. The first ones stay: they may have been reported.
+    pub fn settle(&mut self, window: u64, counts: &Counts) {
+        self.settled.entry(window).or_insert_with(|| counts.clone());
+        let newest = self.settled.keys().max().copied().unwrap_or(0);
+        self.settled
+            .retain(|w, _| w.saturating_add(RETAINED_WINDOWS) > newest);
+    }
+
+    /// Final counts of a window, if they are known.
+    pub fn settled(&self, window: u64) -> Option<&Counts> {
+        self.settled.get(&window)
+    }
+
+    /// Final counts of the recent windows, for nodes that may hold the duties next.
+    pub fn settled_windows(&self) -> WindowCounts {
+        newest_windows(&self.settled)
+    }
+
+    /// Takes over final counts of another node, by a clock that is `offset_ms` ahead. Windows that
+    /// have not ended have none.
+    pub fn merge_settled(&mut self, settled: &[(u64, Vec<(Name, u64)>)], offset_ms: i64) {
+        let current = self.window(offset_ms);
+        for (window, counts) in settled.iter().filter(|(window, _)| *window <= current) {
+            self.settle(*window, &counts.iter().cloned().collect());
         }
     }
 
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -92,6 +92,7 @@
         .partition(|a| listener_addresses.contains(a));
     send_to(socket, &heartbeat, &others);
     heartbeat.begun.clear();
+    heartbeat.settled.clear();
     send_to(socket, &heartbeat, &to_listeners);
 }
 
@@ -164,6 +165,7 @@
             .map(|(name, b)| (name.clone(), b.used().round()))
             .collect(),
         begun: node.usage.borrow().recent_windows(),
+        settled: node.usage.borrow().settled_windows(),
         suspects,
         parts: quarantine::report(node),
         notices: gate::notices(node),
@@ -232,7 +234,9 @@
             bucket.record_peer_usage(&key, peer_usage, now_ms);
         }
     }
+    let offset_ms = node.clock_offset_ms();
     let mut usage = node.usage.borrow_mut();
+    usage.merge_settled(&heartbeat.settled, offset_ms);
     usage.merge(&key, heartbeat.started_unix_ms, &heartbeat.begun);
     drop(usage);
     if !heartbeat.suspects.is_empty() {
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -59,6 +59,9 @@
     /// Requests begun by window and workspace, for nodes that may hold the duties.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub begun: WindowCounts,
+    /// Final counts of recent windows, for nodes that may hold the duties.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub settled: WindowCounts,
     /// Requests that the sender saw crash servers, and requests that it saw complete after all.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<SuspectRecord>,
--- a/crates/gateway/src/peer/pulse.rs
+++ b/crates/gateway/src/peer/pulse.rs
@@ -85,6 +85,7 @@
     pulse.busy.clear();
     pulse.used.clear();
     pulse.begun.clear();
+    pulse.settled.clear();
     pulse.suspects.clear();
     pulse.parts = quarantine::fresh_report(node);
 }
