--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -81,6 +81,7 @@
     StoreLost = 403, "store.lost", Warn, "The platform's store does not respond; the daemon continues with its local copy and the updates of other nodes.";
     StoreRegained = 404, "store.regained", Info, "The platform's store responds again.";
     StoreRestored = 405, "store.restored", Warn, "The store answers with another era than before: it was restored from a copy; fields give the eras and the revisions.";
+    NodeListed = 406, "node.listed", Warn, "The list of nodes in the store had lost this node, and it has registered again.";
     ConfigDecided = 410, "config.decided", Info, "The table accepted or refused an operator's configuration; fields give the outcome.";
 
     PeerSuspected = 500, "peer.suspected", Warn, "Messages of a peer are overdue; it gets no handovers until one arrives.";
--- a/crates/gateway/src/follow/nodes.rs
+++ b/crates/gateway/src/follow/nodes.rs
@@ -7,7 +7,10 @@
 
 use outside::{Condition, Feed, Key, Table, Topic, Write};
 
+use serde::Serialize;
+
 use crate::decide::store_poll::PollRank;
+use crate::log;
 use crate::node::Node;
 use crate::peer::role::Role;
 
@@ -25,6 +28,11 @@
 /// Partition of the list in the store.
 pub const NODES_PARTITION: &str = "nodes";
 
+#[derive(Serialize)]
+struct ListedFields<'a> {
+    node: &'a str,
+}
+
 /// Registers this node in the list, then reads the addresses of other nodes from it.
 pub async fn run(node: Rc<Node>, table: Arc<dyn Table>, feed: Arc<dyn Feed>) {
     while register(&node, &*table).await.is_err() {
@@ -35,6 +43,12 @@
         if (alone || node.role() == Role::Follows)
             && let Ok(batch) = feed.snapshot(Topic::Nodes).await
         {
+            let own = &*node.settings.node.name;
+            let is_listed = batch.rows.iter().any(|row| row.key == own);
+            // A restored store may have lost the entry. If the write fails, the next round repeats it.
+            if !is_listed && register(&node, &*table).await.is_ok() {
+                log::emit(events::Code::NodeListed, &ListedFields { node: own });
+            }
             let rows = batch.rows.into_iter().filter_map(|row| row.body);
             let addresses = rows.filter_map(|body| parse_address(&body));
             let mut peers = node.peers.borrow_mut();
