--- a/crates/standin/src/users/runner.rs
+++ b/crates/standin/src/users/runner.rs
@@ -63,6 +63,8 @@
     Drip(u64),
     /// Says nothing until the caller closes the connection.
     Hang,
+    /// Sends so many bytes of the head of an answer, and closes the connection.
+    CutHead(usize),
     /// Goes down: its port refuses connections from now on.
     Crash,
     /// Goes down at a request whose prompt has this part, and answers others.
@@ -437,6 +439,10 @@
             );
             connection.send(head.as_bytes()).await
         }
+        Behaviour::CutHead(bytes) => {
+            connection.send(&whole(id, own)[..bytes]).await?;
+            None
+        }
         Behaviour::Short => {
             let mut bytes = whole(id, own);
             bytes.truncate(bytes.len() - 1);
