Suspects: exchange of parts in a file of its own; stand-in: behaviours in a file of their own

Requests are looked up only while something is in quarantine, rather than for ten minutes after any crash. Tests of the policy, the gateway and the platform that concern them pass.

--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -117,7 +117,7 @@
     /// Time for which requests with the parts of this prompt are refused; `None` if it may run.
     pub fn refused_for_ms(&self) -> Option<Millisecond> {
         let suspects = self.node.suspect_parts.borrow();
-        if suspects.is_empty() {
+        if suspects.has_no_quarantine() {
             return None;
         }
         let parts = self.prompt.shared_parts();
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -12,6 +12,7 @@
 mod digest;
 mod part;
 mod part_id;
+mod part_report;
 mod parts;
 mod quarantine;
 mod record;
@@ -19,11 +20,9 @@
 pub use digest::RequestDigest;
 pub use part::PartRecord;
 pub use part_id::PartId;
+pub use part_report::{PartReport, QuarantineRecord};
 pub use parts::{PARTS_LIMIT, QUARANTINES_LIMIT, RunOnServer, SEQUENCE_LIMIT, SuspectParts};
-pub use quarantine::{
-    PartReport, QuarantineChange, QuarantineOutcome, QuarantineRecord,
-    REFUSAL_MS as PART_REFUSAL_MS,
-};
+pub use quarantine::{QuarantineChange, QuarantineOutcome, REFUSAL_MS as PART_REFUSAL_MS};
 pub use record::{IncidentAge, Nature, SuspectRecord};
 
 use std::collections::VecDeque;
--- a/crates/policy/src/suspect/parts.rs
+++ b/crates/policy/src/suspect/parts.rs
@@ -67,7 +67,12 @@
 }
 
 impl SuspectParts {
-    /// Whether nothing is suspected, so that requests need no check.
+    /// Whether no request can be refused.
+    pub fn has_no_quarantine(&self) -> bool {
+        self.quarantines.is_empty()
+    }
+
+    /// Whether nothing is suspected, so that completed requests clear nothing.
     pub fn is_empty(&self) -> bool {
         self.parts.is_empty() && self.quarantines.is_empty()
     }
--- a/crates/standin/src/users/mod.rs
+++ b/crates/standin/src/users/mod.rs
@@ -1,10 +1,12 @@
 //! The users' platform: its metadata store, its API for duties, and its runners.
 
+pub mod behaviour;
 pub mod cloud;
 mod exchange;
 pub mod runner;
 pub mod store;
 
+pub use behaviour::{Behaviour, Endless};
 pub use cloud::Cloud;
-pub use runner::{Arrival, Behaviour, Endless, HeaderFields, Runner, RunnerOptions};
+pub use runner::{Arrival, HeaderFields, Runner, RunnerOptions};
 pub use store::{Outage, Store};
