Suspects: pulses carry quarantines only while they are new

At 3,200 nodes those that follow the store pulse each other every 120 ms; a quarantine of 130 bytes that lasts ten minutes would add 62 KB a second to each of 58 of them (reckoned). Pulses now carry what is new at a node for 360 ms, and evidence about 16 parts at most; whole heartbeats carry all. The new test fails if pulses carry all.

--- a/crates/gateway/src/backend/quarantine.rs
+++ b/crates/gateway/src/backend/quarantine.rs
@@ -11,9 +11,12 @@
 /// Shortest time for which heartbeats repeat what this node observed of a part.
 const SENDING_MS: Millisecond = 1_000;
 
-/// Time for which pulses repeat what this node observed of a part: a few pulses, as some may be lost.
+/// Time for which pulses repeat what is new: a few pulses, as some may be lost.
 const PULSE_SENDING_MS: Millisecond = 3 * HEARTBEAT_PERIOD_MS;
 
+/// Most parts with evidence in a pulse, so that pulses stay small on slow links.
+const PULSE_PARTS_LIMIT: usize = 16;
+
 /// Logs changes of quarantines. Whole requests that ran on a server whose crash a part explains are
 /// no longer suspected.
 pub fn apply(node: &Node, changes: &[QuarantineChange]) {
@@ -48,10 +51,12 @@
     !fresh_report(node).evidence.is_empty()
 }
 
-/// What pulses tell other nodes of parts: the latest evidence, and the quarantines.
+/// What pulses tell other nodes of parts: what is new at this node.
 pub fn fresh_report(node: &Node) -> PartReport {
     let suspects = node.suspect_parts.borrow();
-    suspects.export(PULSE_SENDING_MS, node.now_ms())
+    let mut report = suspects.export_news(PULSE_SENDING_MS, node.now_ms());
+    report.evidence.truncate(PULSE_PARTS_LIMIT);
+    report
 }
 
 /// What heartbeats tell other nodes of parts.
--- a/crates/policy/src/suspect/part_report.rs
+++ b/crates/policy/src/suspect/part_report.rs
@@ -46,6 +46,22 @@
 impl SuspectParts {
     /// Evidence that this node observed in the last `within_ms`, and the quarantines in force.
     pub fn export(&self, within_ms: Millisecond, now_ms: Millisecond) -> PartReport {
+        PartReport {
+            evidence: self.recent_evidence(within_ms, now_ms),
+            quarantines: quarantine_records(self.quarantines.iter(), now_ms),
+        }
+    }
+
+    /// Evidence and quarantines that are new at this node in the last `within_ms`.
+    pub fn export_news(&self, within_ms: Millisecond, now_ms: Millisecond) -> PartReport {
+        let is_new = |q: &&Quarantine| now_ms.saturating_sub(q.noted_ms) <= within_ms;
+        PartReport {
+            evidence: self.recent_evidence(within_ms, now_ms),
+            quarantines: quarantine_records(self.quarantines.iter().filter(is_new), now_ms),
+        }
+    }
+
+    fn recent_evidence(&self, within_ms: Millisecond, now_ms: Millisecond) -> Vec<PartRecord> {
         let parts = self.parts.iter();
         let fresh = |at_ms: Millisecond| at_ms > 0 && now_ms.saturating_sub(at_ms) <= within_ms;
         let mut recent: Vec<_> = parts.filter(|(_, e)| fresh(e.observed_ms)).collect();
@@ -54,13 +70,8 @@
             let started_ms = runs.iter().map(|run| run.started_ms).max();
             Reverse((runs.len(), started_ms, *key))
         });
-        let evidence = recent.into_iter().take(SENT_PARTS_LIMIT);
-        let mut latest: Vec<&Quarantine> = self.quarantines.iter().collect();
-        latest.sort_by_key(|quarantine| Reverse(quarantine.last_crash_ms));
-        PartReport {
-            evidence: evidence.map(|(key, e)| e.export(key, now_ms)).collect(),
-            quarantines: quarantine_records(&latest, now_ms),
-        }
+        let sent = recent.into_iter().take(SENT_PARTS_LIMIT);
+        sent.map(|(key, e)| e.export(key, now_ms)).collect()
     }
 
     /// Merges a peer's report. The result does not depend on order or repetition.
@@ -106,6 +117,7 @@
             parts: record.parts.clone(),
             workspaces: record.workspaces.clone(),
             last_crash_ms,
+            noted_ms: now_ms,
         };
         for part in &record.parts {
             let service = record.service.clone();
@@ -145,8 +157,14 @@
     }
 }
 
-fn quarantine_records(latest: &[&Quarantine], now_ms: Millisecond) -> Vec<QuarantineRecord> {
-    let sent = latest.iter().take(SENT_QUARANTINES_LIMIT);
+/// The quarantines of the latest crashes in the form sent to peers.
+fn quarantine_records<'a>(
+    quarantines: impl Iterator<Item = &'a Quarantine>,
+    now_ms: Millisecond,
+) -> Vec<QuarantineRecord> {
+    let mut latest: Vec<&Quarantine> = quarantines.collect();
+    latest.sort_by_key(|quarantine| Reverse(quarantine.last_crash_ms));
+    let sent = latest.into_iter().take(SENT_QUARANTINES_LIMIT);
     let records = sent.map(|quarantine| QuarantineRecord {
         service: quarantine.service.clone(),
         parts: quarantine.parts.clone(),
--- a/crates/policy/src/suspect/quarantine.rs
+++ b/crates/policy/src/suspect/quarantine.rs
@@ -24,6 +24,8 @@
     /// Workspaces whose requests crashed servers.
     pub workspaces: Vec<Name>,
     pub last_crash_ms: Millisecond,
+    /// When this node came to know the quarantine.
+    pub noted_ms: Millisecond,
 }
 
 /// A change of the quarantines, with its inputs.
@@ -85,6 +87,7 @@
             parts: parts.clone(),
             workspaces: Vec::new(),
             last_crash_ms: 0,
+            noted_ms: now_ms,
         };
         let evidence = self.parts.get(culprit);
         for run in evidence.map_or(&[][..], |e| e.runs()) {
@@ -158,6 +161,9 @@
                 quarantine.add_workspace(workspace);
             }
             quarantine.last_crash_ms = quarantine.last_crash_ms.max(known.last_crash_ms);
+            if known.parts.len() == quarantine.parts.len() {
+                quarantine.noted_ms = known.noted_ms;
+            }
         }
         if self.quarantines.len() >= QUARANTINES_LIMIT {
             self.quarantines.sort_by_key(|known| known.last_crash_ms);
--- a/crates/policy/tests/suspect_parts.rs
+++ b/crates/policy/tests/suspect_parts.rs
@@ -175,6 +175,22 @@
     assert!(refused.is_some());
 }
 
+#[test]
+fn quarantines_fill_each_pulse_for_as_long_as_they_last() {
+    let suspects = three_crashes(["a", "b", "a"]);
+    let began_ms = START_MS + 2_200;
+    let news = |at_ms: u64| suspects.export_news(360, at_ms).quarantines.len();
+    assert_eq!((news(began_ms), news(began_ms + 361)), (1, 0));
+    let mut other = SuspectParts::default();
+    let report = suspects.export(0, began_ms + 60_000);
+    for again in 0..3 {
+        other.merge(&report, 70_000 + again * 300);
+    }
+    // Only what this node has just come to know is passed on at once.
+    assert_eq!(other.export_news(360, 70_200).quarantines.len(), 1);
+    assert_eq!(other.export_news(360, 70_600).quarantines.len(), 0);
+}
+
 #[test]
 fn a_part_that_completed_elsewhere_is_not_taken_over() {
     let suspects = three_crashes(["a", "b", "a"]);
