Comments and the log line of a restoration: eras as they are, no option where there is always a value

Read as a newcomer: the comment of Feed::era spoke of restorations where eras count from one, and E405 had an optional era before. No decision is changed.

--- a/crates/gateway/src/duty/runner.rs
+++ b/crates/gateway/src/duty/runner.rs
@@ -215,7 +215,8 @@
     }
 
     /// The counts of a window. They are stored before they are reported, so that every holder
-    /// reports the same. Nodes also tell them each other, as a restored store may have lost them.
+    /// reports the same. Nodes also tell each other, as a restored
+    /// store may have lost them.
     async fn final_counts(&self, window: u64) -> Option<Map<Name, u64>> {
         if let Some(settled) = self.node.usage.borrow().settled(window) {
             return Some(settled.clone());
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -41,8 +41,7 @@
 #[derive(Serialize)]
 struct RestoredFields<'a> {
     topic: &'a str,
-    /// Era before; 0 at the start.
-    before: Option<u64>,
+    before: u64,
     era: u64,
     asked_since: Option<u64>,
     answered: Option<u64>,
@@ -72,8 +71,10 @@
                 changes(&*feed, topic, since, wait_ms).await
             }
         };
-        if era.is_some_and(|era| era != feed.era()) {
-            report_restored(topic, era, feed.era(), revision, &outcome);
+        if let Some(before) = era
+            && before != feed.era()
+        {
+            report_restored(topic, before, feed.era(), revision, &outcome);
         }
         era = Some(feed.era());
         match outcome {
@@ -175,7 +176,7 @@
 
 fn report_restored(
     topic: Topic,
-    before: Option<u64>,
+    before: u64,
     era: u64,
     asked_since: Option<u64>,
     outcome: &Result<(FeedBatch, BatchScope), FeedError>,
--- a/crates/outside/src/feed.rs
+++ b/crates/outside/src/feed.rs
@@ -52,8 +52,8 @@
 /// Client of change feeds.
 #[async_trait]
 pub trait Feed: Send + Sync {
-    /// Number of times that the store was restored from an earlier copy, according to its last
-    /// response; 0 for a store that doesn't say so.
+    /// Era of the store according to its last response ([`crate::revision`]); 0 for a store that
+    /// names none.
     fn era(&self) -> u64 {
         0
     }
--- a/crates/policy/src/suspect/parts.rs
+++ b/crates/policy/src/suspect/parts.rs
@@ -38,10 +38,11 @@
 /// again, and one crash prolongs the quarantine.
 const QUARANTINE_TTL_MS: Millisecond = 60 * 60 * 1_000;
 
-/// Requests with common parts that a node had on a server when it crashed.
+/// A request that a node had on a server when it crashed.
 #[derive(Clone, Debug)]
 pub struct RunOnServer<'a> {
     pub workspace: &'a Name,
+    /// Parts of its prompt that other requests may share.
     pub parts: &'a [PartId],
     pub started_ms: Millisecond,
 }
