Events: E304 shows take-ups of streams; E300 and E303 give the server's version

Whether a stream was joined from two versions within one answer or by a caller's take-up couldn't be told from the log. A server's entry now keeps its version (empty if it names none), the dialect has the name of the field Resumes, and E304 gives the request that a take-up names.

No decision changed.

--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -113,6 +113,7 @@
             service: "model".into(),
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
             failure_domain: failure_domain.clone(),
+            version: Name::default(),
             slots,
             state: ServerState::Ready,
             purchase: Purchase::OnDemand,
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -73,6 +73,7 @@
     RouteNone = 301, "route.none", Warn, "No backend server could take the request.";
     AttemptFailed = 302, "attempt.failed", Warn, "An attempt at a backend server failed; fields say whether it may have run.";
     StreamResumed = 303, "stream.resumed", Info, "A stream goes on at another backend server from the tokens already relayed.";
+    StreamTakenUp = 304, "stream.taken_up", Info, "A caller resumes a stream that an earlier request began; fields give that request and the last event that the caller has.";
     ReclaimDecided = 310, "reclaim.decided", Info, "A stream at a leaving backend server finishes there, moves with its KV cache, or is recomputed elsewhere.";
 
     ConfigInForce = 400, "config.in_force", Info, "A configuration version is in force at this daemon.";
--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -28,6 +28,8 @@
     pub service: Name,
     pub address: SocketAddr,
     pub failure_domain: Name,
+    /// Version of the server's software, empty if the entry names none. Versions have no order.
+    pub version: Name,
     /// Requests that the server runs at the same time.
     pub slots: u32,
     pub state: ServerState,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -23,6 +23,8 @@
     pub engine_priority: &'static str,
     /// Identifier of the last event that the caller has received.
     pub last_event: &'static str,
+    /// Identifier of the request that brought the first event of the stream that is resumed.
+    pub resumes: &'static str,
     /// Present if the server did not run the request.
     pub not_run: &'static str,
     /// Present if the server takes no new requests until it ends.
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -50,6 +50,7 @@
 struct ChosenFields<'a> {
     request: Option<&'a str>,
     server: &'a str,
+    version: &'a str,
     attempt: u32,
     predicted_ms: Millisecond,
     tokens_to_read: u64,
@@ -266,6 +267,7 @@
         let fields = ChosenFields {
             request: self.job.id(),
             server: &attempt.server.record.id,
+            version: &attempt.server.record.version,
             attempt: self.history.attempts + 1,
             predicted_ms: attempt.predicted_ms,
             tokens_to_read: attempt.tokens_to_read,
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -59,16 +59,26 @@
     deadline: Instant,
 }
 
+#[derive(Serialize)]
+struct TakenUpFields<'a> {
+    request: Option<&'a str>,
+    resumes: Option<&'a str>,
+    after_event: &'a str,
+    left_ms: Millisecond,
+}
+
 #[derive(Serialize)]
 struct ResumedFields<'a> {
     request: Option<&'a str>,
     server: &'a str,
+    version: &'a str,
     after_event: Option<&'a str>,
     left_ms: Millisecond,
 }
 
 /// Serves a request whose answer is a stream.
 pub async fn serve(node: &Rc<Node>, job: &Job<'_>, out: &mut CallerWriter<'_>) -> ServeOutcome {
+    report_take_up(job);
     let mut attempts = Attempts::new(node, job);
     let mut stream = Stream {
         job,
@@ -269,6 +279,7 @@
         let fields = ResumedFields {
             request: self.job.id(),
             server: &attempt.server.record.id,
+            version: &attempt.server.record.version,
             after_event: self.last_event.as_deref(),
             left_ms: self.job.left_ms(),
         };
@@ -276,6 +287,22 @@
     }
 }
 
+/// Logs that the caller resumes a stream that an earlier request began.
+fn report_take_up(job: &Job<'_>) {
+    let names = &job.node.dialect.names;
+    let fields = &job.request.head.fields;
+    let Some(after_event) = fields.text(names.last_event) else {
+        return;
+    };
+    let fields = TakenUpFields {
+        request: job.id(),
+        resumes: fields.text(names.resumes),
+        after_event,
+        left_ms: job.left_ms(),
+    };
+    crate::log::emit(events::Code::StreamTakenUp, &fields);
+}
+
 fn is_stream(answer: &Answer) -> bool {
     let content_type = answer.head.fields.text("content-type").unwrap_or_default();
     content_type.starts_with("text/event-stream") && (200..300).contains(&answer.head.status)
--- a/crates/gateway/tests/registry.rs
+++ b/crates/gateway/tests/registry.rs
@@ -13,6 +13,7 @@
         service: "s".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         failure_domain: "a".into(),
+        version: "v1".into(),
         slots: 4,
         state,
         purchase: Purchase::OnDemand,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -22,6 +22,7 @@
     prompt_parts: "parts",
     engine_priority: "priority",
     last_event: "event",
+    resumes: "resumes",
     not_run: "not-run",
     leaving: "leaving",
     limit: "limit",
@@ -72,6 +73,7 @@
         service: "s".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         failure_domain: "a".into(),
+        version: "v1".into(),
         slots: 4,
         state: match state {
             "ready" => ServerState::Ready,
