--- a/crates/standin/src/users/runner.rs
+++ b/crates/standin/src/users/runner.rs
@@ -51,6 +51,8 @@
     pub service: String,
     /// Its zone.
     pub zone: String,
+    /// Version of its software.
+    pub version: String,
     /// What it does when its script is at its end.
     pub usual: Behaviour,
 }
@@ -123,7 +125,7 @@
         let options = &self.shared.options;
         json!({
             "service": options.service, "address": self.address.to_string(), "zone": options.zone,
-            "version": "v1", "slots": 4, "state": state, "coldRemainingMs": 0,
+            "version": options.version, "slots": 4, "state": state, "coldRemainingMs": 0,
             "sequence": self.shared.writes.fetch_add(1, Ordering::Relaxed) + 1,
             "born": 1,
         })
