Reach: a node that has lost its paths to all servers passes requests to another node

Cause: each failure was held against one server; nothing told lost paths from failed servers, and a node without paths had no other way to serve (a fault of the observer is taken for faults of what it observes). Ruled out: slow attempts; 32 to 41 servers failed on each of the three nodes, and none on the others.

Failures of three servers lead to a check of four at random; if none is reached while another node has heard one, requests go to that or another node's port for peers, which serves them as the caller's. Broken connections are no crashes then.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -74,6 +74,7 @@
     AttemptFailed = 302, "attempt.failed", Warn, "An attempt at a backend server failed; fields say whether it may have run.";
     StreamResumed = 303, "stream.resumed", Info, "A stream goes on at another backend server from the tokens already relayed.";
     StreamTakenUp = 304, "stream.taken_up", Info, "A caller resumes a stream that an earlier request began; fields give that request, the last event that the caller has, and how the software version was found that may go on with it.";
+    RequestRelayed = 305, "request.relayed", Info, "A node without paths to the backend servers passed a request on to another node; fields give the node and the outcome.";
     ReclaimDecided = 310, "reclaim.decided", Info, "A stream at a leaving backend server finishes there, moves with its KV cache, or is recomputed elsewhere.";
 
     ConfigInForce = 400, "config.in_force", Info, "A configuration version is in force at this daemon.";
@@ -102,6 +103,8 @@
     BackendAppeared = 513, "backend.appeared", Info, "A backend server has registered itself and takes work.";
     BackendGone = 514, "backend.gone", Info, "A backend server's registry entry was removed.";
     BackendSignalled = 515, "backend.signalled", Info, "A backend server has sent a signal in a response: that it leaves, a rate limit, the end of a rate limit, or a time without requests; fields give the node that received it and the signal's age.";
+    PathsLost = 516, "paths.lost", Warn, "This daemon reaches no backend server, though other nodes do; requests go through these. Fields count the servers tried.";
+    PathsBack = 517, "paths.back", Info, "This daemon reaches backend servers again.";
 
     LedgerRefused = 600, "ledger.refused", Info, "A non-idempotent call was not run because of the record of its key in the ledger.";
     LedgerStoreDown = 601, "ledger.store_down", Warn, "The table service does not respond; non-idempotent calls are refused immediately until a probe succeeds.";
--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -11,7 +11,7 @@
 
 use crate::backend::answer_summary::AnswerSummary;
 use crate::backend::gate::{self, Gate, Permit};
-use crate::backend::pool::Reuse;
+use crate::backend::pool::{ConnOrigin, Reuse};
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
 use crate::clock::unix_ms;
@@ -164,6 +164,9 @@
 
     pub fn note_answer(&self, summary: AnswerSummary) {
         self.job.note_answer(summary);
+        if summary.connection == ConnOrigin::Fresh {
+            self.job.node.reach.borrow_mut().record_answer();
+        }
         gate::note_answer(
             self.job.node,
             &self.server,
--- a/crates/gateway/src/backend/crash_check.rs
+++ b/crates/gateway/src/backend/crash_check.rs
@@ -11,10 +11,11 @@
 use serde::Serialize;
 use tokio::net::TcpStream;
 
-use super::quarantine;
+use super::{quarantine, reach};
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
 use crate::clock::unix_ms;
+use crate::decide::reach::Reach;
 use crate::node::Node;
 
 /// Connections to a server that break within this time are counted as one loss of the server.
@@ -65,14 +66,14 @@
     tokio::task::spawn_local(async move { check_server(&node, &server).await });
 }
 
-async fn check_server(node: &Node, server: &Server) {
+async fn check_server(node: &Rc<Node>, server: &Server) {
     tokio::time::sleep(SAME_LOSS_WINDOW).await;
     let probe = TcpStream::connect(server.record.address);
     let up = tokio::time::timeout(PROBE_TIMEOUT, probe)
         .await
         .is_ok_and(|c| c.is_ok());
     let broken = server.broken_requests.take();
-    if up {
+    if up || reach::verify(node).await == Reach::Lost {
         return;
     }
     let loss = match is_draining_or_gone(node, server) {
--- a/crates/gateway/src/backend/mod.rs
+++ b/crates/gateway/src/backend/mod.rs
@@ -7,3 +7,4 @@
 pub mod gate;
 pub mod pool;
 pub mod quarantine;
+pub mod reach;
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -11,6 +11,7 @@
 pub mod placement;
 pub mod prefix_cache;
 pub mod prompt;
+pub mod reach;
 pub mod retry_budget;
 pub mod rule;
 pub mod scale;
--- a/crates/gateway/src/decide/timeouts.rs
+++ b/crates/gateway/src/decide/timeouts.rs
@@ -40,6 +40,8 @@
     },
     /// No server that takes new work is of the software version that began the stream.
     VersionGone,
+    /// This node has lost its paths to the servers.
+    Unreached,
     /// No server can answer in the time left.
     TooLate,
     /// No server accepts a request in the time left.
@@ -59,7 +61,7 @@
 ) -> Millisecond {
     let max_ms = left_ms / 2;
     let wanted_ms = match (run_state, reason) {
-        (_, NoServer::VersionGone) => 0,
+        (_, NoServer::VersionGone | NoServer::Unreached) => 0,
         (RunState::Unknown | RunState::Ran, _) => max_ms,
         (RunState::NotRun, NoServer::Full | NoServer::Busy { .. }) => {
             (target_ms as f64 * FULL_WAIT_SHARE) as Millisecond
--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -12,6 +12,7 @@
 use super::caller;
 use super::local_reply::reason;
 use super::readiness::{Readiness, readiness};
+use super::relay::RELAY_PREFIX;
 use crate::belief::directory::CallerLimits;
 use crate::front::request::read_head;
 use crate::http::{Conn, HeadWriter, set_tcp_options};
@@ -165,10 +166,13 @@
 }
 
 /// Answers internal requests, which have no body, until the connection ends.
-async fn serve_queries(node: &Node, purpose: ListenerPurpose, stream: TcpStream) {
+async fn serve_queries(node: &Rc<Node>, purpose: ListenerPurpose, stream: TcpStream) {
     let limits = CallerLimits::default();
     let mut conn = Conn::from_stream(stream);
     while let Ok(head) = read_head(&mut conn, &limits).await {
+        if purpose == ListenerPurpose::Peers && head.target.starts_with(RELAY_PREFIX) {
+            return caller::run_relayed(node, &mut conn, head).await;
+        }
         let (status, body) = match purpose {
             ListenerPurpose::Ready => readiness_answer(node),
             ListenerPurpose::Metrics => (200, node.metrics.text(node).into_bytes()),
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -11,10 +11,12 @@
 
 use super::job::Job;
 use super::local_reply::LocalReply;
+use super::relay;
 use crate::backend::answer_summary::AnswerSummary;
 use crate::backend::attempt::Attempt;
 use crate::backend::crash_check;
 use crate::backend::gate::{self, WithheldCounts};
+use crate::backend::reach;
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
 use crate::decide::outcome::{AttemptHistory, FailureCause, NextAction, RETRY_AFTER_MS};
@@ -101,6 +103,9 @@
             if let Some(refused_for_ms) = self.job.refused_for_ms() {
                 return Err(self.quarantine_reply(refused_for_ms));
             }
+            if relay::is_needed(self.node) {
+                return Err(self.refusal_reply(NoServer::Unreached));
+            }
             let no_server = match Attempt::place(self.job, &self.avoid, self.history.run_state) {
                 Ok(mut attempt) => {
                     self.report_choice(&attempt);
@@ -170,6 +175,12 @@
             let request = self.job.broken(attempt.started_ms);
             crash_check::note_broken_connection(self.node, server, request);
         }
+        if matches!(
+            cause,
+            FailureCause::Unreachable | FailureCause::Broken | FailureCause::Silent
+        ) {
+            reach::note_failure(self.node, server);
+        }
         if !matches!(cause, FailureCause::Withheld(_)) {
             self.avoid.push(server.record.id.clone());
         }
@@ -223,6 +234,10 @@
             NoServer::None => ("no_server", "No server of the service is known."),
             NoServer::Full => ("servers_full", "All servers of the service are full."),
             NoServer::Busy { .. } => ("servers_busy", "All servers of the service are too busy."),
+            NoServer::Unreached => (
+                "servers_unreached",
+                "This node does not reach the servers; send the request to another node.",
+            ),
             NoServer::VersionGone => (
                 "version_gone",
                 "No server has the software version that began this stream.",
@@ -239,6 +254,7 @@
             | NoServer::Full
             | NoServer::Busy { .. }
             | NoServer::VersionGone
+            | NoServer::Unreached
             | NoServer::TooLate => None,
         };
         self.report_no_server(code, opens_in_ms);
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -10,11 +10,12 @@
 use tokio::net::tcp::OwnedReadHalf;
 
 use super::local_reply::{ConnDisposition, LocalReply};
-use super::request::{ReadError, Request, read_body, read_head};
+use super::relay;
+use super::request::{ReadError, Request, RequestSource, read_body, read_head};
 use super::serve::{CallerWriter, ServeOutcome, conn_disposition, serve};
 use crate::belief::directory::CallerLimits;
 use crate::decide::not_run::NotRunProof;
-use crate::http::{Conn, fill};
+use crate::http::{Conn, HeadWriter, RequestHead, fill};
 use crate::node::{Node, Phase};
 
 /// Most bytes that are read ahead while a request is served. Beyond it, the caller's disconnect is
@@ -75,9 +76,43 @@
         head,
         body,
         received_ms,
+        source: RequestSource::Caller,
     })
 }
 
+/// Serves a request that another node passes on.
+pub async fn run_relayed(node: &Rc<Node>, conn: &mut Conn, mut head: RequestHead) {
+    let limits = node
+        .directory()
+        .map_or_else(CallerLimits::default, |d| d.limits);
+    let received_ms = node.now_ms();
+    let mut held = node.body_memory.reserve();
+    let body = match read_body(conn, &head, &limits, &mut held).await {
+        Ok(body) => body,
+        Err(error) => return refuse(node, conn, error).await,
+    };
+    let Some(_count_guard) = relay::takes_relayed(node) else {
+        let mut out = BytesMut::new();
+        HeadWriter::response(&mut out, relay::NOT_TAKEN_STATUS, "Misdirected Request")
+            .number("Content-Length", 0)
+            .end();
+        // The other node tries the next one also if this answer is lost.
+        let _ = conn.send(&out).await;
+        return;
+    };
+    if let Some(target) = head.target.strip_prefix(relay::RELAY_PREFIX) {
+        head.target = target.to_owned();
+    }
+    let request = Request {
+        held,
+        head,
+        body,
+        received_ms,
+        source: RequestSource::OtherNode,
+    };
+    serve_request(node, conn, &request).await;
+}
+
 /// Returns when an idle connection must be closed because the process drains.
 async fn drain_idle_timeout(node: &Node) {
     while node.phase.get() == Phase::Serving {
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -56,6 +56,13 @@
     No,
 }
 
+/// The earlier of the caller's and the route's deadline.
+pub fn deadline_ms(node: &Node, request: &Request, route: &Route) -> Millisecond {
+    let caller_ms = request.head.fields.number(node.dialect.names.time_left_ms);
+    let route_ms = route.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
+    request.received_ms + caller_ms.map_or(route_ms, |ms| ms.min(route_ms))
+}
+
 impl<'a> Job<'a> {
     pub fn new(
         node: &'a Node,
@@ -67,13 +74,9 @@
         let names = &node.dialect.names;
         let fields = &request.head.fields;
         let prompt = Prompt::parse(fields.text(names.prompt_parts), fields.text(names.tokens));
-        let received_ms = request.received_ms;
         let caller_ms = fields.number(names.time_left_ms);
-        let route_deadline_ms = received_ms + route.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
-        let caller_deadline_ms = match caller_ms {
-            Some(ms) => received_ms + ms,
-            None => route_deadline_ms,
-        };
+        let deadline_ms = deadline_ms(node, request, &route);
+        let caller_deadline_ms = caller_ms.map_or(deadline_ms, |ms| request.received_ms + ms);
         let cost = match &workspace {
             Some(workspace) => workspace.unit.cost(prompt.used_tokens()),
             None => 0.0,
@@ -86,7 +89,7 @@
             workspace,
             prompt,
             caller_deadline_ms,
-            deadline_ms: caller_deadline_ms.min(route_deadline_ms),
+            deadline_ms,
             cost,
             may_have_run: Cell::new(MayHaveRun::No),
             answer_summary: Cell::new(None),
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -9,6 +9,7 @@
 pub mod job;
 mod local_reply;
 mod readiness;
+pub mod relay;
 pub mod request;
 pub mod resume;
 mod serve;
--- a/crates/gateway/src/front/request.rs
+++ b/crates/gateway/src/front/request.rs
@@ -22,6 +22,15 @@
     pub received_ms: Millisecond,
     /// Memory reserved for the body until the request has been served.
     pub held: BodyReservation,
+    pub source: RequestSource,
+}
+
+/// Who sent a request to this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestSource {
+    Caller,
+    /// A node that does not reach the servers itself.
+    OtherNode,
 }
 
 /// Reasons why no request could be read.
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use base::Name;
+use base::outcome::RunState;
 use base::units::Millisecond;
 use bytes::BytesMut;
 use policy::suspect::Treatment;
@@ -11,15 +13,16 @@
 use tokio::net::tcp::OwnedWriteHalf;
 
 use super::in_flight::InFlightRequest;
-use super::job::Job;
+use super::job::{Job, deadline_ms};
 use super::local_reply::{ConnDisposition, LocalReply};
-use super::request::Request;
-use super::{buffered, stream};
+use super::request::{Request, RequestSource};
+use super::{buffered, relay, stream};
 use crate::belief::directory::Caller;
 use crate::belief::{Directory, Route, Service, Workspace};
 use crate::clock::unix_ms;
 use crate::decide::allowance::Admission;
 use crate::decide::not_run::NotRunProof;
+use crate::decide::retry_budget::RetryPermit;
 use crate::node::{Node, Phase};
 
 /// `Retry-After` of a node that has no directory yet.
@@ -77,7 +80,7 @@
 pub async fn serve(node: &Rc<Node>, request: &Request, out: &mut CallerWriter<'_>) -> ServeOutcome {
     let admitted = admit(node, request);
     let served = match admitted {
-        Ok(admitted) => serve_admitted(node, request, admitted, out).await,
+        Ok(admitted) => serve_or_relay(node, request, admitted, out).await,
         Err(refusal) => {
             let route = refusal.route.as_deref().map(|r| &*r.name);
             refuse(
@@ -220,6 +223,46 @@
     sent.eq_ignore_ascii_case(scheme).then(|| key.trim())
 }
 
+/// Serves a request here, or at another node if this one has lost its paths to the servers.
+async fn serve_or_relay(
+    node: &Rc<Node>,
+    request: &Request,
+    admitted: Admitted,
+    out: &mut CallerWriter<'_>,
+) -> ServeOutcome {
+    let (route, service) = (admitted.route.clone(), admitted.service.name.clone());
+    let may_relay = request.source == RequestSource::Caller;
+    let deadline_ms = deadline_ms(node, request, &route);
+    if may_relay
+        && relay::is_needed(node)
+        && let Some(served) = relay::relay(node, request, deadline_ms, out).await
+    {
+        return served;
+    }
+    let served = serve_admitted(node, request, admitted, out).await;
+    let ServeOutcome::Local(reply) = &served else {
+        return served;
+    };
+    if !may_relay || !relay::is_needed(node) || !may_relay_after(node, reply, &route, &service) {
+        return served;
+    }
+    let relayed = relay::relay(node, request, deadline_ms, out).await;
+    relayed.unwrap_or(served)
+}
+
+/// Whether a request that got this reply from this node may still be passed on. One that may have
+/// run is repeated within the retry budget.
+fn may_relay_after(node: &Node, reply: &LocalReply, route: &Route, service: &Name) -> bool {
+    match reply.run_state {
+        RunState::NotRun => reply.status == 503,
+        RunState::Unknown | RunState::Ran => {
+            route.kind.repeats()
+                && reply.status == 502
+                && node.take_retry(service) != RetryPermit::Exhausted
+        }
+    }
+}
+
 async fn serve_admitted(
     node: &Rc<Node>,
     request: &Request,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -19,6 +19,7 @@
 use crate::decide::body_memory::BodyMemory;
 use crate::decide::offered_load::OfferedLoad;
 use crate::decide::pause::{Arrival, PauseDetector};
+use crate::decide::reach::ReachState;
 use crate::decide::retry_budget::{RetryBudget, RetryPermit, RetryTerms};
 use crate::decide::rule::BaselineInputs;
 use crate::decide::store_poll::PollRank;
@@ -87,6 +88,12 @@
     pub version_history: RefCell<VersionHistory>,
     /// Rows of begun streams in the store; unset without a store.
     pub stream_rows: OnceCell<Rc<StreamRows>>,
+    /// Whether this node reaches the backend servers.
+    pub reach: RefCell<ReachState>,
+    /// Held while the paths to the backend servers are checked.
+    pub reach_check: tokio::sync::Mutex<()>,
+    /// Number of requests that this node serves for others.
+    pub relayed: Cell<u32>,
     pub phase: Cell<Phase>,
     /// Number of requests being served.
     pub in_flight: Cell<u32>,
@@ -136,6 +143,9 @@
             begun_streams: RefCell::default(),
             version_history: RefCell::default(),
             stream_rows: OnceCell::new(),
+            reach: RefCell::default(),
+            reach_check: tokio::sync::Mutex::default(),
+            relayed: Cell::new(0),
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
             callers: Cell::new(0),
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -12,7 +12,7 @@
 use super::message::{HeartbeatContent, NodeHeartbeat, RegistryVersion};
 use super::role::{DrainState, HEARTBEAT_PERIOD_MS, Presence, SMALL_FLEET_NODES, period_ms};
 use super::{PeerUpdate, pull, pulse};
-use crate::backend::{gate, quarantine};
+use crate::backend::{gate, quarantine, reach};
 use crate::belief::registry::Load;
 use crate::clock::unix_ms;
 use crate::decide::allowance::PeerUsage;
@@ -125,6 +125,7 @@
 /// The state of this node, as heartbeat number `number` of its life.
 pub fn heartbeat(node: &Node, number: u64, started_unix_ms: u64) -> NodeHeartbeat {
     let now_ms = node.now_ms();
+    let server_silence_ms = reach::server_silence_ms(node);
     let registry = node.registry.borrow();
     let busy = registry.servers().filter(|s| s.running.get() > 0);
     let loads = busy
@@ -168,6 +169,8 @@
         settled: node.usage.borrow().settled_windows(),
         suspects,
         parts: quarantine::report(node),
+        reach: node.reach.borrow().reach(),
+        server_silence_ms,
         versions: {
             let history = node.version_history.borrow();
             history.is_known().then(|| history.report())
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -8,6 +8,7 @@
 use super::NODES_LIMIT;
 use super::role::{DrainState, Role, period_ms};
 use crate::decide::backpressure::Notice;
+use crate::decide::reach::Reach;
 use crate::decide::version_history::VersionReport;
 
 /// Most requests of one node at one server: each takes one of the node's ports.
@@ -72,6 +73,12 @@
     /// Services with several software versions, from nodes that know those before their start.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub versions: Option<VersionReport>,
+    /// Whether the sender reaches the backend servers.
+    #[serde(default)]
+    pub reach: Reach,
+    /// Time since any backend server last sent a byte to the sender.
+    #[serde(default)]
+    pub server_silence_ms: Option<Millisecond>,
     /// Backpressure announced by backend servers.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub notices: Vec<Notice>,
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -15,6 +15,7 @@
 use base::units::Millisecond;
 use base::{Map, Name, Set};
 
+use crate::decide::reach::Reach;
 use crate::decide::store_poll::PollRank;
 use crate::settings::Settings;
 use message::{HeartbeatContent, NodeHeartbeat, Tenure};
@@ -316,6 +317,42 @@
         peers.iter().map(|p| p.address).collect()
     }
 
+    /// Addresses of the other nodes that reach the backend servers: those of `domain`, and the others.
+    pub fn helpers(
+        &self,
+        domain: &Name,
+        now_ms: Millisecond,
+    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let (mut same, mut others) = (Vec::new(), Vec::new());
+        for peer in self.by_name.values() {
+            let heartbeat = &peer.heartbeat;
+            let serves = heartbeat.stay == DrainState::Stays && heartbeat.reach == Reach::Reached;
+            if !serves || peer.presence(now_ms) == Presence::Silent {
+                continue;
+            }
+            match heartbeat.failure_domain == *domain {
+                true => same.push(peer.address),
+                false => others.push(peer.address),
+            }
+        }
+        (same, others)
+    }
+
+    /// Takes a node for one that does not reach the backend servers, until its next heartbeat.
+    pub fn mark_lost(&mut self, address: SocketAddr) {
+        for peer in self.by_name.values_mut().filter(|p| p.address == address) {
+            peer.heartbeat.reach = Reach::Lost;
+        }
+    }
+
+    /// Whether another node has heard a backend server since `since_ms`.
+    pub fn reached_since(&self, since_ms: Millisecond) -> bool {
+        self.by_name.values().any(|peer| {
+            let silence_ms = peer.heartbeat.server_silence_ms;
+            silence_ms.is_some_and(|ms| peer.heard_ms.saturating_sub(ms) >= since_ms)
+        })
+    }
+
     /// Addresses of nodes that only listen, and so never hold the duties.
     pub fn listener_addresses(&self) -> Set<SocketAddr> {
         let listening = |p: &&Peer| p.heartbeat.role == Role::Listens;
