Backpressure: servers that say that they are brittle are kept from refusing more than they bear

A refused request went to the next server at once and to the same one soon after; nothing bound the refusals of all nodes together. Now a brittle server is filled to nine tenths of its slots with no queue, and after a refusal a node sends it nothing for as long as all nodes take to cause N refusals.

--- a/crates/gateway/src/backend/answer_summary.rs
+++ b/crates/gateway/src/backend/answer_summary.rs
@@ -6,7 +6,7 @@
 
 use super::exchange::WriteProgress;
 use super::pool::ConnOrigin;
-use crate::decide::signal::{Reading, Signals, hold_off_ms, leaving, limit_per_s};
+use crate::decide::signal::{Reading, Signals, hold_off_ms, leaving, limit_per_s, refusals_per_s};
 use crate::dialect::HeaderNames;
 use crate::http::ResponseHead;
 
@@ -70,6 +70,11 @@
 }
 
 impl AnswerSummary {
+    /// Whether the server refused the request without running it, for want of room.
+    pub fn is_refusal(&self) -> bool {
+        self.status == UNAVAILABLE && self.mark == NotRunMark::NotRun
+    }
+
     pub fn of(
         head: &ResponseHead,
         names: &HeaderNames,
@@ -111,5 +116,6 @@
             UNAVAILABLE => hold_off_ms(fields.all("retry-after"), SystemTime::now()),
             _ => Reading::Absent,
         },
+        refusals_per_s: refusals_per_s(fields.all(names.brittle)),
     }
 }
--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -18,7 +18,8 @@
 use crate::decide::backpressure::Availability;
 use crate::decide::outcome::FailureCause;
 use crate::decide::placement::{
-    Candidate, Choice, Demand, ENGINE_QUEUE_SHARE, PlacementView, prefix_home, untried,
+    Candidate, Choice, Demand, ENGINE_QUEUE_SHARE, PlacementView, brittle_slots, prefix_home,
+    untried,
 };
 use crate::decide::rule::{TimeLimits, choose_in_time};
 use crate::decide::shed::wait_limit_ms;
@@ -167,12 +168,7 @@
         if summary.connection == ConnOrigin::Fresh {
             self.job.node.reach.borrow_mut().record_answer();
         }
-        gate::note_answer(
-            self.job.node,
-            &self.server,
-            &summary.signals,
-            self.started_ms,
-        );
+        gate::note_answer(self.job.node, &self.server, &summary, self.started_ms);
     }
 
     pub fn note_failure(&self, cause: FailureCause) {
@@ -278,11 +274,14 @@
 }
 
 fn demand(job: &Job<'_>) -> Demand {
-    let queue_share = match job.service.engine {
+    Demand::of(&job.prompt, queue_share(job))
+}
+
+fn queue_share(job: &Job<'_>) -> f64 {
+    match job.service.engine {
         Some(_) => ENGINE_QUEUE_SHARE,
         None => PLAIN_QUEUE_SHARE,
-    };
-    Demand::of(&job.prompt, queue_share)
+    }
 }
 
 /// Slots of a server, or 0 when this node has used up its share of the server's connections.
@@ -291,6 +290,9 @@
     let free = share.max(1).saturating_sub(server.running.get());
     match free {
         0 => 0,
+        _ if server.flow.backpressure.borrow().is_brittle() => {
+            brittle_slots(server.record.slots, queue_share(job))
+        }
         _ => server.record.slots,
     }
 }
--- a/crates/gateway/src/backend/gate.rs
+++ b/crates/gateway/src/backend/gate.rs
@@ -11,13 +11,13 @@
 use base::units::Millisecond;
 use serde::Serialize;
 
+use super::answer_summary::AnswerSummary;
 use crate::belief::Server;
 use crate::belief::registry::FlowControl;
 use crate::clock::{Clock, unix_ms};
 use crate::decide::backpressure::{
     Availability, BackpressureChange, ChangeOrigin, Notice, Now, Timing, WithholdReason,
 };
-use crate::decide::signal::Signals;
 use crate::decide::turns::{Rendezvous, Turn};
 use crate::node::Node;
 
@@ -200,8 +200,9 @@
     limited.take(NOTICES_LIMIT).collect()
 }
 
-/// Applies the signals in an answer to a request that was sent at `sent_ms`, on the node's clock.
-pub fn note_answer(node: &Node, server: &Server, signals: &Signals, sent_ms: Millisecond) {
+/// Applies the signals of an answer to a request that was sent at `sent_ms`, on the node's clock.
+pub fn note_answer(node: &Node, server: &Server, summary: &AnswerSummary, sent_ms: Millisecond) {
+    let signals = &summary.signals;
     let mut backpressure = server.flow.backpressure.borrow_mut();
     if signals.is_silent() && !backpressure.has_signals() {
         return;
@@ -212,7 +213,10 @@
         answered_ms,
         now_ms,
     };
-    let changes = backpressure.record_answer(signals, timing);
+    let mut changes = backpressure.record_answer(signals, timing);
+    if summary.is_refusal() {
+        changes.extend(backpressure.record_refusal(node.node_count(), now_ms));
+    }
     drop(backpressure);
     report(node, server, &changes, ChangeOrigin::OwnAnswer, 0);
 }
--- a/crates/gateway/src/decide/backpressure.rs
+++ b/crates/gateway/src/decide/backpressure.rs
@@ -27,6 +27,12 @@
 /// A limit expires if no answer has confirmed or loosened it for this long.
 const LIMIT_EXPIRY_MS: Millisecond = 30_000;
 
+/// Lowest number of refusals per second that is taken for a brittle server's.
+const MIN_REFUSALS_PER_S: f64 = 0.5;
+
+/// Longest time without requests after a refusal by a brittle server.
+const MAX_REFUSAL_PAUSE_MS: Millisecond = 120_000;
+
 /// Lowest limit that is applied, in requests per second. A server with a limit of zero still gets a
 /// request now and then, so that the end of the limit is noticed.
 const MIN_LIMIT_PER_S: f64 = 0.1;
@@ -210,6 +216,8 @@
     limit: Option<Limit>,
     /// Fleet time since which a limit has been in force.
     limited_since_ms: Option<Millisecond>,
+    /// Refusals per second that a brittle server bears from all nodes together.
+    refusals_per_s: Option<f64>,
 }
 
 impl Backpressure {
@@ -228,9 +236,37 @@
             }
         }
         changes.extend(self.update_limit(signals.limit_per_s, timing));
+        match signals.refusals_per_s {
+            Reading::Given(per_s) => self.refusals_per_s = Some(per_s),
+            Reading::Absent => self.refusals_per_s = None,
+            Reading::Unreadable => {}
+        }
         changes
     }
 
+    /// Whether the server has said in its last answer that it is brittle.
+    pub fn is_brittle(&self) -> bool {
+        self.refusals_per_s.is_some()
+    }
+
+    /// Records that the server refused a request of this node, one of `nodes`, for want of room. A
+    /// brittle one gets no request until all nodes could have caused their share of its refusals.
+    pub fn record_refusal(
+        &mut self,
+        nodes: usize,
+        now_ms: Millisecond,
+    ) -> Option<BackpressureChange> {
+        let per_s = self.refusals_per_s?.max(MIN_REFUSALS_PER_S);
+        let for_ms = (nodes as f64 * 1_000.0 / per_s).ceil() as Millisecond;
+        let for_ms = for_ms.min(MAX_REFUSAL_PAUSE_MS);
+        let until_ms = now_ms + for_ms;
+        if until_ms <= self.hold_off_until_ms {
+            return None;
+        }
+        self.hold_off_until_ms = until_ms;
+        Some(BackpressureChange::HoldsOff { for_ms })
+    }
+
     fn update_limit(
         &mut self,
         reading: Reading<f64>,
@@ -300,7 +336,7 @@
 
     /// Whether the server has sent any signal so far.
     pub fn has_signals(&self) -> bool {
-        self.is_leaving() || self.hold_off_until_ms > 0 || self.limit.is_some()
+        self.is_leaving() || self.hold_off_until_ms > 0 || self.limit.is_some() || self.is_brittle()
     }
 
     /// When the server may be sent a request, and the turn that the request uses under a limit.
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -27,6 +27,9 @@
 /// it.
 const CONCURRENCY_SHARE: f64 = 0.02;
 
+/// Share of a brittle server's slots that all nodes together use, as far as a node knows.
+const BRITTLE_FILL_SHARE: f64 = 0.9;
+
 /// Time added for each request beyond the slots, which waits until a running one ends.
 const QUEUED_REQUEST_MS: f64 = 40.0;
 
@@ -159,6 +162,14 @@
     }
 }
 
+/// Slots that count at a brittle server: it may let no request wait, and other nodes send it requests
+/// that this node has not heard of yet. With the queue that is allowed on top, no more than
+/// `BRITTLE_FILL_SHARE` of its real slots are used.
+pub fn brittle_slots(slots: u32, queue_share: f64) -> u32 {
+    let used = f64::from(slots) * BRITTLE_FILL_SHARE / (1.0 + queue_share);
+    (used as u32).max(1)
+}
+
 /// The chosen server and its predicted times.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
--- a/crates/gateway/src/decide/signal.rs
+++ b/crates/gateway/src/decide/signal.rs
@@ -67,6 +67,10 @@
     /// Time for which the server wants no request from this node.
     #[serde(skip_serializing_if = "Reading::is_absent")]
     pub hold_off_ms: Reading<Millisecond>,
+    /// The server is brittle: it falls over if it has to refuse more requests than this in a second,
+    /// those of all nodes together.
+    #[serde(skip_serializing_if = "Reading::is_absent")]
+    pub refusals_per_s: Reading<f64>,
 }
 
 impl Signals {
@@ -86,6 +90,11 @@
     parse_single(values, |text| parse_decimal(text, MAX_LIMIT_PER_S))
 }
 
+/// Parses the values of the header field that names how many refusals a brittle server bears.
+pub fn refusals_per_s<'a>(values: impl Iterator<Item = &'a [u8]>) -> Reading<f64> {
+    parse_single(values, |text| parse_decimal(text, MAX_LIMIT_PER_S))
+}
+
 /// Parses the values of `Retry-After`: a number of seconds, possibly fractional, or a date.
 pub fn hold_off_ms<'a>(
     values: impl Iterator<Item = &'a [u8]>,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -31,6 +31,8 @@
     pub leaving: &'static str,
     /// Rate limit of the server for all nodes together, in requests per second.
     pub limit: &'static str,
+    /// Refusals per second, to all nodes together, beyond which a brittle server falls over.
+    pub brittle: &'static str,
     /// The server's digest of its answer.
     pub signature: &'static str,
     /// The caller's key, after the scheme and a space.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -178,6 +178,7 @@
             ("leaving", signals.leaving.label()),
             ("limit", signals.limit_per_s.label()),
             ("hold_off", signals.hold_off_ms.label()),
+            ("brittle", signals.refusals_per_s.label()),
         ];
         for (signal, reading) in readings {
             let Some(reading) = reading else {
--- a/crates/gateway/tests/backpressure.rs
+++ b/crates/gateway/tests/backpressure.rs
@@ -258,3 +258,44 @@
     }
     assert!(taken <= 16, "{taken} in ten seconds at 1.5 a second");
 }
+
+fn brittle(per_s: f64) -> Backpressure {
+    let mut backpressure = Backpressure::default();
+    let signals = Signals {
+        refusals_per_s: Reading::Given(per_s),
+        ..Signals::default()
+    };
+    backpressure.record_answer(&signals, answered(0));
+    backpressure
+}
+
+fn answered(at_ms: Millisecond) -> Timing {
+    Timing {
+        sent_ms: at_ms,
+        answered_ms: at_ms,
+        now_ms: at_ms,
+    }
+}
+
+/// Each node sends again as soon as it may, and is refused each time.
+#[test_case(1, 3.0)]
+#[test_case(6, 3.0)]
+#[test_case(60, 3.0)]
+#[test_case(295, 5.0)]
+fn refusals_of_a_brittle_server_to_all_nodes_stay_within_its_number(nodes: usize, per_s: f64) {
+    let mut backpressure = brittle(per_s);
+    backpressure.record_refusal(nodes, 0);
+    let pause_ms = backpressure.hold_off_until_ms();
+    assert!(
+        nodes as f64 * 1_000.0 / pause_ms as f64 <= per_s,
+        "{pause_ms}"
+    );
+}
+
+#[test]
+fn a_server_that_no_longer_says_that_it_is_brittle_is_held_off_after_no_refusal() {
+    let mut backpressure = brittle(3.0);
+    backpressure.record_answer(&Signals::default(), answered(10));
+    assert!(!backpressure.is_brittle());
+    assert_eq!(backpressure.record_refusal(6, 20), None);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -26,6 +26,7 @@
     not_run: "not-run",
     leaving: "leaving",
     limit: "limit",
+    brittle: "brittle",
     signature: "signature",
     key: "key",
     key_scheme: "K",
