Stop: requests whose server is still at work at the end of a planned stop get an answer

Another operator's report: requests taken late in the grace were passed on, and cut with no answer at its end. Here nothing is taken later than 2.8 s after SIGTERM, but what was taken until then and not finished 7.3 s after it was cut with no answer. 0.2 s before the end such requests now get 504 node_stopped with run_state unknown; streams that have begun are cut at an event, as before. The caller's writer keeps whether a part of the answer was written.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -34,6 +34,9 @@
 /// Subtracted from the time allowed for shutdown, so that the process ends before it is killed.
 const DRAIN_MARGIN_MS: u64 = 700;
 
+/// Time before the end of the process at which requests without an answer get a last reply.
+const LAST_REPLY_TIME: Duration = Duration::from_millis(200);
+
 /// Reasons why a process cannot start.
 #[derive(Debug, Snafu)]
 pub enum DaemonError {
@@ -207,10 +210,18 @@
     sleep_until(earliest.min(latest)).await;
     node.phase.set(Phase::Closing);
     node.phase_changed.notify_waiters();
+    wait_for_callers(node, latest - LAST_REPLY_TIME).await;
+    node.phase.set(Phase::Ending);
+    node.phase_changed.notify_waiters();
+    wait_for_callers(node, latest).await;
+    log::emit(Code::DaemonStopped, &drain_fields(node));
+}
+
+/// Waits until all requests are answered and all callers have gone, or until `latest`.
+async fn wait_for_callers(node: &Node, latest: Instant) {
     while Instant::now() < latest && (node.in_flight.get() > 0 || node.callers.get() > 0) {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    log::emit(Code::DaemonStopped, &drain_fields(node));
 }
 
 fn drain_fields(node: &Node) -> DrainFields {
--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -160,7 +160,7 @@
 
 /// Returns when the process accepts no more callers.
 async fn wait_for_closing(node: &Node) {
-    while node.phase.get() != Phase::Closing {
+    while matches!(node.phase.get(), Phase::Serving | Phase::Draining) {
         node.phase_changed.notified().await;
     }
 }
--- a/crates/gateway/src/front/buffered.rs
+++ b/crates/gateway/src/front/buffered.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use tokio::io::AsyncWriteExt;
 use tokio::time::timeout;
 
 use super::answer::{AnswerAction, BodyKind, classify_answer, write_head};
@@ -133,7 +132,7 @@
     let mut bytes = BytesMut::with_capacity(512 + whole.body.len());
     write_head(&mut bytes, head, BodyKind::Whole(length), out);
     bytes.extend_from_slice(&whole.body);
-    match out.write.write_all(&bytes).await {
+    match out.send(&bytes).await {
         Ok(()) => ServeOutcome::Passed {
             status: head.status,
         },
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -12,7 +12,7 @@
 use super::local_reply::{ConnDisposition, LocalReply};
 use super::relay;
 use super::request::{ReadError, Request, RequestSource, read_body, read_head};
-use super::serve::{CallerWriter, ServeOutcome, conn_disposition, serve};
+use super::serve::{AnswerProgress, CallerWriter, ServeOutcome, conn_disposition, serve};
 use crate::belief::directory::CallerLimits;
 use crate::decide::not_run::NotRunProof;
 use crate::http::{Conn, HeadWriter, RequestHead, fill};
@@ -124,13 +124,30 @@
 async fn serve_request(node: &Rc<Node>, conn: &mut Conn, request: &Request) -> ConnDisposition {
     let (read, buf, write) = conn.split();
     let disposition = conn_disposition(node, request);
-    let mut out = CallerWriter { write, disposition };
+    let mut out = CallerWriter::new(write, disposition);
     let served = tokio::select! {
         biased;
         // Polled first: when the process resumes after a pause, the request and the caller's
         // disconnect are read together.
         () = caller_disconnected(read, buf) => return ConnDisposition::Close,
-        served = serve(node, request, &mut out) => served,
+        served = serve(node, request, &mut out) => Some(served),
+        () = process_ends(node) => None,
+    };
+    let served = match served {
+        Some(served) => served,
+        None if out.progress() == AnswerProgress::Nothing => {
+            let reply = node_stopped();
+            let mut bytes = BytesMut::new();
+            let names = &node.dialect.names;
+            let id = request.head.fields.text(names.request_id);
+            let echoed = id.map(|id| (names.request_id, id));
+            reply.write(&mut bytes, echoed, disposition);
+            match out.send(&bytes).await {
+                Ok(()) => ServeOutcome::Local(reply),
+                Err(_) => ServeOutcome::CallerGone,
+            }
+        }
+        None => ServeOutcome::BrokenOff,
     };
     match served {
         ServeOutcome::Passed { .. } | ServeOutcome::Local(_)
@@ -146,6 +163,19 @@
     }
 }
 
+/// Returns when the process is about to end.
+async fn process_ends(node: &Node) {
+    while node.phase.get() != Phase::Ending {
+        node.phase_changed.notified().await;
+    }
+}
+
+/// The last reply to a request whose server is still at work.
+fn node_stopped() -> LocalReply {
+    let text = "This node stops before the server has answered; the request may have run.";
+    LocalReply::unknown(504, "node_stopped", text)
+}
+
 /// Returns when the caller closes its connection. Pipelined bytes stay in the buffer.
 async fn caller_disconnected(read: &mut OwnedReadHalf, buf: &mut BytesMut) {
     loop {
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -9,7 +9,6 @@
 use base::units::Millisecond;
 use bytes::{Bytes, BytesMut};
 use serde::Serialize;
-use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, timeout_at};
 
 use super::answer::{BodyKind, write_head};
@@ -202,7 +201,7 @@
         if progress == Progress::Done && kind == BodyKind::Chunks {
             bytes.extend_from_slice(b"0\r\n\r\n");
         }
-        if out.write.write_all(&bytes).await.is_err() {
+        if out.send(&bytes).await.is_err() {
             return ServeOutcome::CallerGone;
         }
         bytes.clear();
@@ -230,7 +229,7 @@
 /// Whether this node takes a relayed request.
 pub fn takes_relayed(node: &Node) -> Option<CountGuard<'_>> {
     let is_free = node.relayed.get() < RELAYED_LIMIT;
-    let serves = node.phase.get() != Phase::Closing && !is_needed(node);
+    let serves = matches!(node.phase.get(), Phase::Serving | Phase::Draining) && !is_needed(node);
     (is_free && serves).then(|| CountGuard::new(&node.relayed))
 }
 
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -48,8 +48,41 @@
 
 /// The caller's connection, to which the answer is written.
 pub struct CallerWriter<'a> {
-    pub write: &'a mut OwnedWriteHalf,
+    write: &'a mut OwnedWriteHalf,
     pub disposition: ConnDisposition,
+    progress: AnswerProgress,
+}
+
+/// What has been written to the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerProgress {
+    Nothing,
+    /// At least a part of the answer.
+    Begun,
+}
+
+impl<'a> CallerWriter<'a> {
+    pub fn new(write: &'a mut OwnedWriteHalf, disposition: ConnDisposition) -> Self {
+        Self {
+            write,
+            disposition,
+            progress: AnswerProgress::Nothing,
+        }
+    }
+
+    /// Writes the next part of the answer.
+    ///
+    /// # Errors
+    ///
+    /// The caller's connection is broken.
+    pub async fn send(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.progress = AnswerProgress::Begun;
+        self.write.write_all(bytes).await
+    }
+
+    pub fn progress(&self) -> AnswerProgress {
+        self.progress
+    }
 }
 
 #[derive(Serialize)]
@@ -101,7 +134,7 @@
             id.map(|id| (names.request_id, id)),
             out.disposition,
         );
-        if out.write.write_all(&bytes).await.is_err() {
+        if out.send(&bytes).await.is_err() {
             return ServeOutcome::CallerGone;
         }
     }
@@ -133,7 +166,7 @@
 }
 
 fn admit(node: &Rc<Node>, request: &Request) -> Result<Admitted, Refusal> {
-    if node.phase.get() == Phase::Closing {
+    if matches!(node.phase.get(), Phase::Closing | Phase::Ending) {
         let text = "This node is shutting down; send the request to another node.";
         return Err(LocalReply::later(
             NotRunProof::unsent(),
@@ -372,6 +405,6 @@
 pub fn conn_disposition(node: &Node, request: &Request) -> ConnDisposition {
     match node.phase.get() {
         Phase::Serving if request.head.keeps_alive() => ConnDisposition::Keep,
-        Phase::Serving | Phase::Draining | Phase::Closing => ConnDisposition::Close,
+        Phase::Serving | Phase::Draining | Phase::Closing | Phase::Ending => ConnDisposition::Close,
     }
 }
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -7,14 +7,13 @@
 use base::units::Millisecond;
 use bytes::BytesMut;
 use serde::Serialize;
-use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, timeout_at};
 
 use super::answer::{AnswerAction, BodyKind, classify_answer, write_head};
 use super::attempts::Attempts;
 use super::job::Job;
 use super::resume;
-use super::serve::{CallerWriter, ServeOutcome};
+use super::serve::{AnswerProgress, CallerWriter, ServeOutcome};
 use crate::backend::attempt::Attempt;
 use crate::backend::exchange::{Answer, OutgoingRequest, deadline_in, send};
 use crate::decide::outcome::FailureCause;
@@ -30,14 +29,6 @@
 /// Longest gap between the events of a resumable stream if the route has no target for it.
 const DEFAULT_PAUSE_MS: Millisecond = 1_000;
 
-/// What has been written to the caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AnswerProgress {
-    Nothing,
-    /// At least the head of the answer.
-    HeadWritten,
-}
-
 /// How the relay from one server ended.
 enum RelayEnd {
     /// The caller has the whole answer, with this status.
@@ -53,7 +44,6 @@
 struct Stream<'a, 'b, 'c> {
     job: &'a Job<'b>,
     out: &'a mut CallerWriter<'c>,
-    progress: AnswerProgress,
     last_event: Option<String>,
     /// How long the current server may take until its first event.
     silence_timeout: SilenceTimeout,
@@ -78,7 +68,6 @@
     let mut stream = Stream {
         job,
         out,
-        progress: AnswerProgress::Nothing,
         last_event: None,
         silence_timeout: SilenceTimeout::UntilDeadline,
         deadline: deadline_in(job.left_ms()),
@@ -105,9 +94,9 @@
 impl Stream<'_, '_, '_> {
     /// Ends with `otherwise`, or breaks off if part of a server's answer has already been relayed.
     fn give_up(&self, otherwise: ServeOutcome) -> ServeOutcome {
-        match self.progress {
+        match self.out.progress() {
             AnswerProgress::Nothing => otherwise,
-            AnswerProgress::HeadWritten => ServeOutcome::BrokenOff,
+            AnswerProgress::Begun => ServeOutcome::BrokenOff,
         }
     }
 
@@ -119,7 +108,7 @@
         attempt.note_answer(answer.summary);
         match classify_answer(self.job, &answer.head) {
             Ok(AnswerAction::Relay) if is_stream(&answer) => self.relay(attempt, answer).await,
-            Ok(AnswerAction::Relay) if self.progress == AnswerProgress::Nothing => {
+            Ok(AnswerAction::Relay) if self.out.progress() == AnswerProgress::Nothing => {
                 self.relay_whole(attempt, answer).await
             }
             Ok(AnswerAction::Relay | AnswerAction::RelayUnlessRetried) => {
@@ -166,7 +155,7 @@
     /// Relays the events of one server.
     async fn relay(&mut self, attempt: &mut Attempt<'_>, mut answer: Answer) -> RelayEnd {
         let mut out = BytesMut::new();
-        if self.progress == AnswerProgress::Nothing {
+        if self.out.progress() == AnswerProgress::Nothing {
             write_head(&mut out, &answer.head, BodyKind::Chunks, self.out);
         }
         let mut events = EventReader::after(self.last_event.as_deref());
@@ -191,13 +180,12 @@
             if whole.is_empty() {
                 continue;
             }
-            if self.progress == AnswerProgress::Nothing {
+            if self.out.progress() == AnswerProgress::Nothing {
                 resume::record_version(self.job, &attempt.server.record.version);
             }
             self.record_events(attempt, &events, &mut last);
             put_chunk(&mut out, &whole);
-            self.progress = AnswerProgress::HeadWritten;
-            if self.out.write.write_all(&out).await.is_err() {
+            if self.out.send(&out).await.is_err() {
                 return RelayEnd::CallerGone;
             }
             out.clear();
@@ -206,10 +194,9 @@
             }
         }
         out.extend_from_slice(b"0\r\n\r\n");
-        self.progress = AnswerProgress::HeadWritten;
         let status = answer.head.status;
         answer.release(&attempt.server, self.job.node.now_ms());
-        match self.out.write.write_all(&out).await {
+        match self.out.send(&out).await {
             Ok(()) => RelayEnd::Whole(status),
             Err(_) => RelayEnd::CallerGone,
         }
@@ -263,15 +250,14 @@
         );
         out.extend_from_slice(&body);
         answer.release(&attempt.server, self.job.node.now_ms());
-        self.progress = AnswerProgress::HeadWritten;
-        match self.out.write.write_all(&out).await {
+        match self.out.send(&out).await {
             Ok(()) => RelayEnd::Whole(status),
             Err(_) => RelayEnd::CallerGone,
         }
     }
 
     fn report_resumption(&self, attempt: &Attempt<'_>) {
-        if self.progress == AnswerProgress::Nothing {
+        if self.out.progress() == AnswerProgress::Nothing {
             return;
         }
         let fields = ResumedFields {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -43,6 +43,8 @@
     Draining,
     /// The process completes the requests in flight, and takes no new ones.
     Closing,
+    /// The process is about to end; requests without an answer get a last reply.
+    Ending,
 }
 
 /// State of a process.
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -143,7 +143,7 @@
         role: node.role(),
         stay: match node.phase.get() {
             Phase::Serving => DrainState::Stays,
-            Phase::Draining | Phase::Closing => DrainState::Leaves,
+            Phase::Draining | Phase::Closing | Phase::Ending => DrainState::Leaves,
         },
         period_ms: period_ms(node.node_count()),
         content: HeartbeatContent::Whole,
