Streams: only those that callers may resume are remembered and saved

A stream on a route that isn't resumable can't be taken up, so its version is of no use; it took a row in the store and a place in memory. A Last-Event-Id on such a route is passed on as before.

--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -96,7 +96,7 @@
         HeadWriter::response(&mut out, relay::NOT_TAKEN_STATUS, "Misdirected Request")
             .number("Content-Length", 0)
             .end();
-        // The other node tries the next one also if this answer is lost.
+        // If this answer is lost, the other node takes the request for one that may have run.
         let _ = conn.send(&out).await;
         return;
     };
--- a/crates/gateway/src/front/resume.rs
+++ b/crates/gateway/src/front/resume.rs
@@ -10,6 +10,7 @@
 
 use super::job::Job;
 use super::local_reply::LocalReply;
+use crate::belief::RouteKind;
 use crate::decide::begun_streams::{UnsavedStream, stream_key};
 use crate::decide::not_run::NotRunProof;
 use crate::decide::version_history::StreamVersions;
@@ -51,7 +52,7 @@
     left_ms: Millisecond,
 }
 
-/// Restricts the request to the version that began the stream which the caller resumes, if any.
+/// Restricts a resumable stream to the version that began it, if the caller resumes one.
 ///
 /// # Errors
 ///
@@ -61,6 +62,9 @@
     let Some(after_event) = job.request.head.fields.text(names.last_event) else {
         return Ok(());
     };
+    if job.route.kind != RouteKind::ResumableStream {
+        return Ok(());
+    }
     let started = Instant::now();
     let (version, source) = find_version(job).await;
     let fields = TakenUpFields {
@@ -83,8 +87,11 @@
     }
 }
 
-/// Records the version of a stream at its first event.
+/// Records the version of a resumable stream at its first event.
 pub fn record_version(job: &Job<'_>, version: &Name) {
+    if job.route.kind != RouteKind::ResumableStream {
+        return;
+    }
     job.pin_version(version);
     let Some(key) = begun_key(job) else {
         return;
