--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -199,12 +199,6 @@
         }
     }
 
-    /// The final reply to a request that times out while a server has it.
-    pub fn timed_out(&self) -> LocalReply {
-        let text = "No answer came in the time allowed.";
-        LocalReply::unknown(504, "timed_out", text)
-    }
-
     fn quarantine_reply(&self, refused_for_ms: Millisecond) -> LocalReply {
         let Some(proof) = self.history.not_run_proof() else {
             return self.final_reply();
--- a/crates/gateway/src/front/buffered.rs
+++ b/crates/gateway/src/front/buffered.rs
@@ -9,6 +9,7 @@
 use super::answer::{AnswerAction, BodyKind, classify_answer, write_head};
 use super::attempts::Attempts;
 use super::job::Job;
+use super::local_reply::LocalReply;
 use super::serve::{CallerWriter, ServeOutcome};
 use crate::backend::attempt::Attempt;
 use crate::backend::exchange::{OutgoingRequest, send};
@@ -43,7 +44,7 @@
             Ok(outcome) => outcome,
             Err(_) => {
                 attempt.server.record_failure(node.now_ms());
-                let reply = attempts.timed_out();
+                let reply = LocalReply::timed_out();
                 return finish_with(failure, ServeOutcome::Local(reply), job, out).await;
             }
         };
--- a/crates/gateway/src/front/local_reply.rs
+++ b/crates/gateway/src/front/local_reply.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Replies to a request that timed out while a server or another node had it.
+    pub fn timed_out() -> Self {
+        Self::unknown(504, "timed_out", "No answer came in the time allowed.")
+    }
+
     /// Serializes the reply; `request_id` is the name and value of the field to echo, if the caller
     /// sent one.
     pub fn write(
--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -16,9 +16,7 @@
 use super::request::Request;
 use super::serve::{CallerWriter, ServeOutcome};
 use crate::decide::reach::Reach;
-use crate::http::{
-    Body, Conn, ConnOptions, HeadWriter, Progress, ResponseHead, put_chunk, response_head,
-};
+use crate::http::{Body, Conn, ConnOptions, HeadWriter, Progress, ResponseHead, put_chunk};
 use crate::node::{Node, Phase};
 
 /// Prefix of the targets of relayed requests at the peers' port.
@@ -125,12 +123,13 @@
     let exchange = async {
         conn.send(&relayed_head(node, request, left_ms)).await?;
         conn.send(&request.body).await?;
-        read_head(&mut conn, &request.head.method).await
+        conn.response_head(HEAD_LIMIT_BYTES, &request.head.method)
+            .await
     };
     let head = match timeout_at(until, exchange).await {
         Ok(Ok(head)) => head,
         Ok(Err(_)) => return HelperOutcome::Served(ServeOutcome::Local(answer_lost())),
-        Err(_) => return HelperOutcome::Served(ServeOutcome::Local(timed_out())),
+        Err(_) => return HelperOutcome::Served(ServeOutcome::Local(LocalReply::timed_out())),
     };
     if head.status == NOT_TAKEN_STATUS {
         return HelperOutcome::NotTaken;
@@ -160,19 +159,6 @@
     out.freeze()
 }
 
-async fn read_head(conn: &mut Conn, method: &str) -> std::io::Result<ResponseHead> {
-    let malformed = || std::io::Error::from(std::io::ErrorKind::InvalidData);
-    loop {
-        let head = response_head(&mut conn.buf, HEAD_LIMIT_BYTES, method);
-        if let Some(head) = head.map_err(|_| malformed())? {
-            return Ok(head);
-        }
-        if conn.fill().await? == 0 {
-            return Err(malformed());
-        }
-    }
-}
-
 /// Passes the answer to the caller as it arrives.
 async fn pass_answer(
     conn: &mut Conn,
@@ -221,11 +207,6 @@
     LocalReply::unknown(502, "answer_lost", text)
 }
 
-fn timed_out() -> LocalReply {
-    let text = "No answer came in the time allowed.";
-    LocalReply::unknown(504, "timed_out", text)
-}
-
 /// Whether this node takes a relayed request.
 pub fn takes_relayed(node: &Node) -> Option<CountGuard<'_>> {
     let is_free = node.relayed.get() < RELAYED_LIMIT;
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -12,6 +12,7 @@
 use super::answer::{AnswerAction, BodyKind, classify_answer, write_head};
 use super::attempts::Attempts;
 use super::job::Job;
+use super::local_reply::LocalReply;
 use super::resume;
 use super::serve::{AnswerProgress, CallerWriter, ServeOutcome};
 use crate::backend::attempt::Attempt;
@@ -82,7 +83,9 @@
         let cause = match stream.run(&mut attempt).await {
             RelayEnd::Whole(status) => return ServeOutcome::Passed { status },
             RelayEnd::CallerGone => return ServeOutcome::CallerGone,
-            RelayEnd::TimedOut => return stream.give_up(ServeOutcome::Local(attempts.timed_out())),
+            RelayEnd::TimedOut => {
+                return stream.give_up(ServeOutcome::Local(LocalReply::timed_out()));
+            }
             RelayEnd::Failed(cause) => cause,
         };
         if let Err(reply) = attempts.fail(&attempt, cause) {
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -11,6 +11,8 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
+use super::head::{ResponseHead, response_head};
+
 /// Buffer space reserved for each read.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -69,6 +71,29 @@
         fill(&mut self.read, &mut self.buf).await
     }
 
+    /// Reads the head of the response to a request with `method`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection ends, or if the head is malformed or longer than
+    /// `limit_bytes`.
+    pub async fn response_head(
+        &mut self,
+        limit_bytes: usize,
+        method: &str,
+    ) -> io::Result<ResponseHead> {
+        let malformed = || io::Error::from(io::ErrorKind::InvalidData);
+        loop {
+            let head = response_head(&mut self.buf, limit_bytes, method);
+            if let Some(head) = head.map_err(|_| malformed())? {
+                return Ok(head);
+            }
+            if self.fill().await? == 0 {
+                return Err(malformed());
+            }
+        }
+    }
+
     /// # Errors
     ///
     /// Returns an error if the connection breaks.
--- a/crates/gateway/src/peer/pull.rs
+++ b/crates/gateway/src/peer/pull.rs
@@ -14,7 +14,7 @@
 };
 use crate::decide::pause::Arrival;
 use crate::decide::store_poll::MAX_LONG_POLL_MS;
-use crate::http::{Body, Conn, ConnOptions, HeadWriter, Progress, response_head};
+use crate::http::{Body, Conn, ConnOptions, HeadWriter, Progress};
 use crate::node::Node;
 use crate::peer::role::{Presence, Role};
 use crate::{follow, log};
@@ -267,15 +267,7 @@
         .end();
     conn.send(&head).await?;
     let malformed = || std::io::Error::from(std::io::ErrorKind::InvalidData);
-    let head = loop {
-        let head = response_head(&mut conn.buf, RESPONSE_LIMIT_BYTES, "GET");
-        if let Some(head) = head.map_err(|_| malformed())? {
-            break head;
-        }
-        if conn.fill().await? == 0 {
-            return Err(malformed());
-        }
-    };
+    let head = conn.response_head(RESPONSE_LIMIT_BYTES, "GET").await?;
     let mut body = Body::new(head.framing);
     let mut whole = BytesMut::new();
     loop {
