Callers: the limits in force hold for requests on connections that already wait

What callers saw: on a connection that was idle when a configuration came, the old limits held for the next request. A body that the new configuration allows was answered 413, which callers do not retry, and a connection was closed at the old idle limit while callers trusted the new, longer one.

Cause: the limits were taken when the wait for a request began, up to one idle limit before the request came.

Now the wait ends by the longest idle limit seen when it began and at each expiry, as a caller may not know of a shorter one yet; the limits on head and body are taken once the first bytes have arrived. No wake-up of all connections at a new configuration is needed.

Ruled out: applying a shorter idle limit at once. Callers that know the longer one may still send, and the request would cross the close.

--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -14,7 +14,7 @@
 use super::readiness::{Readiness, readiness};
 use super::relay::RELAY_PREFIX;
 use crate::belief::directory::CallerLimits;
-use crate::front::request::read_head;
+use crate::front::request::{read_head, wait_for_request};
 use crate::http::{Conn, HeadWriter, set_tcp_options};
 use crate::node::{Node, Phase};
 use crate::peer::{exchange, serve as serve_peer};
@@ -169,7 +169,11 @@
 async fn serve_queries(node: &Rc<Node>, purpose: ListenerPurpose, stream: TcpStream) {
     let limits = CallerLimits::default();
     let mut conn = Conn::from_stream(stream);
-    while let Ok(head) = read_head(&mut conn, &limits).await {
+    while wait_for_request(&mut conn, || limits.idle_timeout_ms)
+        .await
+        .is_ok()
+        && let Ok(head) = read_head(&mut conn, &limits).await
+    {
         if purpose == ListenerPurpose::Peers && head.target.starts_with(RELAY_PREFIX) {
             return caller::run_relayed(node, &mut conn, head).await;
         }
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -11,7 +11,7 @@
 
 use super::local_reply::{ConnDisposition, LocalReply};
 use super::relay;
-use super::request::{ReadError, Request, RequestSource, read_body, read_head};
+use super::request::{ReadError, Request, RequestSource, read_body, read_head, wait_for_request};
 use super::serve::{AnswerProgress, CallerWriter, ServeOutcome, conn_disposition, serve};
 use crate::belief::directory::CallerLimits;
 use crate::decide::not_run::NotRunProof;
@@ -40,12 +40,9 @@
     let _count_guard = ConnCountGuard(node.clone());
     let mut conn = Conn::from_stream(stream);
     loop {
-        let limits = node
-            .directory()
-            .map_or_else(CallerLimits::default, |d| d.limits);
         let request = tokio::select! {
             biased;
-            request = read(&node, &mut conn, &limits) => request,
+            request = read(&node, &mut conn) => request,
             () = drain_idle_timeout(&node) => return,
         };
         let request = match request {
@@ -66,11 +63,19 @@
     }
 }
 
-async fn read(node: &Node, conn: &mut Conn, limits: &CallerLimits) -> Result<Request, ReadError> {
-    let head = read_head(conn, limits).await?;
+/// The limits in force.
+fn limits(node: &Node) -> CallerLimits {
+    let directory = node.directory();
+    directory.map_or_else(CallerLimits::default, |d| d.limits)
+}
+
+async fn read(node: &Node, conn: &mut Conn) -> Result<Request, ReadError> {
+    wait_for_request(conn, || limits(node).idle_timeout_ms).await?;
+    let limits = limits(node);
+    let head = read_head(conn, &limits).await?;
     let received_ms = node.now_ms();
     let mut held = node.body_memory.reserve();
-    let body = read_body(conn, &head, limits, &mut held).await?;
+    let body = read_body(conn, &head, &limits, &mut held).await?;
     Ok(Request {
         held,
         head,
@@ -82,12 +87,9 @@
 
 /// Serves a request that another node passes on.
 pub async fn run_relayed(node: &Rc<Node>, conn: &mut Conn, mut head: RequestHead) {
-    let limits = node
-        .directory()
-        .map_or_else(CallerLimits::default, |d| d.limits);
     let received_ms = node.now_ms();
     let mut held = node.body_memory.reserve();
-    let body = match read_body(conn, &head, &limits, &mut held).await {
+    let body = match read_body(conn, &head, &limits(node), &mut held).await {
         Ok(body) => body,
         Err(error) => return refuse(node, conn, error).await,
     };
--- a/crates/gateway/src/front/request.rs
+++ b/crates/gateway/src/front/request.rs
@@ -8,7 +8,7 @@
 
 use crate::belief::directory::CallerLimits;
 use crate::decide::body_memory::BodyReservation;
-use crate::http::{Body, Conn, HeadError, Progress, RequestHead, request_head};
+use crate::http::{Body, Conn, HeadError, Progress, RequestHead, request_head, skip_empty_lines};
 
 /// Longest wait for the next bytes of a body.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
@@ -48,15 +48,40 @@
     TooSlow,
 }
 
-/// Reads a request head.
+/// Waits for the first bytes of the next request. `idle_timeout_ms` gives the timeout in force; a
+/// wait ends by the longest one that was seen during it, since the caller may know no newer one.
+///
+/// # Errors
+///
+/// Returns an error if the connection ends, or is idle for too long.
+pub async fn wait_for_request(
+    conn: &mut Conn,
+    idle_timeout_ms: impl Fn() -> Millisecond,
+) -> Result<(), ReadError> {
+    let started = Instant::now();
+    let end = || started + Duration::from_millis(idle_timeout_ms());
+    let mut until = end();
+    loop {
+        skip_empty_lines(&mut conn.buf);
+        if !conn.buf.is_empty() {
+            return Ok(());
+        }
+        match timeout_at(until, conn.fill()).await {
+            Ok(Ok(0) | Err(_)) => return Err(ReadError::Ended),
+            Ok(Ok(_)) => {}
+            Err(_) if end() > until => until = end(),
+            Err(_) => return Err(ReadError::Ended),
+        }
+    }
+}
+
+/// Reads a request head, whose first bytes have arrived.
 ///
 /// # Errors
 ///
 /// Returns an error if the connection ends, or if the head is malformed, too large or late.
 pub async fn read_head(conn: &mut Conn, limits: &CallerLimits) -> Result<RequestHead, ReadError> {
-    let idle = Duration::from_millis(limits.idle_timeout_ms);
-    let mut until = Instant::now() + idle;
-    let mut head_started = HeadStarted::No;
+    let until = Instant::now() + Duration::from_millis(limits.head_timeout_ms);
     loop {
         match request_head(&mut conn.buf, limits.head_bytes) {
             Ok(Some(head)) => return Ok(head),
@@ -64,15 +89,10 @@
             Err(HeadError::TooLarge) => return Err(ReadError::HeadTooLarge),
             Err(HeadError::Malformed | HeadError::Ambiguous) => return Err(ReadError::Malformed),
         }
-        if head_started == HeadStarted::No && !conn.buf.is_empty() {
-            head_started = HeadStarted::Yes;
-            until = Instant::now() + Duration::from_millis(limits.head_timeout_ms);
-        }
         match timeout_at(until, conn.fill()).await {
             Ok(Ok(0) | Err(_)) => return Err(ReadError::Ended),
             Ok(Ok(_)) => {}
-            Err(_) if head_started == HeadStarted::Yes => return Err(ReadError::TooSlow),
-            Err(_) => return Err(ReadError::Ended),
+            Err(_) => return Err(ReadError::TooSlow),
         }
     }
 }
@@ -115,9 +135,3 @@
         }
     }
 }
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum HeadStarted {
-    Yes,
-    No,
-}
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -162,7 +162,8 @@
     }))
 }
 
-fn skip_empty_lines(buf: &mut BytesMut) {
+/// Removes empty lines before a request head, which some senders put after a body.
+pub(crate) fn skip_empty_lines(buf: &mut BytesMut) {
     let empty = buf
         .iter()
         .take_while(|b| matches!(b, b'\r' | b'\n'))
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -13,5 +13,6 @@
 pub(crate) use conn::fill;
 pub use conn::{Conn, ConnOptions, set_tcp_options};
 pub use fields::Fields;
+pub(crate) use head::skip_empty_lines;
 pub use head::{Framing, HeadError, RequestHead, ResponseHead, request_head, response_head};
 pub use write::{HeadWriter, put_chunk};
