Requests: numbers at the end of their range end no connection

What callers saw: a request whose time limit or token counts are near 2^64 was not answered in a debug build; its connection was closed. A release build went on with a wrapped number: a deadline in the past, or a cost near zero.

Cause: the time limit was added to the time of arrival, and token counts to each other, without a bound.

Token counts are capped where they are parsed, at 2^32 - 1, so that sums over the parts of a prompt and over the requests at a server stay in range; the deadline saturates.

Evidence: platform/tests/unanswered.rs, on the code before: three of the six cases of a_number_at_the_end_of_its_range_leaves_no_request_without_an_answer failed (longest time: "attempt to add with overflow" at front/job.rs:79; most tokens: at decide/prompt.rs:59; longest parts: in a sum), each with status 0.

--- a/crates/gateway/src/decide/prompt.rs
+++ b/crates/gateway/src/decide/prompt.rs
@@ -9,6 +9,9 @@
 /// Most parts of one prompt that are watched for crashes.
 const SHARED_PARTS_LIMIT: usize = 64;
 
+/// Most tokens that one number of a request stands for; sums over many requests stay in range.
+const TOKENS_LIMIT: TokenCount = u32::MAX as TokenCount;
+
 /// A part of a prompt. A cached part can be used only after the same preceding parts, so it is
 /// identified together with them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,7 +43,7 @@
             let Some((id, tokens)) = part.trim().split_once(':') else {
                 continue;
             };
-            let Ok(tokens) = tokens.parse() else {
+            let Some(tokens) = parse_tokens(tokens) else {
                 continue;
             };
             id.hash(&mut hasher);
@@ -49,8 +52,8 @@
             prompt.parts.push(PromptPart { id, chain, tokens });
         }
         let (input, output) = usage.and_then(|u| u.split_once(',')).unwrap_or_default();
-        prompt.input_tokens = input.trim().parse().unwrap_or(0);
-        prompt.output_tokens = output.trim().parse().unwrap_or(0);
+        prompt.input_tokens = parse_tokens(input.trim()).unwrap_or(0);
+        prompt.output_tokens = parse_tokens(output.trim()).unwrap_or(0);
         prompt
     }
 
@@ -80,3 +83,8 @@
         self.parts.get(shared).map(|p| p.chain)
     }
 }
+
+fn parse_tokens(text: &str) -> Option<TokenCount> {
+    let tokens: TokenCount = text.parse().ok()?;
+    Some(tokens.min(TOKENS_LIMIT))
+}
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -60,7 +60,8 @@
 pub fn deadline_ms(node: &Node, request: &Request, route: &Route) -> Millisecond {
     let caller_ms = request.head.fields.number(node.dialect.names.time_left_ms);
     let route_ms = route.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
-    request.received_ms + caller_ms.map_or(route_ms, |ms| ms.min(route_ms))
+    let timeout_ms = caller_ms.map_or(route_ms, |ms| ms.min(route_ms));
+    request.received_ms.saturating_add(timeout_ms)
 }
 
 impl<'a> Job<'a> {
@@ -76,7 +77,8 @@
         let prompt = Prompt::parse(fields.text(names.prompt_parts), fields.text(names.tokens));
         let caller_ms = fields.number(names.time_left_ms);
         let deadline_ms = deadline_ms(node, request, &route);
-        let caller_deadline_ms = caller_ms.map_or(deadline_ms, |ms| request.received_ms + ms);
+        let caller_deadline_ms =
+            caller_ms.map_or(deadline_ms, |ms| request.received_ms.saturating_add(ms));
         let cost = match &workspace {
             Some(workspace) => workspace.unit.cost(prompt.used_tokens()),
             None => 0.0,
