Relay: an answer lost before its body is replaced by a reply

What callers saw, at a node that passes requests on to another node: a connection closed without an answer, or a head with status 200 and nothing behind it, for a whole request.

Cause: the head was written as soon as it came, and a body that is malformed from its first byte ended the request as broken off though nothing had been written.

The head now waits for the first bytes of the body, as that of a stream does at the node that serves it. Before them, a lost answer becomes 502 and a timeout 504, both with run_state unknown, since the request may have run. An answer that breaks off later is still broken off.

Evidence: platform/tests/unanswered.rs, a_helping_node_whose_answer_has_no_body_leaves_no_request_without_an_answer, on the code before: (0, Cut) for a malformed chunk, (200, Cut) for an end before the body and before the first chunk, where (502, Whole) is expected; an end in the head and no answer at all passed before, too. lost_paths passes (11).

--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -14,7 +14,7 @@
 use super::answer::{BodyKind, write_head};
 use super::local_reply::LocalReply;
 use super::request::Request;
-use super::serve::{CallerWriter, ServeOutcome};
+use super::serve::{AnswerProgress, CallerWriter, ServeOutcome};
 use crate::decide::reach::Reach;
 use crate::http::{Body, Conn, ConnOptions, HeadWriter, Progress, ResponseHead, put_chunk};
 use crate::node::{Node, Phase};
@@ -159,7 +159,8 @@
     out.freeze()
 }
 
-/// Passes the answer to the caller as it arrives.
+/// Passes the answer to the caller as it arrives. Its head waits for the first bytes of the body,
+/// so that an answer that is lost before them is replaced by a reply.
 async fn pass_answer(
     conn: &mut Conn,
     head: &ResponseHead,
@@ -177,31 +178,42 @@
     let mut piece = BytesMut::new();
     loop {
         let Ok(progress) = body.read(&mut conn.buf, &mut piece) else {
-            return ServeOutcome::BrokenOff;
+            return end_without_answer(out, answer_lost());
         };
-        match kind {
-            BodyKind::Whole(_) => bytes.extend_from_slice(&piece),
-            BodyKind::Chunks => put_chunk(&mut bytes, &piece),
+        if !piece.is_empty() || progress == Progress::Done {
+            match kind {
+                BodyKind::Whole(_) => bytes.extend_from_slice(&piece),
+                BodyKind::Chunks => put_chunk(&mut bytes, &piece),
+            }
+            if progress == Progress::Done && kind == BodyKind::Chunks {
+                bytes.extend_from_slice(b"0\r\n\r\n");
+            }
+            if out.send(&bytes).await.is_err() {
+                return ServeOutcome::CallerGone;
+            }
+            piece.clear();
+            bytes.clear();
         }
-        piece.clear();
-        if progress == Progress::Done && kind == BodyKind::Chunks {
-            bytes.extend_from_slice(b"0\r\n\r\n");
-        }
-        if out.send(&bytes).await.is_err() {
-            return ServeOutcome::CallerGone;
-        }
-        bytes.clear();
         if progress == Progress::Done {
             let status = head.status;
             return ServeOutcome::Passed { status };
         }
         match timeout_at(until, conn.fill()).await {
             Ok(Ok(received)) if received > 0 => {}
-            Ok(_) | Err(_) => return ServeOutcome::BrokenOff,
+            Ok(_) => return end_without_answer(out, answer_lost()),
+            Err(_) => return end_without_answer(out, LocalReply::timed_out()),
         }
     }
 }
 
+/// Ends with `reply`, or breaks off if part of the answer has been written.
+fn end_without_answer(out: &CallerWriter<'_>, reply: LocalReply) -> ServeOutcome {
+    match out.progress() {
+        AnswerProgress::Nothing => ServeOutcome::Local(reply),
+        AnswerProgress::Begun => ServeOutcome::BrokenOff,
+    }
+}
+
 fn answer_lost() -> LocalReply {
     let text = "The answer of the node that served the request was lost; it may have run.";
     LocalReply::unknown(502, "answer_lost", text)
