Callers: an idle connection on which a request has just arrived is not closed

What callers saw: a request that came at the very end of the idle limit, or as a draining process closed its idle connections, was reset without an answer, though it had been in the socket before the close.

Cause: the event loop reports bytes and timers once a turn. Bytes that come between its turn and the turn of the connection's task are not seen by the task, which closes the connection with bytes unread.

Before the close, the socket itself is asked (a peek) whether bytes wait there; if so, the request is read and answered. What comes after the peek still crosses the close, is not read and not passed on; the reset tells the caller so.

Ruled out: shutting down the sending side first and reading on. The request would be read then, and could no longer be answered.

--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -42,14 +42,8 @@
     let _count_guard = ConnCountGuard(node.clone());
     let mut conn = Conn::from_stream(stream);
     loop {
-        tokio::select! {
-            biased;
-            waited = wait_for_request(&mut conn, || limits(&node).idle_timeout_ms) => {
-                if waited.is_err() {
-                    return;
-                }
-            }
-            () = drain_idle_timeout(&node) => return,
+        if wait(&node, &mut conn).await.is_err() {
+            return;
         }
         let request = tokio::select! {
             biased;
@@ -80,6 +74,20 @@
     directory.map_or_else(CallerLimits::default, |d| d.limits)
 }
 
+/// Waits for the first bytes of the next request.
+async fn wait(node: &Node, conn: &mut Conn) -> Result<(), ReadError> {
+    loop {
+        tokio::select! {
+            biased;
+            waited = wait_for_request(conn, || limits(node).idle_timeout_ms) => return waited,
+            () = drain_idle_timeout(node) => {}
+        }
+        if !conn.has_unread_bytes() {
+            return Err(ReadError::Ended);
+        }
+    }
+}
+
 /// Reads a request whose first bytes have arrived.
 async fn read(node: &Node, conn: &mut Conn) -> Result<Request, ReadError> {
     let limits = limits(node);
--- a/crates/gateway/src/front/request.rs
+++ b/crates/gateway/src/front/request.rs
@@ -68,11 +68,17 @@
         if !conn.buf.is_empty() {
             return Ok(());
         }
-        match timeout_at(until, conn.fill()).await {
-            Ok(Ok(0) | Err(_)) => return Err(ReadError::Ended),
-            Ok(Ok(_)) => {}
-            Err(_) if end() > until => until = end(),
+        let received = match timeout_at(until, conn.fill()).await {
+            Ok(received) => received,
+            Err(_) if end() > until => {
+                until = end();
+                continue;
+            }
+            Err(_) if conn.has_unread_bytes() => conn.fill().await,
             Err(_) => return Err(ReadError::Ended),
+        };
+        if !matches!(received, Ok(bytes) if bytes > 0) {
+            return Err(ReadError::Ended);
         }
     }
 }
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -1,6 +1,7 @@
 //! A TCP connection with its read buffer.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -106,6 +107,13 @@
         (&mut self.read, &mut self.buf, &mut self.write)
     }
 
+    /// Whether bytes have arrived that the event loop may not have reported yet. Closing the
+    /// connection would reset it and lose them.
+    pub fn has_unread_bytes(&self) -> bool {
+        let socket = SockRef::from(self.read.as_ref());
+        matches!(socket.peek(&mut [MaybeUninit::uninit()]), Ok(bytes) if bytes > 0)
+    }
+
     /// Whether no bytes and no end of the connection have arrived since the last message.
     pub fn has_no_input(&mut self) -> bool {
         let mut byte = [0];
