Accept: connections in the backlog are served when the process stops accepting

What callers saw: a connection that the system had opened, with a whole request on it, was reset when a stopping process closed its listener, 2.8 s after SIGTERM.

Cause: the accept loop ended at the change of phase, and closing the listener resets what waits in its backlog. Besides, the drain looked for open connections before the tasks of the last ones had run, and could end the process with their requests unread.

The loop now accepts what the system has opened until nothing waits (asking the socket itself, as the event loop may not have reported it yet), then refuses new connections. Those requests get 503 `closing`. The drain lets the woken tasks run before it first looks for open connections.

Evidence: platform/tests/unanswered.rs, a_request_in_the_backlog_when_the_listener_closes_is_answered, before: "0: Err(Os { code: 104, kind: ConnectionReset, .. })"; its node is killed as soon as the drain has ended. lifecycle (6) and restarts (3) pass.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -37,6 +37,8 @@
 /// Time before the end of the process at which requests without an answer get a last reply.
 const LAST_REPLY_TIME: Duration = Duration::from_millis(200);
 
+const CALLERS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Reasons why a process cannot start.
 #[derive(Debug, Snafu)]
 pub enum DaemonError {
@@ -217,10 +219,15 @@
     log::emit(Code::DaemonStopped, &drain_fields(node));
 }
 
-/// Waits until all requests are answered and all callers have gone, or until `latest`.
+/// Waits until all requests are answered and all callers have gone, or until `latest`. The tasks
+/// that the change of phase has woken run before the first check.
 async fn wait_for_callers(node: &Node, latest: Instant) {
-    while Instant::now() < latest && (node.in_flight.get() > 0 || node.callers.get() > 0) {
-        tokio::time::sleep(Duration::from_millis(50)).await;
+    loop {
+        sleep_until(latest.min(Instant::now() + CALLERS_CHECK_INTERVAL)).await;
+        let is_idle = node.in_flight.get() == 0 && node.callers.get() == 0;
+        if is_idle || Instant::now() >= latest {
+            return;
+        }
     }
 }
 
--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -1,12 +1,14 @@
 //! Listeners for callers, the load balancer's readiness checks, metrics and peers.
 
-use std::net::SocketAddr;
+use std::io::ErrorKind;
+use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use base::units::Millisecond;
 use bytes::{BufMut, BytesMut};
 use snafu::{ResultExt, Snafu};
+use socket2::{SockRef, Socket};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use super::caller;
@@ -139,23 +141,52 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_for_closing(&node), if purpose == ListenerPurpose::Callers => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
+            () = wait_for_closing(&node), if purpose == ListenerPurpose::Callers => {
+                return accept_backlog(&node, &listener);
+            }
         };
-        set_tcp_options(&stream, UNACKNOWLEDGED_TIMEOUT_MS);
-        let node = node.clone();
-        tokio::task::spawn_local(async move {
-            match purpose {
-                ListenerPurpose::Callers => caller::run(node, stream).await,
-                ListenerPurpose::Ready | ListenerPurpose::Metrics | ListenerPurpose::Peers => {
-                    serve_queries(&node, purpose, stream).await;
-                }
+        match accepted {
+            Ok((stream, _)) => serve_connection(&node, purpose, stream),
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+fn serve_connection(node: &Rc<Node>, purpose: ListenerPurpose, stream: TcpStream) {
+    set_tcp_options(&stream, UNACKNOWLEDGED_TIMEOUT_MS);
+    let node = node.clone();
+    tokio::task::spawn_local(async move {
+        match purpose {
+            ListenerPurpose::Callers => caller::run(node, stream).await,
+            ListenerPurpose::Ready | ListenerPurpose::Metrics | ListenerPurpose::Peers => {
+                serve_queries(&node, purpose, stream).await;
             }
-        });
+        }
+    });
+}
+
+/// Accepts the connections that the system has already opened for callers, and refuses later ones.
+/// Closing the listener would reset those that wait, with the requests on them.
+fn accept_backlog(node: &Rc<Node>, listener: &TcpListener) {
+    let socket = SockRef::from(listener);
+    loop {
+        match accept_waiting(&socket) {
+            Ok(stream) => serve_connection(node, ListenerPurpose::Callers, stream),
+            Err(error) => match error.kind() {
+                ErrorKind::Interrupted | ErrorKind::ConnectionAborted => {}
+                _ => break,
+            },
+        }
     }
+    // The listener itself is closed when its task has ended, which may be a little later.
+    let _ = socket.shutdown(Shutdown::Both);
+}
+
+/// Accepts a connection that the event loop may not have reported yet.
+fn accept_waiting(listener: &Socket) -> std::io::Result<TcpStream> {
+    let (socket, _) = listener.accept()?;
+    socket.set_nonblocking(true)?;
+    TcpStream::from_std(socket.into())
 }
 
 /// Returns when the process accepts no more callers.
