Registry: a change that another node announced is queried once, not at each heartbeat

Nodes that hear of a change beyond their revision query the store at once. A batch of changes carries the store's newest revision, which a write of another table may have raised; an empty answer may carry the revision that was asked for.

Cause: the announced revision was taken for one that the feed returns. Versions per row would mend it on the announcing side, but the feed has none, and entries that expire have no row. The store's answers are linearizable, so an answered query that began after the announcement holds the change, whatever revision the answer has. Such a change causes no further query, and a node whose last change it is confirms the registry. A heartbeat whose last change is newer than its revision is implausible: it would hide later announcements.

--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -65,6 +65,7 @@
         if revision.is_some() {
             wait_for_turn(&node, topic).await;
         }
+        let announced = node.announced_change.get();
         let outcome = match revision {
             None => snapshot(&*feed, topic).await,
             Some(since) => {
@@ -84,6 +85,9 @@
                 record_store_answer(&node, topic);
                 revision = Some(batch.revision);
                 apply_batch(&node, batch, scope);
+                if topic == Topic::Servers {
+                    node.queried_change.set(announced);
+                }
             }
             Err(FeedError::HistoryGone) => {
                 record_store_answer(&node, topic);
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -103,11 +103,12 @@
 }
 
 /// Takes over how current another node reports its registry to be, if nothing has changed in that
-/// registry since this node's revision.
+/// registry since this node's revision, or since the change that this node last queried.
 pub fn confirm(node: &Node, version: RegistryVersion) {
     let mut registry = node.registry.borrow_mut();
-    let is_unchanged = registry.revision > 0 && version.changed <= registry.revision;
-    if !is_unchanged || version.revision < registry.revision {
+    let is_known =
+        version.changed <= registry.revision || version.changed == node.queried_change.get();
+    if registry.revision == 0 || !is_known || version.revision < registry.revision {
         return;
     }
     registry.revision = version.revision;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -112,6 +112,10 @@
     pub capacity_changed: Notify,
     /// Notified when another node has a newer registry than this one.
     pub peer_registry_changed: Notify,
+    /// Greatest revision of a change that other nodes announced and this node's registry lacked.
+    pub announced_change: Cell<u64>,
+    /// Greatest announced change that the store was queried for since, with an answer.
+    pub queried_change: Cell<u64>,
     /// Memory budget for the bodies of requests and answers.
     pub body_memory: BodyMemory,
     pub metrics: Metrics,
@@ -156,6 +160,8 @@
             phase_changed: Notify::new(),
             capacity_changed: Notify::new(),
             peer_registry_changed: Notify::new(),
+            announced_change: Cell::new(0),
+            queried_change: Cell::new(0),
             body_memory: BodyMemory::new(settings.limits.held_bytes()),
             metrics: Metrics::register(),
             rng: RefCell::new(rng),
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -99,6 +99,7 @@
         };
         let loads = self.loads.iter();
         self.period_ms.max(pulse_ms) <= period_ms(NODES_LIMIT)
+            && self.registry.changed <= self.registry.revision
             && loads
                 .clone()
                 .all(|(_, running, _)| *running <= REQUESTS_LIMIT)
--- a/crates/gateway/src/peer/pull.rs
+++ b/crates/gateway/src/peer/pull.rs
@@ -133,7 +133,7 @@
         return requests;
     }
     match store_reach(node) {
-        StoreReach::Answering => node.peer_registry_changed.notify_waiters(),
+        StoreReach::Answering => announce_change(node, heartbeat.registry.changed),
         StoreReach::Unreachable
             if may_ask_sender(node, heartbeat) || may_ask_other_domains(node) =>
         {
@@ -144,6 +144,17 @@
     requests
 }
 
+/// Has the store queried for a change that another node knows. The store may answer with an older
+/// revision if the change left no row behind, so one answer is enough.
+fn announce_change(node: &Node, changed: u64) {
+    if changed <= node.queried_change.get() {
+        return;
+    }
+    let announced = node.announced_change.get().max(changed);
+    node.announced_change.set(announced);
+    node.peer_registry_changed.notify_waiters();
+}
+
 /// Takes over how current the sender reports its directory and registry to be, if this node has the
 /// same versions.
 pub fn confirm(node: &Node, heartbeat: &NodeHeartbeat) {
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -298,6 +298,23 @@
     });
 }
 
+/// The feed answers with the revision that it was asked for, as no row changed.
+#[test]
+fn an_announced_change_without_a_row_is_not_queried_at_each_heartbeat() {
+    run_with_paused_time(async {
+        let (node, feed) = spawn_follower();
+        for _ in 0..10 {
+            tokio::time::sleep(std::time::Duration::from_millis(120)).await;
+            node.store_ok_ms.set(node.now_ms());
+            pull::pulls_needed(&node, &heartbeat(12));
+        }
+        let query_count = feed.since.lock().unwrap().len();
+        assert!(query_count <= 3, "{query_count} queries in 1.2 s");
+        servers::confirm(&node, heartbeat(12).registry);
+        assert_eq!(node.registry.borrow().revision, 12);
+    });
+}
+
 fn heartbeat_of(node: &Node) -> NodeHeartbeat {
     let registry = node.registry.borrow();
     NodeHeartbeat {
