Peers: nodes that poll the store rely on each other's own reads only

Callers saw a leaving server used up to 70 ms, and a configuration in force seconds, after the bound: no node had polled the store, though each should have at an age of half to three quarters of the bound.

Cause: a node took another's age of the directory or the registry as it was when sent, and passed it on in turn. Each hop lost the time in transit, and the youngest claim won, so nodes that confirmed each other kept old copies young (registry_age_ms grew at a quarter of the true rate) and no turn to poll came. A heartbeat that was read late, and a copy pulled from another node, which counted as a read, made copies younger still. The class: a relative time that is relayed, with no bound on the sum of errors.

Now the ages in heartbeats count only the sender's own reads; they are never passed on, so an error is one transit, however many nodes confirm each other. The sender's process clock goes along, and the time that a heartbeat took beyond the fastest recent one is added, so late ones don't count as young. A pulled copy keeps its age. Every polling node hears every other one within a heartbeat or pulse, so no second hop is needed among them. Nodes that only listen, and never poll, also take the ages that followers have by others' reads, for logs and metrics, and nobody relies on theirs. Naming the read (its origin and the origin's clock) in each confirmation would allow any number of hops, but needs that clock to be known, and at 3,200 nodes a listening node hears it each half minute only.

Mixed builds: an older build reads age_ms and directory_age_ms as before and ignores the new field; ages from it may have been passed on, so nodes that poll don't rely on them and poll by their own ranks meanwhile. That no read was made is sent as the greatest age, which an older build takes for none.

Two tests of copy_ages use the new field and can't be built on the code before.

--- a/crates/gateway/src/follow/directory.rs
+++ b/crates/gateway/src/follow/directory.rs
@@ -26,6 +26,7 @@
 /// Applies rows of the operator's table.
 pub fn apply_batch(node: &Rc<Node>, batch: FeedBatch, _: BatchScope) {
     node.directory_confirmed_ms.set(node.now_ms());
+    node.directory_read_ms.set(node.now_ms());
     for row in batch.rows {
         let Some(body) = row.body else {
             continue;
@@ -36,8 +37,7 @@
     }
 }
 
-/// Takes over when another node last confirmed its directory as the newest, if this node
-/// has the same version.
+/// Takes over that a directory was the newest `age_ms` ago, if this node has the same version.
 pub fn confirm(node: &Node, version: u64, age_ms: Millisecond) {
     if node.directory().is_none_or(|d| d.version != version) {
         return;
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -47,7 +47,7 @@
         },
         false => absence(node),
     };
-    mark_current(node, revision);
+    mark_read(node, revision);
     apply(node, batch.rows, scope, absence);
 }
 
@@ -66,7 +66,11 @@
     if has_gap(&node.registry.borrow(), &copy) {
         return CopyOutcome::Gap;
     }
-    mark_current(node, copy.revision);
+    node.registry.borrow_mut().revision = copy.revision;
+    // The copy is as old as the other node's; that node's next heartbeat tells how old.
+    if node.registry_confirmed_ms.get() == 0 {
+        node.registry_confirmed_ms.set(node.now_ms());
+    }
     if let Listing::All(listed) = &copy.listing {
         for id in listed {
             node.registry.borrow_mut().confirm_present(id);
@@ -197,9 +201,10 @@
     latest
 }
 
-fn mark_current(node: &Node, revision: u64) {
+fn mark_read(node: &Node, revision: u64) {
     node.registry.borrow_mut().revision = revision;
     node.registry_confirmed_ms.set(node.now_ms());
+    node.registry_read_ms.set(node.now_ms());
 }
 
 fn report(node: &Node, change: &ServerChange) {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -62,10 +62,14 @@
     pub directory_since_ms: Cell<Millisecond>,
     /// When the directory was last known to be the newest.
     pub directory_confirmed_ms: Cell<Millisecond>,
+    /// When this node itself last read the directory in the store.
+    pub directory_read_ms: Cell<Millisecond>,
     /// Backend servers.
     pub registry: RefCell<Registry>,
     /// When the registry was last known to be complete and current.
     pub registry_confirmed_ms: Cell<Millisecond>,
+    /// When this node itself last read the registry in the store.
+    pub registry_read_ms: Cell<Millisecond>,
     /// Time of the store's last successful answer.
     pub store_ok_ms: Cell<Millisecond>,
     /// Time of the last failed call to the store.
@@ -135,8 +139,10 @@
             directory_row: RefCell::default(),
             directory_since_ms: Cell::new(0),
             directory_confirmed_ms: Cell::new(0),
+            directory_read_ms: Cell::new(0),
             registry: RefCell::default(),
             registry_confirmed_ms: Cell::new(0),
+            registry_read_ms: Cell::new(0),
             store_ok_ms: Cell::new(0),
             store_failed_ms: Cell::new(0),
             peers: RefCell::new(Peers::new(&settings)),
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use tokio::net::UdpSocket;
 
-use super::message::{HeartbeatContent, NodeHeartbeat, RegistryVersion};
+use super::message::{CopyAges, HeartbeatContent, NodeHeartbeat, RegistryVersion};
 use super::role::{DrainState, HEARTBEAT_PERIOD_MS, Presence, SMALL_FLEET_NODES, period_ms};
 use super::{PeerUpdate, pull, pulse};
 use crate::backend::{gate, quarantine, reach};
@@ -152,13 +152,18 @@
         number,
         unix_ms: unix_ms(),
         directory: node.directory.borrow().as_ref().map_or(0, |d| d.version),
-        directory_age_ms: now_ms.saturating_sub(node.directory_confirmed_ms.get()),
+        directory_age_ms: time_since_ms(node.directory_read_ms.get(), now_ms),
         tenure: node.tenure.get(),
         registry: RegistryVersion {
             revision: registry.revision,
             changed: registry.changed,
-            age_ms: now_ms.saturating_sub(node.registry_confirmed_ms.get()),
+            age_ms: time_since_ms(node.registry_read_ms.get(), now_ms),
         },
+        copies: Some(CopyAges {
+            clock_ms: now_ms,
+            directory_ms: time_since_ms(node.directory_confirmed_ms.get(), now_ms),
+            registry_ms: time_since_ms(node.registry_confirmed_ms.get(), now_ms),
+        }),
         loads,
         busy: node.busy_servers(),
         used: buckets
@@ -179,6 +184,15 @@
     }
 }
 
+/// Time since a reading of the process clock; without limit if the reading is 0, which stands for
+/// "never".
+fn time_since_ms(at_ms: Millisecond, now_ms: Millisecond) -> Millisecond {
+    match at_ms {
+        0 => Millisecond::MAX,
+        _ => now_ms.saturating_sub(at_ms),
+    }
+}
+
 async fn receive_heartbeats(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut datagram = vec![0; DATAGRAM_LIMIT_BYTES];
     loop {
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -41,11 +41,15 @@
     pub unix_ms: u64,
     /// Version of the sender's directory; 0 if it has none.
     pub directory: u64,
-    /// Time since that version was last confirmed as the newest.
+    /// Time since the sender itself last read the directory in the store.
     #[serde(default)]
     pub directory_age_ms: Millisecond,
     /// How current the sender's registry is.
     pub registry: RegistryVersion,
+    /// The sender's clock and the ages of its copies of the store. Builds that send none count the
+    /// reads of other nodes in the ages above.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub copies: Option<CopyAges>,
     /// Whether the sender holds the lease on the duties.
     #[serde(default)]
     pub tenure: Tenure,
@@ -149,10 +153,19 @@
     pub revision: u64,
     /// Revision of the last change, heartbeats of servers left out.
     pub changed: u64,
-    /// Time since the registry was last confirmed as current.
+    /// Time since the sender itself last read the registry in the store.
     pub age_ms: Millisecond,
 }
 
+/// Ages of a node's copies of the store, by its own reads and those of other nodes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopyAges {
+    /// The sender's process clock.
+    pub clock_ms: Millisecond,
+    pub directory_ms: Millisecond,
+    pub registry_ms: Millisecond,
+}
+
 /// One node's registry, for nodes that can't reach the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RegistryCopy {
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -53,12 +53,14 @@
     pub heard_ms: Millisecond,
     /// Time between the pulses that the node sends here, if it sends any.
     pulse_ms: Option<Millisecond>,
-    /// Offset of the node's clock.
+    /// Offset of the node's calendar clock.
     epoch: Epoch,
+    /// Offset of the node's process clock, unless its build sends none.
+    process_epoch: Option<Epoch>,
 }
 
-/// Estimate of a node's calendar time minus this process's clock. Transit time only makes a sample
-/// smaller, so the greatest recent sample is the best one.
+/// Estimate of a node's clock minus this process's clock. Transit time only makes a sample smaller,
+/// so the greatest recent sample is the best one.
 #[derive(Clone, Copy, Debug)]
 struct Epoch {
     ms: i64,
@@ -66,6 +68,14 @@
 }
 
 impl Epoch {
+    /// A sample from a heartbeat that arrives now.
+    fn sample(clock_ms: Millisecond, now_ms: Millisecond) -> Self {
+        Self {
+            ms: (clock_ms as i64).saturating_sub(now_ms as i64),
+            at_ms: now_ms,
+        }
+    }
+
     /// The better of this estimate and a new sample.
     fn best_of(self, sample: Self) -> Self {
         let is_recent = sample.at_ms.saturating_sub(self.at_ms) <= EPOCH_RETENTION_MS;
@@ -174,10 +184,9 @@
         address: SocketAddr,
         now_ms: Millisecond,
     ) -> PeerUpdate {
-        let mut epoch = Epoch {
-            ms: (heartbeat.unix_ms as i64).saturating_sub(now_ms as i64),
-            at_ms: now_ms,
-        };
+        let mut epoch = Epoch::sample(heartbeat.unix_ms, now_ms);
+        let mut process_epoch =
+            (heartbeat.copies).map(|copies| Epoch::sample(copies.clock_ms, now_ms));
         let mut pulse_ms = None;
         let has_room = self.by_name.len() < NODES_LIMIT;
         let known = self.by_name.get_mut(&heartbeat.node);
@@ -195,6 +204,10 @@
             Some(known) if known.heartbeat.number >= heartbeat.number => return PeerUpdate::Stale,
             Some(known) => {
                 epoch = known.epoch.best_of(epoch);
+                process_epoch = match (known.process_epoch, process_epoch) {
+                    (Some(known), Some(sample)) => Some(known.best_of(sample)),
+                    (_, sample) => sample,
+                };
                 pulse_ms = known.pulse_ms;
                 if let HeartbeatContent::Pulse { period_ms } = heartbeat.content {
                     pulse_ms = Some(period_ms);
@@ -208,6 +221,7 @@
         let peer = Peer {
             address,
             epoch,
+            process_epoch,
             heard_ms: now_ms,
             pulse_ms,
             heartbeat,
@@ -303,6 +317,15 @@
             .collect()
     }
 
+    /// Time that a heartbeat of a known node, read now, took longer than its fastest recent one;
+    /// `None` if the node's build sends no clock.
+    pub fn delay_ms(&self, heartbeat: &NodeHeartbeat, now_ms: Millisecond) -> Option<Millisecond> {
+        let peer = self.by_name.get(&heartbeat.node)?;
+        let fastest = peer.process_epoch?;
+        let sample = Epoch::sample(heartbeat.copies?.clock_ms, now_ms);
+        Some(fastest.ms.saturating_sub(sample.ms).max(0) as Millisecond)
+    }
+
     /// Silence after which a node may be cut off; 0 for an unknown node.
     pub fn silence_ms(&self, name: &Name) -> Millisecond {
         self.by_name.get(name).map_or(0, Peer::silence_ms)
--- a/crates/gateway/src/peer/pull.rs
+++ b/crates/gateway/src/peer/pull.rs
@@ -10,7 +10,8 @@
 use serde::Serialize;
 
 use super::message::{
-    DIRECTORY_PATH, NodeHeartbeat, REGISTRY_PATH, RegistryCopy, USAGE_PATH, UsageCopy,
+    DIRECTORY_PATH, NodeHeartbeat, REGISTRY_PATH, RegistryCopy, RegistryVersion, USAGE_PATH,
+    UsageCopy,
 };
 use crate::decide::pause::Arrival;
 use crate::decide::store_poll::MAX_LONG_POLL_MS;
@@ -155,14 +156,36 @@
     node.peer_registry_changed.notify_waiters();
 }
 
-/// Takes over how current the sender reports its directory and registry to be, if this node has the
-/// same versions.
+/// Takes over how current the sender's directory and registry are, if this node has the same
+/// versions.
 pub fn confirm(node: &Node, heartbeat: &NodeHeartbeat) {
     if node.arrival() == Arrival::MayHaveWaited {
         return;
     }
-    follow::directory::confirm(node, heartbeat.directory, heartbeat.directory_age_ms);
-    follow::servers::confirm(node, heartbeat.registry);
+    let delay_ms = node.peers.borrow().delay_ms(heartbeat, node.now_ms());
+    let since_read = |age_ms: Millisecond| age_ms.saturating_add(delay_ms.unwrap_or(0));
+    let (directory_ms, registry_ms) = usable_ages(node, heartbeat);
+    follow::directory::confirm(node, heartbeat.directory, since_read(directory_ms));
+    let registry = RegistryVersion {
+        age_ms: since_read(registry_ms),
+        ..heartbeat.registry
+    };
+    follow::servers::confirm(node, registry);
+}
+
+/// Ages of the sender's directory and registry that this node may rely on. An age that is passed on
+/// loses its time in transit. Nodes that poll the store rely on each other's own reads only, or
+/// they would keep each other's copies young and none would poll.
+fn usable_ages(node: &Node, heartbeat: &NodeHeartbeat) -> (Millisecond, Millisecond) {
+    let sent = (heartbeat.directory_age_ms, heartbeat.registry.age_ms);
+    let is_listening = || heartbeat.role == Role::Follows && node.role() == Role::Listens;
+    match heartbeat.copies {
+        // A listening node doesn't poll, and the node that polls may be in another domain.
+        Some(copies) if is_listening() => (copies.directory_ms, copies.registry_ms),
+        Some(_) => sent,
+        None if is_listening() => sent,
+        None => (Millisecond::MAX, Millisecond::MAX),
+    }
 }
 
 /// Reachability of the store: lost after a failed call, or `STORE_SILENT_MS` without an answer.
