Callers: requests sent ahead to a process that shuts down are all answered

What callers saw: of two requests sent in one go to a draining process, the second was read and dropped without an answer.

Cause: each answer after SIGTERM closes the connection, and the close discards what has been read ahead.

The connection now stays open for requests that have been read ahead when a request begins, also after SIGTERM; the last one closes it. What a caller sends after that begin is still discarded: its answer says `Connection: close`, by which HTTP says that later requests were not processed.

--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -17,7 +17,7 @@
 };
 use crate::belief::directory::CallerLimits;
 use crate::decide::not_run::NotRunProof;
-use crate::http::{Conn, HeadWriter, RequestHead, fill};
+use crate::http::{Conn, HeadWriter, RequestHead, fill, skip_empty_lines};
 use crate::node::{Node, Phase};
 
 /// Most bytes that are read ahead while a request is served. Beyond it, the caller's disconnect is
@@ -144,7 +144,8 @@
 
 async fn serve_request(node: &Rc<Node>, conn: &mut Conn, request: &Request) -> ConnDisposition {
     let (read, buf, write) = conn.split();
-    let disposition = conn_disposition(node, request);
+    skip_empty_lines(buf);
+    let disposition = conn_disposition(node, request, buf);
     let mut out = CallerWriter::new(write, disposition);
     let served = tokio::select! {
         biased;
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -405,10 +405,17 @@
     })
 }
 
-/// Whether the connection stays open after this request.
-pub fn conn_disposition(node: &Node, request: &Request) -> ConnDisposition {
+/// Whether the connection stays open after this request. While the process shuts down, it does only
+/// if the caller has already sent more: these requests are to be answered, too.
+pub fn conn_disposition(node: &Node, request: &Request, read_ahead: &[u8]) -> ConnDisposition {
+    if !request.head.keeps_alive() {
+        return ConnDisposition::Close;
+    }
     match node.phase.get() {
-        Phase::Serving if request.head.keeps_alive() => ConnDisposition::Keep,
-        Phase::Serving | Phase::Draining | Phase::Closing | Phase::Ending => ConnDisposition::Close,
+        Phase::Serving => ConnDisposition::Keep,
+        Phase::Draining | Phase::Closing | Phase::Ending if read_ahead.is_empty() => {
+            ConnDisposition::Close
+        }
+        Phase::Draining | Phase::Closing | Phase::Ending => ConnDisposition::Keep,
     }
 }
