Callers: a panic leaves no whole request without an answer

What callers saw: an error in the task of a request closed the connection without an answer, for a request that had been read whole, whether or not a server had run it. Logs and metrics counted it as a caller that left.

Cause: the task owns the connection, so that a panic drops both.

One guard where the connection is owned, in place of one at each place that may panic: the work on a request, and the reading of it, run as futures whose panic is caught, while the write half stays outside. If nothing has been written, the caller gets 500 `internal_error` with run_state unknown, never a status that promises; else the answer is broken off. The connection is closed either way. It is logged (E205, besides the place in E105) and counted (request_panics, and outcome "panicked"). The guards of a request (counts, reservations, the server's load) are released by the unwinding; the profile of releases unwinds. A request that panics at the node to which it was passed on gets the same answer, where it got 502 before.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -69,6 +69,7 @@
     RequestFinished = 202, "request.finished", Info, "A request got its final answer.";
     RequestSuspected = 203, "request.suspected", Warn, "A backend server crashed while it ran a request; fields give the server and how the request is run from now on.";
     PartQuarantined = 204, "part.quarantined", Warn, "Requests with some parts of prompts are refused, or no longer, as servers crashed that ran them; fields give the parts, the crashes and the outcome.";
+    RequestPanicked = 205, "request.panicked", Error, "The task of a request panicked; fields give what the caller got. The source location is in E105.";
     RouteChosen = 300, "route.chosen", Info, "A backend server was chosen; fields give the reason and the scores of the alternatives.";
     RouteNone = 301, "route.none", Warn, "No backend server could take the request.";
     AttemptFailed = 302, "attempt.failed", Warn, "An attempt at a backend server failed; fields say whether it may have run.";
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -5,6 +5,7 @@
 
 use base::units::Millisecond;
 use bytes::BytesMut;
+use serde::Serialize;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
@@ -19,6 +20,7 @@
 use crate::decide::not_run::NotRunProof;
 use crate::http::{Conn, HeadWriter, RequestHead, fill, skip_empty_lines};
 use crate::node::{Node, Phase};
+use crate::tasks::catch_panic;
 
 /// Most bytes that are read ahead while a request is served. Beyond it, the caller's disconnect is
 /// not detected until the request ends.
@@ -36,6 +38,12 @@
 /// new callers.
 const DRAIN_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+#[derive(Serialize)]
+struct PanickedFields<'a> {
+    request: Option<&'a str>,
+    outcome: &'static str,
+}
+
 /// Serves one connection until it ends.
 pub async fn run(node: Rc<Node>, stream: TcpStream) {
     node.callers.set(node.callers.get() + 1);
@@ -47,7 +55,9 @@
         }
         let request = tokio::select! {
             biased;
-            request = read(&node, &mut conn) => request,
+            request = catch_panic(read(&node, &mut conn)) => {
+                request.unwrap_or(Err(ReadError::Panicked))
+            }
             () = process_ends(&node) => Err(ReadError::ProcessEnds),
         };
         let request = match request {
@@ -142,34 +152,38 @@
     tokio::time::sleep(DRAIN_IDLE_TIMEOUT).await;
 }
 
+/// How the work on a request ended.
+enum WorkEnd {
+    Served(ServeOutcome),
+    Panicked,
+    /// The process is about to end.
+    ProcessEnds,
+}
+
 async fn serve_request(node: &Rc<Node>, conn: &mut Conn, request: &Request) -> ConnDisposition {
     let (read, buf, write) = conn.split();
     skip_empty_lines(buf);
-    let disposition = conn_disposition(node, request, buf);
+    let mut disposition = conn_disposition(node, request, buf);
     let mut out = CallerWriter::new(write, disposition);
-    let served = tokio::select! {
+    let end = tokio::select! {
         biased;
         // Polled first: when the process resumes after a pause, the request and the caller's
         // disconnect are read together.
         () = caller_disconnected(read, buf) => return ConnDisposition::Close,
-        served = serve(node, request, &mut out) => Some(served),
-        () = process_ends(node) => None,
+        served = catch_panic(serve(node, request, &mut out)) => {
+            served.map_or(WorkEnd::Panicked, WorkEnd::Served)
+        }
+        () = process_ends(node) => WorkEnd::ProcessEnds,
     };
-    let served = match served {
-        Some(served) => served,
-        None if out.progress() == AnswerProgress::Nothing => {
-            let reply = node_stopped();
-            let mut bytes = BytesMut::new();
-            let names = &node.dialect.names;
-            let id = request.head.fields.text(names.request_id);
-            let echoed = id.map(|id| (names.request_id, id));
-            reply.write(&mut bytes, echoed, disposition);
-            match out.send(&bytes).await {
-                Ok(()) => ServeOutcome::Local(reply),
-                Err(_) => ServeOutcome::CallerGone,
-            }
+    let served = match end {
+        WorkEnd::Served(served) => served,
+        WorkEnd::Panicked => {
+            report_panic(node, request, out.progress());
+            disposition = ConnDisposition::Close;
+            out.disposition = disposition;
+            reply_instead(node, request, &mut out, panicked()).await
         }
-        None => ServeOutcome::BrokenOff,
+        WorkEnd::ProcessEnds => reply_instead(node, request, &mut out, node_stopped()).await,
     };
     match served {
         ServeOutcome::Passed { .. } | ServeOutcome::Local(_)
@@ -185,6 +199,39 @@
     }
 }
 
+/// Replies to a request whose work has ended early, unless an answer has begun.
+async fn reply_instead(
+    node: &Node,
+    request: &Request,
+    out: &mut CallerWriter<'_>,
+    reply: LocalReply,
+) -> ServeOutcome {
+    if out.progress() == AnswerProgress::Begun {
+        return ServeOutcome::BrokenOff;
+    }
+    let mut bytes = BytesMut::new();
+    let names = &node.dialect.names;
+    let id = request.head.fields.text(names.request_id);
+    let echoed = id.map(|id| (names.request_id, id));
+    reply.write(&mut bytes, echoed, out.disposition);
+    match out.send(&bytes).await {
+        Ok(()) => ServeOutcome::Local(reply),
+        Err(_) => ServeOutcome::CallerGone,
+    }
+}
+
+fn report_panic(node: &Node, request: &Request, progress: AnswerProgress) {
+    let fields = PanickedFields {
+        request: request.head.fields.text(node.dialect.names.request_id),
+        outcome: match progress {
+            AnswerProgress::Nothing => "replied",
+            AnswerProgress::Begun => "broken_off",
+        },
+    };
+    node.metrics.count_request_panic();
+    crate::log::emit(events::Code::RequestPanicked, &fields);
+}
+
 /// Returns when the process is about to end.
 async fn process_ends(node: &Node) {
     while node.phase.get() != Phase::Ending {
@@ -198,6 +245,12 @@
     LocalReply::unknown(504, "node_stopped", text)
 }
 
+/// The reply to a request whose task panicked.
+fn panicked() -> LocalReply {
+    let text = "An internal error ended the request; it may have run.";
+    LocalReply::unknown(500, "internal_error", text)
+}
+
 /// Returns when the caller closes its connection. Pipelined bytes stay in the buffer.
 async fn caller_disconnected(read: &mut OwnedReadHalf, buf: &mut BytesMut) {
     loop {
@@ -253,6 +306,10 @@
             )
         }
         ReadError::ProcessEnds => node_closing(),
+        ReadError::Panicked => {
+            node.metrics.count_request_panic();
+            panicked()
+        }
         ReadError::TooSlow => {
             let text = "Send the whole request without long pauses.";
             LocalReply::refusal(NotRunProof::unsent(), 408, "too_slow", text)
--- a/crates/gateway/src/front/in_flight.rs
+++ b/crates/gateway/src/front/in_flight.rs
@@ -14,7 +14,7 @@
 use crate::metrics::RequestOutcome;
 
 /// Guard of a request that is being served. Dropping it without [`InFlightRequest::end`] reports
-/// that the caller disconnected.
+/// that the caller disconnected, or that the task panicked.
 pub struct InFlightRequest<'a, 'b> {
     job: &'a Job<'b>,
     started_ms: Millisecond,
@@ -57,7 +57,6 @@
 
     /// Reports the outcome, and refunds the charge if the request did not run.
     pub fn end(self, served: &ServeOutcome) {
-        self.ended.set(EndReported::Yes);
         let (outcome, status, code) = match served {
             ServeOutcome::Passed { status } => (RequestOutcome::Passed, *status, None),
             ServeOutcome::Local(reply) => {
@@ -81,6 +80,7 @@
             let parts = || self.job.prompt.shared_parts();
             quarantine::record_completion(self.job.node, service, parts);
         }
+        self.ended.set(EndReported::Yes);
         self.report(outcome, status, code, run_state(served));
     }
 
@@ -120,7 +120,11 @@
         let node = self.job.node;
         node.in_flight.set(node.in_flight.get().saturating_sub(1));
         if self.ended.get() == EndReported::No {
-            self.report(RequestOutcome::CallerGone, 0, None, None);
+            let outcome = match std::thread::panicking() {
+                true => RequestOutcome::Panicked,
+                false => RequestOutcome::CallerGone,
+            };
+            self.report(outcome, 0, None, None);
         }
     }
 }
--- a/crates/gateway/src/front/local_reply.rs
+++ b/crates/gateway/src/front/local_reply.rs
@@ -150,6 +150,7 @@
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
         504 => "Gateway Timeout",
--- a/crates/gateway/src/front/request.rs
+++ b/crates/gateway/src/front/request.rs
@@ -46,6 +46,8 @@
     NoRoom,
     /// The head or the next part of the body did not arrive in time.
     TooSlow,
+    /// The task panicked.
+    Panicked,
     /// The process ends before the whole request has arrived.
     ProcessEnds,
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     BrokenOff,
     /// The caller disconnected.
     CallerGone,
+    /// The task of the request panicked.
+    Panicked,
 }
 
 impl RequestOutcome {
@@ -38,6 +40,7 @@
             Self::LocalReply => "own",
             Self::BrokenOff => "broken_off",
             Self::CallerGone => "caller_gone",
+            Self::Panicked => "panicked",
         }
     }
 }
@@ -79,6 +82,7 @@
 pub struct Metrics {
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
+    request_panics: Counter,
     durations_s: Durations,
     refusals: Family<ReasonLabels, Counter>,
     failed_attempts: Family<ReasonLabels, Counter>,
@@ -93,6 +97,7 @@
     pub fn register() -> Self {
         let mut registry = Registry::with_prefix("apricotledge");
         let requests = Family::default();
+        let request_panics = Counter::default();
         let durations_s: Durations = Family::new_with_constructor(duration_histogram);
         let refusals = Family::default();
         let failed_attempts = Family::default();
@@ -101,6 +106,11 @@
         let signals = Family::default();
         let withheld = Family::default();
         registry.register("requests", "Requests that ended", requests.clone());
+        registry.register(
+            "request_panics",
+            "Requests whose task panicked",
+            request_panics.clone(),
+        );
         registry.register("request_seconds", "Time to the end", durations_s.clone());
         registry.register("refusals", "Requests refused here", refusals.clone());
         registry.register(
@@ -127,6 +137,7 @@
         Self {
             registry,
             requests,
+            request_panics,
             durations_s,
             refusals,
             failed_attempts,
@@ -148,6 +159,11 @@
         self.durations_s.get_or_create(&labels).observe(took_s);
     }
 
+    /// Counts a request whose task panicked.
+    pub fn count_request_panic(&self) {
+        self.request_panics.inc();
+    }
+
     /// Counts a request that this node refused.
     pub fn count_refusal(&self, reason: &'static str) {
         self.refusals.get_or_create(&ReasonLabels { reason }).inc();
--- a/crates/gateway/src/tasks.rs
+++ b/crates/gateway/src/tasks.rs
@@ -1,10 +1,11 @@
 //! Supervision of the tasks that run as long as the process. A task that panics is restarted; the
 //! process keeps running.
 
-use std::panic::PanicHookInfo;
+use std::panic::{AssertUnwindSafe, PanicHookInfo};
 use std::time::Duration;
 
 use events::Code;
+use futures_util::FutureExt;
 use serde::Serialize;
 
 /// Pause before a task that has panicked is restarted.
@@ -39,6 +40,21 @@
     });
 }
 
+/// A future panicked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Panicked;
+
+/// Runs a future and catches its panic. State that it shares with others must be valid wherever it
+/// may panic.
+///
+/// # Errors
+///
+/// The future has panicked.
+pub async fn catch_panic<T>(future: impl Future<Output = T>) -> Result<T, Panicked> {
+    let caught = AssertUnwindSafe(future).catch_unwind().await;
+    caught.map_err(|_| Panicked)
+}
+
 /// Reports panics as log events instead of the standard message.
 pub fn report_panics() {
     std::panic::set_hook(Box::new(|panic| {
