Proof: a relay dropped while it holds bytes ends its connections

Cause: `pump` returned when the sender of the mode was gone, but only for its own direction. The other one went on to read from the caller, which waited for the held answer, so `join!` never ended and the sockets stayed open. A fault in the test's harness, not in the gateway: the machine behind this relay is dead, so that its callers have to see an end.

Now a direction whose bytes can't be passed on any more ends both. Directions that end otherwise work as before, so that an answer in flight at a process's regular end still comes whole. No check was changed.

Before: a_caller_whose_bytes_are_held_sees_an_end_when_the_relay_is_dropped failed in its three cases (answers, requests, both), each "waited in vain for: the end of the connection" after 60 s; after: 10 passed.

--- a/crates/proof/src/relay.rs
+++ b/crates/proof/src/relay.rs
@@ -8,6 +8,7 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::sync::watch::error::RecvError;
 use tokio::task::{JoinHandle, JoinSet};
 
 /// Fault of a relay.
@@ -108,7 +109,7 @@
     let (far_read, far_write) = far.split();
     let requests = pump(near_read, far_write, Way::Request, mode.clone());
     let answers = pump(far_read, near_write, Way::Answer, mode.clone());
-    let both = async { tokio::join!(requests, answers) };
+    let both = async { tokio::try_join!(requests, answers) };
     let reset = tokio::select! {
         _ = both => false,
         () = reached(mode.clone(), Mode::Cut) => false,
@@ -127,27 +128,31 @@
     }
 }
 
+/// Passes bytes on until either end has gone.
+///
+/// # Errors
+///
+/// The relay was dropped while it held bytes. The other direction may wait for a peer that waits
+/// for these bytes, so both have to end.
 async fn pump(
     mut from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
     way: Way,
     mut mode: watch::Receiver<Mode>,
-) {
+) -> Result<(), RecvError> {
     let mut buffer = vec![0; 16 << 10];
     loop {
         let read = from.read(&mut buffer).await.unwrap_or(0);
-        let Ok(mode) = mode.wait_for(|mode| flows(*mode, way)).await.map(|m| *m) else {
-            return;
-        };
+        let mode = *mode.wait_for(|mode| flows(*mode, way)).await?;
         if let Mode::Delay { delay_ms } = mode {
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         }
         if read == 0 {
             let _ = to.shutdown().await;
-            return;
+            return Ok(());
         }
         if to.write_all(&buffer[..read]).await.is_err() {
-            return;
+            return Ok(());
         }
     }
 }
--- a/crates/proof/tests/harness.rs
+++ b/crates/proof/tests/harness.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use proof::guard::until;
+use proof::guard::{until, within};
 use proof::process::Process;
 use proof::programs::Program;
 use proof::relay::{Mode, Relay};
@@ -92,3 +92,25 @@
     assert!(call.await.unwrap().is_err());
     relay.close().await;
 }
+
+#[test_case(Mode::AnswersHeld, 1; "answers")]
+#[test_case(Mode::RequestsHeld, 0; "requests")]
+#[test_case(Mode::Held, 0; "both")]
+#[tokio::test]
+async fn a_caller_whose_bytes_are_held_sees_an_end_when_the_relay_is_dropped(
+    mode: Mode,
+    effects_held: usize,
+) {
+    let (_process, address) = plain().await;
+    let relay = Relay::bind(address).await;
+    relay.set(mode);
+    let at = relay.address();
+    let call = tokio::spawn(async move { filing().send(at).await });
+    until("the effect", async || {
+        (effects(address).await == effects_held).then_some(())
+    })
+    .await;
+    drop(relay);
+    let ended = within("the end of the connection", call).await;
+    assert!(ended.unwrap().is_err());
+}
