Proof: a mixed run that breaks a promise keeps its logs

A run with violations now keeps the directory and names it in its report: the logs of the entry VMs, the journals of the backend servers, and run.log with each fault and each healing by unix time and the history of calls. Other runs remove it as before.

No check was changed.

--- a/crates/proof/src/deployment/mod.rs
+++ b/crates/proof/src/deployment/mod.rs
@@ -199,6 +199,30 @@
 
     /// Ends every process and removes settings and logs.
     pub async fn close(mut self) {
+        self.end();
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+
+    /// Ends every process, and returns the directory of their logs. It also holds the journals of the
+    /// backend servers and, in `run.log`, the lines given.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the directory cannot be written.
+    pub async fn close_with_logs(mut self, run: &[String]) -> PathBuf {
+        self.end();
+        let write = |name: &str, lines: &[String]| {
+            let file = self.directory.join(name);
+            std::fs::write(file, lines.join("\n")).expect("the directory can be written");
+        };
+        for backend in self.engines.iter().chain(&self.desks) {
+            write(&format!("{}.journal", backend.vm), &backend.process.lines());
+        }
+        write("run.log", run);
+        self.directory
+    }
+
+    fn end(&mut self) {
         for entry in &mut self.entries {
             entry.process.kill();
         }
@@ -206,7 +230,6 @@
             backend.process.kill();
         }
         self.platform.kill();
-        let _ = std::fs::remove_dir_all(&self.directory);
     }
 }
 
--- a/crates/proof/src/mixed/inject.rs
+++ b/crates/proof/src/mixed/inject.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 use serde_json::json;
 use standin::fault::{Fault, FaultKind};
+use standin::journal::unix_ms;
 use standin::platform::{Area, Control};
 use tokio::time::Instant;
 
@@ -91,6 +92,7 @@
     rng: StdRng,
     due: Vec<(Instant, Healing)>,
     counts: BTreeMap<FaultInjected, u32>,
+    log: Vec<String>,
 }
 
 impl Injector {
@@ -99,6 +101,7 @@
             rng: StdRng::seed_from_u64(seed),
             due: Vec::new(),
             counts: BTreeMap::new(),
+            log: Vec::new(),
         }
     }
 
@@ -107,6 +110,11 @@
         self.counts.clone()
     }
 
+    /// Each fault and each healing, with its time since the Unix epoch.
+    pub(super) fn log(&self) -> &[String] {
+        &self.log
+    }
+
     /// Injects faults for a time.
     pub(super) async fn run(&mut self, deployment: &mut Deployment, duration: Duration) {
         let end = Instant::now() + duration;
@@ -153,6 +161,7 @@
             FaultInjected::ListLags => self.lag(deployment).await,
         };
         if injected.is_some() {
+            self.log.push(format!("{} {kind:?}", unix_ms()));
             *self.counts.entry(kind).or_default() += 1;
         }
     }
@@ -307,8 +316,10 @@
     }
 
     fn later(&mut self, after_ms: std::ops::Range<Millisecond>, healing: Healing) {
-        let due = Instant::now() + self.millis(after_ms);
-        self.due.push((due, healing));
+        let after = self.millis(after_ms);
+        let line = format!("{} {healing:?} in {after:?}", unix_ms());
+        self.log.push(line);
+        self.due.push((Instant::now() + after, healing));
     }
 
     fn millis(&mut self, range: std::ops::Range<Millisecond>) -> Duration {
--- a/crates/proof/src/mixed/mod.rs
+++ b/crates/proof/src/mixed/mod.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use base::units::Millisecond;
@@ -40,6 +41,8 @@
     pub faults: BTreeMap<FaultInjected, u32>,
     /// Promises that were broken.
     pub violations: Vec<Violation>,
+    /// Directory of the logs of a run that broke a promise.
+    pub logs: Option<PathBuf>,
 }
 
 impl fmt::Display for Report {
@@ -50,6 +53,9 @@
         for violation in &self.violations {
             writeln!(f, "broken: {violation}")?;
         }
+        if let Some(logs) = &self.logs {
+            writeln!(f, "logs kept in {}", logs.display())?;
+        }
         write!(f, "{} violations", self.violations.len())
     }
 }
@@ -87,12 +93,23 @@
     crate::guard::within("the operators to end", operators.join_all()).await;
     operators::record_history(&deployment).await;
     let events = deployment.history();
-    let report = Report {
+    let violations = check::all(&events);
+    let logs = match violations.is_empty() {
+        true => {
+            deployment.close().await;
+            None
+        }
+        false => {
+            let mut run = injector.log().to_vec();
+            run.extend(events.iter().map(|event| format!("{event:?}")));
+            Some(deployment.close_with_logs(&run).await)
+        }
+    };
+    Report {
         seed: plan.seed,
         counts: Counts::of(&events),
         faults: injector.counts(),
-        violations: check::all(&events),
-    };
-    deployment.close().await;
-    report
+        violations,
+        logs,
+    }
 }
