Streams: nodes tell each other which version began a stream, and ask before a take-up is refused

Cause: the memory of the node that began a stream was out of reach of the others but for the store's row, which is written up to a save period later and read only while the store answers.

Now a node sends a datagram with the stream's key and version (80 bytes with the version v1.1) to two other nodes before the first event is passed on. The key draws them by rendezvous hashing among the nodes that are heard and stay, the second one in another failure domain if there is one. The node itself is left out of the draw, so that there are always two copies elsewhere. They keep it in memory apart from their own streams, so that no flood evicts these, and don't save it: the node that began the stream does. A take-up of a stream that is not remembered asks the two nodes drawn and then others by rank, at most 12, while the row is read; a question has up to 96 bytes and an answer up to 70, and a question is repeated to silent nodes every 120 ms. The first answer that names the version ends the lookup. At most 1,024 questions are open; messages from addresses that are no node's are ignored, as are answers of nodes that were not asked. Older builds count the datagrams as unreadable and answer nothing; the row is found as before.

If the store has no row after a save period and all nodes that are heard have answered, waiting doesn't help: the refusal is 503 stream_lost without Retry-After and says that the stream has to be begun anew. Else it is stream_version_unknown with Retry-After as before. Nothing was sent to a server in either case. E304 gives the number of nodes asked and answered.

Failed before: a_node_without_the_store_takes_up_the_streams_of_the_others (of two, of six) and a_stream_is_taken_up_without_the_store_after_its_node_was_killed: left: (503, Whole), right: (200, Whole).

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -74,7 +74,7 @@
     RouteNone = 301, "route.none", Warn, "No backend server could take the request.";
     AttemptFailed = 302, "attempt.failed", Warn, "An attempt at a backend server failed; fields say whether it may have run.";
     StreamResumed = 303, "stream.resumed", Info, "A stream goes on at another backend server from the tokens already relayed.";
-    StreamTakenUp = 304, "stream.taken_up", Info, "A caller resumes a stream that an earlier request began; fields give that request, the last event that the caller has, and how the software version was found that may go on with it.";
+    StreamTakenUp = 304, "stream.taken_up", Info, "A caller resumes a stream that an earlier request began; fields give that request, the last event that the caller has, how the software version was found that may go on with it, and how many other nodes were asked and answered.";
     RequestRelayed = 305, "request.relayed", Info, "A node without paths to the backend servers passed a request on to another node; fields give the node and the outcome.";
     ReclaimDecided = 310, "reclaim.decided", Info, "A stream at a leaving backend server finishes there, moves with its KV cache, or is recomputed elsewhere.";
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,7 +12,7 @@
 mod fleet;
 pub mod freshness;
 pub mod handover;
-mod hash;
+pub mod hash;
 mod holder;
 pub mod lease;
 pub mod leaving;
--- a/crates/gateway/src/decide/begun_streams.rs
+++ b/crates/gateway/src/decide/begun_streams.rs
@@ -40,13 +40,16 @@
     }
 
     /// Records a stream that a server of this node has begun. The first record of a stream stays.
-    pub fn begin(&mut self, stream: UnsavedStream, now_ms: Millisecond) {
-        if self.remember(stream.key, &stream.version, now_ms) {
+    /// Returns whether it was unknown.
+    pub fn begin(&mut self, stream: UnsavedStream, now_ms: Millisecond) -> bool {
+        let is_new = self.remember(stream.key, &stream.version, now_ms);
+        if is_new {
             self.unsaved.push_back(stream);
         }
+        is_new
     }
 
-    /// Records a stream whose version is in the store. Returns whether it was unknown.
+    /// Records a stream whose version is in the store, or is saved by another node. Returns whether it was unknown.
     pub fn remember(&mut self, key: RequestDigest, version: &Name, now_ms: Millisecond) -> bool {
         if self.versions.contains_key(&key) {
             return false;
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -19,6 +19,8 @@
 pub mod signal;
 pub mod speed;
 pub mod store_poll;
+pub mod stream_nodes;
+pub mod stream_version;
 pub mod timeouts;
 pub mod turns;
 pub mod version_history;
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -14,3 +14,4 @@
 pub mod resume;
 mod serve;
 mod stream;
+mod version_lookup;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -6,9 +6,10 @@
 
 use base::units::Millisecond;
 use base::{Map, Name};
-use policy::suspect::{SuspectParts, SuspectRequests};
+use policy::suspect::{RequestDigest, SuspectParts, SuspectRequests};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
 use crate::belief::directory::Allowance;
@@ -32,6 +33,7 @@
 use crate::peer::Peers;
 use crate::peer::message::{Tenure, life_key};
 use crate::peer::role::{Role, period_ms};
+use crate::peer::streams::Questions;
 use crate::settings::{FirstStart, Settings, ms};
 
 /// Phase of a process between start and shutdown.
@@ -90,6 +92,13 @@
     pub suspect_parts: RefCell<SuspectParts>,
     /// Software versions that began the recent streams.
     pub begun_streams: RefCell<BegunStreams>,
+    /// The same of streams that began at other nodes, as told by these. They are kept apart, so that
+    /// no other node can make this one forget its own.
+    pub streams_of_others: RefCell<BegunStreams>,
+    /// Questions to other nodes about streams.
+    pub questions: RefCell<Questions>,
+    /// Socket of the datagrams between nodes; unset until the node listens.
+    pub peer_socket: OnceCell<Rc<UdpSocket>>,
     /// Software versions that serve or served a short while ago.
     pub version_history: RefCell<VersionHistory>,
     /// Rows of begun streams in the store; unset without a store.
@@ -153,6 +162,9 @@
             suspects: RefCell::default(),
             suspect_parts: RefCell::default(),
             begun_streams: RefCell::default(),
+            streams_of_others: RefCell::default(),
+            questions: RefCell::default(),
+            peer_socket: OnceCell::new(),
             version_history: RefCell::default(),
             stream_rows: OnceCell::new(),
             reach: RefCell::default(),
@@ -218,6 +230,17 @@
         self.rng.borrow_mut().random()
     }
 
+    /// A random number.
+    pub fn random_number(&self) -> u64 {
+        self.rng.borrow_mut().random()
+    }
+
+    /// Version that began a stream, if this node relayed it, has looked it up or was told.
+    pub fn stream_version(&self, key: &RequestDigest) -> Option<Name> {
+        let own = self.begun_streams.borrow().version(key).cloned();
+        own.or_else(|| self.streams_of_others.borrow().version(key).cloned())
+    }
+
     /// Random number and round-robin position for the next choice of a server.
     pub fn baseline_inputs(&self) -> BaselineInputs {
         let turn = self.round_robin_turn.get();
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -11,7 +11,8 @@
 
 use super::message::{CopyAges, HeartbeatContent, NodeHeartbeat, RegistryVersion};
 use super::role::{DrainState, HEARTBEAT_PERIOD_MS, Presence, SMALL_FLEET_NODES, period_ms};
-use super::{PeerUpdate, pull, pulse};
+use super::stream_message::StreamDatagram;
+use super::{PeerUpdate, pull, pulse, streams};
 use crate::backend::{gate, quarantine, reach};
 use crate::belief::registry::Load;
 use crate::clock::unix_ms;
@@ -49,7 +50,7 @@
 
 /// Starts to send and receive heartbeats on the current local task set.
 pub fn spawn(node: &Rc<Node>, socket: UdpSocket) {
-    let socket = Rc::new(socket);
+    let socket = node.peer_socket.get_or_init(|| Rc::new(socket)).clone();
     let started_unix_ms = unix_ms();
     let (n, s) = (node.clone(), socket.clone());
     tasks::supervise("tell", move || {
@@ -206,6 +207,9 @@
 
 /// Applies a datagram. Unreadable and implausible ones are counted and ignored.
 pub fn receive_datagram(node: &Rc<Node>, datagram: &[u8], from: SocketAddr) {
+    if StreamDatagram::is_one(datagram) {
+        return streams::receive(node, datagram, from);
+    }
     match serde_json::from_slice::<NodeHeartbeat>(datagram) {
         Ok(heartbeat) if heartbeat.is_plausible() => apply_heartbeat(node, heartbeat, from),
         Ok(_) | Err(_) => node.metrics.count_platform_call("peer", "unreadable"),
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -9,6 +9,8 @@
 pub mod pulse;
 pub mod role;
 pub mod serve;
+pub mod stream_message;
+pub mod streams;
 
 use std::net::SocketAddr;
 
@@ -17,6 +19,7 @@
 
 use crate::decide::reach::Reach;
 use crate::decide::store_poll::PollRank;
+use crate::decide::stream_nodes::Candidate;
 use crate::settings::Settings;
 use message::{HeartbeatContent, NodeHeartbeat, Tenure};
 use policy::suspect::EntryRank;
@@ -305,14 +308,17 @@
     }
 
     fn peer_summaries(&self, now_ms: Millisecond) -> Vec<PeerSummary<'_>> {
-        self.by_name
-            .iter()
-            .map(|(name, peer)| PeerSummary {
-                name,
-                failure_domain: &peer.heartbeat.failure_domain,
-                role: peer.heartbeat.role,
-                stay: peer.heartbeat.stay,
-                presence: peer.presence(now_ms),
+        let peers = self.by_name.iter();
+        peers.map(|(name, p)| summary(name, p, now_ms)).collect()
+    }
+
+    /// The other nodes, among which a stream's key draws.
+    pub fn candidates(&self, now_ms: Millisecond) -> Vec<Candidate<'_>> {
+        let peers = self.by_name.iter();
+        peers
+            .map(|(name, peer)| Candidate {
+                node: summary(name, peer, now_ms),
+                address: peer.address,
             })
             .collect()
     }
@@ -326,6 +332,13 @@
         Some(fastest.ms.saturating_sub(sample.ms).max(0) as Millisecond)
     }
 
+    /// Addresses of the other nodes that are heard.
+    pub fn heard_addresses(&self, now_ms: Millisecond) -> Set<SocketAddr> {
+        let fresh = |p: &&Peer| p.presence(now_ms) == Presence::Fresh;
+        let peers = self.by_name.values().filter(fresh);
+        peers.map(|p| p.address).collect()
+    }
+
     /// Silence after which a node may be cut off; 0 for an unknown node.
     pub fn silence_ms(&self, name: &Name) -> Millisecond {
         self.by_name.get(name).map_or(0, Peer::silence_ms)
@@ -426,3 +439,13 @@
         epochs_ms[(epochs_ms.len() - 1) / 2].saturating_sub(own_epoch_ms)
     }
 }
+
+fn summary<'a>(name: &'a Name, peer: &'a Peer, now_ms: Millisecond) -> PeerSummary<'a> {
+    PeerSummary {
+        name,
+        failure_domain: &peer.heartbeat.failure_domain,
+        role: peer.heartbeat.role,
+        stay: peer.heartbeat.stay,
+        presence: peer.presence(now_ms),
+    }
+}
--- a/crates/policy/src/suspect/digest.rs
+++ b/crates/policy/src/suspect/digest.rs
@@ -44,6 +44,12 @@
     }
 }
 
+impl From<RequestDigest> for u128 {
+    fn from(digest: RequestDigest) -> Self {
+        digest.0
+    }
+}
+
 impl From<RequestDigest> for String {
     fn from(digest: RequestDigest) -> Self {
         digest.to_string()
