Streams: a version counts as the only one only if that was confirmed after the take-up arrived

An operator's report: while servers of a new version joined, a node was cut off or stood still for some seconds. Streams that had begun on the new servers through other nodes broke, were taken up at that node and went on at a server of the old version; callers got status 200 and the texts of two versions joined.

Cause: a take-up of a stream that the node doesn't remember went to the only version in the node's history, whatever the age of that history. A node that is out of step knows one version only and can't know that it is out of step.

Now the only version (and likewise "no version") is used only with evidence that was asked for after the take-up arrived, so that it doesn't depend on clocks, suspensions and messages that waited in sockets: - the store has answered a query of the registry that was sent after the arrival (the take-up makes the follower query at once), and answers of other nodes are in or overdue, as a version that has come and gone is in these only; or - all asked nodes that are heard have answered that they know neither the stream nor another version, and the youngest of their registries is no older than drain_ms, the greatest age at a node in step; or - all known nodes have answered so, and the youngest registry is no older than 15 s, the time for which an ended node stays known: a node that is alone with a newer version is then among those that would have had to answer. Without it the take-up is refused as not run within the wait that reads of the row already had. Answers carry the sender's versions of the service, also a single one, and the age of its registry; the age is left out after a pause until the registry has been confirmed again. The versions are merged into the asker's history before it is consulted, without taking the past of other services for known. The decision is a pure function over the evidence (decide::stream_version).

A node that hears the others concludes by their answers without a call to the store. E304 gives the age of the knowledge.

The third way is beyond the bound first planned (only drain_ms): in an outage of the store for all nodes a take-up of a stream that nobody remembers would otherwise be refused after 2 s though no node can have learned of a version.

Ruled out: an age limit on the node's own history. The age is measured on a clock that a suspension stops, and what waited in a socket during a pause looks new.

--- a/crates/gateway/src/decide/pause.rs
+++ b/crates/gateway/src/decide/pause.rs
@@ -35,6 +35,13 @@
         self.heartbeat_ms = Some(now_ms);
     }
 
+    /// Time since the messages that arrived during the last pause were read; `None` if the process
+    /// was never paused.
+    pub fn running_ms(self, now_ms: Millisecond) -> Option<Millisecond> {
+        let was_paused = self.backlog_until_ms > 0;
+        was_paused.then(|| now_ms.saturating_sub(self.backlog_until_ms))
+    }
+
     /// Whether a message that is read now may have waited in a socket.
     pub fn check(&mut self, now_ms: Millisecond) -> Arrival {
         let silent_ms = self
--- a/crates/gateway/src/decide/stream_version.rs
+++ b/crates/gateway/src/decide/stream_version.rs
@@ -1,6 +1,7 @@
 //! Which software version a stream is of that a caller takes up at a node that doesn't remember it.
 
 use base::Name;
+use base::units::Millisecond;
 use serde::Serialize;
 
 use super::version_history::StreamVersions;
@@ -13,7 +14,8 @@
     Memory,
     /// Another node remembers the stream.
     OtherNode,
-    /// No other version has served for as long as streams live.
+    /// No other version has served for as long as streams live, as confirmed after the request
+    /// arrived.
     OnlyVersion,
     Store,
 }
@@ -33,12 +35,33 @@
 /// The nodes that were asked for a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AskedNodes {
-    /// No node has answered.
-    Silent,
-    /// A node that is heard has not answered.
+    /// Answers may still be in transit.
     Awaited,
-    /// All nodes that are heard have answered, or there is no other node.
-    Answered,
+    /// No node has answered in time.
+    Silent,
+    /// A node that is heard has not answered in time.
+    Overdue,
+    /// All nodes that are heard have answered.
+    Heard,
+    /// All nodes that are known have answered, or there is no other node.
+    All,
+}
+
+/// Whether the store has confirmed the registry by a query that was sent after the request arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RegistryCheck {
+    Confirmed,
+    Unconfirmed,
+}
+
+/// Greatest ages of the youngest registry among the answers.
+#[derive(Clone, Copy, Debug)]
+pub struct RegistryBounds {
+    /// If all nodes that are heard have answered: the age that no node in step exceeds.
+    pub heard_ms: Millisecond,
+    /// If all nodes that are known have answered: the time for which an ended node stays known. A
+    /// node that has begun streams of a version which is unknown to all others is among them.
+    pub all_ms: Millisecond,
 }
 
 /// Whether more may become known in the time that the caller leaves.
@@ -55,6 +78,11 @@
     pub versions: StreamVersions,
     pub stored: StoredStream,
     pub asked: AskedNodes,
+    pub registry: RegistryCheck,
+    /// Age of the youngest registry among the answers of nodes that know the versions before their
+    /// start.
+    pub youngest_ms: Option<Millisecond>,
+    pub bounds: RegistryBounds,
     /// Version that another node remembers.
     pub remembered: Option<Name>,
     pub time: LookupTime,
@@ -84,17 +112,47 @@
             return Lookup::Found(version.clone(), VersionSource::Store);
         }
         match &self.versions {
-            StreamVersions::Only(version) => {
+            StreamVersions::Only(version) if self.is_current() => {
                 return Lookup::Found(version.clone(), VersionSource::OnlyVersion);
             }
-            StreamVersions::None => return Lookup::NoServer,
+            StreamVersions::None if self.is_current() => return Lookup::NoServer,
+            StreamVersions::Only(_) | StreamVersions::None => {}
             StreamVersions::Several if self.stored == StoredStream::Unnamed => return Lookup::Lost,
             StreamVersions::Several | StreamVersions::Unknown => {}
         }
-        match (self.time, &self.stored, self.asked) {
-            (LookupTime::Left, _, _) => Lookup::Pending,
-            (LookupTime::Over, StoredStream::Absent, AskedNodes::Answered) => Lookup::Lost,
-            (LookupTime::Over, _, _) => Lookup::Unreachable,
+        if self.time == LookupTime::Left {
+            return Lookup::Pending;
+        }
+        match (&self.stored, self.asked) {
+            (StoredStream::Absent, AskedNodes::Heard | AskedNodes::All) => Lookup::Lost,
+            _ => Lookup::Unreachable,
         }
     }
+
+    /// Whether the versions are known as of the arrival of the request: a node that is cut off, or
+    /// has stood still, doesn't know of a version that other nodes have begun streams on.
+    fn is_current(&self) -> bool {
+        let is_younger = |bound_ms| self.youngest_ms.is_some_and(|age_ms| age_ms <= bound_ms);
+        match (self.asked, self.registry) {
+            (AskedNodes::Awaited, _) => false,
+            (_, RegistryCheck::Confirmed) => true,
+            (AskedNodes::All, RegistryCheck::Unconfirmed) => is_younger(self.bounds.all_ms),
+            (AskedNodes::Heard, RegistryCheck::Unconfirmed) => is_younger(self.bounds.heard_ms),
+            (AskedNodes::Silent | AskedNodes::Overdue, RegistryCheck::Unconfirmed) => false,
+        }
+    }
+
+    /// Whether the store has to be asked for the stream's row; rows are written only while several
+    /// versions serve.
+    pub fn needs_row(&self) -> bool {
+        match self.versions {
+            StreamVersions::Several | StreamVersions::Unknown => true,
+            StreamVersions::Only(_) | StreamVersions::None => false,
+        }
+    }
+
+    /// Whether the store has to be asked for the registry, as the answers don't do.
+    pub fn needs_registry(&self) -> bool {
+        self.asked != AskedNodes::Awaited && !self.needs_row()
+    }
 }
--- a/crates/gateway/src/decide/version_history.rs
+++ b/crates/gateway/src/decide/version_history.rs
@@ -81,6 +81,11 @@
     /// Merges what the store or another node knows, and takes the past for known.
     pub fn merge(&mut self, report: &VersionReport, fleet_ms: Millisecond) {
         self.past = Past::Known;
+        self.add(report, fleet_ms);
+    }
+
+    /// Merges what another node knows of some services.
+    pub fn add(&mut self, report: &VersionReport, fleet_ms: Millisecond) {
         for (service, versions) in report {
             let known = self.services.entry(service.clone()).or_default();
             for (version, presence) in versions.iter().filter(|(_, p)| p.counts(fleet_ms)) {
@@ -140,6 +145,13 @@
         self.services.iter()
     }
 
+    /// The versions of one service, for other nodes; `None` if the past is unknown.
+    pub fn report_of(&self, service: &Name) -> Option<VersionReport> {
+        let versions = self.services.get(service).into_iter().flatten();
+        let versions = versions.map(|(v, p)| (v.clone(), *p)).collect();
+        self.is_known().then(|| vec![(service.clone(), versions)])
+    }
+
     /// The services with several versions, for other nodes. These observe single ones themselves.
     pub fn report(&self) -> VersionReport {
         let several = self.services.iter().filter(|(_, v)| v.len() > 1);
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -66,6 +66,7 @@
             wait_for_turn(&node, topic).await;
         }
         let announced = node.announced_change.get();
+        let queried_ms = node.now_ms();
         let outcome = match revision {
             None => snapshot(&*feed, topic).await,
             Some(since) => {
@@ -87,6 +88,7 @@
                 apply_batch(&node, batch, scope);
                 if topic == Topic::Servers {
                     node.queried_change.set(announced);
+                    node.registry_queried_ms.set(queried_ms);
                 }
             }
             Err(FeedError::HistoryGone) => {
--- a/crates/gateway/src/front/resume.rs
+++ b/crates/gateway/src/front/resume.rs
@@ -35,6 +35,7 @@
     source: SourceField,
     asked: usize,
     answered: usize,
+    registry_age_ms: Option<Millisecond>,
     waited_ms: Millisecond,
     left_ms: Millisecond,
 }
@@ -69,6 +70,7 @@
         source,
         asked: report.asked,
         answered: report.answered,
+        registry_age_ms: report.registry_age_ms,
         waited_ms: started.elapsed().as_millis() as Millisecond,
         left_ms: job.left_ms(),
     };
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -72,6 +72,8 @@
     pub registry_confirmed_ms: Cell<Millisecond>,
     /// When this node itself last read the registry in the store.
     pub registry_read_ms: Cell<Millisecond>,
+    /// When the last query of the registry was sent that the store has answered.
+    pub registry_queried_ms: Cell<Millisecond>,
     /// Time of the store's last successful answer.
     pub store_ok_ms: Cell<Millisecond>,
     /// Time of the last failed call to the store.
@@ -152,6 +154,7 @@
             registry: RefCell::default(),
             registry_confirmed_ms: Cell::new(0),
             registry_read_ms: Cell::new(0),
+            registry_queried_ms: Cell::new(0),
             store_ok_ms: Cell::new(0),
             store_failed_ms: Cell::new(0),
             peers: RefCell::new(Peers::new(&settings)),
@@ -301,6 +304,20 @@
         arrival
     }
 
+    /// Age of the registry; `None` before it is known, and after a pause until it is confirmed again.
+    pub fn registry_age_ms(&self) -> Option<Millisecond> {
+        let confirmed_ms = self.registry_confirmed_ms.get();
+        let age_ms = self.now_ms().saturating_sub(confirmed_ms);
+        let was_confirmed_since = match self.arrival() {
+            Arrival::MayHaveWaited => false,
+            Arrival::Immediate => {
+                let running_ms = self.pause_detector.get().running_ms(boot_ms());
+                running_ms.is_none_or(|running_ms| age_ms <= running_ms)
+            }
+        };
+        (confirmed_ms > 0 && was_confirmed_since).then_some(age_ms)
+    }
+
     /// Charges a request to the workspace's allowance, if it fits.
     pub fn charge(&self, workspace: &Workspace, cost: f64) -> Admission {
         let Some(allowance) = workspace.allowance else {
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -40,7 +40,7 @@
 pub const NODES_LIMIT: usize = 4_096;
 
 /// A node has ended after this time without a heartbeat, if most of the others are heard.
-const NODE_EXPIRY_MS: Millisecond = 15_000;
+pub const NODE_EXPIRY_MS: Millisecond = 15_000;
 
 /// How long an estimate of a peer's clock is kept; longer than a process may be suspended.
 const EPOCH_RETENTION_MS: Millisecond = 30_000;
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -9,7 +9,10 @@
 
 use super::role::SMALL_FLEET_NODES;
 use super::stream_message::{StreamAnswer, StreamDatagram, StreamMessage, StreamQuestion};
+use crate::decide::begun_streams::stream_key;
 use crate::decide::stream_nodes::{drawn_nodes, nodes_to_ask};
+use crate::decide::version_history::VersionReport;
+use crate::follow;
 use crate::node::Node;
 
 /// Most questions that wait for answers at a time.
@@ -40,11 +43,17 @@
     send(node, StreamMessage::Begun { key, version }, &addresses);
 }
 
-/// Asks other nodes for a stream; `None` if too many questions are open.
-pub fn ask(node: &Node, key: RequestDigest) -> Option<Question<'_>> {
+/// Asks other nodes for a stream of a service, or only for the versions of the service; `None` if
+/// too many questions are open.
+pub fn ask<'a>(node: &'a Node, key: Option<RequestDigest>, service: &Name) -> Option<Question<'a>> {
     let addresses = {
         let peers = node.peers.borrow();
-        nodes_to_ask(key, &peers.candidates(node.now_ms()), SMALL_FLEET_NODES)
+        let draw_key = key.unwrap_or_else(|| stream_key("", service, ""));
+        nodes_to_ask(
+            draw_key,
+            &peers.candidates(node.now_ms()),
+            SMALL_FLEET_NODES,
+        )
     };
     let mut questions = node.questions.borrow_mut();
     if questions.len() >= QUESTIONS_LIMIT {
@@ -60,7 +69,11 @@
     drop(questions);
     let question = Question {
         node,
-        message: StreamQuestion { number, key },
+        message: StreamQuestion {
+            number,
+            key,
+            service: service.clone(),
+        },
         answered,
     };
     question.send();
@@ -88,13 +101,12 @@
         self.with_asked(|asked| asked.iter().filter_map(|(_, a)| a.clone()).collect())
     }
 
-    /// Whether a node that is heard has not answered.
-    pub fn is_awaited(&self) -> bool {
+    /// Number of asked nodes that are heard and have not answered.
+    pub fn unanswered_heard(&self) -> usize {
         let heard = self.node.peers.borrow().heard_addresses(self.node.now_ms());
         self.with_asked(|asked| {
-            asked
-                .iter()
-                .any(|(at, a)| a.is_none() && heard.contains(at))
+            let unanswered = asked.iter().filter(|(_, answer)| answer.is_none());
+            unanswered.filter(|(at, _)| heard.contains(at)).count()
         })
     }
 
@@ -140,7 +152,9 @@
         StreamMessage::Question(question) => {
             let answer = StreamAnswer {
                 number: question.number,
-                version: node.stream_version(&question.key),
+                version: question.key.and_then(|key| node.stream_version(&key)),
+                versions: versions_of(node, &question.service),
+                registry_age_ms: node.registry_age_ms(),
             };
             send(node, StreamMessage::Answer(answer), &[from]);
         }
@@ -155,11 +169,23 @@
     };
     let place = open.asked.iter_mut().find(|(address, _)| *address == from);
     if let Some((_, place)) = place {
+        if let Some(versions) = &answer.versions {
+            let fleet_ms = node.fleet_ms();
+            node.version_history.borrow_mut().add(versions, fleet_ms);
+        }
         place.get_or_insert(answer);
         open.answered.notify_one();
     }
 }
 
+fn versions_of(node: &Node, service: &Name) -> Option<VersionReport> {
+    if node.registry_confirmed_ms.get() == 0 {
+        return None;
+    }
+    follow::versions::observe(node);
+    node.version_history.borrow().report_of(service)
+}
+
 fn send(node: &Node, stream: StreamMessage, addresses: &[SocketAddr]) {
     let datagram = StreamDatagram { stream }.encode();
     if let (Some(socket), Some(datagram)) = (node.peer_socket.get(), datagram) {
