Front: a request leaves a silent server only when another one takes it

What callers saw: a resumable stream whose server sent nothing for a second was broken off in the midst (200, cut), and a stream before its first event or an idempotent request got 502 answer_lost, though the server went on half a second later. It takes a silence beyond the pause and no other server: the others full, the retry budget spent, or no ready server of the stream's version. The last one is usual during a release, when the servers of the old version drain while they finish their streams: VersionGone waits 0 ms.

Cause: front::stream and front::buffered gave an attempt up at the pause (FailureCause::Silent closes the connection) and looked for another server afterwards. A silence was treated like a broken connection.

Now a silence only starts a search. The attempt ends when its successor is chosen and the retry is taken; the old connection is closed before the request is sent again, so no two servers run it and no late event is relayed. Without a successor the request stays until its deadline and searches again after each further pause, or when capacity changes if the servers are full. If the successor has a turn to wait for, the request stays meanwhile, and an event that comes first keeps it there. decide::silence holds the decision; attempt.silent (E306) logs its inputs, how long the silence lasts, and the outcome, once for each change of it, and when the server goes on.

Two cases besides. The silent server itself is chosen again only after 2 s, as a connection may be lost without a reset while new ones work; before, the only server was sent the request again at once, which threw its work away. A node that has lost its paths still gives the request up if a node can take it over from the beginning.

Requests that may not be repeated wait until their deadline as before.

--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -52,22 +52,37 @@
     job: &'a Job<'a>,
 }
 
+/// Servers that an attempt is not sent to, or only if there is no other.
+#[derive(Clone, Copy, Debug)]
+pub struct Exclusions<'n> {
+    /// Servers at which earlier attempts failed; used if there is no other.
+    pub failed: &'n [Name],
+    /// A server that is not used at all.
+    pub excluded: Option<&'n Name>,
+}
+
 impl<'a> Attempt<'a> {
-    /// Chooses a server for `job` and counts the request there. `avoid` lists servers at which
-    /// earlier attempts failed; `run_state` says whether one of those attempts may have run.
+    /// Chooses a server for `job` and counts the request there. `run_state` says whether an earlier
+    /// attempt may have run.
     ///
     /// # Errors
     ///
     /// Returns the reason if no server can take the request.
-    pub fn place(job: &'a Job<'a>, avoid: &[Name], run_state: RunState) -> Result<Self, NoServer> {
+    pub fn place(
+        job: &'a Job<'a>,
+        exclusions: Exclusions<'_>,
+        run_state: RunState,
+    ) -> Result<Self, NoServer> {
+        let Exclusions { failed, excluded } = exclusions;
         let node = job.node;
         let now_ms = node.now_ms();
         let gate = Gate::new(node);
-        let usable = usable_servers(node, job, &gate);
+        let mut usable = usable_servers(node, job, &gate);
+        usable.retain(|server| excluded != Some(&server.record.id));
         if usable.is_empty() && job.version().is_some() {
             return Err(NoServer::VersionGone);
         }
-        let servers = untried(usable, avoid);
+        let servers = untried(usable, failed);
         let view = PlacementView {
             prompt: &job.prompt,
             home: prefix_home(&job.prompt, &servers),
@@ -102,7 +117,7 @@
         )?;
         let server = &servers[choice.index];
         let permit = gate.admit(server).ok_or(NoServer::None)?;
-        let reuse = match avoid.contains(&server.record.id) {
+        let reuse = match failed.contains(&server.record.id) {
             true => Reuse::Never,
             false => Reuse::Allowed,
         };
@@ -149,7 +164,13 @@
         }
         // Turns open by the system clock, which may lag the timer by a fraction of a millisecond.
         tokio::time::sleep(Duration::from_millis(self.opens_in_ms + 1)).await;
+        self.begin_turn();
+    }
+
+    /// Records that the turn to send the request has come.
+    pub fn begin_turn(&mut self) {
         self.predicted_ms = self.predicted_ms.saturating_sub(self.opens_in_ms);
+        self.opens_in_ms = 0;
         self.started_ms = self.job.node.now_ms();
     }
 
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -17,6 +17,7 @@
 pub mod scale;
 pub mod shed;
 pub mod signal;
+pub mod silence;
 pub mod speed;
 pub mod store_poll;
 pub mod stream_nodes;
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -13,7 +13,7 @@
 use super::local_reply::LocalReply;
 use super::relay;
 use crate::backend::answer_summary::AnswerSummary;
-use crate::backend::attempt::Attempt;
+use crate::backend::attempt::{Attempt, Exclusions};
 use crate::backend::crash_check;
 use crate::backend::gate::{self, WithheldCounts};
 use crate::backend::reach;
@@ -26,10 +26,11 @@
 
 /// State of one request across its attempts.
 pub struct Attempts<'a, 'b> {
-    node: &'a Rc<Node>,
-    job: &'a Job<'b>,
-    history: AttemptHistory,
-    avoid: Vec<Name>,
+    pub(super) node: &'a Rc<Node>,
+    pub(super) job: &'a Job<'b>,
+    pub(super) history: AttemptHistory,
+    /// Servers at which attempts failed.
+    pub(super) avoid: Vec<Name>,
     last_cause: Option<FailureCause>,
 }
 
@@ -106,7 +107,11 @@
             if relay::is_needed(self.node) {
                 return Err(self.refusal_reply(NoServer::Unreached));
             }
-            let no_server = match Attempt::place(self.job, &self.avoid, self.history.run_state) {
+            let exclusions = Exclusions {
+                failed: &self.avoid,
+                excluded: None,
+            };
+            let no_server = match Attempt::place(self.job, exclusions, self.history.run_state) {
                 Ok(mut attempt) => {
                     self.report_choice(&attempt);
                     attempt.wait_for_turn().await;
@@ -150,12 +155,40 @@
         state.silence_timeout()
     }
 
-    /// Records a failed attempt and decides whether another one follows.
+    /// Ends a failed attempt, and chooses a server for the next one.
     ///
     /// # Errors
     ///
     /// Returns the final reply if no other attempt follows.
-    pub fn fail(&mut self, attempt: &Attempt<'_>, cause: FailureCause) -> Result<(), LocalReply> {
+    pub async fn retry(
+        &mut self,
+        attempt: Attempt<'a>,
+        cause: FailureCause,
+    ) -> Result<Attempt<'a>, LocalReply> {
+        let mut history = self.history;
+        let mut next = history.record_failure(cause, self.job.left_ms());
+        if next == NextAction::Retry && history.sends > 0 {
+            let permit = self.node.take_retry(&self.job.service.name);
+            if permit == RetryPermit::Exhausted {
+                next = NextAction::GiveUp;
+            }
+        }
+        self.record_failure(&attempt, cause, history, next);
+        drop(attempt);
+        match next {
+            NextAction::Retry => self.place().await,
+            NextAction::GiveUp => Err(self.final_reply()),
+        }
+    }
+
+    /// Records a failed attempt. `history` includes it, and `next` is what follows.
+    pub(super) fn record_failure(
+        &mut self,
+        attempt: &Attempt<'_>,
+        cause: FailureCause,
+        history: AttemptHistory,
+        next: NextAction,
+    ) {
         attempt.note_failure(cause);
         let server = &attempt.server;
         let now_ms = self.node.now_ms();
@@ -185,18 +218,8 @@
             self.avoid.push(server.record.id.clone());
         }
         self.last_cause = Some(cause);
-        let mut next = self.history.record_failure(cause, self.job.left_ms());
-        if next == NextAction::Retry && self.history.sends > 0 {
-            let permit = self.node.take_retry(&self.job.service.name);
-            if permit == RetryPermit::Exhausted {
-                next = NextAction::GiveUp;
-            }
-        }
+        self.history = history;
         self.report_failure(attempt, cause, next);
-        match next {
-            NextAction::Retry => Ok(()),
-            NextAction::GiveUp => Err(self.final_reply()),
-        }
     }
 
     fn quarantine_reply(&self, refused_for_ms: Millisecond) -> LocalReply {
@@ -206,7 +229,7 @@
         LocalReply::part_in_quarantine(proof, refused_for_ms)
     }
 
-    fn final_reply(&self) -> LocalReply {
+    pub(super) fn final_reply(&self) -> LocalReply {
         if let Some(proof) = self.history.not_run_proof() {
             let text = "No server took the request; it was not run.";
             return LocalReply::later(proof, 503, "not_taken", text, self.retry_delay_ms());
@@ -281,7 +304,7 @@
         least + (self.node.random_fraction() * span) as Millisecond
     }
 
-    fn report_choice(&self, attempt: &Attempt<'_>) {
+    pub(super) fn report_choice(&self, attempt: &Attempt<'_>) {
         let fields = ChosenFields {
             request: self.job.id(),
             server: &attempt.server.record.id,
--- a/crates/gateway/src/front/buffered.rs
+++ b/crates/gateway/src/front/buffered.rs
@@ -1,21 +1,20 @@
 //! Relays answers that are not streams: an answer is buffered as a whole before it is relayed.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use super::answer::{AnswerAction, BodyKind, classify_answer, write_head};
 use super::attempts::Attempts;
+use super::failover::{Silence, WaitEnd};
 use super::job::Job;
 use super::local_reply::LocalReply;
-use super::serve::{CallerWriter, ServeOutcome};
+use super::serve::{AnswerProgress, CallerWriter, ServeOutcome};
 use crate::backend::attempt::Attempt;
-use crate::backend::exchange::{OutgoingRequest, send};
+use crate::backend::exchange::{OutgoingRequest, deadline_in, send};
 use crate::decide::body_memory::BodyReservation;
 use crate::decide::outcome::FailureCause;
-use crate::decide::timeouts::SilenceTimeout;
 use crate::http::ResponseHead;
 use crate::node::Node;
 
@@ -33,22 +32,16 @@
     let mut attempts = Attempts::new(node, job);
     // An error answer, which is relayed if no other server can run the request.
     let mut failure: Option<BufferedAnswer> = None;
+    let mut placed = attempts.place().await;
     loop {
-        let mut attempt = match attempts.place().await {
+        let mut attempt = match placed {
             Ok(attempt) => attempt,
             Err(reply) => return finish_with(failure, ServeOutcome::Local(reply), job, out).await,
         };
-        let silence_timeout = attempts.silence_timeout(&attempt);
-        let left = Duration::from_millis(job.left_ms());
-        let outcome = match timeout(left, run(job, &mut attempt, silence_timeout)).await {
-            Ok(outcome) => outcome,
-            Err(_) => {
-                attempt.server.record_failure(node.now_ms());
-                let reply = LocalReply::timed_out();
-                return finish_with(failure, ServeOutcome::Local(reply), job, out).await;
-            }
-        };
-        let cause = match outcome {
+        let deadline = deadline_in(job.left_ms());
+        let running = run(job, &mut attempts, &mut attempt, deadline);
+        let end = timeout_at(deadline, running).await;
+        placed = match end.unwrap_or(Err(RunEnd::Waited(WaitEnd::TimedOut))) {
             Ok(whole) => match whole.action {
                 AnswerAction::Relay => {
                     drop(attempt);
@@ -56,22 +49,39 @@
                 }
                 AnswerAction::RelayUnlessRetried => {
                     failure = Some(whole);
-                    FailureCause::Failed
+                    attempts.retry(attempt, FailureCause::Failed).await
                 }
             },
-            Err(cause) => cause,
+            Err(RunEnd::Failed(cause)) => attempts.retry(attempt, cause).await,
+            Err(RunEnd::Waited(WaitEnd::Moved(successor))) => Ok(successor),
+            Err(RunEnd::Waited(WaitEnd::HandedOver(reply))) => Err(reply),
+            Err(RunEnd::Waited(WaitEnd::TimedOut)) => {
+                attempt.server.record_failure(node.now_ms());
+                Err(LocalReply::timed_out())
+            }
         };
-        if let Err(reply) = attempts.fail(&attempt, cause) {
-            return finish_with(failure, ServeOutcome::Local(reply), job, out).await;
-        }
     }
 }
 
-async fn run(
-    job: &Job<'_>,
-    attempt: &mut Attempt<'_>,
-    silence_timeout: SilenceTimeout,
-) -> Result<BufferedAnswer, FailureCause> {
+/// How an attempt ended without a whole answer.
+enum RunEnd<'a> {
+    Failed(FailureCause),
+    /// The wait for the head of the answer ended without one.
+    Waited(WaitEnd<'a>),
+}
+
+impl From<FailureCause> for RunEnd<'_> {
+    fn from(cause: FailureCause) -> Self {
+        Self::Failed(cause)
+    }
+}
+
+async fn run<'a>(
+    job: &'a Job<'_>,
+    attempts: &mut Attempts<'a, '_>,
+    attempt: &mut Attempt<'a>,
+    deadline: Instant,
+) -> Result<BufferedAnswer, RunEnd<'a>> {
     let server = attempt.server.clone();
     let request = OutgoingRequest {
         method: &job.request.head.method,
@@ -83,19 +93,16 @@
     let clock = job.node.clock;
     let permit = attempt.take_permit()?;
     let sending = send(&server, permit, &request, &job.node.dialect.names, clock);
-    let mut answer = match silence_timeout {
-        SilenceTimeout::After(ms) => match timeout(Duration::from_millis(ms), sending).await {
-            Ok(answer) => answer?,
-            Err(_) => return Err(FailureCause::Silent),
-        },
-        SilenceTimeout::UntilDeadline => sending.await?,
-    };
+    let mut silence = Silence::new(attempts.silence_timeout(attempt), AnswerProgress::Nothing);
+    let waiting = attempts.wait(attempt, &mut silence, deadline, sending);
+    let mut answer = waiting.await.map_err(RunEnd::Waited)??;
+    attempts.end_silence(attempt, &silence);
     attempt.note_answer(answer.summary);
     let action = match classify_answer(job, &answer.head) {
         Ok(action) => action,
         Err(cause) => {
             answer.discard(&server, clock).await;
-            return Err(cause);
+            return Err(cause.into());
         }
     };
     attempt.note_first_byte();
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod buffered;
 mod caller;
+mod failover;
 mod in_flight;
 pub mod job;
 mod local_reply;
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -2,7 +2,6 @@
 //! resumed at another server after the last event that was relayed to the caller.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use base::units::Millisecond;
 use bytes::BytesMut;
@@ -11,6 +10,7 @@
 
 use super::answer::{AnswerAction, BodyKind, classify_answer, write_head};
 use super::attempts::Attempts;
+use super::failover::{Silence, WaitEnd};
 use super::job::Job;
 use super::local_reply::LocalReply;
 use super::resume;
@@ -23,30 +23,44 @@
 use crate::node::Node;
 use crate::sse::EventReader;
 
-/// A resumable stream moves to another server when no event arrives for this multiple of the
-/// route's target for the gap between events.
+/// Another server is looked for when no event of a resumable stream arrives for this multiple of
+/// the route's target for the gap between events.
 const PAUSE_TARGET_MULTIPLE: u64 = 5;
 
 /// Longest gap between the events of a resumable stream if the route has no target for it.
 const DEFAULT_PAUSE_MS: Millisecond = 1_000;
 
 /// How the relay from one server ended.
-enum RelayEnd {
+enum RelayEnd<'a> {
     /// The caller has the whole answer, with this status.
     Whole(u16),
     /// The server failed.
     Failed(FailureCause),
+    /// The server was silent, and the stream goes on with this attempt.
+    Moved(Attempt<'a>),
+    /// The server was silent, and another node can serve the request after this reply.
+    HandedOver(LocalReply),
     /// The deadline of the request has passed.
     TimedOut,
     /// The caller disconnected.
     CallerGone,
 }
 
+impl<'a> From<WaitEnd<'a>> for RelayEnd<'a> {
+    fn from(end: WaitEnd<'a>) -> Self {
+        match end {
+            WaitEnd::Moved(attempt) => Self::Moved(attempt),
+            WaitEnd::HandedOver(reply) => Self::HandedOver(reply),
+            WaitEnd::TimedOut => Self::TimedOut,
+        }
+    }
+}
+
 struct Stream<'a, 'b, 'c> {
     job: &'a Job<'b>,
     out: &'a mut CallerWriter<'c>,
     last_event: Option<String>,
-    /// How long the current server may take until its first event.
+    /// How long the current server may take until its first event before another one is looked for.
     silence_timeout: SilenceTimeout,
     deadline: Instant,
 }
@@ -73,28 +87,28 @@
         silence_timeout: SilenceTimeout::UntilDeadline,
         deadline: deadline_in(job.left_ms()),
     };
+    let mut placed = attempts.place().await;
     loop {
-        let mut attempt = match attempts.place().await {
+        let mut attempt = match placed {
             Ok(attempt) => attempt,
             Err(reply) => return stream.give_up(ServeOutcome::Local(reply)),
         };
         stream.report_resumption(&attempt);
         stream.silence_timeout = attempts.silence_timeout(&attempt);
-        let cause = match stream.run(&mut attempt).await {
+        placed = match stream.run(&mut attempts, &mut attempt).await {
             RelayEnd::Whole(status) => return ServeOutcome::Passed { status },
             RelayEnd::CallerGone => return ServeOutcome::CallerGone,
             RelayEnd::TimedOut => {
                 return stream.give_up(ServeOutcome::Local(LocalReply::timed_out()));
             }
-            RelayEnd::Failed(cause) => cause,
+            RelayEnd::Moved(successor) => Ok(successor),
+            RelayEnd::HandedOver(reply) => Err(reply),
+            RelayEnd::Failed(cause) => attempts.retry(attempt, cause).await,
         };
-        if let Err(reply) = attempts.fail(&attempt, cause) {
-            return stream.give_up(ServeOutcome::Local(reply));
-        }
     }
 }
 
-impl Stream<'_, '_, '_> {
+impl<'a, 'b> Stream<'a, 'b, '_> {
     /// Ends with `otherwise`, or breaks off if part of a server's answer has already been relayed.
     fn give_up(&self, otherwise: ServeOutcome) -> ServeOutcome {
         match self.out.progress() {
@@ -103,14 +117,20 @@
         }
     }
 
-    async fn run(&mut self, attempt: &mut Attempt<'_>) -> RelayEnd {
-        let answer = match self.send_request(attempt).await {
+    async fn run(
+        &mut self,
+        attempts: &mut Attempts<'a, 'b>,
+        attempt: &mut Attempt<'a>,
+    ) -> RelayEnd<'a> {
+        let answer = match self.send_request(attempts, attempt).await {
             Ok(answer) => answer,
             Err(end) => return end,
         };
         attempt.note_answer(answer.summary);
         match classify_answer(self.job, &answer.head) {
-            Ok(AnswerAction::Relay) if is_stream(&answer) => self.relay(attempt, answer).await,
+            Ok(AnswerAction::Relay) if is_stream(&answer) => {
+                self.relay(attempts, attempt, answer).await
+            }
             Ok(AnswerAction::Relay) if self.out.progress() == AnswerProgress::Nothing => {
                 self.relay_whole(attempt, answer).await
             }
@@ -124,7 +144,11 @@
         }
     }
 
-    async fn send_request(&mut self, attempt: &mut Attempt<'_>) -> Result<Answer, RelayEnd> {
+    async fn send_request(
+        &mut self,
+        attempts: &mut Attempts<'a, 'b>,
+        attempt: &mut Attempt<'a>,
+    ) -> Result<Answer, RelayEnd<'a>> {
         let permit = attempt.take_permit().map_err(RelayEnd::Failed)?;
         let server = &attempt.server;
         let request = OutgoingRequest {
@@ -136,27 +160,25 @@
         };
         let node = self.job.node;
         let sending = send(server, permit, &request, &node.dialect.names, node.clock);
-        let deadline = match self.silence_timeout {
-            SilenceTimeout::After(ms) => deadline_in(ms).min(self.deadline),
-            SilenceTimeout::UntilDeadline => self.deadline,
-        };
-        match timeout_at(deadline, sending).await {
-            Ok(Ok(answer)) => Ok(answer),
+        let mut silence = Silence::new(self.silence_timeout, self.out.progress());
+        let waiting = attempts.wait(attempt, &mut silence, self.deadline, sending);
+        match waiting.await {
+            Ok(Ok(answer)) => {
+                attempts.end_silence(attempt, &silence);
+                Ok(answer)
+            }
             Ok(Err(cause)) => Err(RelayEnd::Failed(cause)),
-            Err(_) => Err(self.timeout_end()),
-        }
-    }
-
-    /// Why a wait for the server timed out: the request's deadline, or a silent server.
-    fn timeout_end(&self) -> RelayEnd {
-        match Instant::now() >= self.deadline {
-            true => RelayEnd::TimedOut,
-            false => RelayEnd::Failed(FailureCause::Silent),
+            Err(end) => Err(end.into()),
         }
     }
 
     /// Relays the events of one server.
-    async fn relay(&mut self, attempt: &mut Attempt<'_>, mut answer: Answer) -> RelayEnd {
+    async fn relay(
+        &mut self,
+        attempts: &mut Attempts<'a, 'b>,
+        attempt: &mut Attempt<'a>,
+        mut answer: Answer,
+    ) -> RelayEnd<'a> {
         let mut out = BytesMut::new();
         if self.out.progress() == AnswerProgress::Nothing {
             write_head(&mut out, &answer.head, BodyKind::Chunks, self.out);
@@ -164,15 +186,16 @@
         let mut events = EventReader::after(self.last_event.as_deref());
         let mut held = self.job.node.body_memory.reserve();
         let mut last = Instant::now();
+        // Measured from the last whole event: single bytes are not progress.
+        let mut silence = Silence::new(self.silence_timeout, self.out.progress());
         loop {
-            // Measured from the last whole event: single bytes are not progress.
-            let deadline = self.silence_deadline(&events, last).min(self.deadline);
-            let data = match timeout_at(deadline, answer.next_data()).await {
+            let waiting = attempts.wait(attempt, &mut silence, self.deadline, answer.next_data());
+            let data = match waiting.await {
                 Ok(Ok(Some(data))) => data,
                 Ok(Ok(None)) if events.is_at_boundary() => break,
                 Ok(Ok(None)) => return RelayEnd::Failed(FailureCause::Broken),
                 Ok(Err(cause)) => return RelayEnd::Failed(cause),
-                Err(_) => return self.timeout_end(),
+                Err(end) => return end.into(),
             };
             let Ok(whole) = events.take(data) else {
                 return RelayEnd::Failed(FailureCause::Garbled);
@@ -187,6 +210,8 @@
                 resume::record_version(self.job, &attempt.server.record.version);
             }
             self.record_events(attempt, &events, &mut last);
+            attempts.end_silence(attempt, &silence);
+            silence = Silence::new(self.gap_timeout(), AnswerProgress::Begun);
             put_chunk(&mut out, &whole);
             if self.out.send(&out).await.is_err() {
                 return RelayEnd::CallerGone;
@@ -222,21 +247,17 @@
         *last = now;
     }
 
-    /// When a resumable stream moves to another server if no event arrives until then.
-    fn silence_deadline(&self, events: &EventReader, last: Instant) -> Instant {
-        let SilenceTimeout::After(first_ms) = self.silence_timeout else {
-            return self.deadline;
-        };
-        let pause_ms = match (events.event_count(), self.job.route.gap_target_ms) {
-            (0, _) => first_ms,
-            (_, Some(gap_ms)) => PAUSE_TARGET_MULTIPLE * gap_ms,
-            (_, None) => DEFAULT_PAUSE_MS,
-        };
-        last + Duration::from_millis(pause_ms)
+    /// How long a server may be silent after an event before another one is looked for.
+    fn gap_timeout(&self) -> SilenceTimeout {
+        match (self.silence_timeout, self.job.route.gap_target_ms) {
+            (SilenceTimeout::UntilDeadline, _) => SilenceTimeout::UntilDeadline,
+            (_, Some(gap_ms)) => SilenceTimeout::After(PAUSE_TARGET_MULTIPLE * gap_ms),
+            (_, None) => SilenceTimeout::After(DEFAULT_PAUSE_MS),
+        }
     }
 
     /// Relays an answer that is not a stream, such as an error.
-    async fn relay_whole(&mut self, attempt: &Attempt<'_>, mut answer: Answer) -> RelayEnd {
+    async fn relay_whole(&mut self, attempt: &Attempt<'_>, mut answer: Answer) -> RelayEnd<'a> {
         let mut held = self.job.node.body_memory.reserve();
         let body = match timeout_at(self.deadline, answer.read_whole(&mut held)).await {
             Ok(Ok(body)) => body,
--- a/crates/standin/src/users/behaviour.rs
+++ b/crates/standin/src/users/behaviour.rs
@@ -13,6 +13,14 @@
     Stream(u32, u64),
     /// Sends so many events and closes the connection in the midst of the next.
     Break(u32),
+    /// Sends nothing for so many milliseconds after so many events, and then the rest.
+    Stall {
+        /// Events before the silence. If there are none, the head comes after it, too.
+        before: u32,
+        silent_ms: u64,
+        /// Number of the last event.
+        last: u32,
+    },
     /// Says that it did not run the request.
     Refuse,
     /// Says with this status that it did not run the request, and names it.
--- a/crates/standin/src/users/runner.rs
+++ b/crates/standin/src/users/runner.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -266,6 +267,22 @@
             stream(connection, shared, id, after, events, gap_ms).await?;
             connection.send(b"0\r\n\r\n").await
         }
+        Behaviour::Stall {
+            before,
+            silent_ms,
+            last,
+        } => {
+            let before = before.max(after.unwrap_or(0));
+            if before > 0 {
+                stream(connection, shared, id, after, before, 1).await?;
+                wait(connection, shared, id, silent_ms).await?;
+                events(connection, shared, id, before + 1..=last, 1).await?;
+            } else {
+                wait(connection, shared, id, silent_ms).await?;
+                stream(connection, shared, id, after, last, 1).await?;
+            }
+            connection.send(b"0\r\n\r\n").await
+        }
         Behaviour::Break(events) => {
             stream(connection, shared, id, after, events, 1).await?;
             connection.send(b"20\r\nid: 9").await?;
@@ -356,7 +373,7 @@
     shared: &Shared,
     id: &str,
     after: Option<u32>,
-    events: u32,
+    last: u32,
     gap_ms: u64,
 ) -> Option<()> {
     let head = format!(
@@ -364,7 +381,24 @@
          Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     connection.send(head.as_bytes()).await?;
-    for number in after.unwrap_or(0) + 1..=events {
+    events(
+        connection,
+        shared,
+        id,
+        after.unwrap_or(0) + 1..=last,
+        gap_ms,
+    )
+    .await
+}
+
+async fn events(
+    connection: &mut Connection,
+    shared: &Shared,
+    id: &str,
+    numbers: RangeInclusive<u32>,
+    gap_ms: u64,
+) -> Option<()> {
+    for number in numbers {
         let event = format!("id: {number}\ndata: {number}\n\n");
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         connection.send(chunk.as_bytes()).await?;
