Servers: the avoidance of a silent server ends when it sends something

What callers saw: none of this directly; their requests were kept away from a sound server for up to 2 s after it had been silent for one, and the others had to take its load.

Cause: each request that times out at a silent server counts as one more consecutive failure, so four requests in one silence are enough for the longest avoidance of 2 s. An answer or event starts the count again but left the avoidance in force.

Silences are now recorded apart from failures. They double as before, so a dead server, which sends nothing, is left as fast and for as long as before. The first answer or event ends the avoidance. After a broken connection, garbled answer or refused connection it does not, as such servers may answer others.

Open: if all requests have moved, nothing of the server's arrives, and the avoidance lasts its time.

--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -80,6 +80,8 @@
     pub last_byte_ms: Cell<Millisecond>,
     /// Until then the server gets a request only if no other server can take it (a soft ejection).
     pub avoided_until_ms: Cell<Millisecond>,
+    /// The same after a silence; ends when the server sends something.
+    pub silent_until_ms: Cell<Millisecond>,
     /// Consecutive failures.
     pub failures: Cell<u32>,
     /// Requests whose connections broke, until it is known whether the server is down.
@@ -126,6 +128,7 @@
             load_of_others: Cell::default(),
             last_byte_ms: Cell::new(0),
             avoided_until_ms: Cell::new(0),
+            silent_until_ms: Cell::new(0),
             failures: Cell::new(0),
             broken_requests: RefCell::default(),
             connections: Rc::default(),
@@ -167,14 +170,31 @@
         self.running.set(running.saturating_sub(1));
     }
 
-    /// Records an answer or an event of a stream; the count of consecutive failures starts again.
+    /// Records an answer or an event of a stream: a silence has ended, and the count of consecutive
+    /// failures starts again.
     pub fn record_success(&self, now_ms: Millisecond) {
         self.last_byte_ms.set(now_ms);
+        self.silent_until_ms.set(0);
         self.failures.set(0);
     }
 
+    /// Whether the server failed or was silent a short while ago.
+    pub fn is_avoided(&self, now_ms: Millisecond) -> bool {
+        self.avoided_until_ms.get().max(self.silent_until_ms.get()) > now_ms
+    }
+
     /// Records a failure. Each consecutive one doubles the time for which the server is avoided.
     pub fn record_failure(&self, now_ms: Millisecond) {
+        self.avoided_until_ms.set(now_ms + self.next_avoidance_ms());
+    }
+
+    /// Records that the server was silent for too long, which counts as a failure until it sends
+    /// something.
+    pub fn record_silence(&self, now_ms: Millisecond) {
+        self.silent_until_ms.set(now_ms + self.next_avoidance_ms());
+    }
+
+    fn next_avoidance_ms(&self) -> Millisecond {
         /// Avoidance after the first failure.
         const AVOIDANCE_MS: Millisecond = 250;
         /// Longest avoidance; a crashed server is back after about this time.
@@ -182,8 +202,7 @@
         let failures = self.failures.get() + 1;
         self.failures.set(failures);
         let span_ms = AVOIDANCE_MS << failures.min(4).saturating_sub(1);
-        self.avoided_until_ms
-            .set(now_ms + span_ms.min(AVOIDANCE_LIMIT_MS));
+        span_ms.min(AVOIDANCE_LIMIT_MS)
     }
 }
 
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -127,7 +127,7 @@
                 true => Locality::SameDomain,
                 false => Locality::OtherDomain,
             },
-            health: match server.avoided_until_ms.get() > self.now_ms {
+            health: match server.is_avoided(self.now_ms) {
                 true => Health::RecentlyFailed,
                 false => Health::Healthy,
             },
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -201,8 +201,8 @@
             FailureCause::Unreachable
             | FailureCause::Misdirected
             | FailureCause::Broken
-            | FailureCause::Garbled
-            | FailureCause::Silent => server.record_failure(now_ms),
+            | FailureCause::Garbled => server.record_failure(now_ms),
+            FailureCause::Silent => server.record_silence(now_ms),
         }
         if cause == FailureCause::Broken {
             let request = self.job.broken(attempt.started_ms);
--- a/crates/gateway/src/front/buffered.rs
+++ b/crates/gateway/src/front/buffered.rs
@@ -56,7 +56,7 @@
             Err(RunEnd::Waited(WaitEnd::Moved(successor))) => Ok(successor),
             Err(RunEnd::Waited(WaitEnd::HandedOver(reply))) => Err(reply),
             Err(RunEnd::Waited(WaitEnd::TimedOut)) => {
-                attempt.server.record_failure(node.now_ms());
+                attempt.server.record_silence(node.now_ms());
                 Err(LocalReply::timed_out())
             }
         };
--- a/crates/gateway/tests/registry.rs
+++ b/crates/gateway/tests/registry.rs
@@ -1,7 +1,9 @@
 //! The registry of backend servers: lives, draining, and entries that vanish near an outage.
 
 use base::Name;
-use gateway::belief::registry::{Absence, Registry, ServerChange, ServerRecord, ServerState};
+use gateway::belief::registry::{
+    Absence, Registry, Server, ServerChange, ServerRecord, ServerState,
+};
 use gateway::decide::backpressure::Timing;
 use gateway::decide::signal::{Leaving, Reading, Signals};
 use outside::Purchase;
@@ -143,3 +145,35 @@
         moved
     ));
 }
+
+fn silent_server(silences: u32) -> Server {
+    let server = Server::new(record("x", ServerState::Ready, 1));
+    for _ in 0..silences {
+        server.record_silence(1_000);
+    }
+    server
+}
+
+#[test_case(1, 250)]
+#[test_case(3, 1_000)]
+#[test_case(9, 2_000)]
+fn a_server_that_stays_silent_is_avoided(silences: u32, span_ms: u64) {
+    let server = silent_server(silences);
+    assert!(server.is_avoided(1_000 + span_ms - 1));
+    assert!(!server.is_avoided(1_000 + span_ms));
+}
+
+#[test]
+fn a_server_that_goes_on_after_a_silence_is_not_avoided() {
+    let server = silent_server(9);
+    server.record_success(1_300);
+    assert!(!server.is_avoided(1_300));
+}
+
+#[test]
+fn an_answer_does_not_end_the_avoidance_after_a_failure() {
+    let server = silent_server(1);
+    server.record_failure(1_000);
+    server.record_success(1_100);
+    assert!(server.is_avoided(1_300));
+}
