Tests: heartbeats of discovery histories are in transit; seeds by hand

In the histories of discovery each heartbeat arrived at the moment it was sent, at all nodes at once, so an age that loses its time in transit could not show. Now a node sends after the one before, and each heartbeat takes one to three steps of 20 ms. A range of seeds can be played by hand, as in limit_histories.

--- a/crates/gateway/tests/discovery_histories.rs
+++ b/crates/gateway/tests/discovery_histories.rs
@@ -19,6 +19,7 @@
 use gateway::follow::{self, directory, servers};
 use gateway::node::Node;
 use gateway::peer::exchange::heartbeat;
+use gateway::peer::message::NodeHeartbeat;
 use gateway::peer::pull::{self, PullRequest};
 use gateway::peer::serve;
 use outside::{Feed, FeedBatch, FeedError, FeedRow, ReadError, Topic};
@@ -51,6 +52,9 @@
 
 const HEARTBEAT_MS: Millisecond = 120;
 
+/// Longest transit of a heartbeat, in steps.
+const MAX_TRANSIT_STEPS: u64 = 3;
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum RowKind {
     Directory,
@@ -261,30 +265,62 @@
     }
 }
 
-/// Each node receives a heartbeat of each other one and pulls what it needs.
-fn exchange_heartbeats(nodes: &[Rc<Node>], number: u64) {
-    for from in nodes {
-        let heartbeat = heartbeat(from, number, 1);
-        for to in nodes {
-            if Rc::ptr_eq(from, to) {
-                continue;
-            }
-            let now_ms = to.now_ms();
-            let address = format!("10.0.0.{}:7", &from.settings.node.name[1..]);
-            let mut peers = to.peers.borrow_mut();
-            peers.record_heartbeat(heartbeat.clone(), address.parse().unwrap(), now_ms);
-            drop(peers);
-            pull::confirm(to, &heartbeat);
-            for wanted in pull::pulls_needed(to, &heartbeat) {
-                match wanted {
-                    PullRequest::Directory => {
-                        let row = from.directory_row.borrow().clone();
-                        directory::adopt_row(to, &row);
-                    }
-                    PullRequest::Registry { since } => copy_registry(from, to, since),
-                    PullRequest::Usage => {}
-                }
+/// A heartbeat on its way.
+struct Datagram {
+    arrives_ms: Millisecond,
+    from: usize,
+    to: usize,
+    heartbeat: NodeHeartbeat,
+}
+
+/// Heartbeats between the nodes. Each node sends its own a little after the one before.
+struct Network {
+    rng: SmallRng,
+    in_transit: Vec<Datagram>,
+}
+
+impl Network {
+    fn send(&mut self, nodes: &[Rc<Node>], from: usize, number: u64, now_ms: Millisecond) {
+        let heartbeat = heartbeat(&nodes[from], number, 1);
+        for to in (0..nodes.len()).filter(|to| *to != from) {
+            self.in_transit.push(Datagram {
+                arrives_ms: now_ms + STEP_MS * self.rng.random_range(1..=MAX_TRANSIT_STEPS),
+                from,
+                to,
+                heartbeat: heartbeat.clone(),
+            });
+        }
+    }
+
+    fn deliver(&mut self, nodes: &[Rc<Node>], now_ms: Millisecond) {
+        let arrived = |datagram: &mut Datagram| datagram.arrives_ms <= now_ms;
+        let arrived: Vec<Datagram> = self.in_transit.extract_if(.., arrived).collect();
+        for datagram in arrived {
+            receive(
+                &nodes[datagram.from],
+                &nodes[datagram.to],
+                &datagram.heartbeat,
+            );
+        }
+    }
+}
+
+/// A node receives a heartbeat and pulls what it needs.
+fn receive(from: &Rc<Node>, to: &Rc<Node>, heartbeat: &NodeHeartbeat) {
+    let now_ms = to.now_ms();
+    let address = format!("10.0.0.{}:7", &from.settings.node.name[1..]);
+    let mut peers = to.peers.borrow_mut();
+    peers.record_heartbeat(heartbeat.clone(), address.parse().unwrap(), now_ms);
+    drop(peers);
+    pull::confirm(to, heartbeat);
+    for wanted in pull::pulls_needed(to, heartbeat) {
+        match wanted {
+            PullRequest::Directory => {
+                let row = from.directory_row.borrow().clone();
+                directory::adopt_row(to, &row);
             }
+            PullRequest::Registry { since } => copy_registry(from, to, since),
+            PullRequest::Usage => {}
         }
     }
 }
@@ -370,6 +406,10 @@
         tokio::task::spawn_local(config);
     }
     let mut histories = vec![NodeHistory::default(); NODES];
+    let mut network = Network {
+        rng: SmallRng::seed_from_u64(seed),
+        in_transit: Vec::new(),
+    };
     for step in 0..(FAULTS_MS + CALM_MS) / STEP_MS {
         {
             let mut store = store.lock().unwrap();
@@ -379,8 +419,12 @@
             }
         }
         tokio::time::sleep(Duration::from_millis(STEP_MS)).await;
-        if (step * STEP_MS).is_multiple_of(HEARTBEAT_MS) {
-            exchange_heartbeats(&nodes, step + 1);
+        let now_ms = step * STEP_MS;
+        network.deliver(&nodes, now_ms);
+        for from in 0..NODES {
+            if (now_ms + from as u64 * STEP_MS).is_multiple_of(HEARTBEAT_MS) {
+                network.send(&nodes, from, step + 1, now_ms);
+            }
         }
         for node in &nodes {
             servers::expire(node);
@@ -412,14 +456,32 @@
     }
 }
 
+fn play(seed: u64) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, run_history(seed));
+}
+
 #[test]
 fn servers_that_left_are_not_used_again() {
-    for seed in 0..SEEDS {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_time()
-            .start_paused(true)
-            .build()
-            .unwrap();
-        tokio::task::LocalSet::new().block_on(&runtime, run_history(seed));
-    }
+    (0..SEEDS).for_each(play);
+}
+
+/// Run with `DISCOVERY_HISTORIES=FIRST..END cargo test -p gateway --test discovery_histories -- --ignored`.
+#[test]
+#[ignore = "runs many seeds; started by hand"]
+fn seeds_by_hand() {
+    let seeds = std::env::var("DISCOVERY_HISTORIES")
+        .expect("DISCOVERY_HISTORIES must be set to FIRST..END, a range of seeds");
+    let (first, end) = seeds
+        .split_once("..")
+        .expect("DISCOVERY_HISTORIES must have the form FIRST..END");
+    let seeds = first.parse::<u64>().unwrap()..end.parse().unwrap();
+    let failed: Vec<u64> = seeds
+        .filter(|seed| std::panic::catch_unwind(|| play(*seed)).is_err())
+        .collect();
+    assert!(failed.is_empty(), "{} failed: {failed:?}", failed.len());
 }
