Streams: a caller that reads nothing holds its server until the deadline only

Callers of the server's other requests saw it fuller than it was: while a stream's caller didn't read, the node waited in the write of an event, which had no deadline. Only TCP's user timeout ended it (5 s without progress), so that a caller who read a little now and then could hold a slot of the server for as long as the server sent, whatever its deadline and the route's.

The writes of a stream now end with the request's deadline as its reads do, and the answer is broken off, as it is when the server is silent then. A write that can go on at once still does: a process that stood still over the deadline passes on what it has.

Before: a_caller_that_reads_nothing_does_not_hold_its_server_past_the_deadline failed: the server of a request with 1 s was let go after 5.496105666s. After: 17 of the tests in unbounded passed. The test beside it, a server that sends events without a pause, passed before and after. The new behaviour of the stand-in's runner, Endless::Events, sends whole events without end.

--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -213,8 +213,8 @@
             attempts.end_silence(attempt, &silence);
             silence = Silence::new(self.gap_timeout(), AnswerProgress::Begun);
             put_chunk(&mut out, &whole);
-            if self.out.send(&out).await.is_err() {
-                return RelayEnd::CallerGone;
+            if let Err(end) = self.send_to_caller(&out).await {
+                return end;
             }
             out.clear();
             if let Some(id) = events.last_id() {
@@ -224,9 +224,18 @@
         out.extend_from_slice(b"0\r\n\r\n");
         let status = answer.head.status;
         answer.release(&attempt.server, self.job.node.now_ms());
-        match self.out.send(&out).await {
+        match self.send_to_caller(&out).await {
             Ok(()) => RelayEnd::Whole(status),
-            Err(_) => RelayEnd::CallerGone,
+            Err(end) => end,
+        }
+    }
+
+    /// Writes to the caller. A caller that does not read holds the server until the deadline only.
+    async fn send_to_caller(&mut self, bytes: &[u8]) -> Result<(), RelayEnd> {
+        match timeout_at(self.deadline, self.out.send(bytes)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(RelayEnd::CallerGone),
+            Err(_) => Err(RelayEnd::TimedOut),
         }
     }
 
--- a/crates/standin/src/users/behaviour.rs
+++ b/crates/standin/src/users/behaviour.rs
@@ -97,6 +97,8 @@
     Trailers,
     /// An event.
     Event,
+    /// Whole events.
+    Events,
 }
 
 impl Endless {
@@ -130,6 +132,12 @@
                 let chunk = format!("{FILLER_BYTES:x}\r\n{filler}\r\n");
                 (format!("{chunked}{kind}\r\n9\r\nid: 1\ndat\r\n"), chunk)
             }
+            Self::Events => {
+                let kind = "Content-Type: text/event-stream\r\n";
+                let event = format!("data: {filler}\n\n");
+                let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+                (format!("{chunked}{kind}\r\n"), chunk)
+            }
         }
     }
 }
