Streams: writes with a deadline beside attempts that move

The two changes were made side by side and did not compile together: the end of a relay holds the next attempt since requests leave a silent server only for another one. No behaviour changes.

--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -231,7 +231,7 @@
     }
 
     /// Writes to the caller. A caller that does not read holds the server until the deadline only.
-    async fn send_to_caller(&mut self, bytes: &[u8]) -> Result<(), RelayEnd> {
+    async fn send_to_caller(&mut self, bytes: &[u8]) -> Result<(), RelayEnd<'a>> {
         match timeout_at(self.deadline, self.out.send(bytes)).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(RelayEnd::CallerGone),
