Streams: a version counts as the only one only if every node that was asked has answered

Callers of nodes that are cut off together with others could still get a stream of two versions: such nodes answered each other that they know one version only, with registries younger than drain_ms, while the node that had begun the stream on a newer version was no longer heard and so not waited for.

A node that is asked and doesn't answer may have begun the stream, heard or not. So it counts as overdue, and only the store can confirm that no other version serves. A node that doesn't know the versions before its start counts as one that has not answered. All nodes means all listed ones: one that starts within a cut has heard only its own side.

Open: with more than 12 other nodes all that are asked may lie in the part that is cut off, from the moment when the others no longer count as heard until drain_ms; nodes that only listen don't query the store and refuse while one that was asked does not answer.

--- a/crates/gateway/src/decide/stream_version.rs
+++ b/crates/gateway/src/decide/stream_version.rs
@@ -39,10 +39,11 @@
     Awaited,
     /// No node has answered in time.
     Silent,
-    /// A node that is heard has not answered in time.
+    /// A node has not answered in time, or doesn't know the versions before its start. It may have
+    /// begun the stream.
     Overdue,
-    /// All nodes that are heard have answered.
-    Heard,
+    /// All nodes that were asked have answered; there are more.
+    Asked,
     /// All nodes that are known have answered, or there is no other node.
     All,
 }
@@ -57,8 +58,8 @@
 /// Greatest ages of the youngest registry among the answers.
 #[derive(Clone, Copy, Debug)]
 pub struct RegistryBounds {
-    /// If all nodes that are heard have answered: the age that no node in step exceeds.
-    pub heard_ms: Millisecond,
+    /// If all nodes that were asked have answered: the age that no node in step exceeds.
+    pub asked_ms: Millisecond,
     /// If all nodes that are known have answered: the time for which an ended node stays known. A
     /// node that has begun streams of a version which is unknown to all others is among them.
     pub all_ms: Millisecond,
@@ -124,7 +125,7 @@
             return Lookup::Pending;
         }
         match (&self.stored, self.asked) {
-            (StoredStream::Absent, AskedNodes::Heard | AskedNodes::All) => Lookup::Lost,
+            (StoredStream::Absent, AskedNodes::Asked | AskedNodes::All) => Lookup::Lost,
             _ => Lookup::Unreachable,
         }
     }
@@ -137,7 +138,7 @@
             (AskedNodes::Awaited, _) => false,
             (_, RegistryCheck::Confirmed) => true,
             (AskedNodes::All, RegistryCheck::Unconfirmed) => is_younger(self.bounds.all_ms),
-            (AskedNodes::Heard, RegistryCheck::Unconfirmed) => is_younger(self.bounds.heard_ms),
+            (AskedNodes::Asked, RegistryCheck::Unconfirmed) => is_younger(self.bounds.asked_ms),
             (AskedNodes::Silent | AskedNodes::Overdue, RegistryCheck::Unconfirmed) => false,
         }
     }
--- a/crates/gateway/src/front/version_lookup.rs
+++ b/crates/gateway/src/front/version_lookup.rs
@@ -127,19 +127,19 @@
         follow::versions::observe(node);
         let answers = self.question.as_ref().map(Question::answers);
         let answers = answers.unwrap_or_default();
-        let informed = answers.iter().filter(|answer| answer.versions.is_some());
+        let informed: Vec<_> = answers.iter().filter(|a| a.versions.is_some()).collect();
         let history = node.version_history.borrow();
         Evidence {
             versions: history.stream_versions(&self.job.service.name),
             stored: self.stored.clone(),
-            asked: self.asked_nodes(answers.len()),
+            asked: self.asked_nodes(answers.len(), informed.len()),
             registry: match node.registry_queried_ms.get() > self.started_ms {
                 true => RegistryCheck::Confirmed,
                 false => RegistryCheck::Unconfirmed,
             },
-            youngest_ms: informed.filter_map(|answer| answer.registry_age_ms).min(),
+            youngest_ms: informed.iter().filter_map(|a| a.registry_age_ms).min(),
             bounds: RegistryBounds {
-                heard_ms: node.settings.bounds.drain_ms,
+                asked_ms: node.settings.bounds.drain_ms,
                 all_ms: NODE_EXPIRY_MS,
             },
             remembered: answers.into_iter().find_map(|answer| answer.version),
@@ -150,26 +150,23 @@
         }
     }
 
-    fn asked_nodes(&self, answered: usize) -> AskedNodes {
+    /// `informed` of the answers are of nodes that know the versions before their start.
+    fn asked_nodes(&self, answered: usize, informed: usize) -> AskedNodes {
         let node = self.job.node;
         let Some(question) = &self.question else {
             return AskedNodes::Silent;
         };
-        let known = match question.asked() {
-            0 => node.peers.borrow().listed(),
-            _ => node.peers.borrow().count(),
-        };
         let waited_ms = node.now_ms().saturating_sub(self.started_ms);
-        if answered >= known {
+        if informed >= node.peers.borrow().listed() {
             AskedNodes::All
         } else if answered < question.asked() && waited_ms < ANSWER_WAIT_MS {
             AskedNodes::Awaited
-        } else if question.unanswered_heard() > 0 {
-            AskedNodes::Overdue
         } else if answered == 0 {
             AskedNodes::Silent
+        } else if informed < question.asked() {
+            AskedNodes::Overdue
         } else {
-            AskedNodes::Heard
+            AskedNodes::Asked
         }
     }
 
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -332,13 +332,6 @@
         Some(fastest.ms.saturating_sub(sample.ms).max(0) as Millisecond)
     }
 
-    /// Addresses of the other nodes that are heard.
-    pub fn heard_addresses(&self, now_ms: Millisecond) -> Set<SocketAddr> {
-        let fresh = |p: &&Peer| p.presence(now_ms) == Presence::Fresh;
-        let peers = self.by_name.values().filter(fresh);
-        peers.map(|p| p.address).collect()
-    }
-
     /// Silence after which a node may be cut off; 0 for an unknown node.
     pub fn silence_ms(&self, name: &Name) -> Millisecond {
         self.by_name.get(name).map_or(0, Peer::silence_ms)
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -101,15 +101,6 @@
         self.with_asked(|asked| asked.iter().filter_map(|(_, a)| a.clone()).collect())
     }
 
-    /// Number of asked nodes that are heard and have not answered.
-    pub fn unanswered_heard(&self) -> usize {
-        let heard = self.node.peers.borrow().heard_addresses(self.node.now_ms());
-        self.with_asked(|asked| {
-            let unanswered = asked.iter().filter(|(_, answer)| answer.is_none());
-            unanswered.filter(|(at, _)| heard.contains(at)).count()
-        })
-    }
-
     /// Waits for the next answer.
     pub async fn answered(&self) {
         self.answered.notified().await;
--- a/crates/gateway/tests/stream_take_ups.rs
+++ b/crates/gateway/tests/stream_take_ups.rs
@@ -124,7 +124,7 @@
     });
     for stream in [begun("a", "v1.1").stream, question, answer] {
         let datagram = StreamDatagram { stream }.encode().unwrap();
-        assert!(datagram.len() <= 200, "{} bytes", datagram.len());
+        assert!(datagram.len() <= 150, "{} bytes", datagram.len());
         assert!(StreamDatagram::is_one(&datagram));
         assert!(serde_json::from_slice::<NodeHeartbeat>(&datagram).is_err());
     }
@@ -209,7 +209,7 @@
         registry: RegistryCheck::Unconfirmed,
         youngest_ms: None,
         bounds: RegistryBounds {
-            heard_ms: 2_000,
+            asked_ms: 2_000,
             all_ms: 15_000,
         },
         remembered: None,
@@ -228,10 +228,10 @@
     assert_eq!(evidence.conclude(), found);
 }
 
-#[test_case(StoredStream::Absent, AskedNodes::Heard, Lookup::Lost; "all have answered")]
+#[test_case(StoredStream::Absent, AskedNodes::Asked, Lookup::Lost; "all have answered")]
 #[test_case(StoredStream::Absent, AskedNodes::Overdue, Lookup::Unreachable; "a node has not answered")]
 #[test_case(StoredStream::Absent, AskedNodes::Silent, Lookup::Unreachable; "no node has answered")]
-#[test_case(StoredStream::Unread, AskedNodes::Heard, Lookup::Unreachable; "the store has not")]
+#[test_case(StoredStream::Unread, AskedNodes::Asked, Lookup::Unreachable; "the store has not")]
 fn a_stream_is_lost_only_if_nobody_can_know_it(
     stored: StoredStream,
     asked: AskedNodes,
@@ -249,9 +249,9 @@
 
 /// A node that was cut off from the others or stood still knows one version of several.
 #[test_case(AskedNodes::Silent, None; "no node has answered")]
-#[test_case(AskedNodes::Heard, None; "the nodes that answered do not know how old their registry is")]
-#[test_case(AskedNodes::Heard, Some(2_001); "the nodes that answered are out of step themselves")]
-#[test_case(AskedNodes::Overdue, Some(0); "a node that is heard has not answered")]
+#[test_case(AskedNodes::Asked, None; "the nodes that answered do not know how old their registry is")]
+#[test_case(AskedNodes::Asked, Some(2_001); "the nodes that answered are out of step themselves")]
+#[test_case(AskedNodes::Overdue, Some(0); "a node that was asked has not answered")]
 #[test_case(AskedNodes::All, Some(15_001); "an ended node may have been forgotten")]
 fn a_version_is_not_the_only_one_as_long_as_nothing_confirms_it(
     asked: AskedNodes,
@@ -272,7 +272,7 @@
     }
 }
 
-#[test_case(AskedNodes::Heard, 2_000; "all nodes that are heard")]
+#[test_case(AskedNodes::Asked, 2_000; "all nodes that were asked")]
 #[test_case(AskedNodes::All, 15_000; "all nodes that are known")]
 fn a_version_is_the_only_one_if_nodes_in_step_know_no_other(asked: AskedNodes, age_ms: u64) {
     let evidence = Evidence {
