Relay: an answer without a body leaves no bytes before the next one

At a node that passes requests on, an answer with status 204 or 304 got an empty chunked body: the caller of a kept connection read its last chunk as the begin of the next answer. The helping node leaves out the length of such answers, and a head without a length counted as chunked. An answer whose framing is empty is passed on as one.

Found by a review by reading; failed before: an_answer_without_a_body_that_is_passed_on_leaves_no_bytes_before_the_next_one (Transfer-Encoding: chunked in the answer).

--- a/crates/gateway/src/front/relay.rs
+++ b/crates/gateway/src/front/relay.rs
@@ -16,7 +16,9 @@
 use super::request::Request;
 use super::serve::{AnswerProgress, CallerWriter, ServeOutcome};
 use crate::decide::reach::Reach;
-use crate::http::{Body, Conn, ConnOptions, HeadWriter, Progress, ResponseHead, put_chunk};
+use crate::http::{
+    Body, Conn, ConnOptions, Framing, HeadWriter, Progress, ResponseHead, put_chunk,
+};
 use crate::node::{Node, Phase};
 
 /// Prefix of the targets of relayed requests at the peers' port.
@@ -170,6 +172,7 @@
     let length = head.fields.number("content-length");
     let kind = match length {
         Some(bytes) => BodyKind::Whole(bytes as usize),
+        None if head.framing == Framing::Empty => BodyKind::Whole(0),
         None => BodyKind::Chunks,
     };
     let mut bytes = BytesMut::new();
