Front: a silence counts when it begins, also if the request stays

Since requests stay at a silent server until another one takes them, a silence was recorded only when they moved: with the others full, new requests went on to a server that hangs, and a node that had lost its paths noticed it only by TCP's timeouts. The silence is recorded, and the paths are noted, when the search for another server begins. A sound server ends it with its next answer.

Staying requests no longer take the wake-ups of capacity_changed, which wakes one waiter: a request that has not been placed could be refused beside a free place. The other nodes are listed only if the paths are lost.

Found by a review by reading. The wake-ups have no test of their own.

--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -197,21 +197,19 @@
             | FailureCause::Refused
             | FailureCause::BareRefusal
             | FailureCause::Failed
-            | FailureCause::Unheld => {}
+            | FailureCause::Unheld
+            // Recorded when the search for another server began.
+            | FailureCause::Silent => {}
             FailureCause::Unreachable
             | FailureCause::Misdirected
             | FailureCause::Broken
             | FailureCause::Garbled => server.record_failure(now_ms),
-            FailureCause::Silent => server.record_silence(now_ms),
         }
         if cause == FailureCause::Broken {
             let request = self.job.broken(attempt.started_ms);
             crash_check::note_broken_connection(self.node, server, request);
         }
-        if matches!(
-            cause,
-            FailureCause::Unreachable | FailureCause::Broken | FailureCause::Silent
-        ) {
+        if matches!(cause, FailureCause::Unreachable | FailureCause::Broken) {
             reach::note_failure(self.node, server);
         }
         if !matches!(cause, FailureCause::Withheld(_)) {
--- a/crates/gateway/src/front/failover.rs
+++ b/crates/gateway/src/front/failover.rs
@@ -13,7 +13,9 @@
 use super::request::RequestSource;
 use super::serve::AnswerProgress;
 use crate::backend::attempt::{Attempt, Exclusions};
+use crate::backend::reach;
 use crate::decide::outcome::{FailureCause, NextAction};
+use crate::decide::reach::Reach;
 use crate::decide::retry_budget::RetryPermit;
 use crate::decide::silence::{
     Handover, Quarantine, SilenceAction, SilentAttempt, StayReason, Successors,
@@ -63,6 +65,8 @@
     fn stay(&mut self, reason: StayReason) {
         let period = match (&self.successor, self.timeout) {
             (Some(successor), _) => Duration::from_millis(successor.opens_in_ms + 1),
+            // A request that has not been placed yet needs the wake-ups of `capacity_changed`.
+            (None, _) if reason == StayReason::NoCapacity => SEARCH_PERIOD,
             (None, SilenceTimeout::After(ms)) => Duration::from_millis(ms).max(SEARCH_PERIOD),
             (None, SilenceTimeout::UntilDeadline) => SEARCH_PERIOD,
         };
@@ -124,12 +128,10 @@
         let mut work = pin!(work);
         loop {
             let until = silence.search_at().map_or(deadline, |at| at.min(deadline));
-            let awaits_capacity = silence.stay_reason == Some(StayReason::NoCapacity);
             tokio::select! {
                 biased;
                 done = &mut work => return Ok(done),
                 () = sleep_until(until) => {}
-                () = self.node.capacity_changed.notified(), if awaits_capacity => {}
             }
             if Instant::now() >= deadline {
                 return Err(WaitEnd::TimedOut);
@@ -149,13 +151,21 @@
 
     /// Looks for a server that takes the request over; `None` if the request stays.
     fn search(&mut self, attempt: &Attempt<'a>, silence: &mut Silence<'a>) -> Option<WaitEnd<'a>> {
+        if silence.search_at.is_none() {
+            attempt.server.record_silence(self.node.now_ms());
+            reach::note_failure(self.node, &attempt.server);
+        }
         let mut history = self.history;
+        let reach = self.node.reach.borrow().reach();
         let state = SilentAttempt {
             silent_ms: silence.since.elapsed().as_millis() as Millisecond,
             next: history.record_failure(FailureCause::Silent, self.job.left_ms()),
             retry: self.node.check_retry(&self.job.service.name),
-            reach: self.node.reach.borrow().reach(),
-            handover: self.handover(silence.progress),
+            reach,
+            handover: match reach {
+                Reach::Lost => self.handover(silence.progress),
+                Reach::Reached => Handover::Impossible,
+            },
             quarantine: match self.job.refused_for_ms() {
                 Some(_) => Quarantine::InForce,
                 None => Quarantine::Clear,
