--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -133,7 +133,6 @@
     ) -> Self {
         let node = job.node;
         let now_ms = node.now_ms();
-        job.answer_summary.set(None);
         let tokens_ahead = server.begin_request(choice.tokens_to_read);
         if let Some(engine) = &job.service.engine {
             let mut cache = server.cache.borrow_mut();
@@ -180,6 +179,7 @@
     ///
     /// Returns an error if the permit has already been taken.
     pub fn take_permit(&mut self) -> Result<Permit, FailureCause> {
+        self.job.answer_summary.set(None);
         self.ended.set(AttemptEnd::CallerLeftOrTimedOut);
         self.permit.take().ok_or(FailureCause::Unreachable)
     }
--- a/crates/gateway/src/decide/begun_streams.rs
+++ b/crates/gateway/src/decide/begun_streams.rs
@@ -49,7 +49,8 @@
         is_new
     }
 
-    /// Records a stream whose version is in the store, or is saved by another node. Returns whether it was unknown.
+    /// Records a stream whose version is in the store, or is saved by another node. Returns whether
+    /// it was unknown.
     pub fn remember(&mut self, key: RequestDigest, version: &Name, now_ms: Millisecond) -> bool {
         if self.versions.contains_key(&key) {
             return false;
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -178,10 +178,11 @@
     let served = match end {
         WorkEnd::Served(served) => served,
         WorkEnd::Panicked => {
-            report_panic(node, request, out.progress());
+            let id = request.head.fields.text(node.dialect.names.request_id);
+            report_panic(node, id, out.progress());
             disposition = ConnDisposition::Close;
             out.disposition = disposition;
-            reply_instead(node, request, &mut out, panicked()).await
+            reply_instead(node, request, &mut out, panic_reply()).await
         }
         WorkEnd::ProcessEnds => reply_instead(node, request, &mut out, node_stopped()).await,
     };
@@ -220,9 +221,9 @@
     }
 }
 
-fn report_panic(node: &Node, request: &Request, progress: AnswerProgress) {
+fn report_panic(node: &Node, request: Option<&str>, progress: AnswerProgress) {
     let fields = PanickedFields {
-        request: request.head.fields.text(node.dialect.names.request_id),
+        request,
         outcome: match progress {
             AnswerProgress::Nothing => "replied",
             AnswerProgress::Begun => "broken_off",
@@ -246,7 +247,7 @@
 }
 
 /// The reply to a request whose task panicked.
-fn panicked() -> LocalReply {
+fn panic_reply() -> LocalReply {
     let text = "An internal error ended the request; it may have run.";
     LocalReply::unknown(500, "internal_error", text)
 }
@@ -307,8 +308,8 @@
         }
         ReadError::ProcessEnds => node_closing(),
         ReadError::Panicked => {
-            node.metrics.count_request_panic();
-            panicked()
+            report_panic(node, None, AnswerProgress::Nothing);
+            panic_reply()
         }
         ReadError::TooSlow => {
             let text = "Send the whole request without long pauses.";
--- a/crates/gateway/src/front/request.rs
+++ b/crates/gateway/src/front/request.rs
@@ -53,7 +53,8 @@
 }
 
 /// Waits for the first bytes of the next request. `idle_timeout_ms` gives the timeout in force; a
-/// wait ends by the longest one that was seen during it, since the caller may know no newer one.
+/// wait ends by the longest of those in force at its begin and at each expiry, since the caller may
+/// know no newer one.
 ///
 /// # Errors
 ///
--- a/crates/gateway/src/front/resume.rs
+++ b/crates/gateway/src/front/resume.rs
@@ -13,7 +13,7 @@
 use crate::decide::begun_streams::{UnsavedStream, stream_key};
 use crate::decide::not_run::NotRunProof;
 use crate::decide::stream_version::{Lookup, VersionSource};
-use crate::peer::streams::tell_begun;
+use crate::peer::streams::announce_begin;
 
 /// `Retry-After` of a stream whose version is unknown: the store may answer again.
 const UNKNOWN_RETRY_MS: Millisecond = 1_000;
@@ -23,7 +23,16 @@
 #[serde(rename_all = "snake_case", untagged)]
 enum SourceField {
     Found(VersionSource),
-    Otherwise(&'static str),
+    NotFound(NotFoundReason),
+}
+
+/// Why no version was found.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum NotFoundReason {
+    NoServer,
+    Lost,
+    Unknown,
 }
 
 #[derive(Serialize)]
@@ -58,9 +67,11 @@
     let report = find_version(job, key).await;
     let (version, source) = match &report.outcome {
         Lookup::Found(version, source) => (Some(version), SourceField::Found(*source)),
-        Lookup::NoServer => (None, SourceField::Otherwise("no_server")),
-        Lookup::Lost => (None, SourceField::Otherwise("lost")),
-        Lookup::Unreachable | Lookup::Pending => (None, SourceField::Otherwise("unknown")),
+        Lookup::NoServer => (None, SourceField::NotFound(NotFoundReason::NoServer)),
+        Lookup::Lost => (None, SourceField::NotFound(NotFoundReason::Lost)),
+        Lookup::Unreachable | Lookup::Pending => {
+            (None, SourceField::NotFound(NotFoundReason::Unknown))
+        }
     };
     let fields = TakenUpFields {
         request: job.id(),
@@ -101,7 +112,7 @@
     let now_ms = job.node.now_ms();
     let is_new = job.node.begun_streams.borrow_mut().begin(stream, now_ms);
     if is_new {
-        tell_begun(job.node, key, version);
+        announce_begin(job.node, key, version);
     }
 }
 
--- a/crates/gateway/src/peer/stream_message.rs
+++ b/crates/gateway/src/peer/stream_message.rs
@@ -13,7 +13,7 @@
 /// Most versions of a service in an answer.
 const VERSIONS_LIMIT: usize = 32;
 
-/// Begin of each datagram about a stream, which no heartbeat has.
+/// Prefix of each datagram about a stream, which no heartbeat has.
 const PREFIX: &[u8] = b"{\"stream\":";
 
 /// A datagram about a stream. Nodes that don't know it ignore it, as it isn't a heartbeat.
@@ -26,7 +26,7 @@
 #[serde(rename_all = "snake_case")]
 pub enum StreamMessage {
     /// A stream has begun at the sender.
-    Begun {
+    Begin {
         key: RequestDigest,
         version: Name,
     },
@@ -70,7 +70,7 @@
     pub fn is_plausible(&self) -> bool {
         let is_short = |name: &Name| name.len() <= NAME_LIMIT_BYTES;
         match &self.stream {
-            StreamMessage::Begun { version, .. } => is_short(version),
+            StreamMessage::Begin { version, .. } => is_short(version),
             StreamMessage::Question(question) => is_short(&question.service),
             StreamMessage::Answer(answer) => {
                 let services = answer.versions.iter().flatten();
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -7,7 +7,6 @@
 use policy::suspect::RequestDigest;
 use tokio::sync::Notify;
 
-use super::role::SMALL_FLEET_NODES;
 use super::stream_message::{StreamAnswer, StreamDatagram, StreamMessage, StreamQuestion};
 use crate::decide::begun_streams::stream_key;
 use crate::decide::stream_nodes::{drawn_nodes, nodes_to_ask};
@@ -15,6 +14,9 @@
 use crate::follow;
 use crate::node::Node;
 
+/// Most nodes that are asked for one stream.
+const ASKED_NODES_LIMIT: usize = 12;
+
 /// Most questions that wait for answers at a time.
 const QUESTIONS_LIMIT: usize = 1_024;
 
@@ -36,11 +38,11 @@
 }
 
 /// Tells the nodes that the stream's key draws which version began it.
-pub fn tell_begun(node: &Node, key: RequestDigest, version: &Name) {
+pub fn announce_begin(node: &Node, key: RequestDigest, version: &Name) {
     let peers = node.peers.borrow();
     let addresses = drawn_nodes(key, &peers.candidates(node.now_ms()));
     let version = version.clone();
-    send(node, StreamMessage::Begun { key, version }, &addresses);
+    send(node, StreamMessage::Begin { key, version }, &addresses);
 }
 
 /// Asks other nodes for a stream of a service, or only for the versions of the service; `None` if
@@ -52,7 +54,7 @@
         nodes_to_ask(
             draw_key,
             &peers.candidates(node.now_ms()),
-            SMALL_FLEET_NODES,
+            ASKED_NODES_LIMIT,
         )
     };
     let mut questions = node.questions.borrow_mut();
@@ -135,7 +137,7 @@
         return;
     }
     match read.stream {
-        StreamMessage::Begun { key, version } => {
+        StreamMessage::Begin { key, version } => {
             let now_ms = node.now_ms();
             let mut streams = node.streams_of_others.borrow_mut();
             streams.remember(key, &version, now_ms);
--- a/crates/gateway/src/tasks.rs
+++ b/crates/gateway/src/tasks.rs
@@ -40,9 +40,9 @@
     });
 }
 
-/// A future panicked.
+/// The panic of a future.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Panicked;
+pub struct CaughtPanic;
 
 /// Runs a future and catches its panic. State that it shares with others must be valid wherever it
 /// may panic.
@@ -50,9 +50,9 @@
 /// # Errors
 ///
 /// The future has panicked.
-pub async fn catch_panic<T>(future: impl Future<Output = T>) -> Result<T, Panicked> {
+pub async fn catch_panic<T>(future: impl Future<Output = T>) -> Result<T, CaughtPanic> {
     let caught = AssertUnwindSafe(future).catch_unwind().await;
-    caught.map_err(|_| Panicked)
+    caught.map_err(|_| CaughtPanic)
 }
 
 /// Reports panics as log events instead of the standard message.
--- a/crates/gateway/tests/stream_take_ups.rs
+++ b/crates/gateway/tests/stream_take_ups.rs
@@ -102,7 +102,7 @@
 
 fn begun(id: &str, version: &str) -> StreamDatagram {
     StreamDatagram {
-        stream: StreamMessage::Begun {
+        stream: StreamMessage::Begin {
             key: key(id),
             version: version.into(),
         },
