--- /dev/null
+++ b/review/harness/src/bin/short_lived_runner.rs
@@ -0,0 +1,251 @@
+//! While a release goes on, runners register and are taken away again as soon as one entry node
+//! has read their entry. They go on serving for some seconds. No node may send them a request
+//! later than `drainMs` after their entry was removed.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use review_harness::cloud::Cloud;
+use review_harness::daemon::{Daemon, Options};
+use review_harness::http::{Conn, End};
+use review_harness::json::quote;
+use review_harness::record::Record;
+use review_harness::runner::Runner;
+use review_harness::store::Store;
+use review_harness::{Network, give_up, sleep_ms, trouble, wait_for};
+
+const SERVICE: &str = "ledger-app";
+const ZONES: [&str; 3] = ["agadir-port", "ait-melloul", "inezgane"];
+
+/// `drainMs` of the deployment.
+const DRAIN_MS: u64 = 2_000;
+
+/// Time between two replacements of the release.
+const RELEASE_GAP_MS: u64 = 1_500;
+
+/// How long runners go on serving after they have left: `drainMs` and some seconds.
+const SERVES_MS: u64 = 6_000;
+
+/// Within this time after `SERVES_MS` a runner ends.
+const EXIT_WINDOW_MS: u64 = 1_000;
+
+/// Short-lived runners, one for every third replacement.
+const SHORT_LIVED: u64 = 4;
+
+/// How long such a runner stays registered without trouble.
+const CALM_MS: u64 = 1_000;
+
+/// Time between two requests of one consumer.
+const PACE_MS: u64 = 60;
+
+const CONSUMERS_PER_NODE: usize = 5;
+
+/// Runners that serve at any time, so that one is less than 0.13 of them.
+const RUNNERS: u64 = 8;
+
+/// A request of a consumer.
+struct Sent {
+    node: usize,
+    at_ms: u64,
+    status: u16,
+}
+
+type Requests = Arc<Mutex<BTreeMap<String, Sent>>>;
+
+fn config() -> String {
+    let service = quote(SERVICE);
+    format!(
+        "{{\"version\":1,\"routes\":[{{\"name\":\"reserve\",\"host\":\"souss.example\",\
+         \"prefix\":\"/reserve/\",\"routeType\":\"non_idempotent\",\"timeoutMs\":800,\
+         \"targetLatencyMs\":150,\"priority\":2,\"service\":{service},\"maxAttempts\":1,\
+         \"public\":false}}],\"services\":[{{\"name\":{service},\"healthPath\":\"/healthz\",\
+         \"maxConnections\":96}}],\"limits\":{{\"maxHeaderBytes\":16384,\
+         \"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
+         \"tenants\":[{{\"name\":\"house\",\"apiKeys\":[\"key-1\"],\"priority\":2}}]}}"
+    )
+}
+
+fn main() {
+    let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| ".".to_owned()));
+    let temporary = PathBuf::from(std::env::args().nth(2).unwrap_or_else(|| "/tmp".to_owned()));
+    let record = Record::create(&folder.join("record.txt"));
+    let network = Network::free();
+    let store = Store::start(network.ip(50));
+    let cloud = Cloud::start(network.ip(51), record.clone());
+    store.put("op", "config", &config());
+    let started = AtomicU64::new(0);
+    let start_runner = |id: &str| {
+        let number = started.fetch_add(1, Ordering::SeqCst);
+        let zone = ZONES[number as usize % ZONES.len()];
+        let ip = network.ip(100 + number as u8);
+        Runner::start(ip, id, SERVICE, zone, 30, &store, &record)
+    };
+    let mut serving: Vec<Runner> = (0..RUNNERS).map(|n| start_runner(&format!("i-a{n}"))).collect();
+    let daemons: Vec<Daemon> = ZONES
+        .iter()
+        .enumerate()
+        .map(|(number, zone)| {
+            let options = Options {
+                name: format!("edge-{zone}-1"),
+                zone: (*zone).to_owned(),
+                host: number as u8 + 1,
+                seeds: vec![1, 2, 3],
+                store: store.address,
+                cloud: cloud.address,
+            };
+            Daemon::start(network, &temporary, options)
+        })
+        .collect();
+    daemons.iter().for_each(Daemon::wait_ready);
+    record.say("all nodes are ready");
+    let requests = Requests::default();
+    let stop = Arc::new(AtomicBool::new(false));
+    let consumers = start_consumers(&daemons, &requests, &stop, &record);
+
+    // The release: each step starts a runner and drains the oldest one.
+    let mut short_lived: Vec<(Runner, u64, String)> = Vec::new();
+    let steps = 3 * SHORT_LIVED;
+    for step in 0..steps {
+        let began = Instant::now();
+        serving.push(start_runner(&format!("i-b{step}")));
+        serving.remove(0).drain(DRAIN_MS + 1_000);
+        if step % 3 == 2 {
+            // The nodes have learned of the step when the new runner comes.
+            sleep_ms(700);
+            let id = format!("i-short{}", short_lived.len());
+            let runner = start_runner(&id);
+            let version = runner.version();
+            let is_read = wait_for(Duration::from_secs(2), || store.listed() >= version);
+            if !is_read {
+                give_up("no node reads the table of runners");
+            }
+            if !trouble() {
+                sleep_ms(CALM_MS);
+            }
+            runner.leave_unannounced();
+            let removed_ms = record.now_ms();
+            record.say(&format!("the entry of {id} is removed; it serves for {SERVES_MS} ms more"));
+            let leaving = runner.clone();
+            std::thread::spawn(move || {
+                sleep_ms(SERVES_MS);
+                // It ends at its time, also in the midst of a request that reached it too late.
+                wait_for(Duration::from_millis(EXIT_WINDOW_MS), || leaving.is_busy());
+                leaving.exit();
+            });
+            short_lived.push((runner, removed_ms, id));
+        }
+        let left = Duration::from_millis(RELEASE_GAP_MS).saturating_sub(began.elapsed());
+        std::thread::sleep(left);
+    }
+    sleep_ms(SERVES_MS + EXIT_WINDOW_MS + 1_000);
+    stop.store(true, Ordering::SeqCst);
+    for consumer in consumers {
+        let _ = consumer.join();
+    }
+
+    let requests = requests.lock().expect("the requests");
+    let answered = requests.values().filter(|s| s.status == 200).count();
+    record.say(&format!("{} requests, {answered} answered with 200", requests.len()));
+    let mut late_in_all = 0;
+    for (runner, removed_ms, id) in &short_lived {
+        let runs = runner.runs();
+        let late = runs.iter().filter(|run| run.at_ms > removed_ms + DRAIN_MS);
+        let (mut count, mut last_ms, mut by_node, mut cut) = (0, 0, [0; 3], Vec::new());
+        for run in late {
+            let after_ms = run.at_ms - removed_ms;
+            count += 1;
+            last_ms = after_ms;
+            let Some(request) = requests.get(&run.id) else {
+                continue;
+            };
+            by_node[request.node] += 1;
+            record.line(&format!(
+                "late: {} sent at {} ms through edge-{}-1 reached {id} {after_ms} ms after its removal",
+                run.id, request.at_ms, ZONES[request.node]
+            ));
+            if !run.finished {
+                cut.push(format!("{} (answer {})", run.id, request.status));
+            }
+        }
+        late_in_all += count;
+        record.say(&format!(
+            "{id}: {count} requests later than {DRAIN_MS} ms after its removal {by_node:?}, the \
+             last after {last_ms} ms; cut by its end: {}",
+            match cut.is_empty() {
+                true => "none".to_owned(),
+                false => cut.join(", "),
+            }
+        ));
+    }
+    drop(daemons);
+    std::process::exit(i32::from(late_in_all > 0));
+}
+
+fn start_consumers(
+    daemons: &[Daemon],
+    requests: &Requests,
+    stop: &Arc<AtomicBool>,
+    record: &Record,
+) -> Vec<std::thread::JoinHandle<()>> {
+    let number = Arc::new(AtomicU64::new(0));
+    let mut consumers = Vec::new();
+    for (node, daemon) in daemons.iter().enumerate() {
+        for consumer in 0..CONSUMERS_PER_NODE {
+            let address = daemon.callers;
+            let (stop, number) = (stop.clone(), number.clone());
+            let (requests, record) = (requests.clone(), record.clone());
+            consumers.push(std::thread::spawn(move || {
+                sleep_ms(27 * consumer as u64 + 9 * node as u64);
+                let mut kept: Option<Conn> = None;
+                while !stop.load(Ordering::SeqCst) {
+                    let id = format!("r{:08x}", number.fetch_add(1, Ordering::SeqCst));
+                    let at_ms = record.now_ms();
+                    let status = send(&mut kept, address, &id);
+                    record.line(&format!("edge-{}-1: {id} sent at {at_ms}: {status}", ZONES[node]));
+                    let request = Sent {
+                        node,
+                        at_ms,
+                        status,
+                    };
+                    requests.lock().expect("the requests").insert(id, request);
+                    sleep_ms(PACE_MS);
+                }
+            }));
+        }
+    }
+    consumers
+}
+
+/// Sends a reservation; the status of its answer, or 0 without a whole one.
+fn send(kept: &mut Option<Conn>, address: std::net::SocketAddr, id: &str) -> u16 {
+    let mut conn = match kept.take() {
+        Some(conn) if !conn.is_closed() => conn,
+        _ => match Conn::open(address, Duration::from_secs(1)) {
+            Ok(conn) => conn,
+            Err(_) => return 0,
+        },
+    };
+    let body = "{\"hide\":7}";
+    let request = format!(
+        "POST /reserve/{id} HTTP/1.1\r\nHost: souss.example\r\nApricotledge-Request-Id: {id}\r\n\
+         Apricotledge-Deadline-Ms: 1500\r\nAuthorization: Token key-1\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    if conn.send(request.as_bytes()).is_err() {
+        return 0;
+    }
+    match conn.answer(Instant::now() + Duration::from_millis(1_500)) {
+        Ok((answer, End::Whole)) => {
+            let status = answer.status();
+            if answer.field("connection") != Some("close") {
+                *kept = Some(conn);
+            }
+            status
+        }
+        Ok(_) | Err(_) => 0,
+    }
+}
