--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -14,4 +14,7 @@
 }
 timeout 110 target/review/release/short_lived_runner "$here" "$temporary"
 code=$?
-case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
+case $code in 0 | 1) exit $code ;; esac
+# The scenario was ended from outside: end its daemons.
+[ -f "$temporary/pids" ] && xargs kill -9 < "$temporary/pids" 2> /dev/null
+exit 2
--- a/review/harness/src/bin/short_lived_runner.rs
+++ b/review/harness/src/bin/short_lived_runner.rs
@@ -2,24 +2,19 @@
 //! has read their entry. They go on serving for some seconds. No node may send them a request
 //! later than `drainMs` after their entry was removed.
 
-use std::collections::BTreeMap;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use review_harness::cloud::Cloud;
+use review_harness::consumers::{Requests, SERVICE, ZONES, config, start_consumers};
 use review_harness::daemon::{Daemon, Options};
-use review_harness::http::{Conn, End};
-use review_harness::json::quote;
 use review_harness::record::Record;
 use review_harness::runner::Runner;
 use review_harness::store::Store;
 use review_harness::{Network, give_up, sleep_ms, trouble, wait_for};
 
-const SERVICE: &str = "ledger-app";
-const ZONES: [&str; 3] = ["agadir-port", "ait-melloul", "inezgane"];
-
 /// `drainMs` of the deployment.
 const DRAIN_MS: u64 = 2_000;
 
@@ -38,36 +33,9 @@
 /// How long such a runner stays registered without trouble.
 const CALM_MS: u64 = 1_000;
 
-/// Time between two requests of one consumer.
-const PACE_MS: u64 = 60;
-
-const CONSUMERS_PER_NODE: usize = 5;
-
 /// Runners that serve at any time, so that one is less than 0.13 of them.
 const RUNNERS: u64 = 8;
 
-/// A request of a consumer.
-struct Sent {
-    node: usize,
-    at_ms: u64,
-    status: u16,
-}
-
-type Requests = Arc<Mutex<BTreeMap<String, Sent>>>;
-
-fn config() -> String {
-    let service = quote(SERVICE);
-    format!(
-        "{{\"version\":1,\"routes\":[{{\"name\":\"reserve\",\"host\":\"souss.example\",\
-         \"prefix\":\"/reserve/\",\"routeType\":\"non_idempotent\",\"timeoutMs\":800,\
-         \"targetLatencyMs\":150,\"priority\":2,\"service\":{service},\"maxAttempts\":1,\
-         \"public\":false}}],\"services\":[{{\"name\":{service},\"healthPath\":\"/healthz\",\
-         \"maxConnections\":96}}],\"limits\":{{\"maxHeaderBytes\":16384,\
-         \"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
-         \"tenants\":[{{\"name\":\"house\",\"apiKeys\":[\"key-1\"],\"priority\":2}}]}}"
-    )
-}
-
 fn main() {
     let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| ".".to_owned()));
     let temporary = PathBuf::from(std::env::args().nth(2).unwrap_or_else(|| "/tmp".to_owned()));
@@ -183,69 +151,3 @@
     drop(daemons);
     std::process::exit(i32::from(late_in_all > 0));
 }
-
-fn start_consumers(
-    daemons: &[Daemon],
-    requests: &Requests,
-    stop: &Arc<AtomicBool>,
-    record: &Record,
-) -> Vec<std::thread::JoinHandle<()>> {
-    let number = Arc::new(AtomicU64::new(0));
-    let mut consumers = Vec::new();
-    for (node, daemon) in daemons.iter().enumerate() {
-        for consumer in 0..CONSUMERS_PER_NODE {
-            let address = daemon.callers;
-            let (stop, number) = (stop.clone(), number.clone());
-            let (requests, record) = (requests.clone(), record.clone());
-            consumers.push(std::thread::spawn(move || {
-                sleep_ms(27 * consumer as u64 + 9 * node as u64);
-                let mut kept: Option<Conn> = None;
-                while !stop.load(Ordering::SeqCst) {
-                    let id = format!("r{:08x}", number.fetch_add(1, Ordering::SeqCst));
-                    let at_ms = record.now_ms();
-                    let status = send(&mut kept, address, &id);
-                    record.line(&format!("edge-{}-1: {id} sent at {at_ms}: {status}", ZONES[node]));
-                    let request = Sent {
-                        node,
-                        at_ms,
-                        status,
-                    };
-                    requests.lock().expect("the requests").insert(id, request);
-                    sleep_ms(PACE_MS);
-                }
-            }));
-        }
-    }
-    consumers
-}
-
-/// Sends a reservation; the status of its answer, or 0 without a whole one.
-fn send(kept: &mut Option<Conn>, address: std::net::SocketAddr, id: &str) -> u16 {
-    let mut conn = match kept.take() {
-        Some(conn) if !conn.is_closed() => conn,
-        _ => match Conn::open(address, Duration::from_secs(1)) {
-            Ok(conn) => conn,
-            Err(_) => return 0,
-        },
-    };
-    let body = "{\"hide\":7}";
-    let request = format!(
-        "POST /reserve/{id} HTTP/1.1\r\nHost: souss.example\r\nApricotledge-Request-Id: {id}\r\n\
-         Apricotledge-Deadline-Ms: 1500\r\nAuthorization: Token key-1\r\n\
-         Content-Length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    if conn.send(request.as_bytes()).is_err() {
-        return 0;
-    }
-    match conn.answer(Instant::now() + Duration::from_millis(1_500)) {
-        Ok((answer, End::Whole)) => {
-            let status = answer.status();
-            if answer.field("connection") != Some("close") {
-                *kept = Some(conn);
-            }
-            status
-        }
-        Ok(_) | Err(_) => 0,
-    }
-}
--- a/review/harness/src/daemon.rs
+++ b/review/harness/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The project's daemon, started with the command of the deploy file.
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -73,6 +74,9 @@
             .stderr(log)
             .spawn();
         let child = child.unwrap_or_else(|e| give_up(&format!("{}: {e}", program.display())));
+        // The script ends what is left if this process is killed.
+        let pids = std::fs::File::options().create(true).append(true).open(folder.join("pids"));
+        let _ = writeln!(pids.expect("the list of processes"), "{}", child.id());
         Self {
             options,
             callers: SocketAddr::new(ip.into(), CALLERS_PORT),
--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the users' platform, and what scenarios share. Standard library only.
 
 pub mod cloud;
+pub mod consumers;
 pub mod daemon;
 pub mod http;
 pub mod json;
--- a/review/harness/src/runner.rs
+++ b/review/harness/src/runner.rs
@@ -10,7 +10,7 @@
 use crate::{sleep_ms, unix_ms};
 
 /// Time between two writes of a runner's entry.
-const HEARTBEAT_MS: u64 = 1_200;
+pub const HEARTBEAT_MS: u64 = 1_200;
 
 pub const SLOTS: u32 = 6;
 
@@ -115,13 +115,18 @@
             false => "ready",
         };
         let sequence = shared.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        let body = format!(
+        let body = self.entry(state, sequence);
+        shared.store.put("servers", &shared.id, &body)
+    }
+
+    fn entry(&self, state: &str, sequence: u64) -> String {
+        let shared = &self.shared;
+        format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
              \"slots\":{SLOTS},\"state\":\"{state}\",\"coldRemainingMs\":0,\"sequence\":{sequence},\
              \"born\":{}}}",
             shared.service, shared.address, shared.zone, shared.born
-        );
-        shared.store.put("servers", &shared.id, &body)
+        )
     }
 
     /// Reports that it drains, serves on for a while, and then leaves and exits.
@@ -137,6 +142,15 @@
         });
     }
 
+    /// Its entry as it was in an earlier heartbeat. A store may perform a call that got no answer
+    /// seconds later.
+    pub fn repeat_entry(&self, earlier: u64) {
+        let shared = &self.shared;
+        let sequence = shared.sequence.load(Ordering::SeqCst) - earlier;
+        let body = self.entry("ready", sequence);
+        shared.store.put("servers", &shared.id, &body);
+    }
+
     /// Removes its entry without a report that it drains. It goes on serving.
     pub fn leave_unannounced(&self) {
         self.shared.registered.store(false, Ordering::SeqCst);
--- a/review/harness/src/store.rs
+++ b/review/harness/src/store.rs
@@ -208,27 +208,20 @@
         self.history.push((version, name, value));
     }
 
-    /// The rows of a table that changed since a version, each as it stands now, in order.
+    /// The changes of a table since a version, in order.
     fn changes(&self, table: &str, since: u64) -> Vec<String> {
         let start = self.history.partition_point(|(version, _, _)| *version <= since);
-        let newer = &self.history[start..];
-        let mut shown = Vec::new();
-        for (number, (version, name, value)) in newer.iter().enumerate() {
-            let is_last = !newer[number + 1..].iter().any(|(_, other, _)| other == name);
-            if name.0 != table || !is_last {
-                continue;
-            }
-            shown.push(match value {
-                Some(value) => row_text(name, value, *version),
-                None => format!(
-                    "{{\"table\":{},\"part\":{},\"key\":{},\"ver\":{version},\"removed\":true}}",
-                    quote(&name.0),
-                    quote(&name.1),
-                    quote(&name.2)
-                ),
-            });
-        }
-        shown
+        let newer = self.history[start..].iter().filter(|(_, name, _)| name.0 == table);
+        let shown = newer.map(|(version, name, value)| match value {
+            Some(value) => row_text(name, value, *version),
+            None => format!(
+                "{{\"table\":{},\"part\":{},\"key\":{},\"ver\":{version},\"removed\":true}}",
+                quote(&name.0),
+                quote(&name.1),
+                quote(&name.2)
+            ),
+        });
+        shown.collect()
     }
 }
 
