--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -8,11 +8,11 @@
 cd "$REVIEW_ROOT" || exit 2
 temporary="$(mktemp -d)" || exit 2
 trap 'rm -rf "$temporary"' EXIT
-[ -x target/release/apricotledged ] && [ -x target/review/release/short_lived_runner ] || {
+[ -x target/release/apricotledged ] && [ -x target/review/release/turned_away ] || {
   echo "run the build of deploy/system.toml and review/build.sh first" >&2
   exit 2
 }
-timeout 110 target/review/release/short_lived_runner "$here" "$temporary"
+timeout 110 target/review/release/turned_away "$here" "$temporary"
 code=$?
 case $code in 0 | 1) exit $code ;; esac
 # The scenario was ended from outside: end its daemons.
--- a/review/harness/src/bin/late_heartbeat.rs
+++ b/review/harness/src/bin/late_heartbeat.rs
@@ -34,8 +34,8 @@
     let record = Record::create(&folder.join("record.txt"));
     let network = Network::free();
     let store = Store::start(network.ip(50));
-    let cloud = Cloud::start(network.ip(51), record.clone());
-    store.put("op", "config", &config());
+    let cloud = Cloud::start(network.ip(51), record.clone(), Arc::new(|_, _, _| ()));
+    store.put("op", "config", &config(""));
     let runners: Vec<Runner> = (0..RUNNERS)
         .map(|n| {
             let zone = ZONES[n as usize % ZONES.len()];
--- a/review/harness/src/bin/short_lived_runner.rs
+++ b/review/harness/src/bin/short_lived_runner.rs
@@ -3,6 +3,7 @@
 //! later than `drainMs` after their entry was removed.
 
 use std::path::PathBuf;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -19,7 +20,7 @@
 const DRAIN_MS: u64 = 2_000;
 
 /// Time between two replacements of the release.
-const RELEASE_GAP_MS: u64 = 1_500;
+const RELEASE_GAP_MS: u64 = 1_200;
 
 /// How long runners go on serving after they have left: `drainMs` and some seconds.
 const SERVES_MS: u64 = 6_000;
@@ -36,14 +37,17 @@
 /// Runners that serve at any time, so that one is less than 0.13 of them.
 const RUNNERS: u64 = 8;
 
+/// Time after which a runner that drains is let go.
+const DRAINED: Duration = Duration::from_millis(DRAIN_MS + 1_000);
+
 fn main() {
     let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| ".".to_owned()));
     let temporary = PathBuf::from(std::env::args().nth(2).unwrap_or_else(|| "/tmp".to_owned()));
     let record = Record::create(&folder.join("record.txt"));
     let network = Network::free();
     let store = Store::start(network.ip(50));
-    let cloud = Cloud::start(network.ip(51), record.clone());
-    store.put("op", "config", &config());
+    let cloud = Cloud::start(network.ip(51), record.clone(), Arc::new(|_, _, _| ()));
+    store.put("op", "config", &config(""));
     let started = AtomicU64::new(0);
     let start_runner = |id: &str| {
         let number = started.fetch_add(1, Ordering::SeqCst);
@@ -73,16 +77,24 @@
     let stop = Arc::new(AtomicBool::new(false));
     let consumers = start_consumers(&daemons, &requests, &stop, &record);
 
-    // The release: each step starts a runner and drains the oldest one.
+    // The release: each step starts a runner, drains the oldest one, and lets those go that have
+    // drained.
+    let mut draining: VecDeque<(Runner, Instant)> = VecDeque::new();
     let mut short_lived: Vec<(Runner, u64, String)> = Vec::new();
     let steps = 3 * SHORT_LIVED;
     for step in 0..steps {
         let began = Instant::now();
         serving.push(start_runner(&format!("i-b{step}")));
-        serving.remove(0).drain(DRAIN_MS + 1_000);
+        let oldest = serving.remove(0);
+        oldest.drain();
+        draining.push_back((oldest, began));
+        while let Some((runner, _)) = draining.pop_front_if(|(_, since)| since.elapsed() > DRAINED) {
+            runner.leave_unannounced();
+            runner.exit();
+        }
         if step % 3 == 2 {
             // The nodes have learned of the step when the new runner comes.
-            sleep_ms(700);
+            sleep_ms(650);
             let id = format!("i-short{}", short_lived.len());
             let runner = start_runner(&id);
             let version = runner.version();
@@ -104,6 +116,7 @@
                 leaving.exit();
             });
             short_lived.push((runner, removed_ms, id));
+            sleep_ms(500);
         }
         let left = Duration::from_millis(RELEASE_GAP_MS).saturating_sub(began.elapsed());
         std::thread::sleep(left);
--- a/review/harness/src/cloud.rs
+++ b/review/harness/src/cloud.rs
@@ -8,19 +8,24 @@
 use crate::json::Json;
 use crate::record::Record;
 
+/// Carries out an order of runners.
+pub type OnOrder = Arc<dyn Fn(&str, &str, u64) + Send + Sync>;
+
 #[derive(Clone)]
 pub struct Cloud {
     pub address: SocketAddr,
 }
 
 impl Cloud {
-    pub fn start(ip: Ipv4Addr, record: Record) -> Self {
+    /// Starts the API. `on_order` carries out an order that was taken: service, zone and number.
+    pub fn start(ip: Ipv4Addr, record: Record, on_order: OnOrder) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("a free port for the API");
         let address = listener.local_addr().expect("an address");
         let fences: Arc<Mutex<BTreeMap<String, u64>>> = Arc::default();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (fences, record) = (fences.clone(), record.clone());
+                let on_order = on_order.clone();
                 std::thread::spawn(move || {
                     let mut conn = Conn::new(stream);
                     while let Ok(request) = conn.request() {
@@ -50,6 +55,14 @@
                             "api: {subject} by {holder} under {fence}: {status} {body}"
                         ));
                         drop(fences);
+                        if status == 200 && request.path() == "/scaling" {
+                            let (service, zone) = (read.get("service"), read.get("zone"));
+                            on_order(
+                                service.text(),
+                                zone.text(),
+                                read.get("desiredCount").integer(),
+                            );
+                        }
                         if conn.send(&json_answer(status, "{}")).is_err() {
                             return;
                         }
--- a/review/harness/src/consumers.rs
+++ b/review/harness/src/consumers.rs
@@ -28,17 +28,25 @@
 
 pub type Requests = Arc<Mutex<BTreeMap<String, Sent>>>;
 
-/// A configuration with one route, whose requests may run once at most.
-pub fn config() -> String {
+/// A configuration with one route, whose requests may run once at most. `scaling` is added to its
+/// service.
+pub fn config(scaling: &str) -> String {
+    config_of(1, scaling, &["key-1"])
+}
+
+/// A version of it with these keys.
+pub fn config_of(version: u64, scaling: &str, keys: &[&str]) -> String {
+    let keys: Vec<String> = keys.iter().map(|key| quote(key)).collect();
+    let keys = keys.join(",");
     let service = quote(SERVICE);
     format!(
-        "{{\"version\":1,\"routes\":[{{\"name\":\"reserve\",\"host\":\"souss.example\",\
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"reserve\",\"host\":\"souss.example\",\
          \"prefix\":\"/reserve/\",\"routeType\":\"non_idempotent\",\"timeoutMs\":800,\
          \"targetLatencyMs\":150,\"priority\":2,\"service\":{service},\"maxAttempts\":1,\
          \"public\":false}}],\"services\":[{{\"name\":{service},\"healthPath\":\"/healthz\",\
-         \"maxConnections\":96}}],\"limits\":{{\"maxHeaderBytes\":16384,\
+         \"maxConnections\":96{scaling}}}],\"limits\":{{\"maxHeaderBytes\":16384,\
          \"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
-         \"tenants\":[{{\"name\":\"house\",\"apiKeys\":[\"key-1\"],\"priority\":2}}]}}"
+         \"tenants\":[{{\"name\":\"house\",\"apiKeys\":[{keys}],\"priority\":2}}]}}"
     )
 }
 
@@ -62,7 +70,7 @@
                 while !stop.load(Ordering::SeqCst) {
                     let id = format!("r{:08x}", number.fetch_add(1, Ordering::SeqCst));
                     let at_ms = record.now_ms();
-                    let status = send(&mut kept, address, &id);
+                    let status = send(&mut kept, address, &id, "key-1");
                     record.line(&format!("edge-{}-1: {id} sent at {at_ms}: {status}", ZONES[node]));
                     let request = Sent {
                         node,
@@ -79,7 +87,12 @@
 }
 
 /// Sends a reservation; the status of its answer, or 0 without a whole one.
-fn send(kept: &mut Option<Conn>, address: std::net::SocketAddr, id: &str) -> u16 {
+pub fn send(
+    kept: &mut Option<Conn>,
+    address: std::net::SocketAddr,
+    id: &str,
+    key: &str,
+) -> u16 {
     let mut conn = match kept.take() {
         Some(conn) if !conn.is_closed() => conn,
         _ => match Conn::open(address, Duration::from_secs(1)) {
@@ -90,7 +103,7 @@
     let body = "{\"hide\":7}";
     let request = format!(
         "POST /reserve/{id} HTTP/1.1\r\nHost: souss.example\r\nApricotledge-Request-Id: {id}\r\n\
-         Apricotledge-Deadline-Ms: 1500\r\nAuthorization: Token key-1\r\n\
+         Apricotledge-Deadline-Ms: 1500\r\nAuthorization: Token {key}\r\n\
          Content-Length: {}\r\n\r\n{body}",
         body.len()
     );
--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -34,7 +34,7 @@
                 daemon::PEERS_PORT,
                 daemon::METRICS_PORT,
             ];
-            let is_free = (1..=8).all(|host| {
+            let is_free = (1..=20).all(|host| {
                 let free = |port| std::net::TcpListener::bind((network.ip(host), port)).is_ok();
                 ports.iter().all(|port| free(*port))
             });
--- a/review/harness/src/runner.rs
+++ b/review/harness/src/runner.rs
@@ -129,17 +129,20 @@
         )
     }
 
-    /// Reports that it drains, serves on for a while, and then leaves and exits.
-    pub fn drain(&self, serves_ms: u64) {
+    /// Whether it is registered as ready.
+    pub fn is_ready(&self) -> bool {
+        let shared = &self.shared;
+        shared.registered.load(Ordering::SeqCst) && !shared.draining.load(Ordering::SeqCst)
+    }
+
+    pub fn zone(&self) -> &str {
+        &self.shared.zone
+    }
+
+    /// Reports that it drains.
+    pub fn drain(&self) {
         self.shared.draining.store(true, Ordering::SeqCst);
         self.write_entry();
-        let leaving = self.clone();
-        std::thread::spawn(move || {
-            sleep_ms(serves_ms);
-            leaving.leave_unannounced();
-            sleep_ms(200);
-            leaving.exit();
-        });
     }
 
     /// Its entry as it was in an earlier heartbeat. A store may perform a call that got no answer
@@ -153,7 +156,9 @@
 
     /// Removes its entry without a report that it drains. It goes on serving.
     pub fn leave_unannounced(&self) {
-        self.shared.registered.store(false, Ordering::SeqCst);
+        if !self.shared.registered.swap(false, Ordering::SeqCst) {
+            return;
+        }
         self.shared.store.remove("servers", &self.shared.id);
     }
 
--- a/review/harness/src/store.rs
+++ b/review/harness/src/store.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -46,14 +47,27 @@
                 started: Instant::now(),
             }),
         };
-        let serving = store.clone();
+        store.listen(listener, Arc::default());
+        store
+    }
+
+    /// Listens on an address of its own for one machine, which it turns away with 429 while
+    /// `is_turned_away` is set.
+    pub fn front(&self, ip: Ipv4Addr, is_turned_away: Arc<AtomicBool>) -> SocketAddr {
+        let listener = TcpListener::bind((ip, 0)).expect("a free port for the store");
+        let address = listener.local_addr().expect("an address");
+        self.listen(listener, is_turned_away);
+        address
+    }
+
+    fn listen(&self, listener: TcpListener, is_turned_away: Arc<AtomicBool>) {
+        let serving = self.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let serving = serving.clone();
-                std::thread::spawn(move || serving.serve(stream));
+                let (serving, is_turned_away) = (serving.clone(), is_turned_away.clone());
+                std::thread::spawn(move || serving.serve(stream, &is_turned_away));
             }
         });
-        store
     }
 
     /// Writes a row as the operator or a runner does. Returns its version.
@@ -82,16 +96,23 @@
         version
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, is_turned_away: &AtomicBool) {
         let mut conn = Conn::new(stream);
         while let Ok(request) = conn.request() {
             std::thread::sleep(ANSWER);
+            let is_away = || is_turned_away.load(Ordering::SeqCst);
             let answer = match request.path() {
+                _ if is_away() => json_answer(429, "{}"),
                 "/rows-tx" => self.transact(&request),
                 "/rows-get" => self.rows(&request),
                 "/rows-feed" => self.feed(&request),
                 _ => json_answer(404, "{}"),
             };
+            // A query that waited for changes is turned away, too; what a write did stays done.
+            let answer = match is_away() && request.method() == "GET" {
+                true => json_answer(429, "{}"),
+                false => answer,
+            };
             if conn.send(&answer).is_err() {
                 return;
             }
