--- a/review/harness/src/bin/late_heartbeat.rs
+++ b/review/harness/src/bin/late_heartbeat.rs
@@ -72,7 +72,9 @@
         let id = format!("i-a{number}");
         runner.leave_unannounced();
         let removed_ms = record.now_ms();
-        record.say(&format!("the entry of {id} is removed; it serves for {SERVES_MS} ms more"));
+        record.say(&format!(
+            "the entry of {id} is removed; it serves for {SERVES_MS} ms more"
+        ));
         if trouble() {
             sleep_ms(late_ms);
             // The last heartbeat but one, which had got no answer 1.2 to 2.4 s ago.
@@ -88,7 +90,11 @@
         runner.exit();
         let requests = requests.lock().expect("the requests");
         let (mut count, mut last_ms, mut by_node) = (0, 0, [0; 3]);
-        for run in runner.runs().iter().filter(|r| r.at_ms > removed_ms + DRAIN_MS) {
+        for run in runner
+            .runs()
+            .iter()
+            .filter(|r| r.at_ms > removed_ms + DRAIN_MS)
+        {
             count += 1;
             last_ms = run.at_ms - removed_ms;
             if let Some(request) = requests.get(&run.id) {
@@ -111,7 +117,10 @@
     }
     let requests = requests.lock().expect("the requests");
     let answered = requests.values().filter(|s| s.status == 200).count();
-    record.say(&format!("{} requests, {answered} answered with 200", requests.len()));
+    record.say(&format!(
+        "{} requests, {answered} answered with 200",
+        requests.len()
+    ));
     drop(daemons);
     std::process::exit(i32::from(late_in_all > 0));
 }
--- a/review/harness/src/bin/short_lived_runner.rs
+++ b/review/harness/src/bin/short_lived_runner.rs
@@ -2,8 +2,8 @@
 //! has read their entry. They go on serving for some seconds. No node may send them a request
 //! later than `drainMs` after their entry was removed.
 
-use std::path::PathBuf;
 use std::collections::VecDeque;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -55,7 +55,9 @@
         let ip = network.ip(100 + number as u8);
         Runner::start(ip, id, SERVICE, zone, 30, &store, &record)
     };
-    let mut serving: Vec<Runner> = (0..RUNNERS).map(|n| start_runner(&format!("i-a{n}"))).collect();
+    let mut serving: Vec<Runner> = (0..RUNNERS)
+        .map(|n| start_runner(&format!("i-a{n}")))
+        .collect();
     let daemons: Vec<Daemon> = ZONES
         .iter()
         .enumerate()
@@ -88,9 +90,14 @@
         let oldest = serving.remove(0);
         oldest.drain();
         draining.push_back((oldest, began));
-        while let Some((runner, _)) = draining.pop_front_if(|(_, since)| since.elapsed() > DRAINED) {
-            runner.leave_unannounced();
-            runner.exit();
+        while draining
+            .front()
+            .is_some_and(|(_, since)| since.elapsed() > DRAINED)
+        {
+            if let Some((runner, _)) = draining.pop_front() {
+                runner.leave_unannounced();
+                runner.exit();
+            }
         }
         if step % 3 == 2 {
             // The nodes have learned of the step when the new runner comes.
@@ -107,7 +114,9 @@
             }
             runner.leave_unannounced();
             let removed_ms = record.now_ms();
-            record.say(&format!("the entry of {id} is removed; it serves for {SERVES_MS} ms more"));
+            record.say(&format!(
+                "the entry of {id} is removed; it serves for {SERVES_MS} ms more"
+            ));
             let leaving = runner.clone();
             std::thread::spawn(move || {
                 sleep_ms(SERVES_MS);
@@ -129,7 +138,10 @@
 
     let requests = requests.lock().expect("the requests");
     let answered = requests.values().filter(|s| s.status == 200).count();
-    record.say(&format!("{} requests, {answered} answered with 200", requests.len()));
+    record.say(&format!(
+        "{} requests, {answered} answered with 200",
+        requests.len()
+    ));
     let mut late_in_all = 0;
     for (runner, removed_ms, id) in &short_lived {
         let runs = runner.runs();
--- a/review/harness/src/bin/turned_away.rs
+++ b/review/harness/src/bin/turned_away.rs
@@ -87,13 +87,18 @@
                     let id = format!("r{:08x}", number.fetch_add(1, Ordering::SeqCst));
                     let at_ms = record.now_ms();
                     let status = send(&mut kept, address, &id, key);
-                    record.line(&format!("{name}: {id} with {key} sent at {at_ms}: {status}"));
+                    record.line(&format!(
+                        "{name}: {id} with {key} sent at {at_ms}: {status}"
+                    ));
                     let sent = Sent {
                         node,
                         at_ms,
                         status,
                     };
-                    requests.lock().expect("the requests").insert(id, (sent, key));
+                    requests
+                        .lock()
+                        .expect("the requests")
+                        .insert(id, (sent, key));
                     sleep_ms(PACE_MS);
                 }
             }));
--- a/review/harness/src/consumers.rs
+++ b/review/harness/src/consumers.rs
@@ -71,7 +71,10 @@
                     let id = format!("r{:08x}", number.fetch_add(1, Ordering::SeqCst));
                     let at_ms = record.now_ms();
                     let status = send(&mut kept, address, &id, "key-1");
-                    record.line(&format!("edge-{}-1: {id} sent at {at_ms}: {status}", ZONES[node]));
+                    record.line(&format!(
+                        "edge-{}-1: {id} sent at {at_ms}: {status}",
+                        ZONES[node]
+                    ));
                     let request = Sent {
                         node,
                         at_ms,
@@ -87,12 +90,7 @@
 }
 
 /// Sends a reservation; the status of its answer, or 0 without a whole one.
-pub fn send(
-    kept: &mut Option<Conn>,
-    address: std::net::SocketAddr,
-    id: &str,
-    key: &str,
-) -> u16 {
+pub fn send(kept: &mut Option<Conn>, address: std::net::SocketAddr, id: &str, key: &str) -> u16 {
     let mut conn = match kept.take() {
         Some(conn) if !conn.is_closed() => conn,
         _ => match Conn::open(address, Duration::from_secs(1)) {
--- a/review/harness/src/daemon.rs
+++ b/review/harness/src/daemon.rs
@@ -75,7 +75,10 @@
             .spawn();
         let child = child.unwrap_or_else(|e| give_up(&format!("{}: {e}", program.display())));
         // The script ends what is left if this process is killed.
-        let pids = std::fs::File::options().create(true).append(true).open(folder.join("pids"));
+        let pids = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(folder.join("pids"));
         let _ = writeln!(pids.expect("the list of processes"), "{}", child.id());
         Self {
             options,
--- a/review/harness/src/http.rs
+++ b/review/harness/src/http.rs
@@ -14,7 +14,10 @@
 
 impl Message {
     pub fn field(&self, name: &str) -> Option<&str> {
-        let found = self.fields.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .fields
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -54,7 +57,9 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let hex = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let hex = (bytes[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         match hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
             Some(byte) => {
                 out.push(byte);
@@ -114,10 +119,13 @@
         };
         self.stream.set_read_timeout(limit)?;
         let mut part = [0; 16 * 1024];
-        let read = self.stream.read(&mut part).map_err(|error| match error.kind() {
-            io::ErrorKind::WouldBlock => io::ErrorKind::TimedOut.into(),
-            _ => error,
-        })?;
+        let read = self
+            .stream
+            .read(&mut part)
+            .map_err(|error| match error.kind() {
+                io::ErrorKind::WouldBlock => io::ErrorKind::TimedOut.into(),
+                _ => error,
+            })?;
         self.buffer.extend_from_slice(&part[..read]);
         Ok(read)
     }
--- a/review/harness/src/json.rs
+++ b/review/harness/src/json.rs
@@ -160,8 +160,10 @@
 
     fn number(&mut self) -> Option<Json> {
         let start = self.at;
-        while matches!(self.bytes.get(self.at), Some(b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E'))
-        {
+        while matches!(
+            self.bytes.get(self.at),
+            Some(b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E')
+        ) {
             self.at += 1;
         }
         let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
--- a/review/harness/src/runner.rs
+++ b/review/harness/src/runner.rs
@@ -98,7 +98,12 @@
                     return;
                 }
                 if let Ok(copy) = stream.try_clone() {
-                    serving.shared.conns.lock().expect("the connections").push(copy);
+                    serving
+                        .shared
+                        .conns
+                        .lock()
+                        .expect("the connections")
+                        .push(copy);
                 }
                 let serving = serving.clone();
                 std::thread::spawn(move || serving.serve(stream));
@@ -202,7 +207,10 @@
                 }
                 continue;
             }
-            let id = request.field("apricotledge-request-id").unwrap_or("").to_owned();
+            let id = request
+                .field("apricotledge-request-id")
+                .unwrap_or("")
+                .to_owned();
             let expected = request.field("apricotledge-expect-instance");
             if expected.is_some_and(|expected| expected != shared.id) {
                 let head = format!(
@@ -236,11 +244,15 @@
                 });
                 runs.len() - 1
             };
-            shared.record.line(&format!("runner {} runs {id}", shared.id));
+            shared
+                .record
+                .line(&format!("runner {} runs {id}", shared.id));
             sleep_ms(shared.work_ms.load(Ordering::SeqCst));
             let active = shared.active.fetch_sub(1, Ordering::SeqCst) - 1;
             if shared.ended.load(Ordering::SeqCst) {
-                shared.record.line(&format!("runner {} ended while it ran {id}", shared.id));
+                shared
+                    .record
+                    .line(&format!("runner {} ended while it ran {id}", shared.id));
                 return;
             }
             let body = format!("done by {} for {id}", shared.id);
--- a/review/harness/src/store.rs
+++ b/review/harness/src/store.rs
@@ -130,7 +130,10 @@
         let mut state = self.shared.state.lock().expect("the state");
         let expected = body.get("expectedRevision").list();
         let is_met = expected.iter().all(|row| {
-            let version = state.rows.get(&name(row)).map_or(0, |(_, version)| *version);
+            let version = state
+                .rows
+                .get(&name(row))
+                .map_or(0, |(_, version)| *version);
             version == row.get("ver").integer()
         });
         if !is_met {
@@ -149,21 +152,35 @@
                 ),
             );
         }
-        let touched = body.get("writes").list().iter().chain(body.get("deletes").list());
-        if touched.clone().any(|row| matches!(row.get("table").text(), "op" | "servers")) {
+        let touched = body
+            .get("writes")
+            .list()
+            .iter()
+            .chain(body.get("deletes").list());
+        if touched
+            .clone()
+            .any(|row| matches!(row.get("table").text(), "op" | "servers"))
+        {
             return json_answer(403, "{}");
         }
         state.version += 1;
         let version = state.version;
         for write in body.get("writes").list() {
-            state.set(name(write), Some(write.get("value").text().to_owned()), version);
+            state.set(
+                name(write),
+                Some(write.get("value").text().to_owned()),
+                version,
+            );
         }
         for delete in body.get("deletes").list() {
             state.set(name(delete), None, version);
         }
         drop(state);
         self.shared.changed.notify_all();
-        json_answer(200, &format!("{{\"ver\":{version},\"nowMs\":{}}}", self.now_ms()))
+        json_answer(
+            200,
+            &format!("{{\"ver\":{version},\"nowMs\":{}}}", self.now_ms()),
+        )
     }
 
     fn rows(&self, request: &Message) -> Vec<u8> {
@@ -174,7 +191,9 @@
         let found = state.rows.iter().filter(|((t, p, key), _)| {
             *t == table && *p == part && *key >= from && (to.is_empty() || *key < to)
         });
-        let rows: Vec<String> = found.map(|(key, (value, ver))| row_text(key, value, *ver)).collect();
+        let rows: Vec<String> = found
+            .map(|(key, (value, ver))| row_text(key, value, *ver))
+            .collect();
         let has_more = rows.len() > limit;
         let shown = &rows[..rows.len().min(limit)];
         let text = format!(
@@ -231,8 +250,12 @@
 
     /// The changes of a table since a version, in order.
     fn changes(&self, table: &str, since: u64) -> Vec<String> {
-        let start = self.history.partition_point(|(version, _, _)| *version <= since);
-        let newer = self.history[start..].iter().filter(|(_, name, _)| name.0 == table);
+        let start = self
+            .history
+            .partition_point(|(version, _, _)| *version <= since);
+        let newer = self.history[start..]
+            .iter()
+            .filter(|(_, name, _)| name.0 == table);
         let shown = newer.map(|(version, name, value)| match value {
             Some(value) => row_text(name, value, *version),
             None => format!(
