--- a/crates/gateway/src/belief/mod.rs
+++ b/crates/gateway/src/belief/mod.rs
@@ -1,6 +1,7 @@
 //! The node's local view of the cluster: the operator's directory and the registry of backend
 //! servers.
 
+pub mod departed;
 pub mod directory;
 pub mod registry;
 
--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -9,6 +9,7 @@
 use base::{Map, Name, Set};
 use outside::Purchase;
 
+use super::departed::Departed;
 use crate::backend::crash_check::BrokenRequest;
 use crate::backend::pool::IdleConn;
 use crate::decide::backpressure::Backpressure;
@@ -43,7 +44,7 @@
 
 impl ServerRecord {
     /// Order of the writes of one identifier.
-    fn written(&self) -> Written {
+    pub fn written(&self) -> Written {
         Written {
             born_unix_ms: self.born_unix_ms,
             sequence: self.sequence,
@@ -53,9 +54,9 @@
 
 /// When an entry was written, in the server's own count.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Written {
-    born_unix_ms: u64,
-    sequence: u64,
+pub struct Written {
+    pub born_unix_ms: u64,
+    pub sequence: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -236,8 +237,7 @@
     stored: Map<Name, StoredEntry>,
     /// Flow control of servers whose entries were removed: the same life may register again.
     retained_flows: Map<Name, RetainedFlow>,
-    /// Last writes of removed entries. A restored store may list them again.
-    departed: VecDeque<(Name, Written)>,
+    departed: Departed,
     /// Removed entries, with the revisions at which the removals were learned.
     gone: VecDeque<(u64, Name)>,
     /// Revision since which `gone` is complete.
@@ -247,9 +247,6 @@
 /// Most removed entries that are remembered: far more than are removed while a datagram travels.
 const GONE_LIMIT: usize = 4_096;
 
-/// Most removed entries whose last writes are remembered.
-const DEPARTED_LIMIT: usize = 1_024;
-
 /// Flow control of a server whose entry was removed.
 #[derive(Debug)]
 struct RetainedFlow {
@@ -371,14 +368,13 @@
         if let Some(known) = self.stored.get(id) {
             return known.written > written;
         }
-        let mut departed = self.departed.iter();
-        written.sequence > 0 && departed.any(|(other, last)| other == id && *last >= written)
+        self.departed.has_newer(id, written)
     }
 
     /// Records that an entry is still there and unchanged.
     pub fn confirm_present(&mut self, id: &Name) {
         if self.vanished.remove(id).is_some() {
-            self.changed = self.revision;
+            self.record_changed(id);
         }
     }
 
@@ -411,6 +407,43 @@
         }
     }
 
+    /// Records a write that was undone before this node read it.
+    pub fn record_undone(&mut self, record: &ServerRecord) {
+        self.departed.record(&record.id, record.written());
+    }
+
+    /// Whether an entry already stands here as `record` was written. Writes without a sequence number
+    /// can't be told apart.
+    pub fn is_last_write(&self, record: &ServerRecord) -> bool {
+        let known = self.stored.get(&record.id).map(|entry| entry.written);
+        record.sequence > 0
+            && known == Some(record.written())
+            && !self.vanished.contains_key(&record.id)
+    }
+
+    /// Records a change of a listed entry that other nodes may have read in part.
+    pub fn record_changed(&mut self, id: &str) {
+        self.changed = self.revision;
+        if let Some(entry) = self.stored.get_mut(id) {
+            entry.changed = self.revision;
+        }
+    }
+
+    /// Records that an entry was removed and written again before this node read it. The server is
+    /// kept until [`Registry::is_listed`] shows whether the later write counts.
+    pub fn record_rewritten(&mut self, id: &str) {
+        self.changed = self.revision;
+        self.record_gone(id.into());
+        if let Some((name, entry)) = self.stored.remove_entry(id) {
+            self.departed.record(&name, entry.written);
+        }
+    }
+
+    /// Whether an entry stands in the store.
+    pub fn is_listed(&self, id: &str) -> bool {
+        self.stored.contains_key(id)
+    }
+
     /// Records that an entry is absent.
     pub fn remove(&mut self, id: &str, absence: Absence) -> ServerChange {
         let Some((name, _)) = self.by_id.get_key_value(id) else {
@@ -432,7 +465,7 @@
         self.record_gone(name.clone());
         self.vanished.remove(&name);
         if let Some(entry) = self.stored.remove(&name) {
-            self.record_departed(&name, entry.written);
+            self.departed.record(&name, entry.written);
         }
         if let Some(server) = self.by_id.remove(&name) {
             self.remove_from_service(&server);
@@ -441,14 +474,6 @@
         ServerChange::Gone(name)
     }
 
-    fn record_departed(&mut self, id: &Name, written: Written) {
-        self.departed.retain(|(other, _)| other != id);
-        if self.departed.len() >= DEPARTED_LIMIT {
-            self.departed.pop_front();
-        }
-        self.departed.push_back((id.clone(), written));
-    }
-
     /// A server for a new entry. It keeps the flow control of an earlier entry of the same life.
     fn new_server(&mut self, record: ServerRecord) -> Server {
         let known = self.retained_flows.remove(&record.id);
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod directory;
 pub mod nodes;
+mod row_changes;
 pub mod servers;
 pub mod streams;
 pub mod versions;
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use super::BatchScope;
+use super::row_changes::{self, EntryChanges, RowChange};
 use crate::belief::registry::{Absence, Registry, ServerChange};
 use crate::log;
 use crate::node::Node;
@@ -146,31 +147,57 @@
 
 fn apply(node: &Node, rows: Vec<FeedRow>, scope: BatchScope, absence: Absence) {
     let mut listed: Set<Name> = Set::default();
-    let mut changes = Vec::new();
-    for row in last_changes(rows) {
-        let Some(body) = row.body else {
-            let mut registry = node.registry.borrow_mut();
-            changes.push(registry.remove(&row.key, absence));
-            continue;
-        };
-        listed.insert(row.key.as_str().into());
-        // An unreadable row, by another writer, names no server to use, and doesn't affect the
-        // other rows.
-        let Ok(record) = (node.dialect.server)(&row.key, &body) else {
-            let mut registry = node.registry.borrow_mut();
-            changes.push(registry.remove(&row.key, Absence::Certain));
-            continue;
-        };
-        changes.push(node.registry.borrow_mut().upsert(record, body));
-    }
-    for change in changes {
-        report(node, &change);
+    let entries = row_changes::by_entry(rows, |row| row_change(node, row, absence));
+    for entry in entries {
+        listed.insert(entry.id.as_str().into());
+        let changes = apply_entry(&mut node.registry.borrow_mut(), entry);
+        changes.iter().for_each(|change| report(node, change));
     }
     if scope == BatchScope::All {
         remove_others(node, &listed, absence);
     }
 }
 
+fn row_change(node: &Node, row: &FeedRow, absence: Absence) -> RowChange {
+    let Some(body) = &row.body else {
+        return RowChange::Removed(absence);
+    };
+    // An unreadable row, by another writer, names no server to use, and doesn't affect the
+    // other rows.
+    match (node.dialect.server)(&row.key, body) {
+        Ok(record) => RowChange::Written(record, body.clone()),
+        Err(_) => RowChange::Removed(Absence::Certain),
+    }
+}
+
+/// Applies the changes of one entry. A late write doesn't undo a removal.
+fn apply_entry(registry: &mut Registry, entry: EntryChanges) -> Vec<ServerChange> {
+    // A copy from another node may have brought the last write already.
+    if (entry.newest_last()).is_some_and(|record| registry.is_last_write(record)) {
+        if entry.removal.is_some() {
+            registry.record_changed(&entry.id);
+        }
+        return Vec::new();
+    }
+    for record in &entry.undone {
+        registry.record_undone(record);
+    }
+    let mut changes = Vec::new();
+    let is_rewritten = entry.removal.is_some() && !entry.writes.is_empty();
+    if is_rewritten {
+        registry.record_rewritten(&entry.id);
+    }
+    for (record, row) in entry.writes {
+        changes.push(registry.upsert(record, row));
+    }
+    if let Some(absence) = entry.removal
+        && !(is_rewritten && registry.is_listed(&entry.id))
+    {
+        changes.push(registry.remove(&entry.id, absence));
+    }
+    changes
+}
+
 /// Removes all servers that are not listed.
 fn remove_others(node: &Node, listed: &Set<Name>, absence: Absence) {
     let mut registry = node.registry.borrow_mut();
@@ -188,19 +215,6 @@
     }
 }
 
-/// The last change of each row; changes that were undone in the same batch don't matter.
-fn last_changes(rows: Vec<FeedRow>) -> Vec<FeedRow> {
-    let mut seen: Set<String> = Set::default();
-    let mut latest: Vec<FeedRow> = Vec::with_capacity(rows.len());
-    for row in rows.into_iter().rev() {
-        if seen.insert(row.key.clone()) {
-            latest.push(row);
-        }
-    }
-    latest.reverse();
-    latest
-}
-
 fn mark_read(node: &Node, revision: u64) {
     node.registry.borrow_mut().revision = revision;
     node.registry_confirmed_ms.set(node.now_ms());
--- a/crates/gateway/tests/removals.rs
+++ b/crates/gateway/tests/removals.rs
@@ -11,6 +11,7 @@
 use gateway::peer::serve;
 use outside::{FeedBatch, FeedRow};
 use support::node;
+use test_case::test_case;
 
 fn row(key: &str, body: Option<&str>) -> FeedRow {
     FeedRow {
@@ -54,3 +55,53 @@
     servers::adopt_copy(&saw, serve::registry_copy(&missed, 12));
     assert!(!uses(&saw, "x"));
 }
+
+/// Guards against a server that is in use after its removal because a late write of its entry is
+/// in the same answer of the store.
+#[test_case(&[None, Some("ready 1 4")] => false; "an older write after the removal")]
+#[test_case(&[None, Some("ready 1 3"), Some("ready 1 4")] => false; "two older writes after the removal")]
+#[test_case(&[Some("ready 1 6"), None, Some("ready 1 5")] => false; "a newer and an older write")]
+#[test_case(&[Some("draining 1 6"), Some("ready 1 5")] => false; "an older write after a drain")]
+#[test_case(&[None, Some("ready 1 6")] => true; "the server registered again")]
+#[test_case(&[None, Some("ready 2 1")] => true; "a new life")]
+#[test_case(&[None, Some("ready 1 4"), Some("ready 1 6")] => true; "late write, then return")]
+#[test_case(&[None, Some("ready 2 1"), None] => false; "a new life that left")]
+fn a_late_write_in_the_answer_that_holds_the_removal(changes: &[Option<&str>]) -> bool {
+    let node = reader("a", vec![row("x", Some("ready 1 5"))]);
+    let rows: Vec<_> = changes.iter().map(|body| ("x", *body)).collect();
+    read_changes(&node, 13, &rows);
+    uses(&node, "x")
+}
+
+/// Guards against a server that is dropped because an answer repeats its removal and return, which a
+/// copy from another node has brought already.
+#[test]
+fn a_return_that_is_read_twice_stays() {
+    let node = reader("a", vec![row("x", Some("ready 1 5"))]);
+    for _ in 0..2 {
+        read_changes(&node, 13, &[("x", None), ("x", Some("ready 1 6"))]);
+        assert!(uses(&node, "x"));
+    }
+}
+
+/// Guards against the same late write in a later answer, where the only newer write that the node
+/// read came with the removal.
+#[test]
+fn writes_before_a_removal_in_the_same_answer_are_remembered() {
+    let node = reader("a", Vec::new());
+    read_changes(&node, 12, &[("x", Some("ready 1 5")), ("x", None)]);
+    read_changes(&node, 13, &[("x", Some("ready 1 4"))]);
+    assert!(!uses(&node, "x"));
+}
+
+/// Guards against a late write whose removal is one of many.
+#[test]
+fn late_writes_are_recognized_after_the_removal_of_thousands() {
+    let ids: Vec<String> = (0..3_000).map(|n| format!("s{n}")).collect();
+    let rows = ids.iter().map(|id| row(id, Some("ready 1 5"))).collect();
+    let node = reader("a", rows);
+    let removals: Vec<_> = ids.iter().map(|id| (&**id, None)).collect();
+    read_changes(&node, 12, &removals);
+    read_changes(&node, 13, &[("s0", Some("ready 1 4"))]);
+    assert!(!uses(&node, "s0"));
+}
