A node claims a revision only if it holds its changes

Cause: `changed` meant "what this node saw change"; `confirm` read it as "the store did not change". They differ after a read of the whole list, a removal and return in one answer, a copy (which carried no `changed`), and where a node ignores a late write.

Why it works: one meaning, stated at the fields: the store's entries did not change after `changed` and up to `revision`. The constructors of copies in two tests name the new field.

--- a/crates/gateway/src/belief/registry.rs
+++ b/crates/gateway/src/belief/registry.rs
@@ -223,10 +223,10 @@
 /// The backend servers that this node knows.
 #[derive(Debug, Default)]
 pub struct Registry {
-    /// Revision of the store that the registry reflects.
+    /// Revision of the store that the registry reflects: every change up to it is applied here.
     pub revision: u64,
-    /// Revision of the last change that other nodes need to learn of; heartbeats of servers don't
-    /// count.
+    /// The entries in the store did not change after this revision and up to `revision`, heartbeats
+    /// of servers left out. A node that knows a revision in this range knows them all.
     pub changed: u64,
     by_id: Map<Name, Rc<Server>>,
     by_service: Map<Name, Vec<Rc<Server>>>,
@@ -238,6 +238,10 @@
     /// Flow control of servers whose entries were removed: the same life may register again.
     retained_flows: Map<Name, RetainedFlow>,
     departed: Departed,
+    /// Entries in the store that are not listed here, as their writes are older than their removal.
+    ignored: Set<Name>,
+    /// Entries whose rows are unreadable.
+    unreadable: Set<Name>,
     /// Removed entries, with the revisions at which the removals were learned.
     gone: VecDeque<(u64, Name)>,
     /// Revision since which `gone` is complete.
@@ -326,10 +330,41 @@
         self.gone.push_back((self.revision, id));
     }
 
-    /// Starts the history of removals again at the current revision, after the whole list was read.
-    pub fn reset_gone(&mut self) {
+    /// Records that the store has an entry whose write is older than its removal.
+    pub fn record_ignored(&mut self, id: &str) {
+        self.ignored.insert(id.into());
+    }
+
+    /// Records that the store no longer has an entry, or has a later write of it.
+    pub fn clear_ignored(&mut self, id: &str) {
+        self.ignored.remove(id);
+    }
+
+    /// Whether the store has entries that are ignored here. For other nodes, which may list them,
+    /// their next write is no change.
+    pub fn has_ignored(&self) -> bool {
+        !self.ignored.is_empty()
+    }
+
+    /// Starts the history of changes again at the current revision, after the whole list `listed` was
+    /// read. What changed before it is not known, so each entry may have.
+    pub fn restart_history(&mut self, listed: &Set<Name>) {
+        self.ignored.retain(|id| listed.contains(id));
+        self.unreadable.retain(|id| listed.contains(id));
         self.gone.clear();
         self.gone_since_revision = self.revision;
+        self.changed = self.revision;
+        for entry in self.stored.values_mut() {
+            entry.changed = self.revision;
+        }
+    }
+
+    /// Records whether the row of an entry is readable. Returns whether it was unreadable before.
+    pub fn record_readable(&mut self, id: &str, is_readable: bool) -> bool {
+        match is_readable {
+            true => self.unreadable.remove(id),
+            false => !self.unreadable.insert(id.into()),
+        }
     }
 
     /// Listed entries that changed after revision `since`, as they stand in the store.
@@ -345,8 +380,12 @@
         let id = record.id.clone();
         let written = record.written();
         if self.is_outdated(&id, written) {
+            if !self.is_listed(&id) {
+                self.record_ignored(&id);
+            }
             return ServerChange::None;
         }
+        self.clear_ignored(&id);
         let reappeared = self.vanished.remove(&id).is_some();
         let change = self.update(record);
         let is_change = reappeared || change != ServerChange::None;
--- a/crates/gateway/src/follow/row_changes.rs
+++ b/crates/gateway/src/follow/row_changes.rs
@@ -10,6 +10,8 @@
 pub enum RowChange {
     Written(ServerRecord, Vec<u8>),
     Removed(Absence),
+    /// The row names no server; it was written by another writer.
+    Unreadable,
 }
 
 /// The changes of one entry in a batch, in the store's order.
@@ -22,6 +24,8 @@
     pub removal: Option<Absence>,
     /// Writes after the last removal.
     pub writes: Vec<(ServerRecord, Vec<u8>)>,
+    /// Whether the last row is unreadable, which counts as a removal of the server.
+    pub is_unreadable: bool,
 }
 
 impl EntryChanges {
@@ -31,6 +35,7 @@
             undone: Vec::new(),
             removal: None,
             writes: Vec::new(),
+            is_unreadable: false,
         }
     }
 
@@ -43,9 +48,11 @@
     }
 
     fn add(&mut self, change: RowChange) {
+        self.is_unreadable = matches!(change, RowChange::Unreadable);
         match change {
             RowChange::Written(record, row) => self.writes.push((record, row)),
             RowChange::Removed(absence) => self.remove(absence),
+            RowChange::Unreadable => self.remove(Absence::Certain),
         }
     }
 
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -67,7 +67,10 @@
     if has_gap(&node.registry.borrow(), &copy) {
         return CopyOutcome::Gap;
     }
-    node.registry.borrow_mut().revision = copy.revision;
+    // The copy holds the state of its last change: nothing changed in the store after that.
+    let changed = copy.changed.unwrap_or(copy.revision);
+    let own_revision = node.registry.borrow().revision;
+    node.registry.borrow_mut().revision = changed.max(own_revision);
     // The copy is as old as the other node's; that node's next heartbeat tells how old.
     if node.registry_confirmed_ms.get() == 0 {
         node.registry_confirmed_ms.set(node.now_ms());
@@ -90,6 +93,9 @@
         }
         Listing::Since { gone, .. } => remove(node, &gone, Absence::Certain),
     }
+    let mut registry = node.registry.borrow_mut();
+    registry.changed = registry.changed.max(changed);
+    registry.revision = copy.revision;
     CopyOutcome::Taken
 }
 
@@ -103,20 +109,25 @@
             let is_missing = |id: &&Name| !held.contains(id) && registry.server(id).is_none();
             listed.iter().any(|id| is_missing(&id))
         }
-        Listing::Since { revision, .. } => *revision > registry.revision || registry.has_vanished(),
+        Listing::Since { revision, .. } => {
+            let may_lack_returns = registry.has_vanished() || registry.has_ignored();
+            *revision > registry.revision || may_lack_returns
+        }
     }
 }
 
-/// Takes over how current another node reports its registry to be, if nothing has changed in that
-/// registry since this node's revision, or since the change that this node last queried.
+/// Takes over how current another node reports its registry to be, if the store has not changed
+/// since this node's revision, or since the change that this node last queried.
 pub fn confirm(node: &Node, version: RegistryVersion) {
     let mut registry = node.registry.borrow_mut();
     let is_known =
         version.changed <= registry.revision || version.changed == node.queried_change.get();
-    if registry.revision == 0 || !is_known || version.revision < registry.revision {
+    let is_comparable = registry.revision > 0 && !registry.has_ignored();
+    if !is_comparable || !is_known || version.revision < registry.revision {
         return;
     }
     registry.revision = version.revision;
+    registry.changed = registry.changed.max(version.changed);
     let confirmed_ms = node.now_ms().saturating_sub(version.age_ms);
     node.registry_confirmed_ms
         .set(node.registry_confirmed_ms.get().max(confirmed_ms));
@@ -166,12 +177,16 @@
     // other rows.
     match (node.dialect.server)(&row.key, body) {
         Ok(record) => RowChange::Written(record, body.clone()),
-        Err(_) => RowChange::Removed(Absence::Certain),
+        Err(_) => RowChange::Unreadable,
     }
 }
 
 /// Applies the changes of one entry. A late write doesn't undo a removal.
 fn apply_entry(registry: &mut Registry, entry: EntryChanges) -> Vec<ServerChange> {
+    let was_unreadable = registry.record_readable(&entry.id, !entry.is_unreadable);
+    if was_unreadable && entry.is_unreadable && entry.undone.is_empty() {
+        return Vec::new();
+    }
     // A copy from another node may have brought the last write already.
     if (entry.newest_last()).is_some_and(|record| registry.is_last_write(record)) {
         if entry.removal.is_some() {
@@ -182,6 +197,9 @@
     for record in &entry.undone {
         registry.record_undone(record);
     }
+    if entry.removal.is_some() {
+        registry.clear_ignored(&entry.id);
+    }
     let mut changes = Vec::new();
     let is_rewritten = entry.removal.is_some() && !entry.writes.is_empty();
     if is_rewritten {
@@ -194,14 +212,17 @@
         && !(is_rewritten && registry.is_listed(&entry.id))
     {
         changes.push(registry.remove(&entry.id, absence));
+        if is_rewritten {
+            registry.record_ignored(&entry.id);
+        }
     }
     changes
 }
 
-/// Removes all servers that are not listed.
+/// Removes all servers that are not listed, after a whole list was read.
 fn remove_others(node: &Node, listed: &Set<Name>, absence: Absence) {
     let mut registry = node.registry.borrow_mut();
-    registry.reset_gone();
+    registry.restart_history(listed);
     let known = registry.servers().map(|s| s.record.id.clone());
     let others: Vec<Name> = known.filter(|id| !listed.contains(id)).collect();
     drop(registry);
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -171,6 +171,9 @@
 pub struct RegistryCopy {
     /// Revision of the store that the registry reflects.
     pub revision: u64,
+    /// Revision of the last change, heartbeats of servers left out; unset by older builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub changed: Option<u64>,
     pub listing: Listing,
     /// Entries that changed after the requested revision, as stored (JSON text).
     pub rows: Vec<(Name, String)>,
--- a/crates/gateway/src/peer/serve.rs
+++ b/crates/gateway/src/peer/serve.rs
@@ -37,6 +37,7 @@
     let text = |row: &[u8]| String::from_utf8_lossy(row).into_owned();
     RegistryCopy {
         revision: registry.revision,
+        changed: Some(registry.changed),
         listing: match registry.gone_since(since) {
             Some(gone) => Listing::Since {
                 revision: since,
--- a/crates/gateway/tests/copy_ages.rs
+++ b/crates/gateway/tests/copy_ages.rs
@@ -78,6 +78,7 @@
     for node in [&reader, &fresh] {
         let copy = RegistryCopy {
             revision: 6,
+            changed: None,
             listing: Listing::All(vec!["x".into()]),
             rows: vec![("x".into(), "ready".to_owned())],
         };
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -32,6 +32,7 @@
 fn registry_copy(revision: u64, ids: &[&str]) -> RegistryCopy {
     RegistryCopy {
         revision,
+        changed: None,
         listing: Listing::All(ids.iter().map(|id| (*id).into()).collect()),
         rows: ids
             .iter()
--- a/crates/gateway/tests/removals.rs
+++ b/crates/gateway/tests/removals.rs
@@ -42,6 +42,10 @@
     server.is_some_and(|s| s.record.state == ServerState::Ready)
 }
 
+fn fail_store(node: &Node) {
+    node.store_failed_ms.set(node.now_ms().max(1));
+}
+
 /// Guards against a server that gets requests until it ends, as the node that read its removal had
 /// never listed it and reported no change.
 #[test]
@@ -105,3 +109,51 @@
     read_changes(&node, 13, &[("s0", Some("ready 1 4"))]);
     assert!(!uses(&node, "s0"));
 }
+
+/// Guards against an entry that a node takes for vanished, expires and never lists again, although
+/// it is back in the store.
+#[test]
+fn the_return_of_an_entry_is_a_change_for_nodes_that_miss_it() {
+    let entry = || vec![row("x", Some("ready 1 5"))];
+    let (lacks, steady) = (reader("a", entry()), reader("b", entry()));
+    fail_store(&lacks);
+    read_changes(&lacks, 11, &[("x", None)]);
+    read_changes(&steady, 13, &[("x", None), ("x", Some("ready 1 6"))]);
+    servers::confirm(&lacks, heartbeat(&steady, 1, 1).registry);
+    assert_eq!(lacks.registry.borrow().revision, 11, "it lacks the return");
+    servers::adopt_copy(&lacks, serve::registry_copy(&steady, 0));
+    servers::expire(&lacks);
+    assert!(uses(&lacks, "x"));
+}
+
+/// Guards against the same where the other node read the whole list instead of the changes.
+#[test]
+fn a_whole_read_of_the_store_is_a_change_for_others() {
+    let entry = || vec![row("x", Some("ready 1 5"))];
+    let (lacks, steady) = (reader("a", entry()), reader("b", entry()));
+    read_changes(&lacks, 11, &[("x", None)]);
+    read(
+        &steady,
+        13,
+        vec![row("x", Some("ready 1 6"))],
+        BatchScope::All,
+    );
+    servers::confirm(&lacks, heartbeat(&steady, 1, 1).registry);
+    assert_eq!(lacks.registry.borrow().revision, 11);
+    let part = serve::registry_copy(&steady, 11);
+    if servers::adopt_copy(&lacks, part) == servers::CopyOutcome::Gap {
+        servers::adopt_copy(&lacks, serve::registry_copy(&steady, 0));
+    }
+    assert_eq!(lacks.registry.borrow().revision, 13);
+    assert!(uses(&lacks, "x"));
+}
+
+/// An unreadable entry of another writer names no server, so that its heartbeats change nothing.
+#[test]
+fn writes_of_unreadable_entries_are_no_changes_for_others() {
+    let node = reader("a", Vec::new());
+    read_changes(&node, 11, &[("foreign", Some("unreadable"))]);
+    read_changes(&node, 12, &[("foreign", Some("unreadable"))]);
+    read_changes(&node, 13, &[("foreign", Some("unreadable"))]);
+    assert!(heartbeat(&node, 1, 1).registry.changed <= 11);
+}
