--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -87,6 +87,7 @@
     StoreRestored = 405, "store.restored", Warn, "The store answers with another era than before: it was restored from a copy; fields give the eras and the revisions.";
     NodeListed = 406, "node.listed", Warn, "The list of nodes in the store had lost this node, and it has registered again.";
     VersionsSaved = 407, "versions.saved", Info, "The software versions of a service have changed, and were written to the store; fields give the outcome.";
+    RoleChanged = 408, "role.changed", Info, "This node begins or ends to follow the store itself; fields give the ages of its copies and whether the store serves it.";
     ConfigDecided = 410, "config.decided", Info, "The table accepted or refused an operator's configuration; fields give the outcome.";
 
     PeerSuspected = 500, "peer.suspected", Warn, "Messages of a peer are overdue; it gets no handovers until one arrives.";
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -19,6 +19,8 @@
 pub mod signal;
 pub mod silence;
 pub mod speed;
+pub mod stand_in;
+pub mod store_calls;
 pub mod store_poll;
 pub mod stream_nodes;
 pub mod stream_version;
--- a/crates/gateway/src/decide/store_poll.rs
+++ b/crates/gateway/src/decide/store_poll.rs
@@ -27,7 +27,7 @@
 const RANK_DELAY_MS: Millisecond = 150;
 
 /// Time that an answer may be in transit.
-const ANSWER_TRANSIT_MS: Millisecond = 50;
+pub const ANSWER_TRANSIT_MS: Millisecond = 50;
 
 /// Longest time that a periodic poll waits for changes if there are none.
 const PERIODIC_WAIT_MS: Millisecond = 50;
--- a/crates/gateway/src/duty/runner.rs
+++ b/crates/gateway/src/duty/runner.rs
@@ -13,6 +13,7 @@
 use super::checkpoint::{self, USAGE_PARTITION};
 use super::scaling::Scaler;
 use super::tenure::DutyTenure;
+use crate::decide::store_calls::StoreAccess;
 use crate::decide::store_poll::PollRank;
 use crate::log;
 use crate::node::{Node, Phase};
@@ -55,7 +56,7 @@
     };
     let name = &node.settings.node.name;
     loop {
-        if !takes_part(&node) {
+        if !takes_part(&node) || node.store_access() == StoreAccess::Failing {
             tokio::time::sleep(ROUND_PERIOD).await;
             continue;
         }
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -15,6 +15,8 @@
 use outside::{Feed, FeedBatch, FeedError, Topic};
 use serde::Serialize;
 
+use crate::decide::stand_in::overdue_age_ms;
+use crate::decide::store_calls::StoreAccess;
 use crate::decide::store_poll::{PollMode, poll_due_ms, poll_wait_ms};
 use crate::log;
 use crate::node::Node;
@@ -27,6 +29,9 @@
 /// Pause after a query without an answer; other nodes query meanwhile.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Time after a failed call after which a node that others have replaced asks once more.
+const RECHECK_MS: Millisecond = 2_000;
+
 /// Whether a batch holds all rows, or only changed ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BatchScope {
@@ -51,6 +56,14 @@
     history_gone: bool,
 }
 
+#[derive(Serialize)]
+struct RoleFields {
+    role: Role,
+    directory_age_ms: Millisecond,
+    registry_age_ms: Millisecond,
+    access: StoreAccess,
+}
+
 /// Handler of a topic's rows.
 type ApplyBatch = fn(&Rc<Node>, FeedBatch, BatchScope);
 
@@ -58,24 +71,35 @@
 pub async fn follow(node: Rc<Node>, feed: Arc<dyn Feed>, topic: Topic, apply_batch: ApplyBatch) {
     let mut revision = None;
     let mut era = None;
+    let mut last_role = Role::default();
     loop {
-        if node.role() == Role::Listens {
-            tokio::time::sleep(RETRY_DELAY).await;
+        let role = node.role();
+        if topic == Topic::Directory && role != last_role {
+            report_role(&node, role);
+        }
+        last_role = role;
+        if role == Role::Listens {
+            tokio::time::sleep(listening_pause(&node)).await;
             continue;
         }
-        if revision.is_some() {
-            wait_for_turn(&node, topic).await;
+        if revision.is_some() && wait_for_turn(&node, topic).await == Turn::Listens {
+            continue;
         }
         let announced = node.announced_change.get();
         let queried_ms = node.now_ms();
         let outcome = match revision {
-            None => snapshot(&*feed, topic).await,
+            None => {
+                node.store_calls.begin(topic, 0, queried_ms);
+                snapshot(&*feed, topic).await
+            }
             Some(since) => {
                 let wait_ms = poll_schedule(&node, topic).wait_ms();
+                node.store_calls.begin(topic, wait_ms, queried_ms);
                 let since = known_revision(&node, topic, since);
                 changes(&*feed, topic, since, wait_ms).await
             }
         };
+        node.store_calls.end(topic);
         if let Some(before) = era
             && before != feed.era()
         {
@@ -139,12 +163,46 @@
     }
 }
 
+/// When a copy of a topic that was confirmed at `confirmed_ms` becomes overdue.
+pub fn overdue_after_ms(node: &Node, topic: Topic, confirmed_ms: Millisecond) -> Millisecond {
+    let schedule = poll_schedule(node, topic);
+    confirmed_ms + overdue_age_ms(schedule.mode, schedule.bound_ms)
+}
+
+/// When this node's copies become overdue, which they don't while some follower is served.
+pub fn overdue_from_ms(node: &Node) -> Millisecond {
+    let topics = [Topic::Directory, Topic::Servers];
+    let due_ms = topics.map(|topic| {
+        let confirmed_ms = poll_schedule(node, topic).confirmed_ms;
+        overdue_after_ms(node, topic, confirmed_ms)
+    });
+    due_ms[0].min(due_ms[1])
+}
+
+/// Time until a listening node checks its role again.
+fn listening_pause(node: &Node) -> Duration {
+    let left_ms = overdue_from_ms(node).saturating_sub(node.now_ms());
+    Duration::from_millis(left_ms).clamp(TURN_CHECK_PERIOD, RETRY_DELAY)
+}
+
+/// Why the wait for a node's turn ended.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Turn {
+    /// The node queries the store.
+    Queries,
+    /// Others do.
+    Listens,
+}
+
 /// Waits until it is this node's turn to query a topic, or another node announces a change.
-async fn wait_for_turn(node: &Node, topic: Topic) {
+async fn wait_for_turn(node: &Node, topic: Topic) -> Turn {
     loop {
+        if node.role() == Role::Listens {
+            return Turn::Listens;
+        }
         let left_ms = poll_schedule(node, topic).left_ms(node);
-        if left_ms == 0 {
-            return;
+        if left_ms == 0 || recheck_is_due(node) {
+            return Turn::Queries;
         }
         let pause = TURN_CHECK_PERIOD.min(Duration::from_millis(left_ms));
         if topic != Topic::Servers {
@@ -153,11 +211,18 @@
         }
         let changed = tokio::time::timeout(pause, node.peer_registry_changed.notified()).await;
         if changed.is_ok() {
-            return;
+            return Turn::Queries;
         }
     }
 }
 
+/// Whether a node whose last call failed asks again, although others have read the store since.
+/// They leave it out until the store serves it.
+fn recheck_is_due(node: &Node) -> bool {
+    let since_ms = node.now_ms().saturating_sub(node.store_failed_ms.get());
+    node.store_access() == StoreAccess::Failing && since_ms >= RECHECK_MS
+}
+
 /// Revision since which changes are queried. Other nodes may have sent newer rows than the last
 /// query returned.
 fn known_revision(node: &Node, topic: Topic, last_revision: u64) -> u64 {
@@ -201,6 +266,17 @@
     log::emit(events::Code::StoreRestored, &fields);
 }
 
+fn report_role(node: &Node, role: Role) {
+    let age_ms = |confirmed_ms: Millisecond| node.now_ms().saturating_sub(confirmed_ms);
+    let fields = RoleFields {
+        role,
+        directory_age_ms: age_ms(node.directory_confirmed_ms.get()),
+        registry_age_ms: age_ms(node.registry_confirmed_ms.get()),
+        access: node.store_access(),
+    };
+    log::emit(events::Code::RoleChanged, &fields);
+}
+
 fn record_store_answer(node: &Node, topic: Topic) {
     let now_ms = node.now_ms();
     let was_failing = node.store_failed_ms.get() > node.store_ok_ms.get();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -6,6 +6,7 @@
 
 use base::units::Millisecond;
 use base::{Map, Name};
+use outside::Topic;
 use policy::suspect::{RequestDigest, SuspectParts, SuspectRequests};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -23,16 +24,19 @@
 use crate::decide::reach::ReachState;
 use crate::decide::retry_budget::{RetryBudget, RetryPermit, RetryTerms};
 use crate::decide::rule::BaselineInputs;
+use crate::decide::stand_in::Overdue;
+use crate::decide::store_calls::{StoreAccess, StoreCalls};
 use crate::decide::store_poll::PollRank;
 use crate::decide::turns::Rendezvous;
 use crate::decide::version_history::VersionHistory;
 use crate::dialect::Dialect;
 use crate::duty::usage::Usage;
+use crate::follow;
 use crate::follow::streams::StreamRows;
 use crate::metrics::Metrics;
 use crate::peer::Peers;
 use crate::peer::message::{Tenure, life_key};
-use crate::peer::role::{Role, period_ms};
+use crate::peer::role::{OwnCopies, Role, period_ms};
 use crate::peer::streams::Questions;
 use crate::settings::{FirstStart, Settings, ms};
 
@@ -78,6 +82,8 @@
     pub store_ok_ms: Cell<Millisecond>,
     /// Time of the last failed call to the store.
     pub store_failed_ms: Cell<Millisecond>,
+    /// Calls to the store for changes that are under way.
+    pub store_calls: StoreCalls,
     /// Other nodes.
     pub peers: RefCell<Peers>,
     /// Token buckets of the workspaces' allowances.
@@ -157,6 +163,7 @@
             registry_queried_ms: Cell::new(0),
             store_ok_ms: Cell::new(0),
             store_failed_ms: Cell::new(0),
+            store_calls: StoreCalls::default(),
             peers: RefCell::new(Peers::new(&settings)),
             buckets: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -270,8 +277,43 @@
     /// Whether this node follows the store or learns from other nodes.
     pub fn role(&self) -> Role {
         let own = &self.settings.node;
+        let (copies, now_ms) = (self.copies(), self.now_ms());
         let peers = self.peers.borrow();
-        peers.role(&own.name, &own.failure_domain, self.now_ms())
+        peers.role(&own.name, &own.failure_domain, copies, now_ms)
+    }
+
+    /// Whether the store serves this node.
+    pub fn store_access(&self) -> StoreAccess {
+        let failed = self.store_failed_ms.get() > self.store_ok_ms.get();
+        match failed || self.store_calls.is_late(self.now_ms()) {
+            true => StoreAccess::Failing,
+            false => StoreAccess::Served,
+        }
+    }
+
+    /// How this node's copies stand with the store.
+    fn copies(&self) -> OwnCopies {
+        let now_ms = self.now_ms();
+        if let Some(overdue_ms) = now_ms.checked_sub(follow::overdue_from_ms(self)) {
+            let since_failure_ms = match self.store_failed_ms.get() {
+                0 => Millisecond::MAX,
+                failed_ms => now_ms.saturating_sub(failed_ms),
+            };
+            return OwnCopies::Overdue(Overdue {
+                overdue_ms,
+                since_failure_ms,
+            });
+        }
+        let read_ms = self
+            .directory_read_ms
+            .get()
+            .max(self.registry_read_ms.get());
+        let is_read =
+            read_ms > 0 && now_ms < follow::overdue_after_ms(self, Topic::Directory, read_ms);
+        match is_read && self.store_access() == StoreAccess::Served {
+            true => OwnCopies::Read,
+            false => OwnCopies::Current,
+        }
     }
 
     /// Position of this node in the order in which nodes poll the store.
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -154,6 +154,7 @@
         unix_ms: unix_ms(),
         directory: node.directory.borrow().as_ref().map_or(0, |d| d.version),
         directory_age_ms: time_since_ms(node.directory_read_ms.get(), now_ms),
+        access: node.store_access(),
         tenure: node.tenure.get(),
         registry: RegistryVersion {
             revision: registry.revision,
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -9,6 +9,7 @@
 use super::role::{DrainState, Role, period_ms};
 use crate::decide::backpressure::Notice;
 use crate::decide::reach::Reach;
+use crate::decide::store_calls::StoreAccess;
 use crate::decide::version_history::VersionReport;
 
 /// Most requests of one node at one server: each takes one of the node's ports.
@@ -50,6 +51,9 @@
     /// reads of other nodes in the ages above.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub copies: Option<CopyAges>,
+    /// Whether the store serves the sender.
+    #[serde(default)]
+    pub access: StoreAccess,
     /// Whether the sender holds the lease on the duties.
     #[serde(default)]
     pub tenure: Tenure,
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -23,7 +23,7 @@
 use crate::settings::Settings;
 use message::{HeartbeatContent, NodeHeartbeat, Tenure};
 use policy::suspect::EntryRank;
-use role::{DrainState, PeerSummary, Presence, Role, period_ms, rank, role};
+use role::{DrainState, OwnCopies, PeerSummary, Presence, Role, period_ms, rank, role};
 
 /// A heartbeat is current for this time, or for three of the sender's periods if those are longer.
 const FRESH_MS: Millisecond = 1_000;
@@ -255,8 +255,14 @@
     }
 
     /// Whether the node `own` follows the store itself.
-    pub fn role(&self, own: &Name, failure_domain: &Name, now_ms: Millisecond) -> Role {
-        role(own, failure_domain, &self.peer_summaries(now_ms))
+    pub fn role(
+        &self,
+        own: &Name,
+        failure_domain: &Name,
+        copies: OwnCopies,
+        now_ms: Millisecond,
+    ) -> Role {
+        role(own, failure_domain, &self.peer_summaries(now_ms), copies)
     }
 
     /// Turn of the node `own`, which has run for `age_ms`, to query the store. Addresses that are
@@ -440,5 +446,6 @@
         role: peer.heartbeat.role,
         stay: peer.heartbeat.stay,
         presence: peer.presence(now_ms),
+        access: peer.heartbeat.access,
     }
 }
--- a/crates/gateway/src/peer/pull.rs
+++ b/crates/gateway/src/peer/pull.rs
@@ -133,7 +133,12 @@
     if heartbeat.registry.changed <= revision {
         return requests;
     }
-    match store_reach(node) {
+    let reach = match node.role() {
+        // A listening node doesn't query the store.
+        Role::Listens => StoreReach::Unreachable,
+        Role::Follows => store_reach(node),
+    };
+    match reach {
         StoreReach::Answering => announce_change(node, heartbeat.registry.changed),
         StoreReach::Unreachable
             if may_ask_sender(node, heartbeat) || may_ask_other_domains(node) =>
--- a/crates/gateway/src/peer/role.rs
+++ b/crates/gateway/src/peer/role.rs
@@ -2,12 +2,16 @@
 //!
 //! In a small fleet all nodes follow the store. In a large one a few nodes of each failure domain
 //! do and the others learn from them, and heartbeats become rarer as the number of nodes grows, so
-//! that neither the calls to the store nor a node's datagrams grow with the fleet.
+//! that neither the calls to the store nor a node's datagrams grow with the fleet. If the followers
+//! are not served, others follow the store in their place.
 
 use base::units::Millisecond;
 use base::{Map, Name};
 use serde::{Deserialize, Serialize};
 
+use crate::decide::stand_in::{ListenerRank, Overdue, has_turn};
+use crate::decide::store_calls::StoreAccess;
+
 /// Most nodes of a fleet in which every node follows the store and sends heartbeats at full rate.
 pub const SMALL_FLEET_NODES: usize = 12;
 
@@ -39,6 +43,20 @@
     pub role: Role,
     pub stay: DrainState,
     pub presence: Presence,
+    /// Whether the store served it, by its last heartbeat.
+    pub access: StoreAccess,
+}
+
+/// How this node stands with the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum OwnCopies {
+    /// The copies are as young as followers keep them.
+    #[default]
+    Current,
+    /// The same, and this node has read the store itself a moment ago.
+    Read,
+    /// The copies are older than they get while some follower is served.
+    Overdue(Overdue),
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -58,7 +76,12 @@
 }
 
 /// The role of the node `own` among the other nodes.
-pub fn role(own: &Name, failure_domain: &Name, peers: &[PeerSummary<'_>]) -> Role {
+pub fn role(
+    own: &Name,
+    failure_domain: &Name,
+    peers: &[PeerSummary<'_>],
+    copies: OwnCopies,
+) -> Role {
     if peers.len() < SMALL_FLEET_NODES {
         return Role::Follows;
     }
@@ -68,19 +91,39 @@
     });
     let before = same_domain.clone().filter(|n| n.name < own).count();
     let has_follower = same_domain.clone().any(|n| n.role == Role::Follows);
-    match before >= FOLLOWERS_PER_DOMAIN && has_follower {
-        true => Role::Listens,
-        false => Role::Follows,
+    if before < FOLLOWERS_PER_DOMAIN || !has_follower {
+        return Role::Follows;
+    }
+    let follows = match copies {
+        OwnCopies::Current => false,
+        OwnCopies::Read => {
+            let served = same_domain.filter(|n| {
+                n.role == Role::Follows && n.access == StoreAccess::Served && n.name < own
+            });
+            served.count() < FOLLOWERS_PER_DOMAIN
+        }
+        OwnCopies::Overdue(overdue) => {
+            let rank = ListenerRank {
+                position: before - FOLLOWERS_PER_DOMAIN,
+                nodes: same_domain.count() + 1 - FOLLOWERS_PER_DOMAIN,
+            };
+            has_turn(rank, overdue)
+        }
+    };
+    match follows {
+        true => Role::Follows,
+        false => Role::Listens,
     }
 }
 
-/// Number of nodes that query the store before the node `own` does. The first node of every failure
+/// Number of nodes that query the store before the node `own` does; those that the store does not
+/// serve don't count. The first node of every failure
 /// domain ranks before the second node of any, so that losing a whole domain removes only one of
 /// the top ranks.
 pub fn rank(own: &Name, failure_domain: &Name, peers: &[PeerSummary<'_>]) -> usize {
     let followers = peers.iter().filter(|n| {
         let is_member = n.presence == Presence::Fresh && n.stay == DrainState::Stays;
-        is_member && n.role == Role::Follows
+        is_member && n.role == Role::Follows && n.access == StoreAccess::Served
     });
     let mut domains: Map<&Name, Vec<&Name>> = Map::default();
     for follower in followers {
--- a/crates/gateway/tests/roles.rs
+++ b/crates/gateway/tests/roles.rs
@@ -1,7 +1,8 @@
 //! Which nodes follow the store, and how often nodes send heartbeats.
 
 use base::Name;
-use gateway::peer::role::{DrainState, PeerSummary, Presence, Role, period_ms, role};
+use gateway::decide::store_calls::StoreAccess;
+use gateway::peer::role::{DrainState, OwnCopies, PeerSummary, Presence, Role, period_ms, role};
 use test_case::test_case;
 
 fn names(nodes: usize) -> Vec<Name> {
@@ -27,13 +28,14 @@
                         true => DrainState::Leaves,
                         false => DrainState::Stays,
                     },
+                    access: StoreAccess::Served,
                     presence: match silent.contains(&other) {
                         true => Presence::Silent,
                         false => Presence::Fresh,
                     },
                 })
                 .collect();
-            roles[own] = role(&names[own], &domains[own % 2], &peers);
+            roles[own] = role(&names[own], &domains[own % 2], &peers, OwnCopies::Current);
         }
     }
     roles
--- a/crates/gateway/tests/store_poll.rs
+++ b/crates/gateway/tests/store_poll.rs
@@ -2,6 +2,7 @@
 
 use base::Name;
 use gateway::decide::pause::{Arrival, PauseDetector};
+use gateway::decide::store_calls::StoreAccess;
 use gateway::decide::store_poll::{PollMode, PollRank, poll_due_ms, poll_wait_ms};
 use gateway::peer::role::{DrainState, PeerSummary, Presence, Role, rank};
 use test_case::test_case;
@@ -49,6 +50,7 @@
                 failure_domain: &domains[other % 3],
                 role: Role::Follows,
                 stay: DrainState::Stays,
+                access: StoreAccess::Served,
                 presence: match lost.contains(&other) {
                     true => Presence::Silent,
                     false => Presence::Fresh,
--- a/crates/gateway/tests/stream_take_ups.rs
+++ b/crates/gateway/tests/stream_take_ups.rs
@@ -7,6 +7,7 @@
 
 use base::Name;
 use gateway::decide::begun_streams::stream_key;
+use gateway::decide::store_calls::StoreAccess;
 use gateway::decide::stream_nodes::{Candidate, drawn_nodes, nodes_to_ask};
 use gateway::decide::stream_version::{
     AskedNodes, Evidence, Lookup, LookupTime, RegistryBounds, RegistryCheck, StoredStream,
@@ -42,6 +43,7 @@
         .iter()
         .map(|(name, failure_domain, address)| Candidate {
             node: PeerSummary {
+                access: StoreAccess::Served,
                 name,
                 failure_domain,
                 role: Role::Follows,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -35,8 +35,13 @@
 
 /// Creates a node of the given name.
 pub fn node(name: &str) -> Rc<Node> {
+    node_in(name, "a")
+}
+
+/// Creates a node in a failure domain.
+pub fn node_in(name: &str, domain: &str) -> Rc<Node> {
     let text = format!(
-        "[node]\nname = \"{name}\"\nfailure_domain = \"a\"\n\
+        "[node]\nname = \"{name}\"\nfailure_domain = \"{domain}\"\n\
                 [listen]\ncallers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n\
                 peers = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n\
                 [store]\naddress = \"127.0.0.1:9\"\n[bounds]\n"
