--- a/crates/gateway/src/belief/departed.rs
+++ b/crates/gateway/src/belief/departed.rs
@@ -4,7 +4,7 @@
 
 use base::{Map, Name};
 
-use super::registry::Written;
+use super::server::Written;
 
 /// Most removed entries that are remembered: more than the servers of the largest planned fleet,
 /// which may all be replaced within the seconds that a write can be late.
--- a/crates/gateway/src/belief/mod.rs
+++ b/crates/gateway/src/belief/mod.rs
@@ -4,6 +4,7 @@
 pub mod departed;
 pub mod directory;
 pub mod registry;
+pub mod server;
 
 pub use directory::{Directory, Route, RouteKind, Service, Workspace};
 pub use registry::{Registry, Server, ServerRecord};
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -5,6 +5,7 @@
 mod row_changes;
 pub mod servers;
 pub mod streams;
+pub mod turn;
 pub mod versions;
 
 use std::rc::Rc;
@@ -14,24 +15,16 @@
 use base::units::Millisecond;
 use outside::{Feed, FeedBatch, FeedError, Topic};
 use serde::Serialize;
+use turn::{Turn, listening_pause, poll_schedule, wait_for_turn};
 
-use crate::decide::stand_in::overdue_age_ms;
 use crate::decide::store_calls::StoreAccess;
-use crate::decide::store_poll::{PollMode, poll_due_ms, poll_wait_ms};
 use crate::log;
 use crate::node::Node;
 use crate::peer::role::Role;
 
-/// How often a node checks whether it is its turn to query the store: half of the time between the
-/// turns of two nodes.
-const TURN_CHECK_PERIOD: Duration = Duration::from_millis(75);
-
 /// Pause after a query without an answer; other nodes query meanwhile.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Time after a failed call after which a node that others have replaced asks once more.
-const RECHECK_MS: Millisecond = 2_000;
-
 /// Whether a batch holds all rows, or only changed ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BatchScope {
@@ -128,101 +121,6 @@
     }
 }
 
-/// Poll mode of a topic, its age limit, and the time at which its rows were last confirmed.
-struct PollSchedule {
-    mode: PollMode,
-    /// Greatest age that the known rows of the topic may reach.
-    bound_ms: Millisecond,
-    confirmed_ms: Millisecond,
-}
-
-impl PollSchedule {
-    fn wait_ms(&self) -> Millisecond {
-        poll_wait_ms(self.mode, self.bound_ms)
-    }
-
-    fn left_ms(&self, node: &Node) -> Millisecond {
-        let due_ms = poll_due_ms(self.mode, node.poll_rank(), self.bound_ms);
-        (self.confirmed_ms + due_ms).saturating_sub(node.now_ms())
-    }
-}
-
-fn poll_schedule(node: &Node, topic: Topic) -> PollSchedule {
-    let bounds = &node.settings.bounds;
-    match topic {
-        Topic::Servers => PollSchedule {
-            mode: PollMode::Periodic,
-            bound_ms: bounds.drain_ms,
-            confirmed_ms: node.registry_confirmed_ms.get(),
-        },
-        Topic::Directory | Topic::Nodes => PollSchedule {
-            mode: PollMode::LongPoll,
-            bound_ms: bounds.directory_ms,
-            confirmed_ms: node.directory_confirmed_ms.get(),
-        },
-    }
-}
-
-/// When a copy of a topic that was confirmed at `confirmed_ms` becomes overdue.
-pub fn overdue_after_ms(node: &Node, topic: Topic, confirmed_ms: Millisecond) -> Millisecond {
-    let schedule = poll_schedule(node, topic);
-    confirmed_ms + overdue_age_ms(schedule.mode, schedule.bound_ms)
-}
-
-/// When this node's copies become overdue, which they don't while some follower is served.
-pub fn overdue_from_ms(node: &Node) -> Millisecond {
-    let topics = [Topic::Directory, Topic::Servers];
-    let due_ms = topics.map(|topic| {
-        let confirmed_ms = poll_schedule(node, topic).confirmed_ms;
-        overdue_after_ms(node, topic, confirmed_ms)
-    });
-    due_ms[0].min(due_ms[1])
-}
-
-/// Time until a listening node checks its role again.
-fn listening_pause(node: &Node) -> Duration {
-    let left_ms = overdue_from_ms(node).saturating_sub(node.now_ms());
-    Duration::from_millis(left_ms).clamp(TURN_CHECK_PERIOD, RETRY_DELAY)
-}
-
-/// Why the wait for a node's turn ended.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Turn {
-    /// The node queries the store.
-    Queries,
-    /// Others do.
-    Listens,
-}
-
-/// Waits until it is this node's turn to query a topic, or another node announces a change.
-async fn wait_for_turn(node: &Node, topic: Topic) -> Turn {
-    loop {
-        if node.role() == Role::Listens {
-            return Turn::Listens;
-        }
-        let left_ms = poll_schedule(node, topic).left_ms(node);
-        if left_ms == 0 || recheck_is_due(node) {
-            return Turn::Queries;
-        }
-        let pause = TURN_CHECK_PERIOD.min(Duration::from_millis(left_ms));
-        if topic != Topic::Servers {
-            tokio::time::sleep(pause).await;
-            continue;
-        }
-        let changed = tokio::time::timeout(pause, node.peer_registry_changed.notified()).await;
-        if changed.is_ok() {
-            return Turn::Queries;
-        }
-    }
-}
-
-/// Whether a node whose last call failed asks again, although others have read the store since.
-/// They leave it out until the store serves it.
-fn recheck_is_due(node: &Node) -> bool {
-    let since_ms = node.now_ms().saturating_sub(node.store_failed_ms.get());
-    node.store_access() == StoreAccess::Failing && since_ms >= RECHECK_MS
-}
-
 /// Revision since which changes are queried. Other nodes may have sent newer rows than the last
 /// query returned.
 fn known_revision(node: &Node, topic: Topic, last_revision: u64) -> u64 {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -31,8 +31,8 @@
 use crate::decide::version_history::VersionHistory;
 use crate::dialect::Dialect;
 use crate::duty::usage::Usage;
-use crate::follow;
 use crate::follow::streams::StreamRows;
+use crate::follow::turn;
 use crate::metrics::Metrics;
 use crate::peer::Peers;
 use crate::peer::message::{Tenure, life_key};
@@ -294,7 +294,7 @@
     /// How this node's copies stand with the store.
     fn copies(&self) -> OwnCopies {
         let now_ms = self.now_ms();
-        if let Some(overdue_ms) = now_ms.checked_sub(follow::overdue_from_ms(self)) {
+        if let Some(overdue_ms) = now_ms.checked_sub(turn::overdue_from_ms(self)) {
             let since_failure_ms = match self.store_failed_ms.get() {
                 0 => Millisecond::MAX,
                 failed_ms => now_ms.saturating_sub(failed_ms),
@@ -309,7 +309,7 @@
             .get()
             .max(self.registry_read_ms.get());
         let is_read =
-            read_ms > 0 && now_ms < follow::overdue_after_ms(self, Topic::Directory, read_ms);
+            read_ms > 0 && now_ms < turn::overdue_after_ms(self, Topic::Directory, read_ms);
         match is_read && self.store_access() == StoreAccess::Served {
             true => OwnCopies::Read,
             false => OwnCopies::Current,
