--- a/crates/gateway/src/front/buffered.rs
+++ b/crates/gateway/src/front/buffered.rs
@@ -1,8 +1,11 @@
 //! Relays answers that are not streams: an answer is buffered as a whole before it is relayed.
 
+use std::io::ErrorKind;
 use std::rc::Rc;
 
+use base::units::Millisecond;
 use bytes::{Bytes, BytesMut};
+use serde::Serialize;
 use tokio::time::{Instant, timeout_at};
 
 use super::answer::{AnswerAction, BodyKind, classify_answer, write_head};
@@ -16,8 +19,20 @@
 use crate::decide::body_memory::{BodyOwner, BodyReservation};
 use crate::decide::outcome::FailureCause;
 use crate::http::ResponseHead;
+use crate::log;
 use crate::node::Node;
 
+#[derive(Serialize)]
+struct CutFields<'a> {
+    request: Option<&'a str>,
+    cause: &'a str,
+    body_bytes: usize,
+    /// Bytes of all bodies held, and their limit.
+    held_bytes: usize,
+    limit_bytes: usize,
+    left_ms: Millisecond,
+}
+
 /// A buffered answer.
 struct BufferedAnswer {
     head: ResponseHead,
@@ -145,6 +160,28 @@
         Ok(()) => ServeOutcome::Passed {
             status: head.status,
         },
-        Err(_) => ServeOutcome::CallerGone,
+        Err(error) => {
+            report_cut(whole, job, error.kind());
+            ServeOutcome::CallerGone
+        }
     }
 }
+
+/// Logs why an answer was not written to its end, unless the caller has left.
+fn report_cut(whole: &BufferedAnswer, job: &Job<'_>, error: ErrorKind) {
+    let cause = match error {
+        ErrorKind::TimedOut => "not_read",
+        ErrorKind::OutOfMemory => "yielded",
+        _ => return,
+    };
+    let memory = &job.node.body_memory;
+    let fields = CutFields {
+        request: job.id(),
+        cause,
+        body_bytes: whole.body.len(),
+        held_bytes: memory.bytes(),
+        limit_bytes: memory.limit_bytes(),
+        left_ms: job.left_ms(),
+    };
+    log::emit(events::Code::AnswerCut, &fields);
+}
