--- a/crates/gateway/tests/followers_turned_away.rs
+++ b/crates/gateway/tests/followers_turned_away.rs
@@ -20,6 +20,7 @@
 use gateway::peer::role::Role;
 use gateway::peer::serve;
 use outside::{Feed, FeedBatch, FeedError, FeedRow, ReadError, Topic};
+use support::run_with_paused_time;
 use test_case::test_case;
 
 const DOMAINS: usize = 3;
@@ -287,19 +288,10 @@
     }
 }
 
-fn run_test(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, test);
-}
-
 #[test_case(Treatment::Refused; "refused")]
 #[test_case(Treatment::Unanswered; "without an answer")]
 fn a_change_is_in_force_in_time_when_all_followers_are_turned_away(treatment: Treatment) {
-    run_test(async move {
+    run_with_paused_time(async move {
         let mut fleet = Fleet::settled(18).await;
         // Each outage finds the nodes in another state.
         for (outage, delay_ms) in [0, 500, 1_300, 2_900, 6_000].into_iter().enumerate() {
@@ -324,7 +316,7 @@
 #[test_case(&[1]; "one follower")]
 #[test_case(&[0, 1, 2, 3, 4, 5, 6, 7, 8]; "the followers and the next ones")]
 fn a_change_is_in_force_in_time_when_some_nodes_are_turned_away(away: &[usize]) {
-    run_test(async move {
+    run_with_paused_time(async move {
         let mut fleet = Fleet::settled(36).await;
         fleet.treat(away, Treatment::Refused);
         for _ in 0..3 {
@@ -336,7 +328,7 @@
 
 #[test]
 fn a_change_is_in_force_in_time_when_nodes_are_turned_away_by_turns() {
-    run_test(async {
+    run_with_paused_time(async {
         let mut fleet = Fleet::settled(18).await;
         for turn in 0..9 {
             let away: Vec<usize> = (0..6).map(|n| (n + 3 * turn) % 18).collect();
@@ -355,7 +347,7 @@
 #[test_case(18)]
 #[test_case(66)]
 fn calls_to_the_store_do_not_grow_with_the_fleet(nodes: usize) {
-    run_test(async move {
+    run_with_paused_time(async move {
         let mut fleet = Fleet::settled(nodes).await;
         let calm = fleet.calls_per_s(Duration::from_secs(6)).await;
         let followers = fleet.followers();
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -15,7 +15,7 @@
 use gateway::peer::serve;
 use outside::revision::pack;
 use outside::{Feed, FeedBatch, FeedError, FeedRow, ReadError, Topic};
-use support::node;
+use support::{node, run_with_paused_time};
 use test_case::test_case;
 
 fn row(key: &str, body: Option<&str>) -> FeedRow {
@@ -105,16 +105,6 @@
     (node, feed)
 }
 
-/// Runs a test on a paused clock, which advances only when no task is ready.
-fn run_with_paused_time(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, test);
-}
-
 /// A feed without changes that records the revisions from which it is queried.
 #[derive(Default)]
 struct RecordingFeed {
--- a/crates/gateway/tests/registry_model.rs
+++ b/crates/gateway/tests/registry_model.rs
@@ -21,6 +21,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
+use support::run_with_paused_time;
 
 const NODES: usize = 3;
 const SERVERS: u32 = 5;
@@ -357,12 +358,7 @@
 }
 
 fn play(seed: u64) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .unwrap();
-    runtime.block_on(async {
+    run_with_paused_time(async {
         let mut model = Model::new(seed);
         for step in 0..STEPS {
             model.step();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -33,6 +33,16 @@
     reserved: &[],
 };
 
+/// Runs a test on a paused clock, which advances only when no task is ready.
+pub fn run_with_paused_time(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
 /// Creates a node of the given name.
 pub fn node(name: &str) -> Rc<Node> {
     node_in(name, "a")
