Test, failing: a change that is late at a node whose first source does not pass it on

The node hears two sources of a newer directory, a bad one first: it sends 60 KB/s, hangs, refuses connections or breaks off.

--- /dev/null
+++ b/crates/gateway/tests/late_change.rs
@@ -0,0 +1,204 @@
+//! Changes of the directory and of the registry whose first source does not pass them on in time.
+//!
+//! The sources are real listeners on the loopback interface; the node hears their heartbeats.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::units::Millisecond;
+use gateway::node::Node;
+use gateway::peer::exchange::apply_heartbeat;
+use gateway::peer::message::{NodeHeartbeat, RegistryVersion};
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep};
+
+const VERSION: u64 = 7;
+
+/// Digits of the directory's row: the size of one with about 1,400 routes.
+const ROW_BYTES: usize = 250_000;
+
+/// Time between two heartbeats of a source.
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(120);
+
+/// How a source treats the nodes that pull from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Treatment {
+    Answers,
+    /// Sends 60 KB a second: a link of 10 Mbit/s that twenty nodes share.
+    Drips,
+    /// Accepts the connection and never answers: a process that stands still.
+    Hangs,
+    /// The address refuses connections: a process that was killed.
+    Refuses,
+    /// Ends the connection in the middle of the answer.
+    BreaksOff,
+}
+
+/// A listener that answers every pull with the same directory.
+struct Source {
+    name: &'static str,
+    address: SocketAddr,
+    revision: u64,
+}
+
+impl Source {
+    async fn start(name: &'static str, treatment: Treatment) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        if treatment != Treatment::Refuses {
+            tokio::task::spawn_local(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    tokio::task::spawn_local(answer(stream, treatment));
+                }
+            });
+        }
+        Self {
+            name,
+            address,
+            revision: 0,
+        }
+    }
+
+    fn heartbeat(&self, number: u64) -> NodeHeartbeat {
+        NodeHeartbeat {
+            node: self.name.into(),
+            failure_domain: "a".into(),
+            period_ms: 120,
+            boot: 1,
+            number,
+            directory: VERSION,
+            registry: RegistryVersion {
+                revision: self.revision,
+                changed: self.revision,
+                age_ms: 0,
+            },
+            ..NodeHeartbeat::default()
+        }
+    }
+}
+
+async fn answer(mut stream: TcpStream, treatment: Treatment) {
+    let mut request = vec![0; 1_024];
+    let _ = stream.read(&mut request).await;
+    let row = "0".repeat(ROW_BYTES - 1) + &VERSION.to_string();
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {ROW_BYTES}\r\n\r\n");
+    match treatment {
+        Treatment::Hangs => sleep(Duration::from_secs(60)).await,
+        Treatment::Refuses => {}
+        Treatment::Answers => {
+            let _ = stream.write_all((head + &row).as_bytes()).await;
+            let _ = stream.read(&mut request).await;
+        }
+        Treatment::BreaksOff => {
+            let _ = stream.write_all((head + &row[..1_000]).as_bytes()).await;
+        }
+        Treatment::Drips => {
+            let _ = stream.write_all(head.as_bytes()).await;
+            for part in row.as_bytes().chunks(6_000) {
+                sleep(Duration::from_millis(100)).await;
+                if stream.write_all(part).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+/// Sends the sources' heartbeats in turn until the directory is in force or `limit` has passed.
+/// Returns the time that it took.
+async fn wait_for_change(node: &Rc<Node>, sources: &[&Source], limit: Duration) -> Duration {
+    let started = Instant::now();
+    let mut number = 0;
+    loop {
+        number += 1;
+        for source in sources {
+            apply_heartbeat(node, source.heartbeat(number), source.address);
+        }
+        let next = Instant::now() + HEARTBEAT_PERIOD;
+        while Instant::now() < next {
+            if node.directory().is_some() || started.elapsed() > limit {
+                return started.elapsed();
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+/// Half of the node's bound for a change.
+fn half_of_bound(node: &Node) -> Duration {
+    let bound_ms: Millisecond = node.settings.bounds.directory_ms;
+    Duration::from_millis(bound_ms / 2)
+}
+
+#[test_case(Treatment::Drips; "drips")]
+#[test_case(Treatment::Hangs; "hangs")]
+#[test_case(Treatment::Refuses; "refuses")]
+#[test_case(Treatment::BreaksOff; "breaks off")]
+fn a_change_does_not_wait_for_the_first_source_that_told_it(first: Treatment) {
+    run(async {
+        let node = support::node("n");
+        let bad = Source::start("bad", first).await;
+        let good = Source::start("good", Treatment::Answers).await;
+        let limit = half_of_bound(&node);
+        let took = wait_for_change(&node, &[&bad, &good], limit).await;
+        assert!(node.directory().is_some(), "not in force after {took:?}");
+    });
+}
+
+#[test]
+fn a_change_is_in_force_in_time_though_three_of_four_sources_fail() {
+    run(async {
+        let node = support::node("n");
+        let drips = Source::start("drips", Treatment::Drips).await;
+        let hangs = Source::start("hangs", Treatment::Hangs).await;
+        let gone = Source::start("gone", Treatment::Refuses).await;
+        let good = Source::start("good", Treatment::Answers).await;
+        let limit = half_of_bound(&node);
+        let took = wait_for_change(&node, &[&drips, &hangs, &gone, &good], limit).await;
+        assert!(node.directory().is_some(), "not in force after {took:?}");
+    });
+}
+
+#[test]
+fn a_change_does_not_wait_for_a_pull_of_the_registry() {
+    run(async {
+        let node = support::node("n");
+        node.store_failed_ms.set(node.now_ms() + 1);
+        let mut hangs = Source::start("hangs", Treatment::Hangs).await;
+        hangs.revision = 12;
+        let good = Source::start("good", Treatment::Answers).await;
+        let number = 1;
+        let without_directory = NodeHeartbeat {
+            directory: 0,
+            ..hangs.heartbeat(number)
+        };
+        apply_heartbeat(&node, without_directory, hangs.address);
+        sleep(Duration::from_millis(20)).await;
+        let took = wait_for_change(&node, &[&good], Duration::from_millis(500)).await;
+        assert!(node.directory().is_some(), "not in force after {took:?}");
+    });
+}
+
+#[test]
+fn a_slow_answer_is_kept_if_no_other_source_is_there() {
+    run(async {
+        let node = support::node("n");
+        let drips = Source::start("drips", Treatment::Drips).await;
+        let limit = Duration::from_secs(6);
+        let took = wait_for_change(&node, &[&drips], limit).await;
+        assert!(node.directory().is_some(), "not in force after {took:?}");
+    });
+}
