A node that lacks a change asks the next source, and the store itself in the end

Cause: a node pulled a newer directory from whichever sender told it first, one pull at a time, directory, registry and usage in line, each given up after 1 s with nothing kept; meanwhile no better source was asked. A whole heartbeat goes to twelve nodes at once, which then shared one link. Nothing bounded how long a single node stayed behind.

Now decide::source chooses among all nodes that are heard and have the change: own failure domain first, drawn by width of link; the next one beside it after 200 ms unless its answer is about to end; at most three at once, of which the one with least bytes yields. Other domains are asked at once by the first node of a domain, by the others after a tenth to a quarter of the bound. A node that sends as much as its link carries in 200 ms answers 503 and names nodes that have it from there. Directory and registry are pulled apart. A node that knows for a quarter to three eighths of the bound, by its position, that it is behind asks the store itself, at most once in a quarter of the bound. Nodes of older builds are answered as before.

--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -19,6 +19,7 @@
 pub mod shed;
 pub mod signal;
 pub mod silence;
+pub mod source;
 pub mod speed;
 pub mod stand_in;
 pub mod store_calls;
--- a/crates/gateway/src/decide/store_calls.rs
+++ b/crates/gateway/src/decide/store_calls.rs
@@ -27,12 +27,25 @@
     directory_due_ms: Cell<Millisecond>,
     /// The same for the registry.
     servers_due_ms: Cell<Millisecond>,
+    /// When the last call about the directory began; 0 if there was none.
+    directory_begun_ms: Cell<Millisecond>,
+    /// The same for the registry.
+    servers_begun_ms: Cell<Millisecond>,
 }
 
 impl StoreCalls {
     /// Records a call that the store may hold for `wait_ms`.
     pub fn begin(&self, topic: Topic, wait_ms: Millisecond, now_ms: Millisecond) {
         self.due(topic).set(now_ms + wait_ms + ANSWER_LIMIT_MS);
+        self.begun(topic).set(now_ms);
+    }
+
+    /// Time since the last call began; without limit if there was none.
+    pub fn since_begun_ms(&self, topic: Topic, now_ms: Millisecond) -> Millisecond {
+        match self.begun(topic).get() {
+            0 => Millisecond::MAX,
+            begun_ms => now_ms.saturating_sub(begun_ms),
+        }
     }
 
     /// Records the end of a call.
@@ -40,12 +53,24 @@
         self.due(topic).set(0);
     }
 
+    /// Lets the next call of a topic begin at once.
+    pub fn repeat(&self, topic: Topic) {
+        self.begun(topic).set(0);
+    }
+
     /// Whether the answer to some call is late.
     pub fn is_late(&self, now_ms: Millisecond) -> bool {
         let is_late = |due: &Cell<Millisecond>| due.get() > 0 && now_ms > due.get();
         is_late(&self.directory_due_ms) || is_late(&self.servers_due_ms)
     }
 
+    fn begun(&self, topic: Topic) -> &Cell<Millisecond> {
+        match topic {
+            Topic::Servers => &self.servers_begun_ms,
+            Topic::Directory | Topic::Nodes => &self.directory_begun_ms,
+        }
+    }
+
     fn due(&self, topic: Topic) -> &Cell<Millisecond> {
         match topic {
             Topic::Servers => &self.servers_due_ms,
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -15,7 +15,7 @@
 use base::units::Millisecond;
 use outside::{Feed, FeedBatch, FeedError, Topic};
 use serde::Serialize;
-use turn::{Turn, listening_pause, poll_schedule, wait_for_turn};
+use turn::{Turn, is_left_behind, listening_pause, poll_schedule, wait_for_turn};
 
 use crate::decide::store_calls::StoreAccess;
 use crate::log;
@@ -71,8 +71,8 @@
             report_role(&node, role);
         }
         last_role = role;
-        if role == Role::Listens {
-            tokio::time::sleep(listening_pause(&node)).await;
+        if role == Role::Listens && !is_left_behind(&node, topic) {
+            tokio::time::sleep(listening_pause(&node, topic)).await;
             continue;
         }
         if revision.is_some() && wait_for_turn(&node, topic).await == Turn::Listens {
@@ -86,7 +86,11 @@
                 snapshot(&*feed, topic).await
             }
             Some(since) => {
-                let wait_ms = poll_schedule(&node, topic).wait_ms();
+                let wait_ms = match node.role() {
+                    Role::Follows => poll_schedule(&node, topic).wait_ms(),
+                    // The store has the change that this node lacks.
+                    Role::Listens => 0,
+                };
                 node.store_calls.begin(topic, wait_ms, queried_ms);
                 let since = known_revision(&node, topic, since);
                 changes(&*feed, topic, since, wait_ms).await
@@ -104,6 +108,7 @@
                 record_store_answer(&node, topic);
                 revision = Some(batch.revision);
                 apply_batch(&node, batch, scope);
+                settle_lag(&node, topic, queried_ms);
                 if topic == Topic::Servers {
                     node.queried_change.set(announced);
                     node.registry_queried_ms.set(queried_ms);
@@ -112,6 +117,7 @@
             Err(FeedError::HistoryGone) => {
                 record_store_answer(&node, topic);
                 revision = None;
+                node.store_calls.repeat(topic);
             }
             Err(FeedError::Unanswered { reason }) => {
                 record_store_failure(&node, topic, reason);
@@ -121,6 +127,16 @@
     }
 }
 
+/// Forgets the versions that were heard of before the store was queried: it has answered with what
+/// there is.
+fn settle_lag(node: &Node, topic: Topic, queried_ms: Millisecond) {
+    let lag = match topic {
+        Topic::Directory | Topic::Nodes => &node.directory_lag,
+        Topic::Servers => &node.registry_lag,
+    };
+    lag.borrow_mut().settle(queried_ms);
+}
+
 /// Revision since which changes are queried. Other nodes may have sent newer rows than the last
 /// query returned.
 fn known_revision(node: &Node, topic: Topic, last_revision: u64) -> u64 {
--- a/crates/gateway/src/follow/turn.rs
+++ b/crates/gateway/src/follow/turn.rs
@@ -10,6 +10,7 @@
 use crate::decide::store_calls::StoreAccess;
 use crate::decide::store_poll::{PollMode, poll_due_ms, poll_wait_ms};
 use crate::node::Node;
+use crate::peer::pull;
 use crate::peer::role::Role;
 
 /// How often a node checks whether it is its turn to query the store: half of the time between the
@@ -72,8 +73,18 @@
     due_ms[0].min(due_ms[1])
 }
 
+/// Whether this node asks the store itself, as it has known for long that others have a newer
+/// version, and none has passed it on.
+pub fn is_left_behind(node: &Node, topic: Topic) -> bool {
+    let since_call_ms = node.store_calls.since_begun_ms(topic, node.now_ms());
+    pull::is_behind(node, topic) && pull::standing(node, topic).asks_store(since_call_ms)
+}
+
 /// Time until a listening node checks its role again.
-pub fn listening_pause(node: &Node) -> Duration {
+pub fn listening_pause(node: &Node, topic: Topic) -> Duration {
+    if pull::is_behind(node, topic) {
+        return TURN_CHECK_PERIOD;
+    }
     let left_ms = overdue_from_ms(node).saturating_sub(node.now_ms());
     Duration::from_millis(left_ms).clamp(TURN_CHECK_PERIOD, RETRY_DELAY)
 }
@@ -90,11 +101,12 @@
 /// Waits until it is this node's turn to query a topic, or another node announces a change.
 pub async fn wait_for_turn(node: &Node, topic: Topic) -> Turn {
     loop {
-        if node.role() == Role::Listens {
+        let is_left_behind = is_left_behind(node, topic);
+        if node.role() == Role::Listens && !is_left_behind {
             return Turn::Listens;
         }
         let left_ms = poll_schedule(node, topic).left_ms(node);
-        if left_ms == 0 || recheck_is_due(node) {
+        if left_ms == 0 || is_left_behind || recheck_is_due(node) {
             return Turn::Queries;
         }
         let pause = TURN_CHECK_PERIOD.min(Duration::from_millis(left_ms));
--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -17,8 +17,9 @@
 use super::relay::RELAY_PREFIX;
 use crate::belief::directory::CallerLimits;
 use crate::front::request::{read_head, wait_for_request};
-use crate::http::{Conn, HeadWriter, set_tcp_options};
+use crate::http::{Conn, HeadWriter, RequestHead, set_tcp_options};
 use crate::node::{Node, Phase};
+use crate::peer::pull::PULL_LIMIT;
 use crate::peer::{exchange, serve as serve_peer};
 use crate::settings::Listen;
 use crate::tasks;
@@ -211,20 +212,37 @@
         let (status, body) = match purpose {
             ListenerPurpose::Ready => readiness_answer(node),
             ListenerPurpose::Metrics => (200, node.metrics.text(node).into_bytes()),
-            ListenerPurpose::Peers => serve_peer::answer(node, &head),
+            ListenerPurpose::Peers => return serve_pull(node, &mut conn, &head).await,
             ListenerPurpose::Callers => (404, Vec::new()),
         };
-        let mut out = BytesMut::with_capacity(256 + body.len());
-        HeadWriter::response(&mut out, status, reason(status))
-            .number("Content-Length", body.len() as u64)
-            .end();
-        out.put_slice(&body);
-        if conn.send(&out).await.is_err() || !head.keeps_alive() {
+        let sent = conn.send(&response(status, &body)).await;
+        if sent.is_err() || !head.keeps_alive() {
             return;
         }
     }
 }
 
+/// Answers a pull of another node, which closes the connection when it has the whole answer.
+async fn serve_pull(node: &Rc<Node>, conn: &mut Conn, head: &RequestHead) {
+    let answer = serve_peer::answer(node, head);
+    let sent = tokio::time::timeout(PULL_LIMIT, async {
+        conn.send(&response(answer.status, &answer.body)).await?;
+        conn.fill().await
+    });
+    if let (Ok(Ok(0)), Some(promise)) = (sent.await, answer.promise) {
+        promise.complete();
+    }
+}
+
+fn response(status: u16, body: &[u8]) -> BytesMut {
+    let mut out = BytesMut::with_capacity(256 + body.len());
+    HeadWriter::response(&mut out, status, reason(status))
+        .number("Content-Length", body.len() as u64)
+        .end();
+    out.put_slice(body);
+    out
+}
+
 fn readiness_answer(node: &Node) -> (u16, Vec<u8>) {
     let (status, text) = match readiness(node) {
         Readiness::Ready => (200, "ready"),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -36,8 +36,10 @@
 use crate::follow::turn;
 use crate::metrics::Metrics;
 use crate::peer::Peers;
+use crate::peer::catch_up::PullLog;
 use crate::peer::message::{Tenure, life_key};
 use crate::peer::role::{OwnCopies, Role, period_ms};
+use crate::peer::serve::Serving;
 use crate::peer::streams::Questions;
 use crate::settings::{FirstStart, Settings, ms};
 
@@ -91,6 +93,10 @@
     pub store_calls: StoreCalls,
     /// Other nodes.
     pub peers: RefCell<Peers>,
+    /// Pulls from other nodes.
+    pub pulls: RefCell<PullLog>,
+    /// What this node passes on to others.
+    pub serving: RefCell<Serving>,
     /// Token buckets of the workspaces' allowances.
     pub buckets: RefCell<Map<Name, Bucket>>,
     /// Retry budgets by service.
@@ -172,6 +178,8 @@
             store_failed_ms: Cell::new(0),
             store_calls: StoreCalls::default(),
             peers: RefCell::new(Peers::new(&settings)),
+            pulls: RefCell::default(),
+            serving: RefCell::default(),
             buckets: RefCell::default(),
             retry_budgets: RefCell::default(),
             offered_loads: RefCell::default(),
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -12,7 +12,7 @@
 use super::message::{CopyAges, HeartbeatContent, NodeHeartbeat, RegistryVersion};
 use super::role::{DrainState, HEARTBEAT_PERIOD_MS, Presence, SMALL_FLEET_NODES, period_ms};
 use super::stream_message::StreamDatagram;
-use super::{PeerUpdate, pull, pulse, streams};
+use super::{PeerUpdate, catch_up, pull, pulse, streams};
 use crate::backend::{gate, quarantine, reach};
 use crate::belief::registry::Load;
 use crate::clock::unix_ms;
@@ -155,6 +155,7 @@
         directory: node.directory_version(),
         directory_age_ms: time_since_ms(node.directory_read_ms.get(), now_ms),
         access: node.store_access(),
+        link_mbps: Some(node.settings.limits.link_mbps),
         tenure: node.tenure.get(),
         registry: RegistryVersion {
             revision: registry.revision,
@@ -248,8 +249,9 @@
         apply_full_heartbeat(node, &heartbeat, now_ms);
     }
     pull::confirm(node, &heartbeat);
-    pull::record_lag(node, &heartbeat);
-    pull::pull_missing(node, &heartbeat, from);
+    for request in pull::pulls_needed(node, &heartbeat) {
+        catch_up::start(node, request.topic());
+    }
 }
 
 fn apply_full_heartbeat(node: &Rc<Node>, heartbeat: &NodeHeartbeat, now_ms: Millisecond) {
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -54,6 +54,9 @@
     /// Whether the store serves the sender.
     #[serde(default)]
     pub access: StoreAccess,
+    /// Bandwidth of the sender's link, in Mbit/s; unset by older builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub link_mbps: Option<f64>,
     /// Whether the sender holds the lease on the duties.
     #[serde(default)]
     pub tenure: Tenure,
@@ -108,6 +111,9 @@
         let loads = self.loads.iter();
         self.period_ms.max(pulse_ms) <= period_ms(NODES_LIMIT)
             && self.registry.changed <= self.registry.revision
+            && self
+                .link_mbps
+                .is_none_or(|mbps| mbps.is_finite() && mbps > 0.0)
             && loads
                 .clone()
                 .all(|(_, running, _)| *running <= REQUESTS_LIMIT)
@@ -213,6 +219,16 @@
     pub begun: WindowCounts,
 }
 
+/// Answer of a node that sends as much as its link carries: nodes that it has sent its directory.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Referral {
+    pub directory: u64,
+    pub nodes: Vec<Name>,
+}
+
+/// Field of a pull with the name of the node that pulls.
+pub const PULLED_BY: &str = "pulled-by";
+
 /// Path of a node's usage counts.
 pub const USAGE_PATH: &str = "/usage";
 
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -3,6 +3,7 @@
 //! No consensus is needed. Each node repeats its whole state in every full heartbeat, so a lost
 //! datagram only delays the others until the next one.
 
+pub mod catch_up;
 pub mod exchange;
 pub mod message;
 pub mod pull;
@@ -296,14 +297,26 @@
         DISCOVERY_MS.max(2 * period_ms(self.listed() + 1))
     }
 
-    /// Number of nodes in its failure domain that rank before the node `own`.
-    pub fn domain_rank(&self, own: &Name, failure_domain: &Name, now_ms: Millisecond) -> usize {
-        let summaries = self.peer_summaries(now_ms);
-        let same_domain = summaries
-            .iter()
-            .filter(|n| n.failure_domain == failure_domain);
-        let earlier = same_domain.filter(|n| n.presence == Presence::Fresh && n.name < own);
-        earlier.count()
+    /// Number of other nodes in its failure domain that are heard and rank before the node `own`, and
+    /// of all that are heard.
+    pub fn domain_position(
+        &self,
+        own: &Name,
+        failure_domain: &Name,
+        now_ms: Millisecond,
+    ) -> (usize, usize) {
+        let heard = self.by_name.iter().filter(|(_, p)| {
+            p.heartbeat.failure_domain == *failure_domain && p.presence(now_ms) == Presence::Fresh
+        });
+        let earlier = heard.clone().filter(|(name, _)| *name < own);
+        (earlier.count(), heard.count())
+    }
+
+    /// Records that a node has a version of the directory, as another node says.
+    pub fn record_directory(&mut self, name: &Name, version: u64) {
+        if let Some(peer) = self.by_name.get_mut(name) {
+            peer.heartbeat.directory = peer.heartbeat.directory.max(version);
+        }
     }
 
     /// Whether a holder of the duties has been heard recently.
@@ -410,16 +423,6 @@
         (followers, listeners)
     }
 
-    /// Whether any other node of a failure domain has been heard recently.
-    pub fn domain_presence(&self, failure_domain: &Name, now_ms: Millisecond) -> Presence {
-        let in_domain = |p: &Peer| p.heartbeat.failure_domain == *failure_domain;
-        let fresh = |p: &Peer| p.presence(now_ms) == Presence::Fresh;
-        match self.by_name.values().any(|p| in_domain(p) && fresh(p)) {
-            true => Presence::Fresh,
-            false => Presence::Silent,
-        }
-    }
-
     /// Rank of the node `own` by name among all nodes, and the number of nodes.
     pub fn share(&self, own: &Name) -> EntryRank {
         EntryRank {
--- a/crates/gateway/src/peer/pull.rs
+++ b/crates/gateway/src/peer/pull.rs
@@ -7,21 +7,26 @@
 
 use base::units::Millisecond;
 use bytes::{Bytes, BytesMut};
+use outside::Topic;
 use serde::Serialize;
 
 use super::message::{
-    DIRECTORY_PATH, NodeHeartbeat, REGISTRY_PATH, RegistryCopy, RegistryVersion, USAGE_PATH,
-    UsageCopy,
+    DIRECTORY_PATH, NodeHeartbeat, PULLED_BY, REGISTRY_PATH, Referral, RegistryCopy,
+    RegistryVersion, USAGE_PATH, UsageCopy,
 };
 use crate::decide::pause::Arrival;
+use crate::decide::source::{PullOutcome, Standing};
 use crate::decide::store_poll::MAX_LONG_POLL_MS;
-use crate::http::{Body, Conn, ConnOptions, HeadWriter, Progress};
+use crate::http::{Body, Conn, ConnOptions, Framing, HeadWriter};
 use crate::node::Node;
-use crate::peer::role::{Presence, Role};
+use crate::peer::role::Role;
 use crate::{follow, log};
 
-/// Time limit of one pull.
-const PULL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time limit of one pull. Bytes that come slowly are kept until then.
+pub const PULL_LIMIT: Duration = Duration::from_secs(8);
+
+/// A pull without a byte for this time has failed.
+const STALL_LIMIT: Duration = Duration::from_millis(600);
 
 const CONN_OPTIONS: ConnOptions = ConnOptions {
     connect_timeout_ms: 400,
@@ -35,47 +40,16 @@
 /// longer than the store may hold a query for changes.
 const STORE_SILENT_MS: Millisecond = MAX_LONG_POLL_MS + 900;
 
-/// For this time the registry is pulled only from nodes of the same failure domain. Half of the
-/// shortest drain bound, 2 s, within which a leaving server must be known.
-const NEIGHBOURS_ONLY_MS: Millisecond = 1_000;
-
-/// Head start that each node of a failure domain gives to the one before it: two heartbeat periods
-/// and a pull.
-const NEIGHBOUR_DELAY_MS: Millisecond = 300;
-
 /// Outcome of a partial copy that doesn't continue the local registry.
 const GAP: &str = "gap";
 
+/// Outcome of a pull from a node whose link is full.
+const BUSY: &str = "busy";
+
 /// Nodes asked for usage counts; more than one, as a node may have started late itself or not
 /// answer.
 const USAGE_SOURCES: usize = 3;
 
-thread_local! {
-    static PULL_STATE: Cell<PullState> = const { Cell::new(PullState::Idle) };
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum PullState {
-    Running,
-    Idle,
-}
-
-/// Marks a pull as running until it is dropped, also on a panic.
-struct PullGuard;
-
-impl PullGuard {
-    fn begin() -> Self {
-        PULL_STATE.set(PullState::Running);
-        Self
-    }
-}
-
-impl Drop for PullGuard {
-    fn drop(&mut self) {
-        PULL_STATE.set(PullState::Idle);
-    }
-}
-
 #[derive(Serialize)]
 struct PulledFields<'a> {
     from: SocketAddr,
@@ -103,6 +77,24 @@
 }
 
 impl PullRequest {
+    /// The request for what this node lacks of a topic.
+    fn of(node: &Node, topic: Topic) -> Self {
+        match topic {
+            Topic::Directory | Topic::Nodes => Self::Directory,
+            Topic::Servers => Self::Registry {
+                since: node.registry.borrow().revision,
+            },
+        }
+    }
+
+    /// The topic that it is about; usage counts belong to the registry's.
+    pub fn topic(self) -> Topic {
+        match self {
+            Self::Directory => Topic::Directory,
+            Self::Registry { .. } | Self::Usage => Topic::Servers,
+        }
+    }
+
     fn path(self) -> String {
         match self {
             Self::Directory => DIRECTORY_PATH.to_owned(),
@@ -123,15 +115,14 @@
     /// Time for which this node has known that others have a newer version.
     fn behind_ms(self, node: &Node) -> Option<Millisecond> {
         match self {
-            Self::Directory => node.directory_behind_ms(),
-            Self::Registry { .. } => node.registry_behind_ms(),
+            Self::Directory | Self::Registry { .. } => self::behind_ms(node, self.topic()),
             Self::Usage => None,
         }
     }
 }
 
 /// Records which versions the sender of `heartbeat` has that this node lacks.
-pub fn record_lag(node: &Node, heartbeat: &NodeHeartbeat) {
+fn record_lag(node: &Node, heartbeat: &NodeHeartbeat) {
     let now_ms = node.now_ms();
     let mut lag = node.directory_lag.borrow_mut();
     lag.record(heartbeat.directory, node.directory_version(), now_ms);
@@ -139,48 +130,79 @@
     lag.record(heartbeat.registry.changed, node.known_change(), now_ms);
 }
 
-/// Pulls what the sender of `heartbeat` knows and this node doesn't. Only one pull runs at a time.
-pub fn pull_missing(node: &Rc<Node>, heartbeat: &NodeHeartbeat, address: SocketAddr) {
-    let requests = pulls_needed(node, heartbeat);
-    if requests.is_empty() || PULL_STATE.get() == PullState::Running {
-        return;
-    }
-    let guard = PullGuard::begin();
-    let node = node.clone();
-    tokio::task::spawn_local(async move {
-        for request in requests {
-            pull(&node, address, request).await;
-        }
-        drop(guard);
+/// What this node should pull from the sender of `heartbeat`.
+pub fn pulls_needed(node: &Node, heartbeat: &NodeHeartbeat) -> Vec<PullRequest> {
+    record_lag(node, heartbeat);
+    let topics = [Topic::Directory, Topic::Servers];
+    let needed = topics.iter().filter(|topic| {
+        has_newer(node, heartbeat, **topic)
+            && may_pull(node, **topic)
+            && (is_near(node, heartbeat) || standing(node, **topic).may_ask_other_domains())
     });
+    needed.map(|topic| PullRequest::of(node, *topic)).collect()
 }
 
-/// What this node should pull from the sender of `heartbeat`.
-pub fn pulls_needed(node: &Node, heartbeat: &NodeHeartbeat) -> Vec<PullRequest> {
-    let mut requests = Vec::new();
-    let version = node.directory_version();
-    if heartbeat.directory > version {
-        requests.push(PullRequest::Directory);
+/// Whether the sender of `heartbeat` has a version of the topic that this node lacks.
+pub fn has_newer(node: &Node, heartbeat: &NodeHeartbeat, topic: Topic) -> bool {
+    match topic {
+        Topic::Directory | Topic::Nodes => heartbeat.directory > node.directory_version(),
+        Topic::Servers => heartbeat.registry.changed > node.registry.borrow().revision,
     }
-    let revision = node.registry.borrow().revision;
-    if heartbeat.registry.changed <= revision {
-        return requests;
+}
+
+/// Whether other nodes have a version of the topic that this node lacks.
+pub fn is_behind(node: &Node, topic: Topic) -> bool {
+    behind_ms(node, topic).is_some()
+}
+
+/// Time for which other nodes have had a version of the topic that this node lacks.
+fn behind_ms(node: &Node, topic: Topic) -> Option<Millisecond> {
+    match topic {
+        Topic::Directory | Topic::Nodes => node.directory_behind_ms(),
+        Topic::Servers => node.registry_behind_ms(),
     }
-    let reach = match node.role() {
-        // A listening node doesn't query the store.
-        Role::Listens => StoreReach::Unreachable,
-        Role::Follows => store_reach(node),
-    };
-    match reach {
-        StoreReach::Answering => announce_change(node, heartbeat.registry.changed),
-        StoreReach::Unreachable
-            if may_ask_sender(node, heartbeat) || may_ask_other_domains(node) =>
-        {
-            requests.push(PullRequest::Registry { since: revision })
+}
+
+/// Whether the sender is in this node's failure domain.
+fn is_near(node: &Node, heartbeat: &NodeHeartbeat) -> bool {
+    heartbeat.failure_domain == node.settings.node.failure_domain
+}
+
+/// Whether this node pulls the topic from other nodes. A node that follows the registry asks the
+/// store for a change, unless the store doesn't answer it or the change is long overdue.
+pub fn may_pull(node: &Node, topic: Topic) -> bool {
+    if topic != Topic::Servers || node.role() == Role::Listens {
+        return true;
+    }
+    let lag = node.registry_lag.borrow().newest();
+    match store_reach(node) {
+        StoreReach::Unreachable => true,
+        StoreReach::Answering => {
+            if let Some(changed) = lag {
+                announce_change(node, changed);
+            }
+            let behind_ms = node.registry_behind_ms().unwrap_or(0);
+            behind_ms >= node.settings.bounds.drain_ms / 4
         }
-        StoreReach::Unreachable => {}
     }
-    requests
+}
+
+/// How this node stands among the nodes of its failure domain.
+pub fn standing(node: &Node, topic: Topic) -> Standing {
+    let (own, bounds) = (&node.settings.node, &node.settings.bounds);
+    let (position, neighbours) =
+        node.peers
+            .borrow()
+            .domain_position(&own.name, &own.failure_domain, node.now_ms());
+    Standing {
+        behind_ms: behind_ms(node, topic).unwrap_or(0),
+        bound_ms: match topic {
+            Topic::Directory | Topic::Nodes => bounds.directory_ms,
+            Topic::Servers => bounds.drain_ms,
+        },
+        position,
+        neighbours,
+    }
 }
 
 /// Has the store queried for a change that another node knows. The store may answer with an older
@@ -242,56 +264,61 @@
     }
 }
 
-/// Whether the sender is in this node's failure domain, or no other node of that domain is heard.
-/// Traffic between failure domains costs money.
-fn may_ask_sender(node: &Node, heartbeat: &NodeHeartbeat) -> bool {
-    let domain = &node.settings.node.failure_domain;
-    let presence = node.peers.borrow().domain_presence(domain, node.now_ms());
-    heartbeat.failure_domain == *domain || presence == Presence::Silent
-}
-
-/// Whether this node may pull the registry from other failure domains. The first node of a domain
-/// does so at once, the next ones if the nodes before them have not passed it on in time. Nodes
-/// that only listen always wait for the nodes of their domain.
-fn may_ask_other_domains(node: &Node) -> bool {
-    if node.role() == Role::Listens {
-        return false;
-    }
-    let own = &node.settings.node;
-    let now_ms = node.now_ms();
-    let domain_rank = node
-        .peers
-        .borrow()
-        .domain_rank(&own.name, &own.failure_domain, now_ms);
-    let age_ms = now_ms.saturating_sub(node.registry_confirmed_ms.get());
-    age_ms >= (NEIGHBOUR_DELAY_MS * domain_rank as Millisecond).min(NEIGHBOURS_ONLY_MS)
-}
-
 /// Pulls usage counts of lives that this node may never have heard, from the longest-running nodes.
 pub async fn pull_usage(node: &Rc<Node>) {
     let now_ms = node.now_ms();
     let addresses = node.peers.borrow().longest_running(USAGE_SOURCES, now_ms);
+    let progress = Progress::default();
     let questions = addresses
         .iter()
-        .map(|at| pull(node, *at, PullRequest::Usage));
+        .map(|at| pull_once(node, *at, PullRequest::Usage, &progress));
     futures_util::future::join_all(questions).await;
 }
 
-async fn pull(node: &Rc<Node>, address: SocketAddr, request: PullRequest) {
-    if pull_once(node, address, request).await == GAP {
-        pull_once(node, address, PullRequest::Registry { since: 0 }).await;
+/// How far a pull is.
+#[derive(Debug, Default)]
+pub struct Progress {
+    pub received_bytes: Cell<usize>,
+    /// Length of the answer; unset before its head has come.
+    pub total_bytes: Cell<Option<usize>>,
+}
+
+/// Pulls from `address` what this node lacks.
+pub async fn pull(
+    node: &Rc<Node>,
+    address: SocketAddr,
+    topic: Topic,
+    progress: &Progress,
+) -> PullOutcome {
+    let request = PullRequest::of(node, topic);
+    let had = request.known_version(node);
+    let mut outcome = pull_once(node, address, request, progress).await;
+    if outcome == GAP {
+        let whole = PullRequest::Registry { since: 0 };
+        outcome = pull_once(node, address, whole, progress).await;
+    }
+    match outcome {
+        BUSY => PullOutcome::Busy,
+        _ if request.known_version(node) > had => PullOutcome::Answered,
+        _ => PullOutcome::Failed,
     }
 }
 
 /// Pulls once and logs the outcome, which it returns.
-async fn pull_once(node: &Rc<Node>, address: SocketAddr, request: PullRequest) -> &'static str {
+async fn pull_once(
+    node: &Rc<Node>,
+    address: SocketAddr,
+    request: PullRequest,
+    progress: &Progress,
+) -> &'static str {
     let path = request.path();
     let (started_ms, had) = (node.now_ms(), request.known_version(node));
     let behind_ms = request.behind_ms(node).unwrap_or(0);
-    let received = Cell::new(0);
-    let answer = tokio::time::timeout(PULL_TIMEOUT, fetch(address, &path, &received)).await;
+    let own = &node.settings.node.name;
+    let answer = tokio::time::timeout(PULL_LIMIT, fetch(address, &path, own, progress)).await;
     let (version, outcome) = match answer {
-        Ok(Ok(body)) => match request {
+        Ok(Ok((503, body))) => take_referral(node, &body),
+        Ok(Ok((_, body))) => match request {
             PullRequest::Directory => follow::directory::adopt_row(node, &body),
             PullRequest::Usage => merge_usage(node, &body),
             PullRequest::Registry { .. } => adopt_registry(node, &body),
@@ -305,13 +332,25 @@
         outcome,
         had,
         behind_ms,
-        bytes: received.get(),
+        bytes: progress.received_bytes.get(),
         took_ms: node.now_ms().saturating_sub(started_ms),
     };
     log::emit(events::Code::BeliefPulled, &fields);
     outcome
 }
 
+/// Notes the nodes that a busy one has sent its directory to.
+fn take_referral(node: &Node, body: &[u8]) -> (u64, &'static str) {
+    let Ok(referral) = serde_json::from_slice::<Referral>(body) else {
+        return (0, BUSY);
+    };
+    let mut peers = node.peers.borrow_mut();
+    for name in &referral.nodes {
+        peers.record_directory(name, referral.directory);
+    }
+    (referral.directory, BUSY)
+}
+
 /// Merges the usage counts of other lives. Returns their number as the version.
 fn merge_usage(node: &Node, body: &[u8]) -> (u64, &'static str) {
     let Ok(copy) = serde_json::from_slice::<UsageCopy>(body) else {
@@ -337,26 +376,37 @@
     }
 }
 
-/// Body of the response. `received` is the number of its bytes that have come so far.
-async fn fetch(address: SocketAddr, path: &str, received: &Cell<usize>) -> std::io::Result<Bytes> {
+/// Status and body of the response.
+async fn fetch(
+    address: SocketAddr,
+    path: &str,
+    own: &str,
+    progress: &Progress,
+) -> std::io::Result<(u16, Bytes)> {
     let mut conn = Conn::open(address, CONN_OPTIONS).await?;
     let mut head = BytesMut::new();
     HeadWriter::request(&mut head, "GET", path)
         .field("Host", address.to_string().as_bytes())
         .field("Connection", b"close")
+        .field(PULLED_BY, own.as_bytes())
         .end();
     conn.send(&head).await?;
     let malformed = || std::io::Error::from(std::io::ErrorKind::InvalidData);
-    let head = conn.response_head(RESPONSE_LIMIT_BYTES, "GET").await?;
+    let head = conn.response_head(RESPONSE_LIMIT_BYTES, "GET");
+    let head = tokio::time::timeout(STALL_LIMIT, head).await??;
+    if let Framing::Length(bytes) = head.framing {
+        progress.total_bytes.set(Some(bytes as usize));
+    }
     let mut body = Body::new(head.framing);
     let mut whole = BytesMut::new();
     loop {
-        let progress = body.read(&mut conn.buf, &mut whole);
-        received.set(whole.len());
-        if progress.map_err(|_| malformed())? == Progress::Done {
-            return Ok(whole.freeze());
+        let read = body.read(&mut conn.buf, &mut whole);
+        progress.received_bytes.set(whole.len());
+        if read.map_err(|_| malformed())? == crate::http::Progress::Done {
+            return Ok((head.status, whole.freeze()));
         }
-        if whole.len() > RESPONSE_LIMIT_BYTES || conn.fill().await? == 0 {
+        let filled = tokio::time::timeout(STALL_LIMIT, conn.fill()).await??;
+        if whole.len() > RESPONSE_LIMIT_BYTES || filled == 0 {
             return Err(malformed());
         }
     }
--- a/crates/gateway/src/peer/serve.rs
+++ b/crates/gateway/src/peer/serve.rs
@@ -1,11 +1,110 @@
 //! Answers the pulls of other nodes.
 
-use super::message::{DIRECTORY_PATH, Listing, REGISTRY_PATH, RegistryCopy, USAGE_PATH};
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use base::Name;
+
+use super::message::{
+    DIRECTORY_PATH, Listing, PULLED_BY, REGISTRY_PATH, Referral, RegistryCopy, USAGE_PATH,
+};
+use crate::decide::source::may_promise;
 use crate::http::RequestHead;
 use crate::node::Node;
 
+/// Nodes that a busy node names as other sources.
+const REFERRED_NODES: usize = 4;
+
+/// What this node passes on to others.
+#[derive(Debug, Default)]
+pub struct Serving {
+    /// Bytes of the answers that are being sent.
+    promised_bytes: usize,
+    /// Nodes that have the directory from here, the latest last, and its version.
+    receivers: VecDeque<Name>,
+    directory: u64,
+}
+
+/// Answer to a pull.
+pub struct Answer {
+    pub status: u16,
+    pub body: Vec<u8>,
+    /// Held until the other node has the whole answer; `None` if this node is too busy to send it.
+    pub promise: Option<Promise>,
+}
+
+/// The part of the link that an answer takes.
+pub struct Promise {
+    node: Rc<Node>,
+    bytes: usize,
+    /// Node and version of the directory that it gets.
+    directory_to: Option<(Name, u64)>,
+}
+
+impl Promise {
+    /// Records that the other node has the whole answer.
+    pub fn complete(mut self) {
+        let Some((name, version)) = self.directory_to.take() else {
+            return;
+        };
+        let mut serving = self.node.serving.borrow_mut();
+        if serving.directory != version {
+            serving.directory = version;
+            serving.receivers.clear();
+        }
+        if serving.receivers.len() >= REFERRED_NODES {
+            serving.receivers.pop_front();
+        }
+        serving.receivers.push_back(name);
+    }
+}
+
+impl Drop for Promise {
+    fn drop(&mut self) {
+        self.node.serving.borrow_mut().promised_bytes -= self.bytes;
+    }
+}
+
+/// The answer to a pull. A node whose link is full of answers names others instead.
+pub fn answer(node: &Rc<Node>, head: &RequestHead) -> Answer {
+    let (status, body) = content(node, head);
+    // Older builds don't say who they are, and take any answer for the content.
+    let Some(pulled_by) = head.fields.text(PULLED_BY) else {
+        return Answer {
+            status,
+            body,
+            promise: None,
+        };
+    };
+    let mut serving = node.serving.borrow_mut();
+    let link_mbps = node.settings.limits.link_mbps;
+    if !may_promise(link_mbps, serving.promised_bytes, body.len()) {
+        let referral = Referral {
+            directory: serving.directory,
+            nodes: serving.receivers.iter().cloned().collect(),
+        };
+        return Answer {
+            status: 503,
+            body: serde_json::to_vec(&referral).unwrap_or_default(),
+            promise: None,
+        };
+    }
+    serving.promised_bytes += body.len();
+    let is_directory = head.path() == DIRECTORY_PATH;
+    let promise = Promise {
+        node: node.clone(),
+        bytes: body.len(),
+        directory_to: is_directory.then(|| (pulled_by.into(), node.directory_version())),
+    };
+    Answer {
+        status,
+        body,
+        promise: Some(promise),
+    }
+}
+
 /// Status and body of the response to a pull.
-pub fn answer(node: &Node, head: &RequestHead) -> (u16, Vec<u8>) {
+fn content(node: &Node, head: &RequestHead) -> (u16, Vec<u8>) {
     let path = head.path();
     if let Some(since) = path.strip_prefix(REGISTRY_PATH) {
         return match since.parse() {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,6 +11,7 @@
 use crate::decide::rule::Rule;
 use crate::decide::scale::UtilizationShares;
 use crate::decide::shed::WAIT_SHARE;
+use crate::decide::source::DEFAULT_LINK_MBPS;
 use crate::follow::streams::Partitioning;
 
 /// Kind of the file, as named in error messages.
@@ -43,11 +44,16 @@
 pub struct Limits {
     /// Memory of the process, in megabytes (10^6 bytes).
     pub memory_mb: f64,
+    /// Bandwidth of the VM's link, in Mbit/s.
+    pub link_mbps: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { memory_mb: 256.0 }
+        Self {
+            memory_mb: 256.0,
+            link_mbps: DEFAULT_LINK_MBPS,
+        }
     }
 }
 
@@ -240,6 +246,7 @@
         config_file::check_positive(&[
             ("store.writes_per_s", self.store.writes_per_s),
             ("limits.memory_mb", self.limits.memory_mb),
+            ("limits.link_mbps", self.limits.link_mbps),
             ("placing.wait_share", self.placing.wait_share),
             ("buying.comfort_share", self.buying.comfort_share),
             ("buying.tight_share", self.buying.tight_share),
--- a/crates/gateway/tests/late_change.rs
+++ b/crates/gateway/tests/late_change.rs
@@ -6,12 +6,17 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use base::units::Millisecond;
+use gateway::follow;
 use gateway::node::Node;
 use gateway::peer::exchange::apply_heartbeat;
 use gateway::peer::message::{NodeHeartbeat, RegistryVersion};
+use gateway::peer::role::Role;
+use outside::{Feed, FeedBatch, FeedError, FeedRow, ReadError, Topic};
 use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -192,6 +197,55 @@
     });
 }
 
+/// The store, with the newest directory.
+struct Store;
+
+#[async_trait]
+impl Feed for Store {
+    async fn snapshot(&self, _: Topic) -> Result<FeedBatch, ReadError> {
+        let row = FeedRow {
+            key: "directory".to_owned(),
+            body: Some(VERSION.to_string().into_bytes()),
+        };
+        Ok(FeedBatch {
+            rows: vec![row],
+            revision: VERSION,
+        })
+    }
+
+    async fn changes(&self, topic: Topic, _: u64, _: Millisecond) -> Result<FeedBatch, FeedError> {
+        let unanswered = |e: ReadError| FeedError::Unanswered { reason: e.reason };
+        self.snapshot(topic).await.map_err(unanswered)
+    }
+}
+
+#[test]
+fn a_listening_node_that_no_source_answers_asks_the_store_itself() {
+    run(async {
+        let node = support::node("n");
+        let hangs = Source::start("hangs", Treatment::Hangs).await;
+        node.directory_confirmed_ms.set(node.now_ms() + 1);
+        node.registry_confirmed_ms.set(node.now_ms() + 1);
+        let told = |name: &str, directory: u64, number: u64| NodeHeartbeat {
+            node: name.into(),
+            directory,
+            number,
+            ..hangs.heartbeat(number)
+        };
+        let names: Vec<String> = (0..14).map(|n| format!("m{n:02}")).collect();
+        for name in &names {
+            apply_heartbeat(&node, told(name, 0, 1), hangs.address);
+        }
+        assert_eq!(node.role(), Role::Listens);
+        let feed = Arc::new(Store);
+        let apply = follow::directory::apply_batch;
+        tokio::task::spawn_local(follow::follow(node.clone(), feed, Topic::Directory, apply));
+        let limit = half_of_bound(&node);
+        let took = wait_for_change(&node, &[&hangs], limit).await;
+        assert!(node.directory().is_some(), "not in force after {took:?}");
+    });
+}
+
 #[test]
 fn a_slow_answer_is_kept_if_no_other_source_is_there() {
     run(async {
