Nodes pass the directory to each other packed; E409 and fields of E401 tell each decision

Cause: over thin links alone a directory of 310 kB took longer than half of the bound to reach the last node (simulated: 1,190, 1,990 and 2,590 ms at 6, 66 and 295 nodes), whoever was asked. Its rows repeat themselves.

Weighed: changed parts of the row (they have no versions in the store).

E409 tells that a node asks the store alone, E401 among how many sources it chose.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -81,7 +81,7 @@
     ReclaimDecided = 310, "reclaim.decided", Info, "A stream at a leaving backend server finishes there, moves with its KV cache, or is recomputed elsewhere.";
 
     ConfigInForce = 400, "config.in_force", Info, "A configuration version is in force at this daemon.";
-    BeliefPulled = 401, "belief.pulled", Info, "A newer configuration or registry was requested from another node; fields give the version that this node had, the time for which it had known that others have a newer one, and the bytes and the time of the answer.";
+    BeliefPulled = 401, "belief.pulled", Info, "A newer configuration or registry was requested from another node; fields give the version that this node had, the time for which it had known that others have a newer one, how many sources it could choose from and how many it asks, and the bytes and the time of the answer.";
     RowUnreadable = 402, "row.unreadable", Error, "A row of the store cannot be decoded; the previous content stays in force.";
     StoreLost = 403, "store.lost", Warn, "The platform's store does not respond; the daemon continues with its local copy and the updates of other nodes.";
     StoreRegained = 404, "store.regained", Info, "The platform's store responds again.";
@@ -89,6 +89,7 @@
     NodeListed = 406, "node.listed", Warn, "The list of nodes in the store had lost this node, and it has registered again.";
     VersionsSaved = 407, "versions.saved", Info, "The software versions of a service have changed, and were written to the store; fields give the outcome.";
     RoleChanged = 408, "role.changed", Info, "This node begins or ends to follow the store itself; fields give the ages of its copies and whether the store serves it.";
+    LeftBehind = 409, "node.left_behind", Warn, "This node has long known that others have a newer version, no source has passed it on, and it asks the store itself; fields give the versions, the time and the node's position in its failure domain.";
     ConfigDecided = 410, "config.decided", Info, "The table accepted or refused an operator's configuration; fields give the outcome.";
 
     PeerSuspected = 500, "peer.suspected", Warn, "Messages of a peer are overdue; it gets no handovers until one arrives.";
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -20,6 +20,7 @@
 use crate::decide::store_calls::StoreAccess;
 use crate::log;
 use crate::node::Node;
+use crate::peer::pull;
 use crate::peer::role::Role;
 
 /// Pause after a query without an answer; other nodes query meanwhile.
@@ -57,6 +58,16 @@
     access: StoreAccess,
 }
 
+#[derive(Serialize)]
+struct LeftBehindFields<'a> {
+    topic: &'a str,
+    had: u64,
+    newest: Option<u64>,
+    behind_ms: Millisecond,
+    position: usize,
+    neighbours: usize,
+}
+
 /// Handler of a topic's rows.
 type ApplyBatch = fn(&Rc<Node>, FeedBatch, BatchScope);
 
@@ -78,6 +89,9 @@
         if revision.is_some() && wait_for_turn(&node, topic).await == Turn::Listens {
             continue;
         }
+        if is_left_behind(&node, topic) {
+            report_left_behind(&node, topic);
+        }
         let announced = node.announced_change.get();
         let queried_ms = node.now_ms();
         let outcome = match revision {
@@ -191,6 +205,23 @@
     log::emit(events::Code::RoleChanged, &fields);
 }
 
+fn report_left_behind(node: &Node, topic: Topic) {
+    let (had, lag) = match topic {
+        Topic::Directory | Topic::Nodes => (node.directory_version(), &node.directory_lag),
+        Topic::Servers => (node.known_change(), &node.registry_lag),
+    };
+    let standing = pull::standing(node, topic);
+    let fields = LeftBehindFields {
+        topic: topic_name(topic),
+        had,
+        newest: lag.borrow().newest(),
+        behind_ms: standing.behind_ms,
+        position: standing.position,
+        neighbours: standing.neighbours,
+    };
+    log::emit(events::Code::LeftBehind, &fields);
+}
+
 fn record_store_answer(node: &Node, topic: Topic) {
     let now_ms = node.now_ms();
     let was_failing = node.store_failed_ms.get() > node.store_ok_ms.get();
--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -215,7 +215,7 @@
             ListenerPurpose::Peers => return serve_pull(node, &mut conn, &head).await,
             ListenerPurpose::Callers => (404, Vec::new()),
         };
-        let sent = conn.send(&response(status, &body)).await;
+        let sent = conn.send(&response(status, None, &body)).await;
         if sent.is_err() || !head.keeps_alive() {
             return;
         }
@@ -226,7 +226,8 @@
 async fn serve_pull(node: &Rc<Node>, conn: &mut Conn, head: &RequestHead) {
     let answer = serve_peer::answer(node, head);
     let sent = tokio::time::timeout(PULL_LIMIT, async {
-        conn.send(&response(answer.status, &answer.body)).await?;
+        let response = response(answer.status, answer.coding, &answer.body);
+        conn.send(&response).await?;
         conn.fill().await
     });
     if let (Ok(Ok(0)), Some(promise)) = (sent.await, answer.promise) {
@@ -234,11 +235,14 @@
     }
 }
 
-fn response(status: u16, body: &[u8]) -> BytesMut {
+fn response(status: u16, coding: Option<&str>, body: &[u8]) -> BytesMut {
     let mut out = BytesMut::with_capacity(256 + body.len());
-    HeadWriter::response(&mut out, status, reason(status))
-        .number("Content-Length", body.len() as u64)
-        .end();
+    let mut head = HeadWriter::response(&mut out, status, reason(status))
+        .number("Content-Length", body.len() as u64);
+    if let Some(coding) = coding {
+        head = head.field("Content-Encoding", coding.as_bytes());
+    }
+    head.end();
     out.put_slice(body);
     out
 }
--- a/crates/gateway/src/peer/catch_up.rs
+++ b/crates/gateway/src/peer/catch_up.rs
@@ -11,7 +11,7 @@
 use futures_util::stream::FuturesUnordered;
 use outside::Topic;
 
-use super::pull::{self, Progress};
+use super::pull::{self, Choice, Progress};
 use super::role::Presence;
 use crate::decide::source::{
     Contact, DEFAULT_LINK_MBPS, Place, PullOutcome, Source, Step, Transfer, next_step,
@@ -173,7 +173,11 @@
             running.remove(ends).abort.abort();
         }
         if let Step::Ask(source) | Step::Replace { source, .. } = step {
-            let (pull, end) = ask(node, topic, &candidates[source]);
+            let choice = Choice {
+                sources: candidates.len(),
+                under_way: running.len(),
+            };
+            let (pull, end) = ask(node, topic, &candidates[source], choice);
             running.push(pull);
             ends.push(end);
             continue;
@@ -224,6 +228,7 @@
     node: &Rc<Node>,
     topic: Topic,
     candidate: &Candidate,
+    choice: Choice,
 ) -> (RunningPull, impl Future<Output = Rc<Progress>> + use<>) {
     let now_ms = node.now_ms();
     node.pulls.borrow_mut().begin(&candidate.name, now_ms);
@@ -235,7 +240,7 @@
     let progress = Rc::new(Progress::default());
     let (address, received) = (candidate.address, progress.clone());
     let (pull, abort) = abortable(async move {
-        let outcome = pull::pull(&asking.node, address, topic, &received).await;
+        let outcome = pull::pull(&asking.node, address, topic, choice, &received).await;
         asking.finish(outcome);
     });
     let running = RunningPull {
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -6,6 +6,7 @@
 pub mod catch_up;
 pub mod exchange;
 pub mod message;
+pub mod pack;
 pub mod pull;
 pub mod pulse;
 pub mod role;
--- a/crates/gateway/src/peer/pull.rs
+++ b/crates/gateway/src/peer/pull.rs
@@ -14,10 +14,11 @@
     DIRECTORY_PATH, NodeHeartbeat, PULLED_BY, REGISTRY_PATH, Referral, RegistryCopy,
     RegistryVersion, USAGE_PATH, UsageCopy,
 };
+use super::pack;
 use crate::decide::pause::Arrival;
 use crate::decide::source::{PullOutcome, Standing};
 use crate::decide::store_poll::MAX_LONG_POLL_MS;
-use crate::http::{Body, Conn, ConnOptions, Framing, HeadWriter};
+use crate::http::{Body, Conn, ConnOptions, Framing, HeadWriter, ResponseHead};
 use crate::node::Node;
 use crate::peer::role::Role;
 use crate::{follow, log};
@@ -60,10 +61,21 @@
     had: u64,
     /// Time for which it had known that others have a newer one.
     behind_ms: Millisecond,
+    #[serde(flatten)]
+    choice: Choice,
     bytes: usize,
     took_ms: Millisecond,
 }
 
+/// What a source was chosen from.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Choice {
+    /// Nodes that have what this one lacks.
+    pub sources: usize,
+    /// Pulls of the topic that were under way.
+    pub under_way: usize,
+}
+
 /// What a node pulls from another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PullRequest {
@@ -269,9 +281,10 @@
     let now_ms = node.now_ms();
     let addresses = node.peers.borrow().longest_running(USAGE_SOURCES, now_ms);
     let progress = Progress::default();
+    let choice = Choice::default();
     let questions = addresses
         .iter()
-        .map(|at| pull_once(node, *at, PullRequest::Usage, &progress));
+        .map(|at| pull_once(node, *at, PullRequest::Usage, choice, &progress));
     futures_util::future::join_all(questions).await;
 }
 
@@ -288,14 +301,15 @@
     node: &Rc<Node>,
     address: SocketAddr,
     topic: Topic,
+    choice: Choice,
     progress: &Progress,
 ) -> PullOutcome {
     let request = PullRequest::of(node, topic);
     let had = request.known_version(node);
-    let mut outcome = pull_once(node, address, request, progress).await;
+    let mut outcome = pull_once(node, address, request, choice, progress).await;
     if outcome == GAP {
         let whole = PullRequest::Registry { since: 0 };
-        outcome = pull_once(node, address, whole, progress).await;
+        outcome = pull_once(node, address, whole, choice, progress).await;
     }
     match outcome {
         BUSY => PullOutcome::Busy,
@@ -309,6 +323,7 @@
     node: &Rc<Node>,
     address: SocketAddr,
     request: PullRequest,
+    choice: Choice,
     progress: &Progress,
 ) -> &'static str {
     let path = request.path();
@@ -317,9 +332,9 @@
     let own = &node.settings.node.name;
     let answer = tokio::time::timeout(PULL_LIMIT, fetch(address, &path, own, progress)).await;
     let (version, outcome) = match answer {
-        Ok(Ok((503, body))) => take_referral(node, &body),
-        Ok(Ok((_, body))) => match request {
-            PullRequest::Directory => follow::directory::adopt_row(node, &body),
+        Ok(Ok((head, body))) => match request {
+            _ if head.status == 503 => take_referral(node, &body),
+            PullRequest::Directory => adopt_directory(node, &head, body),
             PullRequest::Usage => merge_usage(node, &body),
             PullRequest::Registry { .. } => adopt_registry(node, &body),
         },
@@ -332,6 +347,7 @@
         outcome,
         had,
         behind_ms,
+        choice,
         bytes: progress.received_bytes.get(),
         took_ms: node.now_ms().saturating_sub(started_ms),
     };
@@ -339,6 +355,20 @@
     outcome
 }
 
+fn adopt_directory(node: &Rc<Node>, head: &ResponseHead, body: Bytes) -> (u64, &'static str) {
+    if !head.fields.contains_token("content-encoding", pack::CODING) {
+        return follow::directory::adopt_row(node, &body);
+    }
+    let Some(row) = pack::unpack(&body, RESPONSE_LIMIT_BYTES) else {
+        return (0, "unreadable");
+    };
+    let (version, outcome) = follow::directory::adopt_row(node, &row);
+    if version > 0 && version == node.directory_version() {
+        node.serving.borrow_mut().keep_packed(version, body);
+    }
+    (version, outcome)
+}
+
 /// Notes the nodes that a busy one has sent its directory to.
 fn take_referral(node: &Node, body: &[u8]) -> (u64, &'static str) {
     let Ok(referral) = serde_json::from_slice::<Referral>(body) else {
@@ -376,19 +406,20 @@
     }
 }
 
-/// Status and body of the response.
+/// Head and body of the response.
 async fn fetch(
     address: SocketAddr,
     path: &str,
     own: &str,
     progress: &Progress,
-) -> std::io::Result<(u16, Bytes)> {
+) -> std::io::Result<(ResponseHead, Bytes)> {
     let mut conn = Conn::open(address, CONN_OPTIONS).await?;
     let mut head = BytesMut::new();
     HeadWriter::request(&mut head, "GET", path)
         .field("Host", address.to_string().as_bytes())
         .field("Connection", b"close")
         .field(PULLED_BY, own.as_bytes())
+        .field("Accept-Encoding", pack::CODING.as_bytes())
         .end();
     conn.send(&head).await?;
     let malformed = || std::io::Error::from(std::io::ErrorKind::InvalidData);
@@ -403,7 +434,7 @@
         let read = body.read(&mut conn.buf, &mut whole);
         progress.received_bytes.set(whole.len());
         if read.map_err(|_| malformed())? == crate::http::Progress::Done {
-            return Ok((head.status, whole.freeze()));
+            return Ok((head, whole.freeze()));
         }
         let filled = tokio::time::timeout(STALL_LIMIT, conn.fill()).await??;
         if whole.len() > RESPONSE_LIMIT_BYTES || filled == 0 {
--- a/crates/gateway/src/peer/serve.rs
+++ b/crates/gateway/src/peer/serve.rs
@@ -4,10 +4,12 @@
 use std::rc::Rc;
 
 use base::Name;
+use bytes::Bytes;
 
 use super::message::{
     DIRECTORY_PATH, Listing, PULLED_BY, REGISTRY_PATH, Referral, RegistryCopy, USAGE_PATH,
 };
+use super::pack;
 use crate::decide::source::may_promise;
 use crate::http::RequestHead;
 use crate::node::Node;
@@ -23,12 +25,23 @@
     /// Nodes that have the directory from here, the latest last, and its version.
     receivers: VecDeque<Name>,
     directory: u64,
+    /// The packed row of a directory and its version.
+    packed: Option<(u64, Bytes)>,
+}
+
+impl Serving {
+    /// Keeps the packed row of a directory, as another node sent it.
+    pub fn keep_packed(&mut self, version: u64, packed: Bytes) {
+        self.packed = Some((version, packed));
+    }
 }
 
 /// Answer to a pull.
 pub struct Answer {
     pub status: u16,
-    pub body: Vec<u8>,
+    pub body: Bytes,
+    /// Content coding of the body.
+    pub coding: Option<&'static str>,
     /// Held until the other node has the whole answer; `None` if this node is too busy to send it.
     pub promise: Option<Promise>,
 }
@@ -68,39 +81,72 @@
 /// The answer to a pull. A node whose link is full of answers names others instead.
 pub fn answer(node: &Rc<Node>, head: &RequestHead) -> Answer {
     let (status, body) = content(node, head);
-    // Older builds don't say who they are, and take any answer for the content.
-    let Some(pulled_by) = head.fields.text(PULLED_BY) else {
-        return Answer {
-            status,
-            body,
-            promise: None,
-        };
+    let packed = match head.path() == DIRECTORY_PATH && accepts_packed(head) {
+        true => packed_directory(node, &body),
+        false => None,
     };
+    let (body, coding) = match packed {
+        Some(packed) => (packed, Some(pack::CODING)),
+        None => (body.into(), None),
+    };
+    let answer = Answer {
+        status,
+        body,
+        coding,
+        promise: None,
+    };
+    match head.fields.text(PULLED_BY) {
+        Some(pulled_by) => promise(node, head, pulled_by, answer),
+        // Older builds don't say who they are, and take any answer for the content.
+        None => answer,
+    }
+}
+
+/// The answer with the part of the link that it takes, or a referral if the link is full.
+fn promise(node: &Rc<Node>, head: &RequestHead, pulled_by: &str, answer: Answer) -> Answer {
     let mut serving = node.serving.borrow_mut();
-    let link_mbps = node.settings.limits.link_mbps;
-    if !may_promise(link_mbps, serving.promised_bytes, body.len()) {
+    let (link_mbps, bytes) = (node.settings.limits.link_mbps, answer.body.len());
+    if !may_promise(link_mbps, serving.promised_bytes, bytes) {
         let referral = Referral {
             directory: serving.directory,
             nodes: serving.receivers.iter().cloned().collect(),
         };
         return Answer {
             status: 503,
-            body: serde_json::to_vec(&referral).unwrap_or_default(),
+            body: serde_json::to_vec(&referral).unwrap_or_default().into(),
+            coding: None,
             promise: None,
         };
     }
-    serving.promised_bytes += body.len();
+    serving.promised_bytes += bytes;
     let is_directory = head.path() == DIRECTORY_PATH;
     let promise = Promise {
         node: node.clone(),
-        bytes: body.len(),
+        bytes,
         directory_to: is_directory.then(|| (pulled_by.into(), node.directory_version())),
     };
     Answer {
-        status,
-        body,
         promise: Some(promise),
+        ..answer
+    }
+}
+
+fn accepts_packed(head: &RequestHead) -> bool {
+    head.fields.contains_token("accept-encoding", pack::CODING)
+}
+
+/// The packed row of the directory in force, packed once for each version; `None` if it is short.
+fn packed_directory(node: &Node, row: &[u8]) -> Option<Bytes> {
+    let version = node.directory_version();
+    let mut serving = node.serving.borrow_mut();
+    if let Some((of, packed)) = &serving.packed
+        && *of == version
+    {
+        return Some(packed.clone());
     }
+    let packed = Bytes::from(pack::pack(row)?);
+    serving.keep_packed(version, packed.clone());
+    Some(packed)
 }
 
 /// Status and body of the response to a pull.
--- a/crates/gateway/tests/change_spread.rs
+++ b/crates/gateway/tests/change_spread.rs
@@ -24,9 +24,12 @@
 /// Silence after which a pull has failed.
 const STALL_MS: Millisecond = 600;
 
-/// Size of a directory with 1,400 routes and more.
+/// Size of a directory with 1,400 routes and more, as older builds send it.
 const ROW_BYTES: usize = 310_000;
 
+/// The same as nodes send it to each other.
+const PACKED_BYTES: usize = 26_000;
+
 const BYTES_PER_MBIT_MS: f64 = 125.0;
 
 /// Nodes that a busy one names.
@@ -82,6 +85,7 @@
     domains: usize,
     bound_ms: Millisecond,
     trouble: Trouble,
+    row_bytes: usize,
     rng: SmallRng,
     now_ms: Millisecond,
     far_bytes: f64,
@@ -124,6 +128,10 @@
             domains,
             bound_ms,
             trouble,
+            row_bytes: match trouble {
+                Trouble::ThinLinks => PACKED_BYTES,
+                _ => ROW_BYTES,
+            },
             rng: SmallRng::seed_from_u64(7),
             now_ms: 0,
             far_bytes: 0.0,
@@ -195,7 +203,7 @@
             self.store_calls += 1;
             let node = &mut self.nodes[n];
             node.store_asked_ms = Some(self.now_ms);
-            node.store_left.get_or_insert(ROW_BYTES as f64);
+            node.store_left.get_or_insert(self.row_bytes as f64);
         }
         let node = &self.nodes[n];
         let contact = |s: usize| match node.ended[s] {
@@ -219,7 +227,7 @@
         let transfer = |p: &Pull| Transfer {
             since_ms: self.now_ms - p.began_ms,
             received_bytes: p.received as usize,
-            total_bytes: (p.received > 0.0).then_some(ROW_BYTES),
+            total_bytes: (p.received > 0.0).then_some(self.row_bytes),
         };
         let under_way: Vec<Transfer> = node.pulls.iter().map(transfer).collect();
         match next_step(&node.name, standing, &sources, &under_way) {
@@ -234,12 +242,12 @@
 
     fn ask(&mut self, n: usize, s: usize) {
         let promised = self.nodes.iter().flat_map(|node| &node.pulls);
-        let promised = promised.filter(|p| p.source == s).count() * ROW_BYTES;
+        let promised = promised.filter(|p| p.source == s).count() * self.row_bytes;
         let source = &self.nodes[s];
         let outcome = match source.health {
             Health::Killed => Some(PullOutcome::Failed),
             Health::Frozen => None,
-            Health::Sound if may_promise(source.link_mbps, promised, ROW_BYTES) => None,
+            Health::Sound if may_promise(source.link_mbps, promised, self.row_bytes) => None,
             Health::Sound => Some(PullOutcome::Busy),
         };
         match outcome {
@@ -291,7 +299,7 @@
                 let (now_ms, pull) = (self.now_ms, &mut self.nodes[n].pulls[index]);
                 pull.received += moved;
                 pull.last_byte_ms = now_ms;
-                if pull.received >= ROW_BYTES as f64 {
+                if pull.received >= self.row_bytes as f64 {
                     done = Some(source);
                 }
             }
--- a/crates/gateway/tests/late_change.rs
+++ b/crates/gateway/tests/late_change.rs
@@ -14,8 +14,9 @@
 use gateway::follow;
 use gateway::node::Node;
 use gateway::peer::exchange::apply_heartbeat;
-use gateway::peer::message::{NodeHeartbeat, RegistryVersion};
+use gateway::peer::message::{DIRECTORY_PATH, NodeHeartbeat, Referral, RegistryVersion};
 use gateway::peer::role::Role;
+use gateway::peer::{pack, serve};
 use outside::{Feed, FeedBatch, FeedError, FeedRow, ReadError, Topic};
 use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -256,3 +257,90 @@
         assert!(node.directory().is_some(), "not in force after {took:?}");
     });
 }
+
+/// A directory's row with many routes that resemble each other.
+fn repetitive_row() -> Vec<u8> {
+    let route =
+        |n: usize| format!(r#"{{"host":"h{n}.example","path":"/p{n}/","services":["s"]}},"#);
+    (0..1_400).map(route).collect::<String>().into_bytes()
+}
+
+#[test]
+fn a_packed_directory_is_a_quarter_of_its_row_and_the_same_afterwards() {
+    let row = repetitive_row();
+    let packed = pack::pack(&row).unwrap();
+    assert!(packed.len() * 4 < row.len(), "{} bytes", packed.len());
+    assert_eq!(pack::unpack(&packed, row.len()), Some(row));
+}
+
+#[test]
+fn a_packed_directory_that_is_too_long_or_damaged_is_refused() {
+    let row = repetitive_row();
+    let packed = pack::pack(&row).unwrap();
+    assert_eq!(pack::unpack(&packed, row.len() - 1), None);
+    assert_eq!(pack::unpack(&packed[..packed.len() / 2], row.len()), None);
+    assert_eq!(pack::unpack(&row, row.len()), None);
+}
+
+#[test]
+fn a_short_directory_is_sent_as_it_is() {
+    assert_eq!(pack::pack(b"7"), None);
+}
+
+/// The answer of a node to a pull of its directory.
+fn answer_to(node: &Rc<Node>, fields: &str) -> serve::Answer {
+    let text = format!("GET {DIRECTORY_PATH} HTTP/1.1\r\n{fields}\r\n");
+    let mut buf = bytes::BytesMut::from(text.as_bytes());
+    let head = gateway::http::request_head(&mut buf, 4_096)
+        .unwrap()
+        .unwrap();
+    serve::answer(node, &head)
+}
+
+/// A node whose directory has `ROW_BYTES`.
+fn holder() -> Rc<Node> {
+    let node = support::node("n");
+    let row = "0".repeat(ROW_BYTES - 1) + &VERSION.to_string();
+    follow::directory::adopt_row(&node, row.as_bytes());
+    node
+}
+
+#[test]
+fn a_node_whose_link_is_full_names_those_that_have_the_directory_from_it() {
+    let node = holder();
+    let first = answer_to(&node, "pulled-by: m1\r\n");
+    assert_eq!((first.status, first.body.len()), (200, ROW_BYTES));
+    let second = answer_to(&node, "pulled-by: m2\r\n");
+    assert_eq!(second.status, 503, "250 kB fill 10 Mbit/s for 200 ms");
+    first.promise.unwrap().complete();
+    let third = answer_to(&node, "pulled-by: m3\r\n");
+    assert_eq!(third.status, 200);
+    let fourth = answer_to(&node, "pulled-by: m4\r\n");
+    let referral: Referral = serde_json::from_slice(&fourth.body).unwrap();
+    assert_eq!((fourth.status, referral.directory), (503, VERSION));
+    assert_eq!(referral.nodes, vec!["m1".into()]);
+    drop(third);
+    assert_eq!(answer_to(&node, "pulled-by: m2\r\n").status, 200);
+}
+
+#[test]
+fn a_packed_answer_takes_less_of_the_link() {
+    let node = holder();
+    let fields = "pulled-by: m\r\naccept-encoding: gzip\r\n";
+    let answers: Vec<serve::Answer> = (0..10).map(|_| answer_to(&node, fields)).collect();
+    assert!(
+        answers
+            .iter()
+            .all(|a| a.status == 200 && a.coding.is_some())
+    );
+}
+
+/// Older builds take whatever comes for the directory.
+#[test]
+fn a_node_of_an_older_build_gets_the_directory_as_it_is_stored() {
+    let node = holder();
+    let _full = answer_to(&node, "pulled-by: m1\r\n");
+    let answer = answer_to(&node, "");
+    assert_eq!((answer.status, answer.coding), (200, None));
+    assert_eq!(answer.body.len(), ROW_BYTES);
+}
