A late call about the directory no longer makes the registry queried without its pause

Cause: recheck_is_due asked store_access, which is also Failing while a call of the other topic is late. A node whose directory call hung while its registry calls were answered queried the registry without its pause until that call ended. It looks at calls that have failed now. 'The last call failed' was derived in four places; one serves.

--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -224,8 +224,7 @@
 
 fn record_store_answer(node: &Node, topic: Topic) {
     let now_ms = node.now_ms();
-    let was_failing = node.store_failed_ms.get() > node.store_ok_ms.get();
-    if was_failing {
+    if node.store_call_failed() {
         let fields = StoreFields {
             topic: topic_name(topic),
             reason: None,
@@ -239,8 +238,7 @@
 
 fn record_store_failure(node: &Node, topic: Topic, reason: String) {
     let now_ms = node.now_ms();
-    let first = node.store_failed_ms.get() <= node.store_ok_ms.get();
-    if first {
+    if !node.store_call_failed() {
         let fields = StoreFields {
             topic: topic_name(topic),
             reason: Some(reason),
--- a/crates/gateway/src/follow/turn.rs
+++ b/crates/gateway/src/follow/turn.rs
@@ -7,7 +7,6 @@
 
 use super::RETRY_DELAY;
 use crate::decide::stand_in::overdue_age_ms;
-use crate::decide::store_calls::StoreAccess;
 use crate::decide::store_poll::{PollMode, poll_due_ms, poll_wait_ms};
 use crate::node::Node;
 use crate::peer::pull;
@@ -125,5 +124,5 @@
 /// They leave it out until the store serves it.
 fn recheck_is_due(node: &Node) -> bool {
     let since_ms = node.now_ms().saturating_sub(node.store_failed_ms.get());
-    node.store_access() == StoreAccess::Failing && since_ms >= RECHECK_MS
+    node.store_call_failed() && since_ms >= RECHECK_MS
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -323,10 +323,14 @@
         peers.role(&own.name, &own.failure_domain, copies, now_ms)
     }
 
+    /// Whether the last call to the store that ended has failed.
+    pub fn store_call_failed(&self) -> bool {
+        self.store_failed_ms.get() > self.store_ok_ms.get()
+    }
+
     /// Whether the store serves this node.
     pub fn store_access(&self) -> StoreAccess {
-        let failed = self.store_failed_ms.get() > self.store_ok_ms.get();
-        match failed || self.store_calls.is_late(self.now_ms()) {
+        match self.store_call_failed() || self.store_calls.is_late(self.now_ms()) {
             true => StoreAccess::Failing,
             false => StoreAccess::Served,
         }
--- a/crates/gateway/src/peer/pull.rs
+++ b/crates/gateway/src/peer/pull.rs
@@ -269,8 +269,7 @@
 
 fn store_reach(node: &Node) -> StoreReach {
     let silent_ms = node.now_ms().saturating_sub(node.store_ok_ms.get());
-    let failing = node.store_failed_ms.get() > node.store_ok_ms.get();
-    match failing || silent_ms > STORE_SILENT_MS {
+    match node.store_call_failed() || silent_ms > STORE_SILENT_MS {
         true => StoreReach::Unreachable,
         false => StoreReach::Answering,
     }
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -137,6 +137,27 @@
     });
 }
 
+/// A node whose call about another topic is late has been served until then.
+#[test]
+fn a_late_call_about_the_directory_does_not_make_the_registry_queried_without_pause() {
+    run_with_paused_time(async {
+        let (node, feed) = spawn_follower();
+        tokio::time::sleep(std::time::Duration::from_millis(2_500)).await;
+        let before = feed.since.lock().unwrap().len();
+        node.store_calls.begin(Topic::Directory, 0, node.now_ms());
+        tokio::time::sleep(std::time::Duration::from_millis(1_650)).await;
+        let late = feed.since.lock().unwrap().len() - before;
+        node.store_calls.end(Topic::Directory);
+        let before = before + late;
+        tokio::time::sleep(std::time::Duration::from_millis(1_650)).await;
+        let calm = feed.since.lock().unwrap().len() - before;
+        assert!(
+            late <= calm + 1,
+            "{late} queries beside it, {calm} after it"
+        );
+    });
+}
+
 #[test]
 fn a_node_that_the_store_answers_pulls_no_registry() {
     let node = node("n");
