--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -33,6 +33,10 @@
 /// TCP user timeout of accepted connections.
 const UNACKNOWLEDGED_TIMEOUT_MS: Millisecond = 5_000;
 
+/// Time for which an answer to another node counts as taking a part of the link; later the other node
+/// is probably gone.
+const PROMISE_LIMIT: Duration = Duration::from_secs(1);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ListenerPurpose {
     /// Requests of callers.
@@ -225,13 +229,23 @@
 /// Answers a pull of another node, which closes the connection when it has the whole answer.
 async fn serve_pull(node: &Rc<Node>, conn: &mut Conn, head: &RequestHead) {
     let answer = serve_peer::answer(node, head);
-    let sent = tokio::time::timeout(PULL_LIMIT, async {
-        let response = response(answer.status, answer.coding, &answer.body);
+    let response = response(answer.status, answer.coding, &answer.body);
+    let mut sent = std::pin::pin!(async {
         conn.send(&response).await?;
         conn.fill().await
     });
-    if let (Ok(Ok(0)), Some(promise)) = (sent.await, answer.promise) {
-        promise.complete();
+    match tokio::time::timeout(PROMISE_LIMIT, &mut sent).await {
+        Ok(Ok(0)) => {
+            if let Some(promise) = answer.promise {
+                promise.complete();
+            }
+        }
+        Ok(_) => {}
+        Err(_) => {
+            drop(answer.promise);
+            // A pull that ends without its answer asks again.
+            let _ = tokio::time::timeout(PULL_LIMIT - PROMISE_LIMIT, sent).await;
+        }
     }
 }
 
