E202 reports when the answer reached the caller; the account lists late answers

E202 gets first_byte_ms (from the arrival of the request), longest_pause_ms (streams only) and predicted_ms (of the last attempt that was sent), and the route's targets for the first two, so that a log can be read without the configuration. Logs without the fields are read as before.

Ruled out: measuring from the start of the attempt, as a caller's wait also covers retries and the wait for a server; counting a pause beyond the limit when the first byte was late already, which would count one request twice.

--- a/crates/emulator/src/account/ledger.rs
+++ b/crates/emulator/src/account/ledger.rs
@@ -165,6 +165,7 @@
     for (cause, count) in &log.failed_attempts {
         let _ = writeln!(text, "failed attempts {count}: {cause}");
     }
+    log.lateness.write(&mut text);
     for ((purchase, outcome), count) in &log.orders {
         let _ = writeln!(text, "orders {count}: {purchase}, {}", outcome.label());
     }
--- a/crates/emulator/src/account/log.rs
+++ b/crates/emulator/src/account/log.rs
@@ -1,10 +1,12 @@
-//! What the log of all nodes tells about refusals, failed attempts and orders.
+//! What the log of all nodes tells about refusals, failed attempts, late answers and orders.
 
 use std::collections::BTreeMap;
 use std::io::BufRead;
 
 use serde::Deserialize;
 
+use super::lateness::{FinishedFields, Lateness};
+
 /// Silence of all nodes after which none of them is assumed to run. A running fleet under load logs
 /// several lines a second.
 const DARK_S: f64 = 0.3;
@@ -19,6 +21,8 @@
     pub refusals: BTreeMap<String, Refusals>,
     /// Failed attempts at backend servers, by cause.
     pub failed_attempts: BTreeMap<String, u64>,
+    /// Late answers, if the log carries their times.
+    pub lateness: Lateness,
     /// Orders of backend servers by kind of purchase and outcome.
     pub orders: BTreeMap<(String, OrderOutcome), u64>,
     /// Periods without a line from any node, in seconds from the start of traffic.
@@ -144,6 +148,12 @@
                 let window = (event.at_s.max(0.0) / WINDOW_S) as u64;
                 *refusals.by_window.entry(window).or_default() += 1;
             }
+            "E202" => {
+                let Ok(fields) = serde_json::from_str::<FinishedFields>(event.fields) else {
+                    return false;
+                };
+                self.lateness.count(event.at_s, fields);
+            }
             "E302" => {
                 let Ok(fields) = serde_json::from_str::<FailedFields>(event.fields) else {
                     return false;
--- a/crates/emulator/src/account/mod.rs
+++ b/crates/emulator/src/account/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Reads the report of a bench run and the log of the same run.
 
+pub mod lateness;
 pub mod ledger;
 pub mod log;
 pub mod report;
--- a/crates/emulator/tests/account.rs
+++ b/crates/emulator/tests/account.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
+use emulator::account::lateness::LateCause;
 use emulator::account::log::OrderOutcome;
 use emulator::account::{Ledger, LogSummary, Report};
 
@@ -48,6 +49,25 @@
     assert_eq!(summary.failed_attempts["broken"], 1);
 }
 
+/// Guards against blaming a pause for a late first byte, and against counting logs of earlier versions
+/// (request 10) as in time. The load: one answer in time, three late ones for three reasons.
+#[test]
+fn late_answers_are_counted_with_their_cause() {
+    let lateness = summary().lateness;
+    assert_eq!(lateness.measured, 4);
+    let counts: Vec<_> = lateness.by_cause().into_iter().collect();
+    let expected = [
+        (("summary", LateCause::FirstBytePredicted), 1),
+        (("summary", LateCause::FirstByteUnpredicted), 1),
+        (("summary", LateCause::Pause), 1),
+    ];
+    assert_eq!(counts, expected);
+    assert_eq!(
+        (lateness.late[0].took_ms, lateness.late[0].limit_ms),
+        (950, 800)
+    );
+}
+
 /// The first line is no event, and one was cut off.
 #[test]
 fn unreadable_lines_are_counted_and_skipped() {
@@ -82,6 +102,9 @@
         "  paid 0.200  seconds of servers ordered",
         "  conversation, 100, 90, 4, 3, 3, 0, 0.900",
         "refused 3: allowance_used, median Retry-After 200 ms, most from 0 s: 3",
+        "late 3 of 4 answers",
+        "late 1: summary, first byte, not predicted",
+        "  1.34 s  14  summary  pause: 700 ms, limit 500 ms, predicted first byte 110 ms",
         "orders 1: on_demand, unanswered",
     ] {
         assert!(text.contains(line), "{line} is missing in:\n{text}");
--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -180,6 +180,10 @@
     /// Returns an error if the permit has already been taken.
     pub fn take_permit(&mut self) -> Result<Permit, FailureCause> {
         self.job.answer_summary.set(None);
+        let delivery = self.job.delivery.get();
+        self.job
+            .delivery
+            .set(delivery.with_attempt(self.predicted_ms));
         self.ended.set(AttemptEnd::CallerLeftOrTimedOut);
         self.permit.take().ok_or(FailureCause::Unreachable)
     }
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -4,6 +4,7 @@
 pub mod backpressure;
 pub mod begun_streams;
 pub mod body_memory;
+pub mod delivery;
 pub mod lag;
 pub mod not_run;
 pub mod offered_load;
--- a/crates/gateway/src/front/buffered.rs
+++ b/crates/gateway/src/front/buffered.rs
@@ -155,6 +155,7 @@
     };
     let mut bytes = BytesMut::new();
     write_head(&mut bytes, head, BodyKind::Whole(length), out);
+    job.record_part();
     let sent = out.send_answer(bytes, &whole.body, job.left_ms(), &whole.held);
     match sent.await {
         Ok(()) => ServeOutcome::Passed {
--- a/crates/gateway/src/front/in_flight.rs
+++ b/crates/gateway/src/front/in_flight.rs
@@ -41,6 +41,16 @@
     answer: Option<AnswerSummary>,
     took_ms: Millisecond,
     left_ms: Millisecond,
+    /// Time from the arrival of the request to the first event or byte that was passed on.
+    first_byte_ms: Option<Millisecond>,
+    /// Target for `first_byte_ms`.
+    target_ms: Millisecond,
+    /// Longest time between two events that were passed on; streams only.
+    longest_pause_ms: Option<Millisecond>,
+    /// Target for `longest_pause_ms`.
+    pause_target_ms: Option<Millisecond>,
+    /// Predicted time to first byte of the last attempt.
+    predicted_ms: Option<Millisecond>,
     tokens: u64,
 }
 
@@ -96,6 +106,8 @@
         job.node
             .metrics
             .count_request(job.route.kind, outcome, took_ms);
+        let delivery = job.delivery.get();
+        let streams = job.route.kind.streams();
         let fields = FinishedFields {
             request: job.id(),
             route: &job.route.name,
@@ -109,6 +121,11 @@
             answer: job.answer_summary.get(),
             took_ms,
             left_ms: job.left_ms(),
+            first_byte_ms: delivery.first_byte_ms(job.request.received_ms),
+            target_ms: job.route.target_ms,
+            longest_pause_ms: delivery.longest_pause_ms().filter(|_| streams),
+            pause_target_ms: job.route.gap_target_ms.filter(|_| streams),
+            predicted_ms: delivery.predicted_ms(),
             tokens: job.cost as u64,
         };
         crate::log::emit(events::Code::RequestFinished, &fields);
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -12,6 +12,7 @@
 use crate::backend::answer_summary::AnswerSummary;
 use crate::backend::crash_check::BrokenRequest;
 use crate::belief::{Route, Server, Service, Workspace};
+use crate::decide::delivery::Delivery;
 use crate::decide::prompt::Prompt;
 use crate::http::HeadWriter;
 use crate::node::Node;
@@ -42,6 +43,8 @@
     pub may_have_run: Cell<MayHaveRun>,
     /// Summary of the answer to the latest attempt, if there is one.
     pub answer_summary: Cell<Option<AnswerSummary>>,
+    /// When parts of the answer were passed to the caller.
+    pub delivery: Cell<Delivery>,
     /// Software version of the servers that may run the request; unset if any may.
     version: OnceCell<Name>,
     digest: OnceCell<RequestDigest>,
@@ -95,6 +98,7 @@
             cost,
             may_have_run: Cell::new(MayHaveRun::No),
             answer_summary: Cell::new(None),
+            delivery: Cell::default(),
             version: OnceCell::new(),
             digest: OnceCell::new(),
         }
@@ -166,6 +170,12 @@
         }
     }
 
+    /// Records that an event of a stream, or the answer as a whole, is passed to the caller now.
+    pub fn record_part(&self) {
+        let delivery = self.delivery.get();
+        self.delivery.set(delivery.with_part(self.node.now_ms()));
+    }
+
     /// Counts the request in the usage once, as started at `sent_ms` by the process's clock.
     pub fn mark_begun(&self, sent_ms: Millisecond) {
         if self.may_have_run.replace(MayHaveRun::Yes) == MayHaveRun::Yes {
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -215,6 +215,7 @@
             attempts.end_silence(attempt, &silence);
             silence = Silence::new(self.gap_timeout(), AnswerProgress::Begun);
             put_chunk(&mut out, &whole);
+            self.job.record_part();
             if let Err(end) = self.send_to_caller(&out).await {
                 return end;
             }
@@ -285,6 +286,7 @@
             self.out,
         );
         answer.release(&attempt.server, self.job.node.now_ms());
+        self.job.record_part();
         let left_ms = self.job.left_ms();
         match self.out.send_answer(out, &body, left_ms, &held).await {
             Ok(()) => RelayEnd::Whole(status),
