Order the requests that wait for a server

Waiting requests had no order: capacity that became free woke an arbitrary one, whatever its rank, workspace or remaining time, and a new request could overtake all of them.

decide::waiting (pure) orders them: requests that may have run, then rank, then weighted max-min over workspaces, then remaining time. It uses the queue of policy::limit, which is now public. Each less urgent rank keeps 1 in 20 of the started work while it is served worse than the more urgent ones. A request that can't be answered in time behind those before it is refused at once. backend::queues wakes the first one that has not tried the free capacity, also at first bytes and when other nodes' loads arrive. A place is released on drop.

Shedding: the limit of a rank now follows from the time that requests of it and of more urgent ranks have left beside their own service time, and leaves a quarter of it for the ordered wait. A limit per request was ruled out: short prompts then fill the servers up to a wait at which long ones are late. Ruled out too: placing up to the whole room.

Tests run: policy limit, limit_max; gateway waiting, shed, timeouts, silence, placement, outcomes; platform requests, silent_servers, streams, signals, lost_paths, lifecycle.

--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -12,6 +12,7 @@
 use crate::backend::answer_summary::AnswerSummary;
 use crate::backend::gate::{self, Gate, Permit};
 use crate::backend::pool::{ConnOrigin, Reuse};
+use crate::backend::queues;
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
 use crate::clock::unix_ms;
@@ -22,7 +23,7 @@
     untried,
 };
 use crate::decide::rule::{TimeLimits, choose_in_time};
-use crate::decide::shed::wait_limit_ms;
+use crate::decide::shed::placed_limit_ms;
 use crate::decide::timeouts::NoServer;
 use crate::front::job::Job;
 use crate::node::Node;
@@ -204,6 +205,7 @@
         speed.record_first_event(self.tokens_ahead, after_ms);
         drop(speed);
         self.release_waiting_tokens();
+        queues::wake(self.job.node, &self.job.service.name);
     }
 
     /// Counts the request as started: a stream at its first token, others at the time of sending.
@@ -242,7 +244,7 @@
         }
         self.release_waiting_tokens();
         self.server.end_request();
-        self.job.node.capacity_changed.notify_one();
+        queues::wake(self.job.node, &self.job.service.name);
     }
 }
 
@@ -288,10 +290,10 @@
 /// Longest time that queued work may take before this request; `None` if the service has no model
 /// engine or no target.
 fn wait_limit(job: &Job<'_>) -> Option<Millisecond> {
-    job.service.engine.as_ref()?;
-    let share = job.node.settings.placing.wait_share;
-    let shortest_ms = job.service.shortest_target_ms?;
-    Some(wait_limit_ms(shortest_ms, share, job.priority()))
+    let limit_ms = job.node.queues.wait_limit_ms(job)?;
+    let due_in_ms = queues::due_ms(job).saturating_sub(job.node.now_ms());
+    let own_room_ms = due_in_ms.saturating_sub(queues::work_ms(job));
+    Some(placed_limit_ms(limit_ms, own_room_ms))
 }
 
 fn demand(job: &Job<'_>) -> Demand {
--- a/crates/gateway/src/backend/gate.rs
+++ b/crates/gateway/src/backend/gate.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use super::answer_summary::AnswerSummary;
+use super::queues;
 use crate::belief::Server;
 use crate::belief::registry::FlowControl;
 use crate::clock::{Clock, unix_ms};
@@ -277,6 +278,6 @@
         crate::log::emit(events::Code::BackendSignalled, &fields);
     }
     if !changes.is_empty() {
-        node.capacity_changed.notify_one();
+        queues::wake(node, &server.record.service);
     }
 }
--- a/crates/gateway/src/backend/mod.rs
+++ b/crates/gateway/src/backend/mod.rs
@@ -7,4 +7,5 @@
 pub mod gate;
 pub mod pool;
 pub mod quarantine;
+pub mod queues;
 pub mod reach;
--- /dev/null
+++ b/crates/gateway/src/backend/queues.rs
@@ -0,0 +1,343 @@
+//! The requests that wait for a server, and who is woken when one may take another request.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use base::ids::RequestId;
+use base::outcome::RunState;
+use base::units::Millisecond;
+use base::{Map, Name};
+use tokio::sync::Notify;
+use tokio::time::{Duration, timeout};
+
+use crate::belief::directory::AllowanceUnit;
+use crate::decide::placement::HOME_CACHED_SHARE;
+use crate::decide::shed::{RankRooms, room_ms, wait_limit_ms};
+use crate::decide::timeouts::FULL_WAIT_SHARE;
+use crate::decide::waiting::{Applicant, Outlook, Urgency, WaitingLine};
+use crate::front::job::Job;
+use crate::node::Node;
+
+/// Requests that try to use one change of capacity without success before the others wait for the
+/// next change.
+const MAX_TRIES: u32 = 8;
+
+/// Time after which the first request tries again without a known change of capacity: what other
+/// nodes' requests leave free is not announced one by one.
+const RETRY_PERIOD: Duration = Duration::from_millis(25);
+
+/// After this time a request that arrives goes behind those that wait, even if each of them has
+/// tried before, because capacity may have become free since.
+const TRIES_VALID_MS: Millisecond = 10;
+
+/// The requests of this node that wait, by service.
+#[derive(Default)]
+pub struct Queues {
+    services: RefCell<Map<Name, ServiceQueue>>,
+    joined: Cell<u64>,
+}
+
+#[derive(Default)]
+struct ServiceQueue {
+    line: WaitingLine,
+    rooms: RankRooms,
+    waiters: Map<RequestId, Waiter>,
+    /// Number of the latest change of capacity.
+    change: u64,
+    changed_ms: Millisecond,
+    /// Requests that have tried to use it without success.
+    tries: u32,
+}
+
+struct Waiter {
+    woken: Rc<Notify>,
+    /// The latest change of capacity that the request has tried to use.
+    tried: u64,
+}
+
+impl ServiceQueue {
+    fn begin_change(&mut self, now_ms: Millisecond) {
+        self.change += 1;
+        self.changed_ms = now_ms;
+        self.tries = 0;
+    }
+
+    /// The first request that has not tried to use the latest change.
+    fn next(&self) -> Option<RequestId> {
+        let has_tried = |id| self.waiters.get(&id).is_none_or(|w| w.tried == self.change);
+        self.line.next(has_tried)
+    }
+
+    fn wake_next(&self) {
+        if self.tries >= MAX_TRIES {
+            return;
+        }
+        let next = self.next().and_then(|id| self.waiters.get(&id));
+        if let Some(waiter) = next {
+            waiter.woken.notify_one();
+        }
+    }
+
+    /// Wakes requests that can no longer be answered in time, so that they are refused.
+    fn wake_late(&self, now_ms: Millisecond) {
+        for id in self.line.out_of_reach(now_ms) {
+            if let Some(waiter) = self.waiters.get(&id) {
+                waiter.woken.notify_one();
+            }
+        }
+    }
+}
+
+impl Queues {
+    /// Records that a server of the service may take another request, and wakes the first request
+    /// that waits for one.
+    pub fn wake(&self, service: &Name, now_ms: Millisecond) {
+        if let Some(queue) = self.services.borrow_mut().get_mut(service) {
+            queue.begin_change(now_ms);
+            queue.wake_next();
+        }
+    }
+
+    /// Records that servers of any service may take other requests.
+    pub fn wake_services(&self, now_ms: Millisecond) {
+        for queue in self.services.borrow_mut().values_mut() {
+            queue.begin_change(now_ms);
+            queue.wake_next();
+        }
+    }
+
+    /// Wakes all waiting requests, because none of them may wait any longer.
+    pub fn wake_all(&self) {
+        for queue in self.services.borrow().values() {
+            for waiter in queue.waiters.values() {
+                waiter.woken.notify_one();
+            }
+        }
+    }
+
+    /// Number of requests that wait, by service.
+    pub fn lengths(&self) -> Vec<(Name, usize)> {
+        let services = self.services.borrow();
+        let lengths = services
+            .iter()
+            .map(|(s, queue)| (s.clone(), queue.line.len()));
+        lengths.collect()
+    }
+
+    /// Longest time that the work of earlier requests may take at a server before a request of this
+    /// rank starts; `None` if the service has no model engine or no target.
+    pub fn wait_limit_ms(&self, job: &Job<'_>) -> Option<Millisecond> {
+        job.service.engine.as_ref()?;
+        let share = job.node.settings.placing.wait_share;
+        let shortest_ms = job.service.shortest_target_ms?;
+        let services = self.services.borrow();
+        let queue = services.get(&job.service.name);
+        let rank = match queue.is_some_and(|q| q.line.uses_reserve(Urgency::Rank(job.priority()))) {
+            // Otherwise the more urgent work at the servers would keep out what is reserved.
+            true => 0,
+            false => job.priority(),
+        };
+        let target_limit_ms = wait_limit_ms(shortest_ms, share, rank);
+        let room_limit_ms = queue.and_then(|queue| queue.rooms.wait_limit_ms(rank, share));
+        Some(room_limit_ms.map_or(target_limit_ms, |ms| ms.min(target_limit_ms)))
+    }
+
+    /// Adds a request to those that wait for a server of its service. If no other one goes before
+    /// it, it is the next.
+    pub fn join<'a>(&'a self, job: &'a Job<'_>, run_state: RunState) -> Place<'a> {
+        let now_ms = job.node.now_ms();
+        self.joined.set(self.joined.get() + 1);
+        let id = RequestId::from(u128::from(self.joined.get()));
+        let work_ms = work_ms(job);
+        if run_state == RunState::NotRun {
+            self.record_room(job, work_ms);
+        }
+        let applicant = Applicant {
+            id,
+            urgency: match run_state {
+                RunState::NotRun => Urgency::Rank(job.priority()),
+                RunState::Unknown | RunState::Ran => Urgency::MayHaveRun,
+            },
+            workspace: job.workspace_name(),
+            weight: weight(job),
+            due_ms: due_ms(job),
+            work_ms,
+            server_wait_ms: self.wait_limit_ms(job).unwrap_or(0),
+        };
+        let woken = Rc::new(Notify::new());
+        let mut services = self.services.borrow_mut();
+        let queue = services.entry(job.service.name.clone()).or_default();
+        if now_ms >= queue.changed_ms + TRIES_VALID_MS {
+            queue.begin_change(now_ms);
+        }
+        let waiter = Waiter {
+            woken: woken.clone(),
+            tried: 0,
+        };
+        queue.waiters.insert(id, waiter);
+        queue.line.assume_drain(assumed_drain(job));
+        let removed = queue.line.join(&applicant, now_ms);
+        if let Some(waiter) = removed.and_then(|id| queue.waiters.remove(&id)) {
+            waiter.woken.notify_one();
+        }
+        queue.wake_next();
+        drop(services);
+        Place {
+            queues: self,
+            job,
+            id,
+            woken,
+            joined_ms: now_ms,
+        }
+    }
+}
+
+impl Queues {
+    /// Records the time that a request has for the work of others before it.
+    fn record_room(&self, job: &Job<'_>, work_ms: Millisecond) {
+        if job.service.engine.is_none() {
+            return;
+        }
+        let room_ms = room_ms(job.route.target_ms, work_ms);
+        let mut services = self.services.borrow_mut();
+        let queue = services.entry(job.service.name.clone()).or_default();
+        queue.rooms.record(job.priority(), room_ms);
+    }
+}
+
+/// Place of a request among those that wait. It is released on drop, for example when the caller
+/// disconnects.
+pub struct Place<'a> {
+    queues: &'a Queues,
+    job: &'a Job<'a>,
+    id: RequestId,
+    woken: Rc<Notify>,
+    pub joined_ms: Millisecond,
+}
+
+impl Place<'_> {
+    /// Whether the request may now try to use the servers' capacity.
+    pub fn is_next(&self) -> bool {
+        self.with(|queue| queue.next() == Some(self.id))
+    }
+
+    /// Whether the request still has a place: a full queue drops its last request.
+    pub fn is_held(&self) -> bool {
+        self.with(|queue| queue.waiters.contains_key(&self.id))
+    }
+
+    /// Records that the request can't use the capacity of now, and lets the next one try.
+    pub fn pass_on(&self) {
+        let now_ms = self.job.node.now_ms();
+        self.with(|queue| {
+            let change = queue.change;
+            if let Some(waiter) = queue.waiters.get_mut(&self.id) {
+                waiter.tried = change;
+            }
+            queue.tries += 1;
+            queue.line.mark_waiting(now_ms);
+            queue.wake_next();
+            queue.wake_late(now_ms);
+        });
+    }
+
+    /// What the request can expect.
+    pub fn outlook(&self) -> Option<Outlook> {
+        let now_ms = self.job.node.now_ms();
+        self.with(|queue| queue.line.outlook(self.id, now_ms))
+    }
+
+    /// Waits until the request may try again, at most for `limit_ms`.
+    pub async fn wait(&self, limit_ms: Millisecond) {
+        let limit = Duration::from_millis(limit_ms).min(RETRY_PERIOD);
+        if timeout(limit, self.woken.notified()).await.is_ok() {
+            return;
+        }
+        let now_ms = self.job.node.now_ms();
+        self.with(|queue| {
+            if queue.line.next(|_| false) == Some(self.id) {
+                queue.begin_change(now_ms);
+            }
+        });
+    }
+
+    /// Records that a server has taken the request.
+    pub fn start(self) {
+        let now_ms = self.job.node.now_ms();
+        self.with(|queue| queue.line.start(self.id, now_ms));
+    }
+
+    fn with<T>(&self, apply: impl FnOnce(&mut ServiceQueue) -> T) -> T {
+        let mut services = self.queues.services.borrow_mut();
+        apply(services.entry(self.job.service.name.clone()).or_default())
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let now_ms = self.job.node.now_ms();
+        self.with(|queue| {
+            queue.waiters.remove(&self.id);
+            queue.line.leave(self.id, now_ms);
+            queue.wake_next();
+        });
+    }
+}
+
+/// Time that a server without other work takes for the request, by the mean speed of some servers.
+pub fn work_ms(job: &Job<'_>) -> Millisecond {
+    const SAMPLE: usize = 8;
+    let registry = job.node.registry.borrow();
+    let servers = registry.of_service(&job.service.name);
+    let shared = job.prompt.parts.len().saturating_sub(1).max(1);
+    let shared_tokens: u64 = job.prompt.parts.iter().take(shared).map(|p| p.tokens).sum();
+    let cached_tokens = match job.service.engine {
+        Some(_) => (shared_tokens as f64 * HOME_CACHED_SHARE) as u64,
+        None => 0,
+    };
+    let tokens = job.prompt.read_tokens().saturating_sub(cached_tokens);
+    let sample = servers.iter().take(SAMPLE);
+    let total_ms: f64 = sample
+        .map(|server| server.speed.borrow().first_event_ms(tokens))
+        .sum();
+    (total_ms / servers.len().clamp(1, SAMPLE) as f64) as Millisecond
+}
+
+/// When the first byte is due: at the route's target, and before the deadline. A request that takes
+/// the whole target time itself may still wait for a small part of it.
+pub fn due_ms(job: &Job<'_>) -> Millisecond {
+    let target_ms = job.route.target_ms;
+    let least_ms = (target_ms as f64 * FULL_WAIT_SHARE) as Millisecond + work_ms(job);
+    let due_ms = job.request.received_ms + target_ms.max(least_ms);
+    due_ms.min(job.deadline_ms)
+}
+
+/// Weight of the job's workspace: its allowance relative to the others' if it is counted in tokens.
+fn weight(job: &Job<'_>) -> f64 {
+    const LEAST_WEIGHT: f64 = 0.001;
+    let Some(workspace) = &job.workspace else {
+        return 1.0;
+    };
+    match (workspace.unit, workspace.allowance) {
+        (AllowanceUnit::Tokens { .. }, Some(allowance)) => {
+            (allowance.rate_per_s / TOKENS_PER_S_OF_WEIGHT).max(LEAST_WEIGHT)
+        }
+        (AllowanceUnit::Requests | AllowanceUnit::Tokens { .. }, _) => 1.0,
+    }
+}
+
+/// Allowance of a workspace with the weight of one that has none. Allowances of large workspaces
+/// are of this size (128,000 tokens per second in one of the first deployment).
+const TOKENS_PER_S_OF_WEIGHT: f64 = 100_000.0;
+
+/// Servers of the service for each node: what each node gets if all ask for the same.
+fn assumed_drain(job: &Job<'_>) -> f64 {
+    let registry = job.node.registry.borrow();
+    let servers = registry.of_service(&job.service.name).len();
+    servers as f64 / job.node.node_count() as f64
+}
+
+/// The node's queues, woken for the service of a server.
+pub fn wake(node: &Node, service: &Name) {
+    node.queues.wake(service, node.now_ms());
+}
--- a/crates/gateway/src/backend/reach.rs
+++ b/crates/gateway/src/backend/reach.rs
@@ -79,7 +79,7 @@
         };
         crate::log::emit(events::Code::PathsLost, &fields);
         close_idle(node);
-        node.capacity_changed.notify_waiters();
+        node.queues.wake_all();
         let node = node.clone();
         tokio::task::spawn_local(async move { wait_for_paths(&node).await });
     }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -212,6 +212,7 @@
     sleep_until(earliest.min(latest)).await;
     node.phase.set(Phase::Closing);
     node.phase_changed.notify_waiters();
+    node.queues.wake_all();
     wait_for_callers(node, latest - LAST_REPLY_TIME).await;
     node.phase.set(Phase::Ending);
     node.phase_changed.notify_waiters();
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -29,3 +29,4 @@
 pub mod timeouts;
 pub mod turns;
 pub mod version_history;
+pub mod waiting;
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -21,7 +21,7 @@
 
 /// Share of the shared tokens that a prompt's home server is expected to have cached, even if this
 /// node has not sent them: other nodes send the same prefix there.
-const HOME_CACHED_SHARE: f64 = 0.8;
+pub const HOME_CACHED_SHARE: f64 = 0.8;
 
 /// Increase of the time to first byte for each request that runs at the same time, as a share of
 /// it.
--- a/crates/gateway/src/decide/timeouts.rs
+++ b/crates/gateway/src/decide/timeouts.rs
@@ -20,7 +20,7 @@
 
 /// Share of the target time for which a request that was not run may wait for a server with room. A
 /// wait this short carries no penalty under the service's targets.
-const FULL_WAIT_SHARE: f64 = 0.125;
+pub const FULL_WAIT_SHARE: f64 = 0.125;
 
 /// Longest time that such a request waits if no server is known at all, for example while one is
 /// replaced.
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -251,5 +251,5 @@
     };
     let revision = node.registry.borrow().revision;
     log::emit(code, &ServerFields { server, revision });
-    node.capacity_changed.notify_one();
+    node.queues.wake_services(node.now_ms());
 }
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -1,28 +1,29 @@
 //! The attempts of one request: choice of a server, and retry or final reply after a failure.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use base::Name;
 use base::outcome::RunState;
 use base::units::Millisecond;
 use serde::Serialize;
-use tokio::time::{Instant, timeout_at};
 
 use super::job::Job;
 use super::local_reply::LocalReply;
 use super::relay;
+use super::serve::closing_reply;
 use crate::backend::answer_summary::AnswerSummary;
 use crate::backend::attempt::{Attempt, Exclusions};
 use crate::backend::crash_check;
 use crate::backend::gate::{self, WithheldCounts};
+use crate::backend::queues::Place;
 use crate::backend::reach;
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
+use crate::decide::not_run::NotRunProof;
 use crate::decide::outcome::{AttemptHistory, FailureCause, NextAction, RETRY_AFTER_MS};
 use crate::decide::retry_budget::RetryPermit;
 use crate::decide::timeouts::{AttemptState, NoServer, SilenceTimeout, server_wait_ms};
-use crate::node::Node;
+use crate::node::{Node, Phase};
 
 /// State of one request across its attempts.
 pub struct Attempts<'a, 'b> {
@@ -92,14 +93,16 @@
         }
     }
 
-    /// Chooses a server, and waits a short time for capacity if there is none.
+    /// Chooses a server. If none has capacity, the request waits in the node's queue as long as it
+    /// can be answered in time.
     ///
     /// # Errors
     ///
     /// Returns the final reply if no server can take the request.
     pub async fn place(&mut self) -> Result<Attempt<'a>, LocalReply> {
-        let started = Instant::now();
         let left_ms = self.job.left_ms();
+        let place = self.node.queues.join(self.job, self.history.run_state);
+        let mut no_server = None;
         loop {
             if let Some(refused_for_ms) = self.job.refused_for_ms() {
                 return Err(self.quarantine_reply(refused_for_ms));
@@ -107,31 +110,64 @@
             if relay::is_needed(self.node) {
                 return Err(self.refusal_reply(NoServer::Unreached));
             }
-            let exclusions = Exclusions {
-                failed: &self.avoid,
-                excluded: None,
-            };
-            let no_server = match Attempt::place(self.job, exclusions, self.history.run_state) {
-                Ok(mut attempt) => {
-                    self.report_choice(&attempt);
-                    attempt.wait_for_turn().await;
-                    return match self.job.refused_for_ms() {
-                        Some(refused_for_ms) => Err(self.quarantine_reply(refused_for_ms)),
-                        None => Ok(attempt),
-                    };
+            if let (true, Some(proof)) = (no_server.is_some(), self.closing_proof()) {
+                return Err(closing_reply(proof));
+            }
+            if place.is_held() && place.is_next() {
+                let exclusions = Exclusions {
+                    failed: &self.avoid,
+                    excluded: None,
+                };
+                match Attempt::place(self.job, exclusions, self.history.run_state) {
+                    Ok(mut attempt) => {
+                        place.start();
+                        self.report_choice(&attempt);
+                        attempt.wait_for_turn().await;
+                        return match self.job.refused_for_ms() {
+                            Some(refused_for_ms) => Err(self.quarantine_reply(refused_for_ms)),
+                            None => Ok(attempt),
+                        };
+                    }
+                    Err(reason) => {
+                        no_server = Some(reason);
+                        place.pass_on();
+                    }
                 }
-                Err(no_server) => no_server,
-            };
-            let target_ms = self.job.route.target_ms;
-            let wait_ms = server_wait_ms(no_server, self.history.run_state, target_ms, left_ms);
-            let until = started + Duration::from_millis(wait_ms);
-            if timeout_at(until, self.node.capacity_changed.notified())
-                .await
-                .is_err()
-            {
-                self.count_unmet_work(no_server);
-                return Err(self.refusal_reply(no_server));
             }
+            let reason = no_server.unwrap_or(NoServer::Full);
+            let wait_ms = self.wait_ms(reason, &place, left_ms);
+            if wait_ms == 0 {
+                self.count_unmet_work(reason);
+                return Err(self.refusal_reply(reason));
+            }
+            place.wait(wait_ms).await;
+        }
+    }
+
+    /// How long a request at `place` may still wait. `left_ms` is the time until its deadline when
+    /// it took the place.
+    fn wait_ms(&self, reason: NoServer, place: &Place<'_>, left_ms: Millisecond) -> Millisecond {
+        if !place.is_held() {
+            return 0;
+        }
+        let waited_ms = self.node.now_ms().saturating_sub(place.joined_ms);
+        match (self.history.run_state, reason) {
+            (RunState::NotRun, NoServer::Full | NoServer::Busy { .. }) => {
+                place.outlook().map_or(0, |o| o.wait_limit_ms(waited_ms))
+            }
+            (run_state, reason) => {
+                let target_ms = self.job.route.target_ms;
+                let limit_ms = server_wait_ms(reason, run_state, target_ms, left_ms);
+                limit_ms.saturating_sub(waited_ms)
+            }
+        }
+    }
+
+    /// The proof that the request was not run, if the process takes no new requests.
+    fn closing_proof(&self) -> Option<NotRunProof> {
+        match self.node.phase.get() {
+            Phase::Serving | Phase::Draining => None,
+            Phase::Closing | Phase::Ending => self.history.not_run_proof(),
         }
     }
 
--- a/crates/gateway/src/front/failover.rs
+++ b/crates/gateway/src/front/failover.rs
@@ -65,7 +65,7 @@
     fn stay(&mut self, reason: StayReason) {
         let period = match (&self.successor, self.timeout) {
             (Some(successor), _) => Duration::from_millis(successor.opens_in_ms + 1),
-            // A request that has not been placed yet needs the wake-ups of `capacity_changed`.
+            // A request that has not been placed yet waits in the node's queue, and goes first.
             (None, _) if reason == StayReason::NoCapacity => SEARCH_PERIOD,
             (None, SilenceTimeout::After(ms)) => Duration::from_millis(ms).max(SEARCH_PERIOD),
             (None, SilenceTimeout::UntilDeadline) => SEARCH_PERIOD,
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -251,14 +251,13 @@
 
 /// The refusal of a request that a process which shuts down takes no more.
 pub fn node_closing() -> LocalReply {
+    closing_reply(NotRunProof::unsent())
+}
+
+/// The same for a request that was not run so far.
+pub fn closing_reply(proof: NotRunProof) -> LocalReply {
     let text = "This node is shutting down; send the request to another node.";
-    LocalReply::later(
-        NotRunProof::unsent(),
-        503,
-        "closing",
-        text,
-        CLOSING_RETRY_MS,
-    )
+    LocalReply::later(proof, 503, "closing", text, CLOSING_RETRY_MS)
 }
 
 fn find_route(directory: &Directory, request: &Request) -> Result<Arc<Route>, LocalReply> {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,6 +13,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use crate::backend::queues::Queues;
 use crate::belief::directory::Allowance;
 use crate::belief::{Directory, Registry, Workspace};
 use crate::clock::{Clock, boot_ms, unix_ms};
@@ -139,9 +140,9 @@
     pub pause_detector: Cell<PauseDetector>,
     /// Notified when the phase changes.
     pub phase_changed: Notify,
-    /// Notified when a server may take another request: a request has left it, or its registration
-    /// or backpressure has changed.
-    pub capacity_changed: Notify,
+    /// Requests that wait for a server. They are woken when one may take another request: a request
+    /// has left it or has begun to answer, or its registration, backpressure or load has changed.
+    pub queues: Queues,
     /// Notified when another node has a newer registry than this one.
     pub peer_registry_changed: Notify,
     /// Greatest revision of a change that other nodes announced and this node's registry lacked.
@@ -201,7 +202,7 @@
             tenure: Cell::new(Tenure::None),
             pause_detector: Cell::default(),
             phase_changed: Notify::new(),
-            capacity_changed: Notify::new(),
+            queues: Queues::default(),
             peer_registry_changed: Notify::new(),
             announced_change: Cell::new(0),
             queried_change: Cell::new(0),
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -307,4 +307,5 @@
         let sum = sums.get(&server.record.id).copied();
         server.load_of_others.set(sum.unwrap_or_default());
     }
+    node.queues.wake_services(now_ms);
 }
--- a/crates/policy/src/limit/admission.rs
+++ b/crates/policy/src/limit/admission.rs
@@ -378,7 +378,7 @@
         rng: &mut impl Rng,
         actions: &mut Vec<AdmissionAction>,
     ) {
-        if self.workspaces[position].queue.len() == 0 {
+        if self.workspaces[position].queue.is_empty() {
             return;
         }
         self.start_within_share(position, now_ms, rng, actions);
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -10,6 +10,7 @@
 mod share;
 
 pub use admission::Admission;
+pub use queue::Queue;
 pub use share::{Claim, allot, local_share};
 
 use base::Name;
--- a/crates/policy/src/limit/queue.rs
+++ b/crates/policy/src/limit/queue.rs
@@ -1,4 +1,5 @@
-//! Queue of one workspace, ordered by priority, then due time, then arrival.
+//! Queue of one workspace, ordered by priority, then due time, then arrival. Both interfaces use it:
+//! here for slots, and in the routed interface for requests that wait for a server.
 
 use std::collections::BTreeMap;
 
@@ -16,8 +17,9 @@
     arrival: u64,
 }
 
+/// Waiting requests of one workspace.
 #[derive(Debug, Default)]
-pub(super) struct Queue {
+pub struct Queue {
     waiting: BTreeMap<QueueKey, AdmissionRequest>,
     arrivals: u64,
 }
@@ -27,6 +29,15 @@
         self.waiting.len()
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// The queued requests in order.
+    pub fn iter(&self) -> impl Iterator<Item = &AdmissionRequest> {
+        self.waiting.values()
+    }
+
     pub fn push(&mut self, request: AdmissionRequest) {
         self.arrivals += 1;
         let key = QueueKey {
