Nodes report faults of backend servers to each other

A node reports servers that it finds unreachable, misdirected, silent or failing (heartbeat field `faults`), at once by pulse to up to 300 nodes, and in whole heartbeats for 4 s. A receiver avoids such a server until it answers some node after the fault, its entry changes, or the avoidance ends. Servers that are gone get no request while another server of the service is left. After the avoidance one node, drawn by rendezvous hashing anew for each failure, tries an unreachable server by a connection and a misdirected one by requests. The first answer after a fault is reported as well (kind `answered`).

Reports of senders that reach no server, or heard none since before the fault, don't count; those of a sender with faults at more than half of its servers, or of one that was refuted, need a second witness. A single reporter can't prolong an avoidance, and no more than half of a service's servers are avoided on reports. E518, two metrics, docs.

Ruled out: forwarding of reports (a node would receive its own evidence), and the count of own failures as that of the report (a crash breaks many streams at once, and the next try would come after 2 s).

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -110,6 +110,7 @@
     BackendSignalled = 515, "backend.signalled", Info, "A backend server has sent a signal in a response: that it leaves, a rate limit, the end of a rate limit, or a time without requests; fields give the node that received it and the signal's age.";
     PathsLost = 516, "paths.lost", Warn, "This daemon reaches no backend server, though other nodes do; requests go through these. Fields count the servers tried.";
     PathsBack = 517, "paths.back", Info, "This daemon reaches backend servers again.";
+    BackendReported = 518, "backend.reported", Info, "A backend server is avoided on the reports of other daemons, or no longer avoided as it answered one; fields give the kind of the fault, the daemon that reported it and the report's age.";
 
     LedgerRefused = 600, "ledger.refused", Info, "A non-idempotent call was not run because of the record of its key in the ledger.";
     LedgerStoreDown = 601, "ledger.store_down", Warn, "The table service does not respond; non-idempotent calls are refused immediately until a probe succeeds.";
--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -12,6 +12,7 @@
 use crate::backend::answer_summary::AnswerSummary;
 use crate::backend::gate::{self, Gate, Permit};
 use crate::backend::pool::{ConnOrigin, Reuse};
+use crate::backend::server_faults;
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
 use crate::clock::unix_ms;
@@ -257,7 +258,7 @@
         .filter(|s| gate.availability(s).wait_ms().is_some())
         .cloned()
         .collect();
-    restrict_suspect(node, job, ready)
+    restrict_suspect(node, job, server_faults::without_gone(node, ready))
 }
 
 /// Restricts a suspected request to this node's share of the servers, so that two nodes seldom send
--- a/crates/gateway/src/backend/crash_check.rs
+++ b/crates/gateway/src/backend/crash_check.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 use tokio::net::TcpStream;
 
-use super::{quarantine, reach};
+use super::{quarantine, reach, server_faults};
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
 use crate::clock::unix_ms;
@@ -76,6 +76,7 @@
     if up || reach::verify(node).await == Reach::Lost {
         return;
     }
+    server_faults::note_down(node, server);
     let loss = match is_draining_or_gone(node, server) {
         true => Loss::Announced,
         false => Loss::Crash,
--- a/crates/gateway/src/backend/mod.rs
+++ b/crates/gateway/src/backend/mod.rs
@@ -8,3 +8,4 @@
 pub mod pool;
 pub mod quarantine;
 pub mod reach;
+pub mod server_faults;
--- a/crates/gateway/src/backend/reach.rs
+++ b/crates/gateway/src/backend/reach.rs
@@ -9,6 +9,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use super::server_faults;
 use crate::belief::Server;
 use crate::decide::reach::Reach;
 use crate::node::Node;
@@ -79,6 +80,7 @@
         };
         crate::log::emit(events::Code::PathsLost, &fields);
         close_idle(node);
+        server_faults::drop_own(node);
         node.capacity_changed.notify_waiters();
         let node = node.clone();
         tokio::task::spawn_local(async move { wait_for_paths(&node).await });
--- a/crates/gateway/src/belief/server.rs
+++ b/crates/gateway/src/belief/server.rs
@@ -12,6 +12,7 @@
 use crate::backend::pool::IdleConn;
 use crate::decide::backpressure::Backpressure;
 use crate::decide::prefix_cache::PrefixCache;
+use crate::decide::server_faults::{FaultKind, ServerFaults, avoidance_ms};
 use crate::decide::speed::Speed;
 use crate::decide::turns::Turns;
 
@@ -78,6 +79,8 @@
     pub silent_until_ms: Cell<Millisecond>,
     /// Consecutive failures.
     pub failures: Cell<u32>,
+    /// Faults that this node or others observed.
+    pub faults: RefCell<ServerFaults>,
     /// Requests whose connections broke, until it is known whether the server is down.
     pub broken_requests: RefCell<Vec<BrokenRequest>>,
     /// Open connections to the server.
@@ -124,6 +127,7 @@
             avoided_until_ms: Cell::new(0),
             silent_until_ms: Cell::new(0),
             failures: Cell::new(0),
+            faults: RefCell::default(),
             broken_requests: RefCell::default(),
             connections: Rc::default(),
             idle: RefCell::default(),
@@ -170,11 +174,23 @@
         self.last_byte_ms.set(now_ms);
         self.silent_until_ms.set(0);
         self.failures.set(0);
+        let ended = self.faults.borrow_mut().record_own_answer(now_ms);
+        if ended.is_some_and(FaultKind::is_gone) {
+            self.avoided_until_ms.set(0);
+        }
     }
 
-    /// Whether the server failed or was silent a short while ago.
+    /// Whether the server failed or was silent a short while ago, here or at other nodes.
     pub fn is_avoided(&self, now_ms: Millisecond) -> bool {
         self.avoided_until_ms.get().max(self.silent_until_ms.get()) > now_ms
+            || self.faults.borrow().is_avoided(now_ms)
+    }
+
+    /// Ends the avoidance that this node's own failures caused, as the server has answered another
+    /// node.
+    pub fn end_avoidance(&self) {
+        self.avoided_until_ms.set(0);
+        self.failures.set(0);
     }
 
     /// Records a failure. Each consecutive one doubles the time for which the server is avoided.
@@ -189,14 +205,9 @@
     }
 
     fn next_avoidance_ms(&self) -> Millisecond {
-        /// Avoidance after the first failure.
-        const AVOIDANCE_MS: Millisecond = 250;
-        /// Longest avoidance; a crashed server is back after about this time.
-        const AVOIDANCE_LIMIT_MS: Millisecond = 2_000;
         let failures = self.failures.get() + 1;
         self.failures.set(failures);
-        let span_ms = AVOIDANCE_MS << failures.min(4).saturating_sub(1);
-        span_ms.min(AVOIDANCE_LIMIT_MS)
+        avoidance_ms(failures)
     }
 }
 
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -16,7 +16,7 @@
 use crate::backend::attempt::{Attempt, Exclusions};
 use crate::backend::crash_check;
 use crate::backend::gate::{self, WithheldCounts};
-use crate::backend::reach;
+use crate::backend::{reach, server_faults};
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
 use crate::decide::outcome::{AttemptHistory, FailureCause, NextAction, RETRY_AFTER_MS};
@@ -205,6 +205,7 @@
             | FailureCause::Broken
             | FailureCause::Garbled => server.record_failure(now_ms),
         }
+        server_faults::note_failure(self.node, server, cause);
         if cause == FailureCause::Broken {
             let request = self.job.broken(attempt.started_ms);
             crash_check::note_broken_connection(self.node, server, request);
--- a/crates/gateway/src/front/failover.rs
+++ b/crates/gateway/src/front/failover.rs
@@ -13,7 +13,7 @@
 use super::request::RequestSource;
 use super::serve::AnswerProgress;
 use crate::backend::attempt::{Attempt, Exclusions};
-use crate::backend::reach;
+use crate::backend::{reach, server_faults};
 use crate::decide::outcome::{FailureCause, NextAction};
 use crate::decide::reach::Reach;
 use crate::decide::retry_budget::RetryPermit;
@@ -153,6 +153,7 @@
     fn search(&mut self, attempt: &Attempt<'a>, silence: &mut Silence<'a>) -> Option<WaitEnd<'a>> {
         if silence.search_at.is_none() {
             attempt.server.record_silence(self.node.now_ms());
+            server_faults::note_silence(self.node, &attempt.server);
             reach::note_failure(self.node, &attempt.server);
         }
         let mut history = self.history;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,10 +11,11 @@
 use prometheus_client::registry::Registry;
 
 use crate::backend::answer_summary::AnswerSummary;
-use crate::backend::gate;
+use crate::backend::{gate, server_faults};
 use crate::belief::RouteKind;
 use crate::decide::backpressure::WithholdReason;
 use crate::decide::outcome::FailureCause;
+use crate::decide::server_faults::FaultKind;
 use crate::decide::signal::Signals;
 use crate::node::Node;
 
@@ -76,6 +77,12 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct FaultLabels {
+    kind: &'static str,
+    outcome: &'static str,
+}
+
 type Durations = Family<RequestLabels, Histogram, fn() -> Histogram>;
 
 /// Metrics of a process.
@@ -90,6 +97,7 @@
     calls: Family<DependencyLabels, Counter>,
     signals: Family<SignalLabels, Counter>,
     withheld: Family<ReasonLabels, Counter>,
+    fault_reports: Family<FaultLabels, Counter>,
 }
 
 impl Metrics {
@@ -105,6 +113,7 @@
         let calls = Family::default();
         let signals = Family::default();
         let withheld = Family::default();
+        let fault_reports = Family::default();
         registry.register("requests", "Requests that ended", requests.clone());
         registry.register(
             "request_panics",
@@ -134,6 +143,11 @@
             "Times that a choice of servers met one which does not want a request now",
             withheld.clone(),
         );
+        registry.register(
+            "fault_reports",
+            "Reports of other nodes on backend servers, repeated ones left out",
+            fault_reports.clone(),
+        );
         Self {
             registry,
             requests,
@@ -145,6 +159,7 @@
             calls,
             signals,
             withheld,
+            fault_reports,
         }
     }
 
@@ -211,6 +226,13 @@
         self.withheld.get_or_create(&ReasonLabels { reason }).inc();
     }
 
+    /// Counts another node's report of a fault of a backend server.
+    pub fn count_fault_report(&self, kind: FaultKind, outcome: &'static str) {
+        let kind = kind.label();
+        let labels = FaultLabels { kind, outcome };
+        self.fault_reports.get_or_create(&labels).inc();
+    }
+
     pub fn count_platform_call(&self, dependency: &'static str, outcome: &'static str) {
         let labels = DependencyLabels {
             dependency,
@@ -276,6 +298,8 @@
     gauges.insert("servers_leaving", f64::from(withheld.leaving));
     gauges.insert("servers_held_off", f64::from(withheld.held_off));
     gauges.insert("servers_limited", f64::from(withheld.limited));
+    let faulty = server_faults::avoided_count(node);
+    gauges.insert("servers_avoided_on_reports", faulty as f64);
     gauges.insert("requests_in_flight", f64::from(node.in_flight.get()));
     gauges.insert("caller_connections", f64::from(node.callers.get()));
     gauges
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use base::units::Millisecond;
-use base::{Map, Name};
+use base::{Map, Name, Set};
 use outside::Topic;
 use policy::suspect::{RequestDigest, SuspectParts, SuspectRequests};
 use rand::rngs::SmallRng;
@@ -109,6 +109,8 @@
     pub suspects: RefCell<SuspectRequests>,
     /// Parts of prompts that may crash the servers that run requests with them.
     pub suspect_parts: RefCell<SuspectParts>,
+    /// Servers with faults that this node or others observed a short while ago.
+    pub faulty_servers: RefCell<Set<Name>>,
     /// Software versions that began the recent streams.
     pub begun_streams: RefCell<BegunStreams>,
     /// The same of streams that began at other nodes, as told by these. They are kept apart, so that
@@ -186,6 +188,7 @@
             usage: RefCell::new(Usage::new(ms(settings.bounds.usage_window_s))),
             suspects: RefCell::default(),
             suspect_parts: RefCell::default(),
+            faulty_servers: RefCell::default(),
             begun_streams: RefCell::default(),
             streams_of_others: RefCell::default(),
             questions: RefCell::default(),
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -12,8 +12,8 @@
 use super::message::{CopyAges, HeartbeatContent, NodeHeartbeat, RegistryVersion};
 use super::role::{DrainState, HEARTBEAT_PERIOD_MS, Presence, SMALL_FLEET_NODES, period_ms};
 use super::stream_message::StreamDatagram;
-use super::{PeerUpdate, catch_up, pull, pulse, streams};
-use crate::backend::{gate, quarantine, reach};
+use super::{PeerUpdate, catch_up, fault_pulse, pull, pulse, streams};
+use crate::backend::{gate, quarantine, reach, server_faults};
 use crate::belief::registry::Load;
 use crate::clock::unix_ms;
 use crate::decide::allowance::PeerUsage;
@@ -60,6 +60,10 @@
     tasks::supervise("pulse", move || {
         pulse::send_pulses(n.clone(), s.clone(), started_unix_ms)
     });
+    let (n, s) = (node.clone(), socket.clone());
+    tasks::supervise("faults", move || {
+        fault_pulse::send_faults(n.clone(), s.clone(), started_unix_ms)
+    });
     let n = node.clone();
     tasks::supervise("hear", move || {
         receive_heartbeats(n.clone(), socket.clone())
@@ -184,6 +188,7 @@
             history.is_known().then(|| history.report())
         },
         notices: gate::notices(node),
+        faults: server_faults::reports(node),
     }
 }
 
@@ -240,6 +245,7 @@
         }
     }
     gate::apply_notices(node, &heartbeat.notices);
+    server_faults::apply(node, &heartbeat);
     quarantine::merge(node, &heartbeat.parts);
     if let Some(versions) = &heartbeat.versions {
         let fleet_ms = node.fleet_ms();
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -8,6 +8,7 @@
 use super::NODES_LIMIT;
 use super::role::{DrainState, Role, period_ms};
 use crate::decide::backpressure::Notice;
+use crate::decide::fault_report::{self, FaultReport};
 use crate::decide::reach::Reach;
 use crate::decide::store_calls::StoreAccess;
 use crate::decide::version_history::VersionReport;
@@ -93,6 +94,9 @@
     /// Backpressure announced by backend servers.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub notices: Vec<Notice>,
+    /// Faults of backend servers that the sender observed, and answers after them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub faults: Vec<FaultReport>,
 }
 
 impl NodeHeartbeat {
@@ -119,6 +123,7 @@
                 .all(|(_, running, _)| *running <= REQUESTS_LIMIT)
             && loads.clone().all(|(_, _, tokens)| *tokens <= TOKENS_LIMIT)
             && self.notices.iter().all(Notice::is_plausible)
+            && fault_report::are_plausible(&self.faults)
     }
 
     /// Age of the sender's process, by the sender's own clock.
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod catch_up;
 pub mod exchange;
+pub mod fault_pulse;
 pub mod message;
 pub mod pack;
 pub mod pull;
--- a/crates/gateway/src/peer/pulse.rs
+++ b/crates/gateway/src/peer/pulse.rs
@@ -15,7 +15,7 @@
 use super::exchange::{heartbeat, send_to};
 use super::message::{HeartbeatContent, NodeHeartbeat, Tenure};
 use super::role::{HEARTBEAT_PERIOD_MS, Role, SMALL_FLEET_NODES};
-use crate::backend::quarantine;
+use crate::backend::{quarantine, server_faults};
 use crate::node::Node;
 
 /// Time between two pulses to the other nodes that follow the store.
@@ -88,6 +88,9 @@
     pulse.settled.clear();
     pulse.suspects.clear();
     pulse.parts = quarantine::fresh_report(node);
+    if !server_faults::has_fresh(node) {
+        pulse.faults.clear();
+    }
 }
 
 /// Chooses the pulses that also go to listening nodes.
