--- a/crates/gateway/src/backend/mod.rs
+++ b/crates/gateway/src/backend/mod.rs
@@ -9,3 +9,4 @@
 pub mod quarantine;
 pub mod queues;
 pub mod reach;
+pub mod server_faults;
--- a/crates/gateway/src/backend/reach.rs
+++ b/crates/gateway/src/backend/reach.rs
@@ -9,6 +9,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use super::server_faults;
 use crate::belief::Server;
 use crate::decide::reach::Reach;
 use crate::node::Node;
@@ -80,6 +81,7 @@
         crate::log::emit(events::Code::PathsLost, &fields);
         close_idle(node);
         node.queues.wake_all();
+        server_faults::drop_own(node);
         let node = node.clone();
         tokio::task::spawn_local(async move { wait_for_paths(&node).await });
     }
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -8,6 +8,7 @@
 use super::NODES_LIMIT;
 use super::role::{DrainState, Role, period_ms};
 use crate::decide::backpressure::Notice;
+use crate::decide::fault_report::{self, FaultReport};
 use crate::decide::reach::Reach;
 use crate::decide::service_speeds::{SPEEDS_LIMIT, SpeedReport};
 use crate::decide::store_calls::StoreAccess;
@@ -97,6 +98,9 @@
     /// Speeds of the services, from the sender's own samples.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub speeds: Vec<SpeedReport>,
+    /// Faults of backend servers that the sender observed, and answers after them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub faults: Vec<FaultReport>,
 }
 
 impl NodeHeartbeat {
@@ -125,6 +129,7 @@
             && self.notices.iter().all(Notice::is_plausible)
             && self.speeds.len() <= SPEEDS_LIMIT
             && self.speeds.iter().all(SpeedReport::is_plausible)
+            && fault_report::are_plausible(&self.faults)
     }
 
     /// Age of the sender's process, by the sender's own clock.
