Rollouts: orders, node state, heartbeats, the holder's rounds and the status row

The holder continues from a row of its own, and reports the outcome in the platform's status row. A node whose evidence is bad stops by itself. All of it is off without the settings section [rollout].

Decisions are made in a task of their own, since the rounds of the other duties may wait for a slow store for longer than decisions live.

--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -51,7 +51,8 @@
     Platform {
         dialect: DIALECT,
         table: store.clone(),
-        feed: store,
+        feed: store.clone(),
+        rollouts: store,
         duties: cloud.map(|cloud| Arc::new(cloud) as _),
     }
 }
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -91,6 +91,8 @@
     RoleChanged = 408, "role.changed", Info, "This node begins or ends to follow the store itself; fields give the ages of its copies and whether the store serves it.";
     LeftBehind = 409, "node.left_behind", Warn, "This node has long known that others have a newer version, no source has passed it on, and it asks the store itself; fields give the versions, the time and the node's position in its failure domain.";
     ConfigDecided = 410, "config.decided", Info, "The table accepted or refused an operator's configuration; fields give the outcome.";
+    RolloutStaged = 411, "rollout.staged", Info, "The holder of the duties decided the stage of a rollout; fields give the share of new requests for the new version, the number of its servers that get them, the evidence with the ages of the order and of the version's first response, and the requests sent so far.";
+    RolloutEnded = 412, "rollout.ended", Warn, "A rollout was completed, rolled back or withdrawn, or this node sends its version nothing on its own evidence (halted); fields give the reason.";
 
     PeerSuspected = 500, "peer.suspected", Warn, "Messages of a peer are overdue; it gets no handovers until one arrives.";
     PeerAlive = 501, "peer.alive", Info, "A peer is new, or its messages arrive again.";
--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -26,6 +26,8 @@
 use crate::decide::timeouts::NoServer;
 use crate::front::job::Job;
 use crate::node::Node;
+use crate::rollout::counts::Sample;
+use crate::rollout::filter::{AttemptOrder, keep_permitted};
 
 /// Requests that may queue at a server without a model engine, as a fraction of its slots. Such
 /// requests are short.
@@ -49,6 +51,8 @@
     waiting_tokens: TokenCount,
     ended: Cell<AttemptEnd>,
     permit: Option<Permit>,
+    /// The attempt as evidence for its version.
+    sample: Sample,
     job: &'a Job<'a>,
 }
 
@@ -77,7 +81,11 @@
         let node = job.node;
         let now_ms = node.now_ms();
         let gate = Gate::new(node);
-        let mut usable = usable_servers(node, job, &gate);
+        let order = match failed.is_empty() {
+            true => AttemptOrder::First,
+            false => AttemptOrder::Later,
+        };
+        let mut usable = usable_servers(node, job, &gate, order);
         usable.retain(|server| excluded != Some(&server.record.id));
         if usable.is_empty() && job.version().is_some() {
             return Err(NoServer::VersionGone);
@@ -152,6 +160,7 @@
             waiting_tokens: choice.tokens_to_read,
             ended: Cell::new(AttemptEnd::Unsent),
             permit: Some(permit),
+            sample: Sample::default(),
             job,
         }
     }
@@ -181,11 +190,14 @@
     pub fn take_permit(&mut self) -> Result<Permit, FailureCause> {
         self.job.answer_summary.set(None);
         self.ended.set(AttemptEnd::CallerLeftOrTimedOut);
+        self.sample.note_sent(self.job, &self.server.record.version);
         self.permit.take().ok_or(FailureCause::Unreachable)
     }
 
     pub fn note_answer(&self, summary: AnswerSummary) {
         self.job.note_answer(summary);
+        let version = &self.server.record.version;
+        self.sample.note_answer(self.job, version, &summary);
         if summary.connection == ConnOrigin::Fresh {
             self.job.node.reach.borrow_mut().record_answer();
         }
@@ -194,11 +206,15 @@
 
     pub fn note_failure(&self, cause: FailureCause) {
         self.ended.set(AttemptEnd::Failed(cause.run_state()));
+        let version = &self.server.record.version;
+        self.sample.note_failure(self.job, version, cause);
     }
 
     /// Records the arrival of the first event of a stream, or of the head of another answer.
     pub fn note_first_byte(&mut self) {
         self.count_begun();
+        let version = &self.server.record.version;
+        self.sample.note_first_byte(self.job, version);
         let after_ms = self.job.node.now_ms() - self.started_ms;
         let mut speed = self.server.speed.borrow_mut();
         speed.record_first_event(self.tokens_ahead, after_ms);
@@ -233,6 +249,7 @@
 impl Drop for Attempt<'_> {
     fn drop(&mut self) {
         let streams = self.job.route.kind.streams();
+        self.sample.end(self.job);
         match self.ended.get() {
             AttemptEnd::Unsent | AttemptEnd::Failed(RunState::NotRun) => {}
             AttemptEnd::Failed(RunState::Unknown | RunState::Ran) => self.count_begun(),
@@ -247,7 +264,12 @@
 }
 
 /// Servers that take new requests, now or at a known later time.
-fn usable_servers(node: &Node, job: &Job<'_>, gate: &Gate<'_>) -> Vec<Rc<Server>> {
+fn usable_servers(
+    node: &Node,
+    job: &Job<'_>,
+    gate: &Gate<'_>,
+    order: AttemptOrder,
+) -> Vec<Rc<Server>> {
     let registry = node.registry.borrow();
     let ready: Vec<Rc<Server>> = registry
         .of_service(&job.service.name)
@@ -257,7 +279,8 @@
         .filter(|s| gate.availability(s).wait_ms().is_some())
         .cloned()
         .collect();
-    restrict_suspect(node, job, ready)
+    let ready = restrict_suspect(node, job, ready);
+    keep_permitted(node, job, ready, order)
 }
 
 /// Restricts a suspected request to this node's share of the servers, so that two nodes seldom send
--- a/crates/gateway/src/config_file.rs
+++ b/crates/gateway/src/config_file.rs
@@ -77,3 +77,19 @@
     ensure!(within, RangeSnafu { key, value, range });
     Ok(())
 }
+
+/// Checks that a value is finite and at least `least`.
+///
+/// # Errors
+///
+/// Returns an error if the value is less or not a number.
+pub fn check_least(
+    key: &'static str,
+    value: f64,
+    least: f64,
+    range: &'static str,
+) -> Result<(), ConfigFileError> {
+    let within = value.is_finite() && value >= least;
+    ensure!(within, RangeSnafu { key, value, range });
+    Ok(())
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use events::Code;
-use outside::{Duties, Feed, Table, Topic};
+use outside::{Duties, Feed, RolloutStatuses, Table, Topic};
 use serde::Serialize;
 use snafu::{ResultExt, Snafu};
 use tokio::signal::unix::{SignalKind, signal};
@@ -20,7 +20,7 @@
 use crate::front::accept::{ListenError, Listeners};
 use crate::node::{Node, Phase};
 use crate::settings::{Settings, ms};
-use crate::{duty, follow, log, tasks};
+use crate::{duty, follow, log, rollout, tasks};
 
 const CLEANUP_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -60,6 +60,8 @@
     pub feed: Arc<dyn Feed>,
     /// The calls for duties; `None` for a platform without duties.
     pub duties: Option<Arc<dyn Duties>>,
+    /// The status rows of rollouts.
+    pub rollouts: Arc<dyn RolloutStatuses>,
 }
 
 #[derive(Serialize)]
@@ -141,9 +143,15 @@
         follow::streams::save(n.clone(), rows.clone())
     });
     if let Some(duties) = platform.duties {
-        let n = node.clone();
+        let (n, t) = (node.clone(), table.clone());
         tasks::supervise("duties", move || {
-            duty::runner::run(n.clone(), table.clone(), duties.clone())
+            duty::runner::run(n.clone(), t.clone(), duties.clone())
+        });
+    }
+    if node.settings.rollout.is_some() {
+        let (n, statuses) = (node.clone(), platform.rollouts);
+        tasks::supervise("rollouts", move || {
+            duty::rollouts::run(n.clone(), table.clone(), statuses.clone())
         });
     }
     let n = node.clone();
@@ -242,6 +250,7 @@
     loop {
         tokio::time::sleep(CLEANUP_INTERVAL).await;
         let now_ms = node.now_ms();
+        rollout::round(&node);
         follow::servers::expire(&node);
         node.suspects.borrow_mut().expire(unix_ms());
         node.suspect_parts.borrow_mut().expire(now_ms);
--- a/crates/gateway/src/decide/rollout/plan.rs
+++ b/crates/gateway/src/decide/rollout/plan.rs
@@ -61,7 +61,7 @@
 const COUNTED_SHARE: f64 = 0.9;
 
 /// A stage of a rollout.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Stage {
     /// A few percent of the requests at few servers.
@@ -84,7 +84,7 @@
 }
 
 /// What the holder knows in a round.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
 pub struct Situation {
     /// Time since the order.
     pub age_ms: Millisecond,
@@ -220,7 +220,8 @@
         (left_ms.saturating_sub(ALL_MARGIN_MS) / steps).clamp(shortest_ms, longest_ms)
     }
 
-    fn decision(&self, now: &Situation) -> Decision {
+    /// What nodes follow in the present stage.
+    pub fn decision(&self, now: &Situation) -> Decision {
         let few = (now.old_servers as f64 * CANARY_SERVERS_SHARE) as u32;
         let few = few.clamp(1, now.new_servers.max(1));
         // The share at which the few servers have the load of the old ones.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -1,5 +1,7 @@
 //! Platform-specific names and formats: header fields, and the rows of the platform's store.
 
+use base::Name;
+use base::units::Millisecond;
 use snafu::Snafu;
 
 use crate::belief::{Directory, ServerRecord};
@@ -60,4 +62,15 @@
     pub directory_key: &'static str,
     /// Decodes a backend server's entry from its identifier and its row.
     pub server: fn(&str, &[u8]) -> Result<ServerRecord, DecodeError>,
+    /// Start of the keys of rollout orders in the operator's table; the service follows it.
+    pub rollout_prefix: &'static str,
+    /// Decodes the order of a service.
+    pub rollout: fn(&str, &[u8]) -> Result<RolloutRow, DecodeError>,
+}
+
+/// An order to move a service to a software version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutRow {
+    pub to: Name,
+    pub duration_ms: Millisecond,
 }
--- a/crates/gateway/src/duty/mod.rs
+++ b/crates/gateway/src/duty/mod.rs
@@ -2,6 +2,7 @@
 //! orders of servers.
 
 pub mod checkpoint;
+pub mod rollouts;
 pub mod runner;
 pub mod scaling;
 pub mod tenure;
--- a/crates/gateway/src/duty/runner.rs
+++ b/crates/gateway/src/duty/runner.rs
@@ -71,7 +71,9 @@
             node: node.clone(),
             tenure,
         };
+        node.rollouts.borrow_mut().tenure = Some(runner.tenure.clone());
         runner.run_while_taking_part(&lease).await;
+        node.rollouts.borrow_mut().tenure = None;
         node.tenure.set(Tenure::None);
         lease.close().await;
     }
--- a/crates/gateway/src/follow/directory.rs
+++ b/crates/gateway/src/follow/directory.rs
@@ -7,8 +7,8 @@
 use serde::Serialize;
 
 use super::BatchScope;
-use crate::log;
 use crate::node::{Adoption, Node};
+use crate::{log, rollout};
 
 #[derive(Serialize)]
 struct InForceFields {
@@ -24,9 +24,10 @@
 }
 
 /// Applies rows of the operator's table.
-pub fn apply_batch(node: &Rc<Node>, batch: FeedBatch, _: BatchScope) {
+pub fn apply_batch(node: &Rc<Node>, batch: FeedBatch, scope: BatchScope) {
     node.directory_confirmed_ms.set(node.now_ms());
     node.directory_read_ms.set(node.now_ms());
+    rollout::orders::apply_rows(node, &batch.rows, scope);
     for row in batch.rows {
         let Some(body) = row.body else {
             continue;
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -83,6 +83,7 @@
     let rows = copy.rows.into_iter().map(|(id, row)| FeedRow {
         key: id.to_string(),
         body: Some(row.into_bytes()),
+        revision: 0,
     });
     // The other node has already waited for entries that might come back.
     apply(node, rows.collect(), BatchScope::Changes, Absence::Certain);
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -45,6 +45,7 @@
     /// Software version of the servers that may run the request; unset if any may.
     version: OnceCell<Name>,
     digest: OnceCell<RequestDigest>,
+    rollout_drawn: OnceCell<f64>,
 }
 
 /// Whether a server may have started to run a request.
@@ -97,6 +98,7 @@
             answer_summary: Cell::new(None),
             version: OnceCell::new(),
             digest: OnceCell::new(),
+            rollout_drawn: OnceCell::new(),
         }
     }
 
@@ -116,6 +118,13 @@
         self.version.get()
     }
 
+    /// Random number from 0 to 1 by which the request goes to the old or the new version during a
+    /// rollout. A request that waits keeps it.
+    pub fn rollout_drawn(&self) -> f64 {
+        let draw = || self.node.random_fraction();
+        *self.rollout_drawn.get_or_init(draw)
+    }
+
     /// Time until the deadline.
     pub fn left_ms(&self) -> Millisecond {
         self.deadline_ms.saturating_sub(self.node.now_ms())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 pub mod node;
 pub mod peer;
+pub mod rollout;
 pub mod settings;
 pub mod sse;
 pub mod tasks;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -41,6 +41,7 @@
 use crate::peer::role::{OwnCopies, Role, period_ms};
 use crate::peer::serve::Serving;
 use crate::peer::streams::Questions;
+use crate::rollout::Rollouts;
 use crate::settings::{FirstStart, Settings, ms};
 
 /// Phase of a process between start and shutdown.
@@ -122,6 +123,8 @@
     pub version_history: RefCell<VersionHistory>,
     /// Rows of begun streams in the store; unset without a store.
     pub stream_rows: OnceCell<Rc<StreamRows>>,
+    /// Rollouts of new server versions.
+    pub rollouts: RefCell<Rollouts>,
     /// Whether this node reaches the backend servers.
     pub reach: RefCell<ReachState>,
     /// Held while the paths to the backend servers are checked.
@@ -192,6 +195,7 @@
             peer_socket: OnceCell::new(),
             version_history: RefCell::default(),
             stream_rows: OnceCell::new(),
+            rollouts: RefCell::default(),
             reach: RefCell::default(),
             reach_check: tokio::sync::Mutex::default(),
             relayed: Cell::new(0),
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -19,6 +19,7 @@
 use crate::decide::allowance::PeerUsage;
 use crate::log;
 use crate::node::{Node, Phase};
+use crate::rollout::news;
 use crate::tasks;
 
 /// Time between two groups of heartbeats.
@@ -184,6 +185,8 @@
             history.is_known().then(|| history.report())
         },
         notices: gate::notices(node),
+        rollouts: news::report(node),
+        rollout_counts: news::counts(node),
     }
 }
 
@@ -241,6 +244,7 @@
     }
     gate::apply_notices(node, &heartbeat.notices);
     quarantine::merge(node, &heartbeat.parts);
+    news::apply(node, &heartbeat);
     if let Some(versions) = &heartbeat.versions {
         let fleet_ms = node.fleet_ms();
         node.version_history.borrow_mut().merge(versions, fleet_ms);
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -11,6 +11,7 @@
 use crate::decide::reach::Reach;
 use crate::decide::store_calls::StoreAccess;
 use crate::decide::version_history::VersionReport;
+use crate::rollout::news::{self, RolloutCount, RolloutNews};
 
 /// Most requests of one node at one server: each takes one of the node's ports.
 const REQUESTS_LIMIT: u32 = u16::MAX as u32;
@@ -93,6 +94,12 @@
     /// Backpressure announced by backend servers.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub notices: Vec<Notice>,
+    /// Rollouts that the sender knows, with its decisions if it holds the duties.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<RolloutNews>,
+    /// Outcomes of the sender's requests while orders run.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollout_counts: Vec<RolloutCount>,
 }
 
 impl NodeHeartbeat {
@@ -119,6 +126,7 @@
                 .all(|(_, running, _)| *running <= REQUESTS_LIMIT)
             && loads.clone().all(|(_, _, tokens)| *tokens <= TOKENS_LIMIT)
             && self.notices.iter().all(Notice::is_plausible)
+            && news::are_plausible(&self.rollouts, &self.rollout_counts)
     }
 
     /// Age of the sender's process, by the sender's own clock.
--- a/crates/gateway/src/peer/pulse.rs
+++ b/crates/gateway/src/peer/pulse.rs
@@ -17,6 +17,7 @@
 use super::role::{HEARTBEAT_PERIOD_MS, Role, SMALL_FLEET_NODES};
 use crate::backend::quarantine;
 use crate::node::Node;
+use crate::rollout::news;
 
 /// Time between two pulses to the other nodes that follow the store.
 const PULSE_PERIOD: Duration = Duration::from_millis(HEARTBEAT_PERIOD_MS);
@@ -47,7 +48,7 @@
             rounds = PulseRounds::default();
             // Crashes are counted by the nodes that follow the store, as these reach all others
             // soon.
-            if quarantine::has_fresh_evidence(&node) {
+            if quarantine::has_fresh_evidence(&node) || news::has_running(&node) {
                 let mut pulse = heartbeat(&node, node.next_datagram_number(), started_unix_ms);
                 send(&node, &socket, &mut pulse, HEARTBEAT_PERIOD_MS, &followers);
             }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 
 use crate::config_file::{self, ConfigFileError};
+use crate::decide::rollout::ExposureBounds;
 use crate::decide::rule::Rule;
 use crate::decide::scale::UtilizationShares;
 use crate::decide::shed::WAIT_SHARE;
@@ -36,6 +37,21 @@
     pub bounds: Bounds,
     #[serde(default)]
     pub limits: Limits,
+    /// Rollouts of new server versions; none are done without it.
+    pub rollout: Option<Rollout>,
+}
+
+/// Bounds on rollouts of new server versions.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rollout {
+    /// Greatest share of a service's requests, from the order to its deadline, that a bad version
+    /// may get.
+    pub exposure_share: f64,
+    /// Requests beyond that share.
+    pub exposure_slack: f64,
+    /// Time after the 50th bad response in which requests to a bad version must end.
+    pub rollback_ms: Millisecond,
 }
 
 /// Resource limits of the process.
@@ -259,7 +275,38 @@
             ("bounds.usage_window_s", bounds.usage_window_s),
             ("bounds.usage_due_s", bounds.usage_due_s),
         ])?;
-        config_file::check_fraction("bounds.retry_ratio", bounds.retry_ratio)
+        config_file::check_fraction("bounds.retry_ratio", bounds.retry_ratio)?;
+        self.rollout.as_ref().map_or(Ok(()), Rollout::check)
+    }
+}
+
+impl Rollout {
+    /// Shortest time for a roll-back: counts and decisions take 1.2 s between 67 nodes, and a fault
+    /// must last for some rounds to be told from a crash.
+    const ROLLBACK_LEAST_MS: f64 = 3_000.0;
+
+    fn check(&self) -> Result<(), ConfigFileError> {
+        config_file::check_positive(&[("rollout.exposure_share", self.exposure_share)])?;
+        config_file::check_fraction("rollout.exposure_share", self.exposure_share)?;
+        config_file::check_least(
+            "rollout.exposure_slack",
+            self.exposure_slack,
+            0.0,
+            "0 or more",
+        )?;
+        config_file::check_least(
+            "rollout.rollback_ms",
+            self.rollback_ms as f64,
+            Self::ROLLBACK_LEAST_MS,
+            "3000 or more",
+        )
+    }
+
+    pub fn exposure(&self) -> ExposureBounds {
+        ExposureBounds {
+            share: self.exposure_share,
+            slack: self.exposure_slack,
+        }
     }
 }
 
--- a/crates/gateway/tests/confirmations.rs
+++ b/crates/gateway/tests/confirmations.rs
@@ -22,6 +22,7 @@
         rows: vec![FeedRow {
             key: key.to_owned(),
             body: Some(body.as_bytes().to_vec()),
+            revision: 0,
         }],
         revision: 5,
     };
--- a/crates/gateway/tests/copy_ages.rs
+++ b/crates/gateway/tests/copy_ages.rs
@@ -27,6 +27,7 @@
     FeedRow {
         key: key.to_owned(),
         body: Some(body.as_bytes().to_vec()),
+        revision: 0,
     }
 }
 
--- a/crates/gateway/tests/discovery_histories.rs
+++ b/crates/gateway/tests/discovery_histories.rs
@@ -205,12 +205,14 @@
         let row = |(key, body): (&String, &String)| FeedRow {
             key: key.clone(),
             body: Some(body.clone().into_bytes()),
+            revision: 0,
         };
         let rows = match topic_of(topic) {
             RowKind::Servers => store.rows.iter().map(row).collect(),
             RowKind::Directory => vec![FeedRow {
                 key: "directory".to_owned(),
                 body: Some(store.config.to_string().into_bytes()),
+                revision: 0,
             }],
         };
         Ok(FeedBatch {
@@ -240,6 +242,7 @@
                 let rows = news.map(|(_, _, key, body)| FeedRow {
                     key: key.clone(),
                     body: body.clone().map(String::into_bytes),
+                    revision: 0,
                 });
                 FeedBatch {
                     rows: rows.collect(),
--- a/crates/gateway/tests/followers_turned_away.rs
+++ b/crates/gateway/tests/followers_turned_away.rs
@@ -59,6 +59,7 @@
         let row = |key: &str, body: String| FeedRow {
             key: key.to_owned(),
             body: Some(body.into_bytes()),
+            revision: 0,
         };
         let rows = match topic {
             Topic::Servers => vec![row("x", "ready 1 1".to_owned())],
--- a/crates/gateway/tests/late_change.rs
+++ b/crates/gateway/tests/late_change.rs
@@ -207,6 +207,7 @@
         let row = FeedRow {
             key: "directory".to_owned(),
             body: Some(VERSION.to_string().into_bytes()),
+            revision: 0,
         };
         Ok(FeedBatch {
             rows: vec![row],
--- a/crates/gateway/tests/registry_model.rs
+++ b/crates/gateway/tests/registry_model.rs
@@ -188,6 +188,7 @@
         let rows = self.rows.entries.iter().map(|(id, entry)| FeedRow {
             key: id.clone(),
             body: Some(entry.body()),
+            revision: 0,
         });
         FeedBatch {
             rows: rows.collect(),
@@ -208,6 +209,7 @@
             .map(|(_, id, body)| FeedRow {
                 key: id.clone(),
                 body: body.clone(),
+                revision: 0,
             });
         let batch = FeedBatch {
             rows: rows.collect(),
--- a/crates/gateway/tests/removals.rs
+++ b/crates/gateway/tests/removals.rs
@@ -17,6 +17,7 @@
     FeedRow {
         key: key.to_owned(),
         body: body.map(|text| text.as_bytes().to_vec()),
+        revision: 0,
     }
 }
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use gateway::belief::Directory;
 use gateway::belief::directory::DirectoryParts;
 use gateway::belief::registry::{ServerRecord, ServerState};
-use gateway::dialect::{DecodeError, Dialect, HeaderNames};
+use gateway::dialect::{DecodeError, Dialect, HeaderNames, RolloutRow};
 use gateway::node::Node;
 use gateway::settings::Settings;
 use outside::Purchase;
@@ -62,6 +62,8 @@
         directory,
         directory_key: "directory",
         server,
+        rollout_prefix: "rollout/",
+        rollout,
     };
     Node::new(settings, dialect)
 }
@@ -104,3 +106,17 @@
         sequence: number(0),
     })
 }
+
+/// Decodes an order, which consists of the version and the duration in milliseconds.
+fn rollout(_: &str, body: &[u8]) -> Result<RolloutRow, DecodeError> {
+    let text = std::str::from_utf8(body).unwrap_or_default();
+    let parts = text.split_once(' ');
+    let parts = parts.and_then(|(to, ms)| Some((to, ms.parse().ok()?)));
+    let (to, duration_ms) = parts.ok_or_else(|| DecodeError {
+        reason: "no order".to_owned(),
+    })?;
+    Ok(RolloutRow {
+        to: to.into(),
+        duration_ms,
+    })
+}
--- a/crates/outside/src/feed.rs
+++ b/crates/outside/src/feed.rs
@@ -24,6 +24,8 @@
     pub key: String,
     /// Content; `None` for a tombstone.
     pub body: Option<Vec<u8>>,
+    /// Revision of the row's last write; 0 if it is not known.
+    pub revision: u64,
 }
 
 /// Rows of a snapshot, or the changes since an earlier revision.
--- a/crates/outside/src/lib.rs
+++ b/crates/outside/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http;
 mod objects;
 pub mod revision;
+mod rollouts;
 mod table;
 mod vms;
 
@@ -15,5 +16,6 @@
 pub use duties::{Duties, DutyError, DutyHolder, ServerOrder, UsageReport};
 pub use feed::{Feed, FeedBatch, FeedError, FeedRow, Topic};
 pub use objects::{ObjectError, Objects};
+pub use rollouts::{RolloutPhase, RolloutStatus, RolloutStatuses};
 pub use table::{CommitError, Condition, Key, ReadError, Row, Table, Write};
 pub use vms::{Vm, VmListError, VmRole, VmState, Vms};
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -152,6 +152,14 @@
         String::from_utf8(BASE64.decode(value).ok()?).ok()
     }
 
+    /// Value of a row that a runner, the operator or the system wrote without a partition.
+    pub fn row(&self, table: &str, key: &str) -> Option<Value> {
+        let name = (table.to_owned(), String::new(), key.to_owned());
+        let state = self.shared.lock();
+        let (value, _) = state.rows.get(&name)?;
+        serde_json::from_slice(&BASE64.decode(value).ok()?).ok()
+    }
+
     /// Calls so far, refused ones too.
     pub fn calls(&self) -> u64 {
         self.shared.lock().calls
