--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -50,11 +50,21 @@
 
 /// Creates a node in a failure domain.
 pub fn node_in(name: &str, domain: &str) -> Rc<Node> {
+    node_with(name, domain, "")
+}
+
+/// Creates a node with rollouts in force.
+pub fn node_with_rollouts(name: &str) -> Rc<Node> {
+    let section = "[rollout]\nexposure_share = 0.1\nexposure_slack = 50\nrollback_ms = 5000\n";
+    node_with(name, "a", section)
+}
+
+fn node_with(name: &str, domain: &str, sections: &str) -> Rc<Node> {
     let text = format!(
         "[node]\nname = \"{name}\"\nfailure_domain = \"{domain}\"\n\
                 [listen]\ncallers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n\
                 peers = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n\
-                [store]\naddress = \"127.0.0.1:9\"\n[bounds]\n"
+                [store]\naddress = \"127.0.0.1:9\"\n[bounds]\n{sections}"
     );
     let settings = Settings::parse(&text, Path::new("test")).unwrap();
     let dialect = Dialect {
