--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -30,6 +30,8 @@
 use crate::decide::timeouts::NoServer;
 use crate::front::job::Job;
 use crate::node::Node;
+use crate::rollout::counts::Sample as RolloutSample;
+use crate::rollout::filter::{AttemptOrder, keep_permitted};
 
 /// Requests that may queue at a server without a model engine, as a fraction of its slots. Such
 /// requests are short.
@@ -53,6 +55,8 @@
     waiting_tokens: TokenCount,
     ended: Cell<AttemptEnd>,
     permit: Option<Permit>,
+    /// The attempt as evidence for its version.
+    sample: RolloutSample,
     job: &'a Job<'a>,
 }
 
@@ -81,7 +85,11 @@
         let node = job.node;
         let now_ms = node.now_ms();
         let gate = Gate::new(node);
-        let mut usable = usable_servers(node, job, &gate);
+        let order = match failed.is_empty() {
+            true => AttemptOrder::First,
+            false => AttemptOrder::Later,
+        };
+        let mut usable = usable_servers(node, job, &gate, order);
         usable.retain(|server| excluded != Some(&server.record.id));
         if usable.is_empty() && job.version().is_some() {
             return Err(NoServer::VersionGone);
@@ -161,6 +169,7 @@
             waiting_tokens: choice.tokens_to_read,
             ended: Cell::new(AttemptEnd::Unsent),
             permit: Some(permit),
+            sample: RolloutSample::default(),
             job,
         }
     }
@@ -194,11 +203,14 @@
             .delivery
             .set(delivery.with_attempt(self.predicted_ms));
         self.ended.set(AttemptEnd::CallerLeftOrTimedOut);
+        self.sample.note_sent(self.job, &self.server.record.version);
         self.permit.take().ok_or(FailureCause::Unreachable)
     }
 
     pub fn note_answer(&self, summary: AnswerSummary) {
         self.job.note_answer(summary);
+        let version = &self.server.record.version;
+        self.sample.note_answer(self.job, version, &summary);
         if summary.connection == ConnOrigin::Fresh {
             self.job.node.reach.borrow_mut().record_answer();
         }
@@ -207,11 +219,15 @@
 
     pub fn note_failure(&self, cause: FailureCause) {
         self.ended.set(AttemptEnd::Failed(cause.run_state()));
+        let version = &self.server.record.version;
+        self.sample.note_failure(self.job, version, cause);
     }
 
     /// Records the arrival of the first event of a stream, or of the head of another answer.
     pub fn note_first_byte(&mut self) {
         self.count_begun();
+        let version = &self.server.record.version;
+        self.sample.note_first_byte(self.job, version);
         let node = self.job.node;
         let now_ms = node.now_ms();
         let sample = Sample {
@@ -254,6 +270,7 @@
 impl Drop for Attempt<'_> {
     fn drop(&mut self) {
         let streams = self.job.route.kind.streams();
+        self.sample.end(self.job);
         match self.ended.get() {
             AttemptEnd::Unsent | AttemptEnd::Failed(RunState::NotRun) => {}
             AttemptEnd::Failed(RunState::Unknown | RunState::Ran) => self.count_begun(),
@@ -268,7 +285,12 @@
 }
 
 /// Servers that take new requests, now or at a known later time.
-fn usable_servers(node: &Node, job: &Job<'_>, gate: &Gate<'_>) -> Vec<Rc<Server>> {
+fn usable_servers(
+    node: &Node,
+    job: &Job<'_>,
+    gate: &Gate<'_>,
+    order: AttemptOrder,
+) -> Vec<Rc<Server>> {
     let registry = node.registry.borrow();
     let ready: Vec<Rc<Server>> = registry
         .of_service(&job.service.name)
@@ -278,7 +300,8 @@
         .filter(|s| gate.availability(s).wait_ms().is_some())
         .cloned()
         .collect();
-    restrict_suspect(node, job, server_faults::without_gone(node, ready))
+    let ready = restrict_suspect(node, job, server_faults::without_gone(node, ready));
+    keep_permitted(node, job, ready, order)
 }
 
 /// Restricts a suspected request to this node's share of the servers, so that two nodes seldom send
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -13,6 +13,7 @@
 use crate::decide::service_speeds::{SPEEDS_LIMIT, SpeedReport};
 use crate::decide::store_calls::StoreAccess;
 use crate::decide::version_history::VersionReport;
+use crate::rollout::news::{self, RolloutCount, RolloutNews};
 
 /// Most requests of one node at one server: each takes one of the node's ports.
 const REQUESTS_LIMIT: u32 = u16::MAX as u32;
@@ -101,6 +102,12 @@
     /// Faults of backend servers that the sender observed, and answers after them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub faults: Vec<FaultReport>,
+    /// Rollouts that the sender knows, with its decisions if it holds the duties.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<RolloutNews>,
+    /// Outcomes of the sender's requests while orders run.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollout_counts: Vec<RolloutCount>,
 }
 
 impl NodeHeartbeat {
@@ -130,6 +137,7 @@
             && self.speeds.len() <= SPEEDS_LIMIT
             && self.speeds.iter().all(SpeedReport::is_plausible)
             && fault_report::are_plausible(&self.faults)
+            && news::are_plausible(&self.rollouts, &self.rollout_counts)
     }
 
     /// Age of the sender's process, by the sender's own clock.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use gateway::belief::Directory;
 use gateway::belief::directory::DirectoryParts;
 use gateway::belief::registry::{ServerRecord, ServerState};
-use gateway::dialect::{DecodeError, Dialect, HeaderNames};
+use gateway::dialect::{DecodeError, Dialect, HeaderNames, RolloutRow};
 use gateway::node::Node;
 use gateway::settings::Settings;
 use outside::Purchase;
@@ -50,11 +50,21 @@
 
 /// Creates a node in a failure domain.
 pub fn node_in(name: &str, domain: &str) -> Rc<Node> {
+    node_with(name, domain, "")
+}
+
+/// Creates a node with rollouts in force.
+pub fn node_with_rollouts(name: &str) -> Rc<Node> {
+    let section = "[rollout]\nexposure_share = 0.1\nexposure_slack = 50\nrollback_ms = 5000\n";
+    node_with(name, "a", section)
+}
+
+fn node_with(name: &str, domain: &str, sections: &str) -> Rc<Node> {
     let text = format!(
         "[node]\nname = \"{name}\"\nfailure_domain = \"{domain}\"\n\
                 [listen]\ncallers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n\
                 peers = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n\
-                [store]\naddress = \"127.0.0.1:9\"\n[bounds]\n"
+                [store]\naddress = \"127.0.0.1:9\"\n[bounds]\n{sections}"
     );
     let settings = Settings::parse(&text, Path::new("test")).unwrap();
     let dialect = Dialect {
@@ -62,6 +72,8 @@
         directory,
         directory_key: "directory",
         server,
+        rollout_prefix: "rollout/",
+        rollout,
     };
     Node::new(settings, dialect)
 }
@@ -104,3 +116,17 @@
         sequence: number(0),
     })
 }
+
+/// Decodes an order, which consists of the version and the duration in milliseconds.
+fn rollout(_: &str, body: &[u8]) -> Result<RolloutRow, DecodeError> {
+    let text = std::str::from_utf8(body).unwrap_or_default();
+    let parts = text.split_once(' ');
+    let parts = parts.and_then(|(to, ms)| Some((to, ms.parse().ok()?)));
+    let (to, duration_ms) = parts.ok_or_else(|| DecodeError {
+        reason: "no order".to_owned(),
+    })?;
+    Ok(RolloutRow {
+        to: to.into(),
+        duration_ms,
+    })
+}
