Retry-After: a time at which there is capacity for that caller

Refusals of a used-up allowance had a Retry-After of 100 ms at the median, so that all callers returned together; those of busy and full servers were drawn from 250 to 900 ms.

decide::returns (pure) remembers the callers that were told to return and the units they need, and gives the next caller a time after them. For an allowance it is the time at which the level refills; other nodes' promises are estimated by this node's share of the use. For busy and full servers it follows from the drain that decide::waiting observes, after what more urgent ranks take. Callers return only within a third of their remaining time: those that don't are not counted. There is no Retry-After after the caller's deadline for these refusals.

Not changed: the other reasons, among them servers_limited. The test a_request_that_no_server_can_take_in_time_is_refused_with_a_retry_time (platform/tests/signals.rs) demands a Retry-After beyond the deadline there. Ruled out: keeping units back for those who were told to return. They may return to another node, and the units would then be unused.

Tests run: gateway returns, waiting, allowances, limit_histories; platform requests, signals.

--- a/crates/gateway/src/backend/queues.rs
+++ b/crates/gateway/src/backend/queues.rs
@@ -12,6 +12,7 @@
 
 use crate::belief::directory::AllowanceUnit;
 use crate::decide::placement::HOME_CACHED_SHARE;
+use crate::decide::returns::{Capacity, Return, Returns};
 use crate::decide::shed::{RankRooms, room_ms, wait_limit_ms};
 use crate::decide::timeouts::FULL_WAIT_SHARE;
 use crate::decide::waiting::{Applicant, Outlook, Urgency, WaitingLine};
@@ -30,6 +31,10 @@
 /// tried before, because capacity may have become free since.
 const TRIES_VALID_MS: Millisecond = 10;
 
+/// Shortest `Retry-After` of a busy service: the loads of other nodes, from which the next choice is
+/// made, are no newer than this.
+const LEAST_RETRY_AFTER_MS: Millisecond = 120;
+
 /// The requests of this node that wait, by service.
 #[derive(Default)]
 pub struct Queues {
@@ -42,6 +47,8 @@
     line: WaitingLine,
     rooms: RankRooms,
     waiters: Map<RequestId, Waiter>,
+    /// Callers whose requests were refused because the servers are busy or full.
+    returns: Returns,
     /// Number of the latest change of capacity.
     change: u64,
     changed_ms: Millisecond,
@@ -142,6 +149,28 @@
         Some(room_limit_ms.map_or(target_limit_ms, |ms| ms.min(target_limit_ms)))
     }
 
+    /// Time after which the caller of a refused request should return: the servers have then taken
+    /// the requests that wait now and those of callers that were told to return before. `None` if
+    /// that is after the caller's deadline.
+    pub fn tell_return(&self, job: &Job<'_>) -> Option<Millisecond> {
+        let now_ms = job.node.now_ms();
+        let (urgency, work_ms) = (Urgency::Rank(job.priority()), work_ms(job));
+        let mut services = self.services.borrow_mut();
+        let queue = services.entry(job.service.name.clone()).or_default();
+        let drain = queue.line.drain_for(urgency, now_ms);
+        let capacity = Capacity {
+            before: queue.line.drained_ms(urgency, now_ms) * drain,
+            per_s: 1_000.0 * drain,
+            own_share: 1.0,
+        };
+        let caller = Return {
+            needed: work_ms.max(1) as f64,
+            left_ms: job.caller_left_ms(),
+        };
+        let after_ms = queue.returns.tell(caller, capacity, now_ms)?;
+        Some(after_ms.max(LEAST_RETRY_AFTER_MS)).filter(|ms| *ms < caller.left_ms)
+    }
+
     /// Adds a request to those that wait for a server of its service. If no other one goes before
     /// it, it is the next.
     pub fn join<'a>(&'a self, job: &'a Job<'_>, run_state: RunState) -> Place<'a> {
--- a/crates/gateway/src/decide/allowance.rs
+++ b/crates/gateway/src/decide/allowance.rs
@@ -9,6 +9,7 @@
 use base::units::Millisecond;
 use base::{Map, Name};
 
+use super::returns::{Capacity, Return, Returns};
 use crate::belief::directory::Allowance;
 
 /// If use before a bucket began is unknown, nodes first heard of within this time are taken to have
@@ -93,6 +94,7 @@
     unheard: UnheardNodes,
     /// Average use by this node, in units per millisecond.
     recent_per_ms: f64,
+    returns: Returns,
 }
 
 /// Listed nodes that a restarted process has not heard of yet.
@@ -164,6 +166,7 @@
             peers: Map::default(),
             unheard: UnheardNodes::default(),
             recent_per_ms: 0.0,
+            returns: Returns::default(),
         }
     }
 
@@ -202,6 +205,36 @@
         }
     }
 
+    /// Time after which a refused caller should return: the level has then refilled to its cost
+    /// after the costs of the callers that were told to return before. `None` if that is after the
+    /// caller's deadline.
+    pub fn tell_return(
+        &mut self,
+        cost: f64,
+        left_ms: Millisecond,
+        now_ms: Millisecond,
+    ) -> Option<Millisecond> {
+        let caller = Return {
+            needed: cost.min(self.allowance.burst),
+            left_ms,
+        };
+        let capacity = Capacity {
+            before: -self.level,
+            per_s: self.allowance.rate_per_s,
+            own_share: self.own_share(),
+        };
+        self.returns.tell(caller, capacity, now_ms)
+    }
+
+    /// Share of the use of all nodes that is this node's. One second's rate counts as used evenly.
+    fn own_share(&self) -> f64 {
+        let nodes = self.peers.len() as f64 + 1.0;
+        let rate = self.allowance.rate_per_s.max(f64::MIN_POSITIVE);
+        let used: f64 = self.peers.values().map(|p| p.used - p.used_at_first).sum();
+        let own = self.used.max(0.0) + rate / nodes;
+        own / (self.used.max(0.0) + used.max(0.0) + rate)
+    }
+
     /// Returns the units charged for a request that did not run.
     pub fn refund(&mut self, cost: f64) {
         self.level = (self.level + cost).min(self.allowance.burst);
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -14,6 +14,7 @@
 pub mod prompt;
 pub mod reach;
 pub mod retry_budget;
+pub mod returns;
 pub mod rule;
 pub mod scale;
 pub mod shed;
--- a/crates/gateway/src/decide/waiting.rs
+++ b/crates/gateway/src/decide/waiting.rs
@@ -31,6 +31,9 @@
 /// by this factor, as the predictions of few requests vary.
 const WAITING_TOLERANCE: f64 = 1.25;
 
+/// Keeps the quotients finite before any work is known.
+const LEAST_DRAIN: f64 = 0.001;
+
 /// Place of a request in the order of urgency.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Urgency {
@@ -253,17 +256,26 @@
     /// Predicted wait of a request that `ranked_ms` of work of its urgency goes before: behind the
     /// more urgent requests, or in the reserved share.
     fn wait_ms(&self, urgency: Urgency, ranked_ms: f64, now_ms: Millisecond) -> f64 {
-        /// Keeps the quotients finite before any work is known.
-        const LEAST_DRAIN: f64 = 0.001;
         let drain = self.drain(now_ms).max(LEAST_DRAIN);
         let reserved_ms = ranked_ms / (drain * RESERVED_SHARE);
-        let more_urgent = self.classes.iter().filter(|c| c.urgency < urgency);
-        let arriving = more_urgent.map(|c| c.offered_ms).sum::<f64>() / MEMORY_MS;
-        let left = (drain - arriving).max(LEAST_DRAIN);
+        let left = self.left_drain(urgency, now_ms);
         let behind_ms = (self.more_urgent_ms(urgency) + ranked_ms) / left;
         behind_ms.min(reserved_ms)
     }
 
+    /// Work per millisecond that the servers take of requests of this urgency.
+    pub fn drain_for(&self, urgency: Urgency, now_ms: Millisecond) -> f64 {
+        let reserved = self.drain(now_ms).max(LEAST_DRAIN) * RESERVED_SHARE;
+        self.left_drain(urgency, now_ms).max(reserved)
+    }
+
+    /// What the more urgent requests that arrive leave of the drain.
+    fn left_drain(&self, urgency: Urgency, now_ms: Millisecond) -> f64 {
+        let more_urgent = self.classes.iter().filter(|c| c.urgency < urgency);
+        let arriving = more_urgent.map(|c| c.offered_ms).sum::<f64>() / MEMORY_MS;
+        (self.drain(now_ms) - arriving).max(LEAST_DRAIN)
+    }
+
     /// Work of the more urgent requests that wait.
     fn more_urgent_ms(&self, urgency: Urgency) -> f64 {
         let more_urgent = self.classes.iter().filter(|c| c.urgency < urgency);
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -309,8 +309,15 @@
             | NoServer::TooLate => None,
         };
         self.report_no_server(code, opens_in_ms);
-        let retry_after_ms = opens_in_ms.unwrap_or(0) + self.retry_delay_ms();
-        LocalReply::later(proof, 503, code, text, retry_after_ms)
+        let retry_after_ms = match no_server {
+            NoServer::Full | NoServer::Busy { .. } => self.node.queues.tell_return(self.job),
+            NoServer::None
+            | NoServer::VersionGone
+            | NoServer::Unreached
+            | NoServer::TooLate
+            | NoServer::Closed { .. } => Some(opens_in_ms.unwrap_or(0) + self.retry_delay_ms()),
+        };
+        LocalReply::refusal(proof, 503, code, text).with_retry_after(retry_after_ms)
     }
 
     fn report_no_server(&self, code: &'static str, opens_in_ms: Option<Millisecond>) {
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -121,6 +121,11 @@
         self.deadline_ms.saturating_sub(self.node.now_ms())
     }
 
+    /// Time until the deadline of the caller, which may be after that of the route.
+    pub fn caller_left_ms(&self) -> Millisecond {
+        self.caller_deadline_ms.saturating_sub(self.node.now_ms())
+    }
+
     /// The request as one whose connection broke after it was sent at `started_ms`.
     pub fn broken(&self, started_ms: Millisecond) -> BrokenRequest {
         BrokenRequest {
--- a/crates/gateway/src/front/local_reply.rs
+++ b/crates/gateway/src/front/local_reply.rs
@@ -87,6 +87,14 @@
         }
     }
 
+    /// The reply with a time after which the caller may retry, if there is one.
+    pub fn with_retry_after(self, retry_after_ms: Option<Millisecond>) -> Self {
+        Self {
+            retry_after_ms,
+            ..self
+        }
+    }
+
     /// The reply to a request whose prompt holds a part that crashes servers.
     pub fn part_in_quarantine(proof: NotRunProof, refused_for_ms: Millisecond) -> Self {
         let text = "A part of this prompt has crashed the servers that ran it; leave it out.";
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -372,15 +372,13 @@
     let workspace = job.workspace.as_ref()?;
     match job.node.charge(workspace, job.cost) {
         Admission::Charged => None,
-        Admission::Refused { wait_ms } => {
+        Admission::Refused { .. } => {
             let text = "The workspace has used up its allowance.";
-            Some(LocalReply::later(
-                NotRunProof::unsent(),
-                429,
-                "allowance_used",
-                text,
-                wait_ms.max(100),
-            ))
+            let left_ms = job.caller_left_ms();
+            let retry_after_ms = job.node.tell_return(workspace, job.cost, left_ms);
+            let proof = NotRunProof::unsent();
+            let reply = LocalReply::refusal(proof, 429, "allowance_used", text);
+            Some(reply.with_retry_after(retry_after_ms))
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -420,6 +420,19 @@
         bucket.charge(cost, fleet, now_ms)
     }
 
+    /// Time after which a caller that the allowance has no room for should return; `None` if that is
+    /// after its deadline.
+    pub fn tell_return(
+        &self,
+        workspace: &Workspace,
+        cost: f64,
+        left_ms: Millisecond,
+    ) -> Option<Millisecond> {
+        let mut buckets = self.buckets.borrow_mut();
+        let bucket = buckets.get_mut(&workspace.name)?;
+        bucket.tell_return(cost, left_ms, self.now_ms())
+    }
+
     /// Refunds the charge of a request that did not run.
     pub fn refund(&self, workspace: &Workspace, cost: f64) {
         if let Some(bucket) = self.buckets.borrow_mut().get_mut(&workspace.name) {
