--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -16,6 +16,7 @@
 pub mod prompt;
 pub mod reach;
 pub mod retry_budget;
+pub mod returns;
 pub mod rollout;
 pub mod rule;
 pub mod scale;
