--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -11,6 +11,7 @@
 
 use crate::backend::answer_summary::AnswerSummary;
 use crate::backend::gate::{self, Gate, Permit};
+use crate::backend::load_report;
 use crate::backend::pool::{ConnOrigin, Reuse};
 use crate::backend::queues;
 use crate::backend::server_faults;
@@ -26,7 +27,7 @@
 use crate::decide::rule::{TimeLimits, choose_in_time};
 use crate::decide::service_speeds::FirstByte;
 use crate::decide::shed::placed_limit_ms;
-use crate::decide::speed::{Basis, Sample, Speed};
+use crate::decide::speed::{Basis, Sample};
 use crate::decide::timeouts::NoServer;
 use crate::front::job::Job;
 use crate::node::Node;
@@ -100,6 +101,7 @@
             home: prefix_home(&job.prompt, &servers),
             failure_domain: &node.settings.node.failure_domain,
             speed: (node.speeds.borrow()).speed(&job.service.name, first_byte(job), now_ms),
+            others_age_ms: node.others_age_ms(),
             now_ms,
         };
         let candidates: Vec<Candidate> = servers
@@ -134,35 +136,34 @@
             true => Reuse::Never,
             false => Reuse::Allowed,
         };
-        let speed = candidates[choice.index].speed;
-        Ok(Self::begin(job, server, choice, speed, permit, reuse))
+        let basis = view.basis(server, &candidates[choice.index], &choice);
+        Ok(Self::begin(job, server, choice, basis, permit, reuse))
     }
 
     fn begin(
         job: &'a Job<'a>,
         server: &Rc<Server>,
         choice: Choice,
-        speed: Speed,
+        basis: Basis,
         permit: Permit,
         reuse: Reuse,
     ) -> Self {
         let node = job.node;
         let now_ms = node.now_ms();
         server.begin_request(choice.tokens_to_read);
+        server.reported.borrow_mut().record_send(now_ms);
         if let Some(engine) = &job.service.engine {
             let mut cache = server.cache.borrow_mut();
             cache.record(&job.prompt, engine.memory_tokens, now_ms);
-            let reading_ms = speed.reading_ms(choice.tokens_to_read);
+            // Demand is counted in usual servers.
+            let reading_ms = basis.speed.reading_ms(choice.tokens_to_read) / basis.factor;
             node.add_work(&job.service.name, reading_ms);
         }
         Self {
             server: server.clone(),
             started_ms: now_ms,
             predicted_ms: choice.first_byte_ms,
-            basis: Box::new(Basis {
-                work: choice.work,
-                speed,
-            }),
+            basis: Box::new(basis),
             tokens_to_read: choice.tokens_to_read,
             reuse,
             opens_in_ms: permit.wait_ms(),
@@ -215,6 +216,7 @@
             self.job.node.reach.borrow_mut().record_answer();
         }
         gate::note_answer(self.job.node, &self.server, &summary, self.started_ms);
+        load_report::note_answer(self.job.node, &self.server, &summary);
     }
 
     pub fn note_failure(&self, cause: FailureCause) {
@@ -233,12 +235,13 @@
         let sample = Sample {
             work: self.basis.work,
             after_ms: now_ms - self.started_ms,
-            factor: 1.0,
+            factor: self.basis.factor,
         };
         let service = &self.job.service.name;
         let mut speeds = node.speeds.borrow_mut();
         speeds.record(service, first_byte(self.job), &sample, now_ms);
         drop(speeds);
+        load_report::check(node, &self.server, &self.basis, sample.after_ms);
         self.release_waiting_tokens();
         queues::wake(self.job.node, &self.job.service.name);
     }
@@ -280,6 +283,8 @@
         }
         self.release_waiting_tokens();
         self.server.end_request();
+        let now_ms = self.job.node.now_ms();
+        self.server.reported.borrow_mut().record_end(now_ms);
         queues::wake(self.job.node, &self.job.service.name);
     }
 }
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -21,6 +21,7 @@
 pub mod rule;
 pub mod scale;
 pub mod server_faults;
+pub mod server_load;
 pub mod service_speeds;
 pub mod shed;
 pub mod signal;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,7 +16,8 @@
 use crate::decide::backpressure::WithholdReason;
 use crate::decide::outcome::FailureCause;
 use crate::decide::server_faults::FaultKind;
-use crate::decide::signal::Signals;
+use crate::decide::server_load::LoadReport;
+use crate::decide::signal::{Reading, Signals};
 use crate::node::Node;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -220,6 +221,16 @@
         }
     }
 
+    /// Counts the load report in one answer.
+    pub fn count_load_report(&self, report: &Reading<LoadReport>) {
+        let Some(reading) = report.label() else {
+            return;
+        };
+        let signal = "load";
+        let labels = SignalLabels { signal, reading };
+        self.signals.get_or_create(&labels).inc();
+    }
+
     /// Counts a server that was passed over because of its backpressure.
     pub fn count_withheld(&self, reason: WithholdReason) {
         let reason = reason.label();
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -10,6 +10,7 @@
 use crate::decide::backpressure::Notice;
 use crate::decide::fault_report::{self, FaultReport};
 use crate::decide::reach::Reach;
+use crate::decide::server_load::{SERVER_LOADS_LIMIT, SharedLoad};
 use crate::decide::service_speeds::{SPEEDS_LIMIT, SpeedReport};
 use crate::decide::store_calls::StoreAccess;
 use crate::decide::version_history::VersionReport;
@@ -108,6 +109,9 @@
     /// Outcomes of the sender's requests while orders run.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rollout_counts: Vec<RolloutCount>,
+    /// Load reports that servers sent to the sender.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub server_loads: Vec<SharedLoad>,
 }
 
 impl NodeHeartbeat {
@@ -134,6 +138,8 @@
                 .all(|(_, running, _)| *running <= REQUESTS_LIMIT)
             && loads.clone().all(|(_, _, tokens)| *tokens <= TOKENS_LIMIT)
             && self.notices.iter().all(Notice::is_plausible)
+            && self.server_loads.len() <= SERVER_LOADS_LIMIT
+            && self.server_loads.iter().all(|l| l.report.is_plausible())
             && self.speeds.len() <= SPEEDS_LIMIT
             && self.speeds.iter().all(SpeedReport::is_plausible)
             && fault_report::are_plausible(&self.faults)
