--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,7 @@
 use crate::decide::outcome::FailureCause;
 use crate::decide::signal::Signals;
 use crate::node::Node;
+use crate::rollout;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum RequestOutcome {
@@ -233,6 +234,7 @@
                  apricotledge_server_limited_sends{{server=\"{server}\"}} {sends}"
             );
         }
+        rollout::gauges::write(node, &mut text);
         // Writing to a string does not fail.
         let _ = prometheus_client::encoding::text::encode(&mut text, &self.registry);
         text
--- a/crates/gateway/src/rollout/mod.rs
+++ b/crates/gateway/src/rollout/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod counts;
 pub mod filter;
+pub mod gauges;
 pub mod news;
 pub mod orders;
 
