Rollouts: a reported completion counts where only new servers are left

By reading of the code: a holder without the row of an earlier one would roll a completed order back after its deadline, and leave the service without servers. No test plays this yet.

--- a/crates/gateway/src/duty/rollouts.rs
+++ b/crates/gateway/src/duty/rollouts.rs
@@ -267,13 +267,16 @@
         let age_ms = fleet_ms.saturating_sub(record.ordered_unix_ms);
         rollout.ordered_ms = rollout.ordered_ms.min(now_ms as i64 - age_ms as i64);
         rollout.end(record.state, "stored");
-        // The old servers may have stopped already.
-        let is_completed = status
-            .as_ref()
-            .is_some_and(|status| status.phase == RolloutPhase::Completed && status.to == order.to);
-        if is_completed && record.stage == Stage::All {
-            rollout.end(RolloutState::Completed, "stored");
-        }
+    }
+    // The old servers may have stopped already. An earlier order for the same version may have left
+    // the status, so that it alone proves nothing.
+    let is_reported = status
+        .as_ref()
+        .is_some_and(|status| status.phase == RolloutPhase::Completed && status.to == order.to);
+    let was_last_stage = record.as_ref().is_some_and(|r| r.stage == Stage::All);
+    let (new_servers, old_servers) = ready_servers(node, rollout);
+    if is_reported && (was_last_stage || (new_servers > 0 && old_servers == 0)) {
+        rollout.end(RolloutState::Completed, "stored");
     }
     let age_ms = rollout.age_ms(now_ms);
     let plan = match rollout.is_established {
