--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
 use crate::decide::server_load::LoadReport;
 use crate::decide::signal::{Reading, Signals};
 use crate::node::Node;
+use crate::rollout;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum RequestOutcome {
@@ -266,6 +267,7 @@
                  apricotledge_server_limited_sends{{server=\"{server}\"}} {sends}"
             );
         }
+        rollout::gauges::write(node, &mut text);
         // Writing to a string does not fail.
         let _ = prometheus_client::encoding::text::encode(&mut text, &self.registry);
         text
