Allowances: presume no more use of other nodes than they can have made

After one large request, a node of a large fleet presumed that all others had used as much in the last 250 ms, and took its level far below zero (-104,508 in the played load; -160,000 was seen on a workspace that used 86,000 of 128,000 a second). It refused requests of a workspace under its allowance.

The presumed use of a node is now at most twice its even share or twice its use by its last two reports, and never takes the level below zero, as other nodes stop at an empty bucket too. Reports are charged as before.

Not included: a part of the refill for small and urgent requests.

--- a/crates/gateway/src/decide/allowance.rs
+++ b/crates/gateway/src/decide/allowance.rs
@@ -22,6 +22,11 @@
 /// Time constant of the average of this node's rate of use: two gossip periods of a small fleet.
 const RATE_AVERAGE_MS: f64 = 250.0;
 
+/// Limit on the presumed use of another node, as a multiple of its even share or of its use by its
+/// last two reports. Without it, one large request at a node of a large fleet made it presume that
+/// all other nodes had used as much at the same time.
+const PRESUMED_SURGE: f64 = 2.0;
+
 /// A level that falls short of a cost by less than this is enough: costs are whole units, and the
 /// level is subject to rounding.
 const LEVEL_TOLERANCE_UNITS: f64 = 0.01;
@@ -35,6 +40,8 @@
     used_at_first: f64,
     /// Units charged for it since its latest report.
     presumed: f64,
+    /// Its use between its last two reports, in units per millisecond.
+    reported_per_ms: f64,
     /// How its use since that report is estimated.
     estimate: UsageEstimate,
     heard_ms: Millisecond,
@@ -252,10 +259,12 @@
             used: used_before,
             used_at_first: used_before,
             presumed: 0.0,
+            reported_per_ms: 0.0,
             estimate: UsageEstimate::OwnRate,
             heard_ms: now_ms,
             silence_ms: usage.silence_ms,
         });
+        let since_ms = now_ms.saturating_sub(known.heard_ms).max(1) as f64;
         let used = usage.used - known.used;
         let uncharged = used - known.presumed;
         self.level = (self.level - uncharged).min(self.allowance.burst);
@@ -268,6 +277,7 @@
             used: usage.used,
             used_at_first: known.used_at_first,
             presumed: 0.0,
+            reported_per_ms: (used / since_ms).max(0.0),
             estimate: UsageEstimate::OwnRate,
             heard_ms: now_ms,
             silence_ms: usage.silence_ms,
@@ -339,7 +349,10 @@
             let charge = match (silent, peer.estimate) {
                 (false, _) => {
                     let from_ms = filled_before_ms.max(peer.heard_ms);
-                    peer.presumed_per_ms(&own) * now_ms.saturating_sub(from_ms) as f64
+                    let presumed =
+                        peer.presumed_per_ms(&own) * now_ms.saturating_sub(from_ms) as f64;
+                    // Other nodes stop at an empty bucket, too.
+                    presumed.min(self.level.max(0.0))
                 }
                 // A node that is cut off may also take its share of what is left.
                 (true, UsageEstimate::OwnRate) => share_of_rate + share_of_level,
@@ -370,6 +383,8 @@
         let used = self.used - self.used_at_first;
         let ratio =
             (used + own.prior_units) / (own.used.max(0.0) + own.prior_units).max(f64::MIN_POSITIVE);
-        own.recent_per_ms * ratio.clamp(0.0, 1.0)
+        let share_per_ms = own.prior_units / 1_000.0;
+        let limit_per_ms = PRESUMED_SURGE * share_per_ms.max(self.reported_per_ms);
+        (own.recent_per_ms * ratio.clamp(0.0, 1.0)).min(limit_per_ms)
     }
 }
