Report waits for a server: E206, metrics, docs

E206 request.queued gives each request that waited: rank, workspace, how many waited, the work before it, the predicted and the real wait, and the outcome. Metrics: requests_waiting, queue_seconds by outcome; refusals by reason exist. The check of all waiting requests for lateness runs at most every 10 ms, as it costs the square of their number.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -70,6 +70,7 @@
     RequestSuspected = 203, "request.suspected", Warn, "A backend server crashed while it ran a request; fields give the server and how the request is run from now on.";
     PartQuarantined = 204, "part.quarantined", Warn, "Requests with some parts of prompts are refused, or no longer, as servers crashed that ran them; fields give the parts, the crashes and the outcome.";
     RequestPanicked = 205, "request.panicked", Error, "The task of a request panicked; fields give what the caller got. The source location is in E105.";
+    RequestQueued = 206, "request.queued", Info, "A request waited at this node for a server; fields give its rank and workspace, how many waited, the work before it, the predicted and the real wait, and the outcome.";
     RouteChosen = 300, "route.chosen", Info, "A backend server was chosen; fields give the reason and the scores of the alternatives.";
     RouteNone = 301, "route.none", Warn, "No backend server could take the request.";
     AttemptFailed = 302, "attempt.failed", Warn, "An attempt at a backend server failed; fields say whether it may have run.";
--- a/crates/gateway/src/backend/queues.rs
+++ b/crates/gateway/src/backend/queues.rs
@@ -7,6 +7,7 @@
 use base::outcome::RunState;
 use base::units::Millisecond;
 use base::{Map, Name};
+use serde::Serialize;
 use tokio::sync::Notify;
 use tokio::time::{Duration, timeout};
 
@@ -31,6 +32,10 @@
 /// tried before, because capacity may have become free since.
 const TRIES_VALID_MS: Millisecond = 10;
 
+/// Shortest time between two predictions for all waiting requests, which cost the square of their
+/// number.
+const LATE_CHECK_MS: Millisecond = 10;
+
 /// Shortest `Retry-After` of a busy service: the loads of other nodes, from which the next choice is
 /// made, are no newer than this.
 const LEAST_RETRY_AFTER_MS: Millisecond = 120;
@@ -52,6 +57,7 @@
     /// Number of the latest change of capacity.
     change: u64,
     changed_ms: Millisecond,
+    late_checked_ms: Millisecond,
     /// Requests that have tried to use it without success.
     tries: u32,
 }
@@ -86,7 +92,11 @@
     }
 
     /// Wakes requests that can no longer be answered in time, so that they are refused.
-    fn wake_late(&self, now_ms: Millisecond) {
+    fn wake_late(&mut self, now_ms: Millisecond) {
+        if now_ms < self.late_checked_ms + LATE_CHECK_MS {
+            return;
+        }
+        self.late_checked_ms = now_ms;
         for id in self.line.out_of_reach(now_ms) {
             if let Some(waiter) = self.waiters.get(&id) {
                 waiter.woken.notify_one();
@@ -217,6 +227,8 @@
             id,
             woken,
             joined_ms: now_ms,
+            expected: Cell::new(None),
+            outcome: Cell::new(WaitOutcome::CallerLeft),
         }
     }
 }
@@ -242,6 +254,44 @@
     id: RequestId,
     woken: Rc<Notify>,
     pub joined_ms: Millisecond,
+    /// What the request could expect when it began to wait; `None` if it has not waited.
+    expected: Cell<Option<(usize, Option<Outlook>)>>,
+    outcome: Cell<WaitOutcome>,
+}
+
+/// How a wait for a server ended.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum WaitOutcome {
+    /// A server has taken the request.
+    Started,
+    Refused,
+    CallerLeft,
+}
+
+impl WaitOutcome {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Started => "started",
+            Self::Refused => "refused",
+            Self::CallerLeft => "caller_left",
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct QueuedFields<'a> {
+    request: Option<&'a str>,
+    service: &'a str,
+    workspace: Option<&'a str>,
+    rank: u8,
+    /// Requests that waited for the service, this one included.
+    waiting: usize,
+    before_ms: Option<Millisecond>,
+    predicted_ms: Option<Millisecond>,
+    waited_ms: Millisecond,
+    left_ms: Millisecond,
+    outcome: WaitOutcome,
 }
 
 impl Place<'_> {
@@ -278,6 +328,10 @@
 
     /// Waits until the request may try again, at most for `limit_ms`.
     pub async fn wait(&self, limit_ms: Millisecond) {
+        if self.expected.get().is_none() {
+            let waiting = self.with(|queue| queue.line.len());
+            self.expected.set(Some((waiting, self.outlook())));
+        }
         let limit = Duration::from_millis(limit_ms).min(RETRY_PERIOD);
         if timeout(limit, self.woken.notified()).await.is_ok() {
             return;
@@ -294,6 +348,36 @@
     pub fn start(self) {
         let now_ms = self.job.node.now_ms();
         self.with(|queue| queue.line.start(self.id, now_ms));
+        self.outcome.set(WaitOutcome::Started);
+    }
+
+    /// Records that the request is refused, because it can wait no longer.
+    pub fn refuse(self) {
+        self.outcome.set(WaitOutcome::Refused);
+    }
+
+    /// Reports a request that has waited.
+    fn report(&self) {
+        let Some((waiting, outlook)) = self.expected.get() else {
+            return;
+        };
+        let job = self.job;
+        let (outcome, now_ms) = (self.outcome.get(), job.node.now_ms());
+        let fields = QueuedFields {
+            request: job.id(),
+            service: &job.service.name,
+            workspace: job.workspace.as_ref().map(|w| &*w.name),
+            rank: job.priority(),
+            waiting,
+            before_ms: outlook.map(|o| o.before_ms as Millisecond),
+            predicted_ms: outlook.map(|o| o.wait_ms as Millisecond),
+            waited_ms: now_ms.saturating_sub(self.joined_ms),
+            left_ms: job.left_ms(),
+            outcome,
+        };
+        let metrics = &job.node.metrics;
+        metrics.count_wait(outcome.label(), fields.waited_ms);
+        crate::log::emit(events::Code::RequestQueued, &fields);
     }
 
     fn with<T>(&self, apply: impl FnOnce(&mut ServiceQueue) -> T) -> T {
@@ -310,6 +394,7 @@
             queue.line.leave(self.id, now_ms);
             queue.wake_next();
         });
+        self.report();
     }
 }
 
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -105,12 +105,15 @@
         let mut no_server = None;
         loop {
             if let Some(refused_for_ms) = self.job.refused_for_ms() {
+                place.refuse();
                 return Err(self.quarantine_reply(refused_for_ms));
             }
             if relay::is_needed(self.node) {
+                place.refuse();
                 return Err(self.refusal_reply(NoServer::Unreached));
             }
             if let (true, Some(proof)) = (no_server.is_some(), self.closing_proof()) {
+                place.refuse();
                 return Err(closing_reply(proof));
             }
             if place.is_held() && place.is_next() {
@@ -137,6 +140,7 @@
             let reason = no_server.unwrap_or(NoServer::Full);
             let wait_ms = self.wait_ms(reason, &place, left_ms);
             if wait_ms == 0 {
+                place.refuse();
                 self.count_unmet_work(reason);
                 return Err(self.refusal_reply(reason));
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -76,6 +76,8 @@
     outcome: &'static str,
 }
 
+type Waits = Family<ReasonLabels, Histogram, fn() -> Histogram>;
+
 type Durations = Family<RequestLabels, Histogram, fn() -> Histogram>;
 
 /// Metrics of a process.
@@ -90,6 +92,7 @@
     calls: Family<DependencyLabels, Counter>,
     signals: Family<SignalLabels, Counter>,
     withheld: Family<ReasonLabels, Counter>,
+    waits_s: Waits,
 }
 
 impl Metrics {
@@ -105,6 +108,12 @@
         let calls = Family::default();
         let signals = Family::default();
         let withheld = Family::default();
+        let waits_s: Waits = Family::new_with_constructor(duration_histogram);
+        registry.register(
+            "queue_seconds",
+            "Waits for a server by how they ended",
+            waits_s.clone(),
+        );
         registry.register("requests", "Requests that ended", requests.clone());
         registry.register(
             "request_panics",
@@ -145,6 +154,7 @@
             calls,
             signals,
             withheld,
+            waits_s,
         }
     }
 
@@ -211,6 +221,13 @@
         self.withheld.get_or_create(&ReasonLabels { reason }).inc();
     }
 
+    /// Counts a request that has waited for a server.
+    pub fn count_wait(&self, reason: &'static str, waited_ms: Millisecond) {
+        let waited_s = waited_ms as f64 / 1_000.0;
+        let labels = ReasonLabels { reason };
+        self.waits_s.get_or_create(&labels).observe(waited_s);
+    }
+
     pub fn count_platform_call(&self, dependency: &'static str, outcome: &'static str) {
         let labels = DependencyLabels {
             dependency,
@@ -277,6 +294,8 @@
     gauges.insert("servers_held_off", f64::from(withheld.held_off));
     gauges.insert("servers_limited", f64::from(withheld.limited));
     gauges.insert("requests_in_flight", f64::from(node.in_flight.get()));
+    let waiting: usize = node.queues.lengths().iter().map(|(_, len)| len).sum();
+    gauges.insert("requests_waiting", waiting as f64);
     gauges.insert("caller_connections", f64::from(node.callers.get()));
     gauges
 }
