Bound the tries that heartbeats cause among waiting requests

At 67 nodes, heartbeats arrive up to a hundred times a second, and each let up to eight waiting requests choose a server again. A service whose first request has tried within 10 ms is now skipped, and four requests try per change. The first request still tries every 25 ms. The cost on a small node was estimated from these counts, not measured.

Tests run: platform silent_servers: passed.

--- a/crates/gateway/src/backend/queues.rs
+++ b/crates/gateway/src/backend/queues.rs
@@ -22,7 +22,7 @@
 
 /// Requests that try to use one change of capacity without success before the others wait for the
 /// next change.
-const MAX_TRIES: u32 = 8;
+const MAX_TRIES: u32 = 4;
 
 /// Time after which the first request tries again without a known change of capacity: what other
 /// nodes' requests leave free is not announced one by one.
@@ -115,9 +115,14 @@
         }
     }
 
-    /// Records that servers of any service may take other requests.
+    /// Records that servers of any service may take other requests. Heartbeats of other nodes say so
+    /// up to a hundred times a second, so that a service is skipped if its first request has just
+    /// tried; it tries again after [`RETRY_PERIOD`].
     pub fn wake_services(&self, now_ms: Millisecond) {
         for queue in self.services.borrow_mut().values_mut() {
+            if now_ms < queue.changed_ms + TRIES_VALID_MS {
+                continue;
+            }
             queue.begin_change(now_ms);
             queue.wake_next();
         }
