--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -84,6 +84,7 @@
     kind: &'static str,
     outcome: &'static str,
 }
+type Waits = Family<ReasonLabels, Histogram, fn() -> Histogram>;
 
 type Durations = Family<RequestLabels, Histogram, fn() -> Histogram>;
 
@@ -100,6 +101,7 @@
     signals: Family<SignalLabels, Counter>,
     withheld: Family<ReasonLabels, Counter>,
     fault_reports: Family<FaultLabels, Counter>,
+    waits_s: Waits,
 }
 
 impl Metrics {
@@ -116,6 +118,12 @@
         let signals = Family::default();
         let withheld = Family::default();
         let fault_reports = Family::default();
+        let waits_s: Waits = Family::new_with_constructor(duration_histogram);
+        registry.register(
+            "queue_seconds",
+            "Waits for a server by how they ended",
+            waits_s.clone(),
+        );
         registry.register("requests", "Requests that ended", requests.clone());
         registry.register(
             "request_panics",
@@ -162,6 +170,7 @@
             signals,
             withheld,
             fault_reports,
+            waits_s,
         }
     }
 
@@ -245,6 +254,13 @@
         self.fault_reports.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that has waited for a server.
+    pub fn count_wait(&self, reason: &'static str, waited_ms: Millisecond) {
+        let waited_s = waited_ms as f64 / 1_000.0;
+        let labels = ReasonLabels { reason };
+        self.waits_s.get_or_create(&labels).observe(waited_s);
+    }
+
     pub fn count_platform_call(&self, dependency: &'static str, outcome: &'static str) {
         let labels = DependencyLabels {
             dependency,
@@ -314,6 +330,8 @@
     let faulty = server_faults::avoided_count(node);
     gauges.insert("servers_avoided_on_reports", faulty as f64);
     gauges.insert("requests_in_flight", f64::from(node.in_flight.get()));
+    let waiting: usize = node.queues.lengths().iter().map(|(_, len)| len).sum();
+    gauges.insert("requests_waiting", waiting as f64);
     gauges.insert("caller_connections", f64::from(node.callers.get()));
     gauges
 }
