--- a/crates/gateway/tests/http_heads.rs
+++ b/crates/gateway/tests/http_heads.rs
@@ -71,6 +71,15 @@
 #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "HEAD" => Ok(Some(Framing::Empty)); "answer to HEAD")]
 #[test_case("HTTP/1.1 204 No\r\nContent-Length: 3\r\n\r\n", "GET" => Ok(Some(Framing::Empty)); "status 204")]
 #[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n", "GET" => Err(HeadError::Ambiguous); "chunks and length")]
+#[test_case("HTTP/1.1 000 X\r\n\r\n", "GET" => Err(HeadError::Malformed); "status 000")]
+#[test_case("HTTP/1.1 099 X\r\n\r\n", "GET" => Err(HeadError::Malformed); "status 099")]
+#[test_case("HTTP/1.1 101 X\r\n\r\n", "GET" => Err(HeadError::Malformed); "a switch of protocols, which no request asks for")]
+#[test_case("HTTP/1.1 103 X\r\n\r\n", "GET" => Ok(Some(Framing::Empty)); "an interim response")]
+#[test_case("HTTP/1.1 599 X\r\n\r\n", "GET" => Ok(Some(Framing::Close)); "status 599")]
+#[test_case("HTTP/1.1 600 X\r\n\r\n", "GET" => Err(HeadError::Malformed); "status 600")]
+#[test_case("HTTP/1.1 999 X\r\n\r\n", "GET" => Err(HeadError::Malformed); "status 999")]
+#[test_case("HTTP/1.1 2000 X\r\n\r\n", "GET" => Err(HeadError::Malformed); "a status of four digits")]
+#[test_case("HTTP/1.1 20 X\r\n\r\n", "GET" => Err(HeadError::Malformed); "a status of two digits")]
 #[test_case("garbage\r\n\r\n", "GET" => Err(HeadError::Malformed); "garbage")]
 fn responses(text: &str, method: &str) -> Result<Option<Framing>, HeadError> {
     let mut buf = BytesMut::from(text);
