Truncated and malformed responses are no answers

A response may end with its connection only if its request was wholly sent before: otherwise the attempt is `broken`, also for error responses. Responses of known length or in chunks are complete by their own framing, also when early (a 413 with a length). Heads with a status outside of 100 to 599, and 101, are malformed, so that the attempt is `garbled`. `Conn::response_head`, which reads relayed responses of other nodes and answers to pulls, skips up to 8 interim responses and gives up after more (backend exchanges did so before).

Ruled out: going on with the upload after an early head (a server that sends its response before it has read the request would be served longer, but the end of its connection would say no more than now).

--- a/crates/gateway/src/backend/exchange.rs
+++ b/crates/gateway/src/backend/exchange.rs
@@ -172,7 +172,7 @@
         if foreign.passed_over + foreign.interim >= FOREIGN_HEADS_LIMIT {
             return Err(FailureCause::Garbled);
         }
-        if (100..200).contains(&head.status) {
+        if head.is_interim() {
             foreign.interim += 1;
             continue;
         }
@@ -243,13 +243,20 @@
                 return Ok(None);
             }
             match self.pooled.conn.fill().await {
-                Ok(0) if self.body.ends_with_connection() => return Ok(None),
+                Ok(0) if self.may_end_with_connection() => return Ok(None),
                 Ok(0) | Err(_) => return Err(FailureCause::Broken),
                 Ok(_) => {}
             }
         }
     }
 
+    /// Whether the body is complete if the connection ends now. After an early response the end may
+    /// be a reset whose error a write to the connection has consumed.
+    fn may_end_with_connection(&self) -> bool {
+        self.body.is_done()
+            || self.summary.sent == WriteProgress::Whole && self.body.ends_with_connection()
+    }
+
     /// Reads the whole body and accounts for its bytes in `held`.
     ///
     /// # Errors
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -20,6 +20,9 @@
 /// Interval of TCP keepalive probes; two unanswered probes end a connection.
 const KEEPALIVE_SPACING: Duration = Duration::from_secs(1);
 
+/// Most interim (1xx) responses that are skipped before the final one.
+const INTERIM_LIMIT: u32 = 8;
+
 /// Timeouts of an outgoing connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnOptions {
@@ -72,22 +75,30 @@
         fill(&mut self.read, &mut self.buf).await
     }
 
-    /// Reads the head of the response to a request with `method`.
+    /// Reads the head of the final response to a request with `method`.
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection ends, or if the head is malformed or longer than
-    /// `limit_bytes`.
+    /// Returns an error if the connection ends, if the head is malformed or longer than
+    /// `limit_bytes`, or after too many interim responses.
     pub async fn response_head(
         &mut self,
         limit_bytes: usize,
         method: &str,
     ) -> io::Result<ResponseHead> {
         let malformed = || io::Error::from(io::ErrorKind::InvalidData);
+        let mut interim = 0;
         loop {
             let head = response_head(&mut self.buf, limit_bytes, method);
             if let Some(head) = head.map_err(|_| malformed())? {
-                return Ok(head);
+                if !head.is_interim() {
+                    return Ok(head);
+                }
+                interim += 1;
+                if interim > INTERIM_LIMIT {
+                    return Err(malformed());
+                }
+                continue;
             }
             if self.fill().await? == 0 {
                 return Err(malformed());
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -1,5 +1,7 @@
 //! Parsing of request and response heads, and how their bodies are delimited.
 
+use std::ops::Range;
+
 use bytes::{Bytes, BytesMut};
 use httparse::{EMPTY_HEADER, Error as ParseError, Status};
 use snafu::Snafu;
@@ -9,6 +11,12 @@
 /// Most header fields in a message.
 const FIELDS_LIMIT: usize = 100;
 
+/// Statuses that HTTP defines.
+const STATUSES: Range<u16> = 100..600;
+
+/// Interim status after which the connection has another protocol. No request here asks for it.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// How the end of a message body is found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -74,6 +82,11 @@
 }
 
 impl ResponseHead {
+    /// Whether the final response is still to come.
+    pub fn is_interim(&self) -> bool {
+        self.status < 200
+    }
+
     /// Whether the sender keeps the connection open for further requests.
     pub fn keeps_alive(&self) -> bool {
         let closes = self.minor_version == 0 || self.fields.contains_token("connection", "close");
@@ -126,7 +139,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the head is malformed or too large, or if its framing is ambiguous.
+/// Returns an error if the head is malformed or too large, if its status is none of HTTP, or if its
+/// framing is ambiguous.
 pub fn response_head(
     buf: &mut BytesMut,
     limit_bytes: usize,
@@ -150,6 +164,9 @@
     let (Some(status), Some(minor_version)) = (status, minor_version) else {
         return Err(HeadError::Malformed);
     };
+    if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
+        return Err(HeadError::Malformed);
+    }
     let reason = reason.unwrap_or_default().to_owned();
     let fields = Fields::new(raw.clone(), parsed.headers);
     let framing = response_framing(&fields, status, method)?;
--- a/crates/gateway/tests/early_responses.rs
+++ b/crates/gateway/tests/early_responses.rs
@@ -15,6 +15,7 @@
 use gateway::belief::{Server, ServerRecord};
 use gateway::decide::body_memory::BodyOwner;
 use gateway::decide::outcome::FailureCause;
+use gateway::http::{Conn, ConnOptions};
 use outside::Purchase;
 use test_case::test_case;
 
@@ -154,3 +155,31 @@
     serving.join().unwrap();
     assert_eq!(end, Ok((200, "whole".into())));
 }
+
+/// Relayed responses of other nodes and those to pulls: an interim response is not the final one.
+#[test_case(1 => Some(200); "one before the response")]
+#[test_case(500 => None; "interim responses without end")]
+fn interim_responses_are_skipped(count: usize) -> Option<u16> {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let serving = spawn(move || {
+        let (mut conn, _) = listener.accept().unwrap();
+        let interim = "HTTP/1.1 102 X\r\n\r\n".repeat(count);
+        // Fails if the reader has closed the connection.
+        let _ = conn.write_all(format!("{interim}HTTP/1.1 200 X\r\n\r\n").as_bytes());
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let head = runtime.block_on(async {
+        let options = ConnOptions {
+            connect_timeout_ms: 1_000,
+            unacknowledged_timeout_ms: 1_000,
+        };
+        let mut conn = Conn::open(address, options).await.unwrap();
+        conn.response_head(1_024, "GET").await
+    });
+    serving.join().unwrap();
+    head.ok().map(|head| head.status)
+}
