--- a/crates/gateway/src/decide/domain_share.rs
+++ b/crates/gateway/src/decide/domain_share.rs
@@ -43,8 +43,7 @@
         self.chosen += 1;
         self.left += u32::from(crossing == Crossing::Left);
         let period_ms = now_ms.saturating_sub(self.from_ms);
-        let is_first = self.left > 0 && self.reported_share == 0.0;
-        if period_ms < REPORT_MS && !(is_first && self.chosen == 1) {
+        if period_ms < REPORT_MS {
             return None;
         }
         let change = ShareChange {
