--- a/crates/gateway/tests/domain_exit.rs
+++ b/crates/gateway/tests/domain_exit.rs
@@ -1,14 +1,19 @@
 //! Whether a request leaves its node's failure domain.
 
 use std::path::Path;
+use std::rc::Rc;
 
+use base::Name;
+use gateway::belief::registry::{Server, ServerRecord, ServerState};
 use gateway::decide::domain_exit::{
     DomainExit, Estimate, ExitDecision, ExitTerms, LeaveReason, MeasuredDelay, Other, OtherHealth,
     Own, Refusal, StayReason, surcharge_ms,
 };
 use gateway::decide::domain_share::{Crossing, ShareReport};
-use gateway::decide::placement::Choice;
+use gateway::decide::placement::{Choice, prefix_homes};
+use gateway::decide::prompt::Prompt;
 use gateway::settings::Settings;
+use outside::Purchase;
 use test_case::test_case;
 
 fn estimate(first_byte_ms: u64, wait_ms: u64) -> Estimate {
@@ -183,3 +188,44 @@
         (Err(error), Some(_)) => panic!("{error}"),
     }
 }
+
+fn server(id: &str, domain: &str) -> Rc<Server> {
+    Rc::new(Server::new(ServerRecord {
+        id: id.into(),
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        failure_domain: domain.into(),
+        version: Name::default(),
+        slots: 4,
+        state: ServerState::Ready,
+        purchase: Purchase::OnDemand,
+        born_unix_ms: 1,
+        sequence: 0,
+    }))
+}
+
+/// Load: a shared prefix asked for in domains a and b, of which b loses a server. Guards against a
+/// prefix that all domains fetch from one, and against homes that move when others' servers change.
+#[test]
+fn each_domain_has_its_own_home_of_a_prefix() {
+    let all = [
+        ("a1", "a"),
+        ("a2", "a"),
+        ("b1", "b"),
+        ("b2", "b"),
+        ("b3", "b"),
+    ];
+    let mut servers: Vec<Rc<Server>> = all.iter().map(|(id, d)| server(id, d)).collect();
+    for n in 0..20 {
+        let prompt = Prompt::parse(Some(&format!("p{n}:800,own:100")), None);
+        let homes = prefix_homes(&prompt, &servers);
+        let of = |domain: &str| homes.iter().filter(|id| id.starts_with(domain)).count();
+        assert_eq!((of("a"), of("b")), (1, 1), "{homes:?}");
+        let removed = servers.pop().unwrap();
+        let after = prefix_homes(&prompt, &servers);
+        for home in homes.iter().filter(|id| **id != removed.record.id) {
+            assert!(after.contains(home), "{homes:?} {after:?}");
+        }
+        servers.push(removed);
+    }
+}
