--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -10,6 +10,7 @@
 use policy::suspect::{SuspectCandidate, Treatment};
 
 use crate::backend::answer_summary::AnswerSummary;
+use crate::backend::domains::{self, LeftDomain};
 use crate::backend::gate::{self, Gate, Permit};
 use crate::backend::load_report;
 use crate::backend::pool::{ConnOrigin, Reuse};
@@ -19,12 +20,13 @@
 use crate::belief::registry::ServerState;
 use crate::clock::unix_ms;
 use crate::decide::backpressure::Availability;
+use crate::decide::domain_exit::Refusal;
 use crate::decide::outcome::FailureCause;
 use crate::decide::placement::{
-    Candidate, Choice, Demand, ENGINE_QUEUE_SHARE, PlacementView, brittle_slots, prefix_home,
+    Candidate, Choice, Demand, ENGINE_QUEUE_SHARE, PlacementView, brittle_slots, prefix_homes,
     untried,
 };
-use crate::decide::rule::{TimeLimits, choose_in_time};
+use crate::decide::rule::{Exit, TimeLimits, choose_in_time};
 use crate::decide::service_speeds::FirstByte;
 use crate::decide::shed::placed_limit_ms;
 use crate::decide::speed::{Basis, Sample};
@@ -54,6 +56,8 @@
     /// Time from the choice of the server until the request may be sent.
     pub opens_in_ms: Millisecond,
     waiting_tokens: TokenCount,
+    /// Set if the server is in another failure domain.
+    left_domain: Option<LeftDomain>,
     ended: Cell<AttemptEnd>,
     permit: Option<Permit>,
     /// The attempt as evidence for its version.
@@ -98,7 +102,7 @@
         let servers = untried(usable, failed);
         let view = PlacementView {
             prompt: &job.prompt,
-            home: prefix_home(&job.prompt, &servers),
+            homes: prefix_homes(&job.prompt, &servers),
             failure_domain: &node.settings.node.failure_domain,
             speed: (node.speeds.borrow()).speed(&job.service.name, first_byte(job), now_ms),
             others_age_ms: node.others_age_ms(),
@@ -123,13 +127,23 @@
             },
         };
         let rule = node.settings.placing.rule;
-        let choice = choose_in_time(
-            rule,
-            &demand(job),
-            &candidates,
-            node.baseline_inputs(),
-            limits,
-        )?;
+        let refusal = match run_state {
+            RunState::NotRun => Refusal::Possible,
+            RunState::Unknown | RunState::Ran => Refusal::Impossible,
+        };
+        let mut exits = node.domain_exits.borrow_mut();
+        let load_age_ms = exits.load_age_ms(&node.settings.node.failure_domain);
+        let terms = domains::terms(job, refusal, load_age_ms);
+        let (state, surcharges_ms) = exits.view(node, &job.service.name, &servers);
+        let exit = Exit {
+            state,
+            terms,
+            surcharges_ms: &surcharges_ms,
+        };
+        let inputs = node.baseline_inputs();
+        let chosen = choose_in_time(rule, &demand(job), &candidates, inputs, limits, exit)?;
+        drop(exits);
+        let choice = chosen.choice;
         let server = &servers[choice.index];
         let permit = gate.admit(server).ok_or(NoServer::None)?;
         let reuse = match failed.contains(&server.record.id) {
@@ -137,7 +151,9 @@
             false => Reuse::Allowed,
         };
         let basis = view.basis(server, &candidates[choice.index], &choice);
-        Ok(Self::begin(job, server, choice, basis, permit, reuse))
+        let mut attempt = Self::begin(job, server, choice, basis, permit, reuse);
+        attempt.left_domain = domains::record_choice(job, &chosen, server, &terms);
+        Ok(attempt)
     }
 
     fn begin(
@@ -168,6 +184,7 @@
             reuse,
             opens_in_ms: permit.wait_ms(),
             waiting_tokens: choice.tokens_to_read,
+            left_domain: None,
             ended: Cell::new(AttemptEnd::Unsent),
             permit: Some(permit),
             sample: RolloutSample::default(),
@@ -199,6 +216,10 @@
     /// Returns an error if the permit has already been taken.
     pub fn take_permit(&mut self) -> Result<Permit, FailureCause> {
         self.job.answer_summary.set(None);
+        if let Some(left) = &self.left_domain {
+            let bytes = self.job.request.body.len();
+            self.job.node.metrics.count_left_domain(left, bytes);
+        }
         let delivery = self.job.delivery.get();
         self.job
             .delivery
@@ -242,6 +263,7 @@
         speeds.record(service, first_byte(self.job), &sample, now_ms);
         drop(speeds);
         load_report::check(node, &self.server, &self.basis, sample.after_ms);
+        domains::record_first_byte(self.job, &self.server, sample.after_ms, self.predicted_ms);
         self.release_waiting_tokens();
         queues::wake(self.job.node, &self.job.service.name);
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms of a process, and gauges of its current state.
 
 use std::fmt::Write;
+use std::sync::atomic::AtomicU64;
 
 use base::Map;
 use base::units::Millisecond;
@@ -11,6 +12,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::backend::answer_summary::AnswerSummary;
+use crate::backend::domains::LeftDomain;
 use crate::backend::{gate, server_faults};
 use crate::belief::RouteKind;
 use crate::decide::backpressure::WithholdReason;
@@ -102,6 +104,9 @@
     withheld: Family<ReasonLabels, Counter>,
     fault_reports: Family<FaultLabels, Counter>,
     waits_s: Waits,
+    left_domain: Family<ReasonLabels, Counter>,
+    left_domain_bytes: Counter,
+    avoided_wait_ms: Counter<f64, AtomicU64>,
 }
 
 impl Metrics {
@@ -124,6 +129,9 @@
             "Waits for a server by how they ended",
             waits_s.clone(),
         );
+        let left_domain = Family::default();
+        let left_domain_bytes = Counter::default();
+        let avoided_wait_ms = Counter::<f64, AtomicU64>::default();
         registry.register("requests", "Requests that ended", requests.clone());
         registry.register(
             "request_panics",
@@ -158,6 +166,21 @@
             "Reports of other nodes on backend servers, repeated ones left out",
             fault_reports.clone(),
         );
+        registry.register(
+            "left_domain",
+            "Requests sent to servers in other failure domains",
+            left_domain.clone(),
+        );
+        registry.register(
+            "left_domain_bytes",
+            "Bytes of the bodies sent to servers in other failure domains",
+            left_domain_bytes.clone(),
+        );
+        registry.register(
+            "left_domain_avoided_wait_ms",
+            "Predicted wait that callers were spared by leaving the failure domain",
+            avoided_wait_ms.clone(),
+        );
         Self {
             registry,
             requests,
@@ -171,6 +194,9 @@
             withheld,
             fault_reports,
             waits_s,
+            left_domain,
+            left_domain_bytes,
+            avoided_wait_ms,
         }
     }
 
@@ -261,6 +287,16 @@
         self.waits_s.get_or_create(&labels).observe(waited_s);
     }
 
+    /// Counts a request with `body_bytes` that is sent to another failure domain.
+    pub fn count_left_domain(&self, left: &LeftDomain, body_bytes: usize) {
+        let labels = ReasonLabels {
+            reason: left.reason,
+        };
+        self.left_domain.get_or_create(&labels).inc();
+        self.left_domain_bytes.inc_by(body_bytes as u64);
+        self.avoided_wait_ms.inc_by(left.avoided_ms);
+    }
+
     pub fn count_platform_call(&self, dependency: &'static str, outcome: &'static str) {
         let labels = DependencyLabels {
             dependency,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,6 +13,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use crate::backend::domains::DomainExits;
 use crate::backend::queues::Queues;
 use crate::belief::directory::Allowance;
 use crate::belief::{Directory, Registry, Workspace};
@@ -108,6 +109,8 @@
     pub offered_loads: RefCell<Map<Name, OfferedLoad>>,
     /// Speeds of the services, from this node's samples and those of others.
     pub speeds: RefCell<ServiceSpeeds>,
+    /// Requests that leave the failure domain, by service.
+    pub domain_exits: RefCell<DomainExits>,
     /// Number of started requests per usage window.
     pub usage: RefCell<Usage>,
     /// Requests that may crash the servers that run them.
@@ -193,6 +196,7 @@
             retry_budgets: RefCell::default(),
             offered_loads: RefCell::default(),
             speeds: RefCell::default(),
+            domain_exits: RefCell::default(),
             usage: RefCell::new(Usage::new(ms(settings.bounds.usage_window_s))),
             suspects: RefCell::default(),
             suspect_parts: RefCell::default(),
