Factor of each server relative to its service, shared by all nodes

Servers of one service differ by factors of 0.6 to 1.6. A node estimates the factor of each server from real over predicted times, and shares its own evidence by the heartbeat field server_factors (32 newest). A new life of a server starts at 1; a report on another life is ignored.

Tests: gateway predictions, speed, server_factor, server_load, peers.

--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -219,6 +219,7 @@
         let mut speeds = node.speeds.borrow_mut();
         speeds.record(service, first_byte(self.job), &sample, now_ms);
         drop(speeds);
+        load_report::record_factor(&self.server, &self.basis, sample.after_ms, now_ms);
         load_report::check(node, &self.server, &self.basis, sample.after_ms);
         self.release_waiting_tokens();
     }
--- a/crates/gateway/src/backend/load_report.rs
+++ b/crates/gateway/src/backend/load_report.rs
@@ -1,10 +1,12 @@
 //! Load reports of servers: taken from responses, shared with other nodes, and compared with real
 //! times.
 
+use base::Name;
 use base::units::Millisecond;
 
 use super::answer_summary::AnswerSummary;
 use crate::belief::Server;
+use crate::decide::server_factor::{self, FactorReport};
 use crate::decide::server_load::{ReportCheck, SharedLoad, newest};
 use crate::decide::signal::Reading;
 use crate::decide::speed::Basis;
@@ -36,6 +38,37 @@
     reported.check(&check, node.now_ms());
 }
 
+/// Records the server's speed relative to its service.
+pub fn record_factor(server: &Server, basis: &Basis, after_ms: Millisecond, now_ms: Millisecond) {
+    let usual_ms = basis.speed.first_byte_ms(&basis.work) / basis.factor * basis.pace;
+    let multiple = (after_ms as f64 + 0.5) / usual_ms;
+    server.factor.borrow_mut().record(multiple, now_ms);
+}
+
+/// Evidence of this node on the speed of servers, for other nodes.
+pub fn factors(node: &Node) -> Vec<FactorReport> {
+    let now_ms = node.now_ms();
+    let registry = node.registry.borrow();
+    let reports = registry.servers().filter_map(|server| {
+        let (record, factor) = (&server.record, server.factor.borrow());
+        factor.report(&record.id, record.born_unix_ms, now_ms)
+    });
+    server_factor::newest(reports.collect())
+}
+
+/// Applies another node's evidence on the speed of servers.
+pub fn apply_factors(node: &Node, from: &Name, reports: &[FactorReport]) {
+    let now_ms = node.now_ms();
+    let registry = node.registry.borrow();
+    for report in reports {
+        let server = registry.server(&report.server);
+        let same_life = server.filter(|s| s.record.born_unix_ms == report.born_unix_ms);
+        if let Some(server) = same_life {
+            server.factor.borrow_mut().merge(from, report, now_ms);
+        }
+    }
+}
+
 /// Reports that servers sent this node, for other nodes.
 pub fn shared(node: &Node) -> Vec<SharedLoad> {
     let now_ms = node.now_ms();
--- a/crates/gateway/src/belief/server.rs
+++ b/crates/gateway/src/belief/server.rs
@@ -12,6 +12,7 @@
 use crate::backend::pool::IdleConn;
 use crate::decide::backpressure::Backpressure;
 use crate::decide::prefix_cache::PrefixCache;
+use crate::decide::server_factor::ServerFactor;
 use crate::decide::server_load::ServerLoad;
 use crate::decide::turns::Turns;
 
@@ -70,6 +71,8 @@
     pub waiting_tokens: Cell<TokenCount>,
     /// Load that the other nodes put on the server, from their heartbeats.
     pub load_of_others: Cell<Load>,
+    /// The server's speed relative to its service.
+    pub factor: RefCell<ServerFactor>,
     /// The server's own load reports.
     pub reported: RefCell<ServerLoad>,
     /// When the server last sent a byte to this node.
@@ -142,6 +145,7 @@
             running: Cell::new(0),
             waiting_tokens: Cell::new(0),
             load_of_others: Cell::default(),
+            factor: RefCell::default(),
             reported: RefCell::default(),
             last_byte_ms: Cell::new(0),
             avoided_until_ms: Cell::new(0),
@@ -248,6 +252,7 @@
         ..Server::new(record)
     };
     server.last_byte_ms.set(known.last_byte_ms.get());
+    *server.factor.borrow_mut() = known.factor.borrow().clone();
     *server.reported.borrow_mut() = known.reported.borrow().clone();
     Rc::new(server)
 }
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -16,6 +16,7 @@
 pub mod retry_budget;
 pub mod rule;
 pub mod scale;
+pub mod server_factor;
 pub mod server_load;
 pub mod service_speeds;
 pub mod shed;
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -112,7 +112,7 @@
             load: known.load,
             own_running: server.running.get(),
             slots,
-            speed: self.speed.times(known.pace),
+            speed: (self.speed).times(known.pace * server.factor.borrow().factor(self.now_ms)),
             known_tokens: server.cache.borrow().cached_tokens(self.prompt),
             home: match &self.home {
                 Some(home) if *home == record.id => PrefixHome::ThisServer,
@@ -133,6 +133,7 @@
     /// What the time of the choice was predicted from.
     pub fn basis(&self, server: &Server, candidate: &Candidate, choice: &Choice) -> Basis {
         let known = server.current_load(self.now_ms, self.others_age_ms);
+        let factor = server.factor.borrow().factor(self.now_ms);
         let without_report_ms = match known.source {
             LoadSource::Counted => None,
             LoadSource::Reported => {
@@ -142,13 +143,14 @@
                     queued: (running + 1).saturating_sub(candidate.slots),
                     ..choice.work
                 };
-                Some(self.speed.first_byte_ms(&work))
+                Some(self.speed.times(factor).first_byte_ms(&work))
             }
         };
         Basis {
             work: choice.work,
             speed: candidate.speed,
-            factor: known.pace,
+            factor: factor * known.pace,
+            pace: known.pace,
             without_report_ms,
         }
     }
--- a/crates/gateway/src/decide/speed.rs
+++ b/crates/gateway/src/decide/speed.rs
@@ -138,8 +138,10 @@
     pub work: Work,
     /// Figures of the server.
     pub speed: Speed,
-    /// How much longer than its service the server takes.
+    /// How many times as long as its service the server takes at this moment.
     pub factor: f64,
+    /// The part of it that the server's pace explains.
+    pub pace: f64,
     /// The prediction without the server's load report, if that contributed.
     pub without_report_ms: Option<f64>,
 }
--- a/crates/gateway/src/decide/speed_estimate.rs
+++ b/crates/gateway/src/decide/speed_estimate.rs
@@ -113,9 +113,9 @@
         let gains = projected.map(|p| p / variance);
         // The lower triangle is copied: rounding errors would make the matrix asymmetric, and the
         // forgetting lets an asymmetry grow without bound.
-        for row in 0..FIGURES {
-            for column in row..FIGURES {
-                let cell = self.covariance[row][column] - gains[row] * projected[column];
+        for (row, gain) in gains.iter().enumerate() {
+            for (column, p) in projected.iter().enumerate().skip(row) {
+                let cell = self.covariance[row][column] - gain * p;
                 let cell = cell / (1.0 - FORGETTING_SHARE);
                 self.covariance[row][column] = cell;
                 self.covariance[column][row] = cell;
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -186,6 +186,7 @@
         },
         notices: gate::notices(node),
         server_loads: load_report::shared(node),
+        server_factors: load_report::factors(node),
         speeds: node.speeds.borrow().reports(now_ms),
     }
 }
@@ -271,6 +272,7 @@
         }
     }
     load_report::apply_shared(node, &heartbeat.server_loads);
+    load_report::apply_factors(node, &heartbeat.node, &heartbeat.server_factors);
     let mut speeds = node.speeds.borrow_mut();
     speeds.merge(&heartbeat.node, &heartbeat.speeds, now_ms);
     drop(speeds);
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -9,6 +9,7 @@
 use super::role::{DrainState, Role, period_ms};
 use crate::decide::backpressure::Notice;
 use crate::decide::reach::Reach;
+use crate::decide::server_factor::{FactorReport, SERVER_FACTORS_LIMIT};
 use crate::decide::server_load::{SERVER_LOADS_LIMIT, SharedLoad};
 use crate::decide::service_speeds::{SPEEDS_LIMIT, SpeedReport};
 use crate::decide::store_calls::StoreAccess;
@@ -101,6 +102,9 @@
     /// Load reports that servers sent to the sender.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub server_loads: Vec<SharedLoad>,
+    /// Speeds of servers relative to their services, from the sender's own samples.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub server_factors: Vec<FactorReport>,
 }
 
 impl NodeHeartbeat {
@@ -127,6 +131,8 @@
                 .all(|(_, running, _)| *running <= REQUESTS_LIMIT)
             && loads.clone().all(|(_, _, tokens)| *tokens <= TOKENS_LIMIT)
             && self.notices.iter().all(Notice::is_plausible)
+            && self.server_factors.len() <= SERVER_FACTORS_LIMIT
+            && self.server_factors.iter().all(FactorReport::is_plausible)
             && self.server_loads.len() <= SERVER_LOADS_LIMIT
             && self.server_loads.iter().all(|l| l.report.is_plausible())
             && self.speeds.len() <= SPEEDS_LIMIT
--- a/crates/gateway/src/peer/pulse.rs
+++ b/crates/gateway/src/peer/pulse.rs
@@ -85,6 +85,7 @@
     pulse.busy.clear();
     pulse.speeds.clear();
     pulse.server_loads.clear();
+    pulse.server_factors.clear();
     pulse.used.clear();
     pulse.begun.clear();
     pulse.settled.clear();
