Metric first_byte_ratio, event E308, docs, and bounded heartbeat fields

An operator sees whether predictions work by the histogram of real over predicted times by service, and why a load report is not used by E308 (request, report with age, times; at most one a second and server).

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -78,6 +78,7 @@
     RequestRelayed = 305, "request.relayed", Info, "A node without paths to the backend servers passed a request on to another node; fields give the node and the outcome.";
     AttemptSilent = 306, "attempt.silent", Info, "A backend server has sent nothing for a while; fields say for how long, whether the request stays, why, or which server takes it over.";
     AnswerCut = 307, "answer.cut", Warn, "The rest of a whole answer was not written, and the connection closed; fields say whether the caller read nothing in time or the memory went to other bodies, and how much was held.";
+    ServerLoadRejected = 308, "server.load_rejected", Info, "A backend server's load report is not used, as it is unreadable or a response contradicted it; fields give the response's request, the report with its age, and the real and predicted times. At most one a second and server.";
     ReclaimDecided = 310, "reclaim.decided", Info, "A stream at a leaving backend server finishes there, moves with its KV cache, or is recomputed elsewhere.";
 
     ConfigInForce = 400, "config.in_force", Info, "A configuration version is in force at this daemon.";
--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -198,7 +198,8 @@
             self.job.node.reach.borrow_mut().record_answer();
         }
         gate::note_answer(self.job.node, &self.server, &summary, self.started_ms);
-        load_report::note_answer(self.job.node, &self.server, &summary);
+        let request = self.job.id();
+        load_report::note_answer(self.job.node, &self.server, request, &summary);
     }
 
     pub fn note_failure(&self, cause: FailureCause) {
@@ -220,7 +221,11 @@
         speeds.record(service, first_byte(self.job), &sample, now_ms);
         drop(speeds);
         load_report::record_factor(&self.server, &self.basis, sample.after_ms, now_ms);
-        load_report::check(node, &self.server, &self.basis, sample.after_ms);
+        let predicted_ms = self.basis.speed.first_byte_ms(&self.basis.work);
+        let ratio = (sample.after_ms as f64 + 0.5) / predicted_ms;
+        node.metrics.observe_first_byte(service, ratio);
+        let request = self.job.id();
+        load_report::check(node, &self.server, request, &self.basis, sample.after_ms);
         self.release_waiting_tokens();
     }
 
--- a/crates/gateway/src/backend/load_report.rs
+++ b/crates/gateway/src/backend/load_report.rs
@@ -3,29 +3,73 @@
 
 use base::Name;
 use base::units::Millisecond;
+use serde::Serialize;
 
 use super::answer_summary::AnswerSummary;
 use crate::belief::Server;
 use crate::decide::server_factor::{self, FactorReport};
-use crate::decide::server_load::{ReportCheck, SharedLoad, newest};
+use crate::decide::server_load::{LoadReport, ReportCheck, SharedLoad, newest};
 use crate::decide::signal::Reading;
 use crate::decide::speed::Basis;
 use crate::node::Node;
 
-/// Applies the load report of a response.
-pub fn note_answer(node: &Node, server: &Server, summary: &AnswerSummary) {
+#[derive(Serialize)]
+struct RejectedFields<'a> {
+    request: Option<&'a str>,
+    server: &'a str,
+    reason: &'static str,
+    /// The newest readable report.
+    report: Option<LoadReport>,
+    report_age_ms: Option<Millisecond>,
+    real_ms: Option<Millisecond>,
+    with_report_ms: Option<Millisecond>,
+    without_report_ms: Option<Millisecond>,
+}
+
+fn log_rejected(node: &Node, server: &Server, request: Option<&str>, check: Option<&ReportCheck>) {
+    let now_ms = node.now_ms();
+    let mut reported = server.reported.borrow_mut();
+    if !reported.take_log_turn(now_ms) {
+        return;
+    }
+    let newest = reported.newest(now_ms);
+    let fields = RejectedFields {
+        request,
+        server: &server.record.id,
+        reason: match check {
+            Some(_) => "contradicted",
+            None => "unreadable",
+        },
+        report: newest.map(|(report, _)| report),
+        report_age_ms: newest.map(|(_, age_ms)| age_ms),
+        real_ms: check.map(|c| c.real_ms as Millisecond),
+        with_report_ms: check.map(|c| c.with_report_ms as Millisecond),
+        without_report_ms: check.map(|c| c.without_report_ms as Millisecond),
+    };
+    crate::log::emit(events::Code::ServerLoadRejected, &fields);
+}
+
+/// Applies the load report of a response to `request`.
+pub fn note_answer(node: &Node, server: &Server, request: Option<&str>, summary: &AnswerSummary) {
     node.metrics.count_load_report(&summary.load);
     match summary.load {
         Reading::Given(report) => {
             let mut reported = server.reported.borrow_mut();
             reported.record_own(report, node.now_ms());
         }
-        Reading::Unreadable | Reading::Absent => {}
+        Reading::Unreadable => log_rejected(node, server, request, None),
+        Reading::Absent => {}
     }
 }
 
 /// Compares a real time to first byte with what the server's report let expect.
-pub fn check(node: &Node, server: &Server, basis: &Basis, after_ms: Millisecond) {
+pub fn check(
+    node: &Node,
+    server: &Server,
+    request: Option<&str>,
+    basis: &Basis,
+    after_ms: Millisecond,
+) {
     let Some(without_report_ms) = basis.without_report_ms else {
         return;
     };
@@ -34,8 +78,10 @@
         with_report_ms: basis.speed.first_byte_ms(&basis.work),
         without_report_ms,
     };
-    let mut reported = server.reported.borrow_mut();
-    reported.check(&check, node.now_ms());
+    let is_contradicted = (server.reported.borrow_mut()).check(&check, node.now_ms());
+    if is_contradicted {
+        log_rejected(node, server, request, Some(&check));
+    }
 }
 
 /// Records the server's speed relative to its service.
--- a/crates/gateway/src/decide/server_factor.rs
+++ b/crates/gateway/src/decide/server_factor.rs
@@ -21,6 +21,10 @@
 /// Most other nodes whose evidence on one server is kept, the newest.
 const NODES_LIMIT: usize = 16;
 
+/// Evidence without a sample in this time is not sent again: heartbeats must leave room on links of
+/// 10 Mbit/s.
+const SHARED_AGE_MS: Millisecond = 3_000;
+
 /// Most factors in a heartbeat.
 pub const SERVER_FACTORS_LIMIT: usize = 32;
 
@@ -30,11 +34,16 @@
 /// One node's evidence on a server, for other nodes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct FactorReport {
+    #[serde(rename = "s")]
     pub server: Name,
     /// When the server started: its next life may be on another machine.
+    #[serde(rename = "b")]
     pub born_unix_ms: u64,
+    #[serde(rename = "f")]
     pub factor_percent: u32,
+    #[serde(rename = "w")]
     pub weight: u32,
+    #[serde(rename = "a")]
     pub age_ms: Millisecond,
 }
 
@@ -107,12 +116,14 @@
         born_unix_ms: u64,
         now_ms: Millisecond,
     ) -> Option<FactorReport> {
-        (self.own.weight > 0.0).then(|| FactorReport {
+        let age_ms = now_ms.saturating_sub(self.own.measured_ms);
+        let is_current = self.own.weight > 0.0 && age_ms <= SHARED_AGE_MS;
+        is_current.then(|| FactorReport {
             server: server.clone(),
             born_unix_ms,
             factor_percent: (self.own.log.exp() * 100.0).round() as u32,
             weight: self.own.weight as u32,
-            age_ms: now_ms.saturating_sub(self.own.measured_ms),
+            age_ms,
         })
     }
 }
--- a/crates/gateway/src/decide/server_load.rs
+++ b/crates/gateway/src/decide/server_load.rs
@@ -34,6 +34,9 @@
 const CONTRADICTION_FACTOR: f64 = 2.5;
 const BETTER_WITHOUT_SHARE: f64 = 0.6;
 
+/// Time between two log lines about one server.
+const LOG_PAUSE_MS: Millisecond = 1_000;
+
 /// Most own sends and completions that are kept for each server.
 const CHANGES_LIMIT: usize = 256;
 
@@ -105,9 +108,11 @@
 /// A load report that a node has received itself, for other nodes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SharedLoad {
+    #[serde(rename = "s")]
     pub server: Name,
     #[serde(flatten)]
     pub report: LoadReport,
+    #[serde(rename = "a")]
     pub age_ms: Millisecond,
 }
 
@@ -144,6 +149,8 @@
     /// This node's sends and completions of the last seconds.
     changes: VecDeque<(Millisecond, Change)>,
     distrusted_until_ms: Millisecond,
+    /// When the last rejection was logged.
+    logged_ms: Option<Millisecond>,
 }
 
 impl ServerLoad {
@@ -224,6 +231,21 @@
         is_contradicted
     }
 
+    /// The newest report and its age, for logs.
+    pub fn newest(&self, now_ms: Millisecond) -> Option<(LoadReport, Millisecond)> {
+        self.newest
+            .map(|newest| (newest.report, now_ms.saturating_sub(newest.at_ms)))
+    }
+
+    /// Whether a rejection may be logged now: at most one a second.
+    pub fn take_log_turn(&mut self, now_ms: Millisecond) -> bool {
+        let is_due = (self.logged_ms).is_none_or(|at_ms| now_ms >= at_ms + LOG_PAUSE_MS);
+        if is_due {
+            self.logged_ms = Some(now_ms);
+        }
+        is_due
+    }
+
     /// The newest report that this node has received itself, for other nodes.
     pub fn shared(&self, server: &Name, now_ms: Millisecond) -> Option<SharedLoad> {
         let Reported { report, at_ms } = self.own?;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -77,6 +77,13 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
+type Ratios = Family<ServiceLabels, Histogram, fn() -> Histogram>;
+
 type Durations = Family<RequestLabels, Histogram, fn() -> Histogram>;
 
 /// Metrics of a process.
@@ -91,6 +98,7 @@
     calls: Family<DependencyLabels, Counter>,
     signals: Family<SignalLabels, Counter>,
     withheld: Family<ReasonLabels, Counter>,
+    first_byte_ratios: Ratios,
 }
 
 impl Metrics {
@@ -106,6 +114,12 @@
         let calls = Family::default();
         let signals = Family::default();
         let withheld = Family::default();
+        let first_byte_ratios: Ratios = Family::new_with_constructor(ratio_histogram);
+        registry.register(
+            "first_byte_ratio",
+            "Real over predicted time to the first byte",
+            first_byte_ratios.clone(),
+        );
         registry.register("requests", "Requests that ended", requests.clone());
         registry.register(
             "request_panics",
@@ -146,6 +160,7 @@
             calls,
             signals,
             withheld,
+            first_byte_ratios,
         }
     }
 
@@ -206,6 +221,13 @@
         }
     }
 
+    /// Records a real time to first byte as a multiple of the predicted one.
+    pub fn observe_first_byte(&self, service: &str, ratio: f64) {
+        let service = service.to_owned();
+        let labels = ServiceLabels { service };
+        self.first_byte_ratios.get_or_create(&labels).observe(ratio);
+    }
+
     /// Counts the load report in one answer.
     pub fn count_load_report(&self, report: &Reading<LoadReport>) {
         let Some(reading) = report.label() else {
@@ -250,6 +272,11 @@
     }
 }
 
+/// Buckets around the bounds that predictions must keep: 25% and a factor of 2.
+fn ratio_histogram() -> Histogram {
+    Histogram::new([0.25, 0.5, 0.67, 0.8, 1.0, 1.25, 1.5, 2.0, 3.0, 4.0, 8.0])
+}
+
 fn duration_histogram() -> Histogram {
     Histogram::new(exponential_buckets(0.005, 2.0, 13))
 }
