--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -22,6 +22,7 @@
 pub mod rollout;
 pub mod rule;
 pub mod scale;
+pub mod server_factor;
 pub mod server_faults;
 pub mod server_load;
 pub mod service_speeds;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -86,8 +86,16 @@
     kind: &'static str,
     outcome: &'static str,
 }
+
 type Waits = Family<ReasonLabels, Histogram, fn() -> Histogram>;
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
+type Ratios = Family<ServiceLabels, Histogram, fn() -> Histogram>;
+
 type Durations = Family<RequestLabels, Histogram, fn() -> Histogram>;
 
 /// Metrics of a process.
@@ -107,6 +115,7 @@
     left_domain: Family<ReasonLabels, Counter>,
     left_domain_bytes: Counter,
     avoided_wait_ms: Counter<f64, AtomicU64>,
+    first_byte_ratios: Ratios,
 }
 
 impl Metrics {
@@ -132,6 +141,12 @@
         let left_domain = Family::default();
         let left_domain_bytes = Counter::default();
         let avoided_wait_ms = Counter::<f64, AtomicU64>::default();
+        let first_byte_ratios: Ratios = Family::new_with_constructor(ratio_histogram);
+        registry.register(
+            "first_byte_ratio",
+            "Real over predicted time to the first byte",
+            first_byte_ratios.clone(),
+        );
         registry.register("requests", "Requests that ended", requests.clone());
         registry.register(
             "request_panics",
@@ -197,6 +212,7 @@
             left_domain,
             left_domain_bytes,
             avoided_wait_ms,
+            first_byte_ratios,
         }
     }
 
@@ -257,6 +273,13 @@
         }
     }
 
+    /// Records a real time to first byte as a multiple of the predicted one.
+    pub fn observe_first_byte(&self, service: &str, ratio: f64) {
+        let service = service.to_owned();
+        let labels = ServiceLabels { service };
+        self.first_byte_ratios.get_or_create(&labels).observe(ratio);
+    }
+
     /// Counts the load report in one answer.
     pub fn count_load_report(&self, report: &Reading<LoadReport>) {
         let Some(reading) = report.label() else {
@@ -326,6 +349,11 @@
     }
 }
 
+/// Buckets around the bounds that predictions must keep: 25% and a factor of 2.
+fn ratio_histogram() -> Histogram {
+    Histogram::new([0.25, 0.5, 0.67, 0.8, 1.0, 1.25, 1.5, 2.0, 3.0, 4.0, 8.0])
+}
+
 fn duration_histogram() -> Histogram {
     Histogram::new(exponential_buckets(0.005, 2.0, 13))
 }
