--- a/crates/gateway/src/front/buffered.rs
+++ b/crates/gateway/src/front/buffered.rs
@@ -56,7 +56,8 @@
         let deadline = deadline_in(job.left_ms());
         let running = run(job, &mut attempts, &mut attempt, deadline);
         let end = timeout_at(deadline, running).await;
-        placed = match end.unwrap_or(Err(RunEnd::Waited(WaitEnd::TimedOut))) {
+        let timed_out = || Err(RunEnd::Waited(Box::new(WaitEnd::TimedOut)));
+        placed = match end.unwrap_or_else(|_| timed_out()) {
             Ok(whole) => match whole.action {
                 AnswerAction::Relay => {
                     drop(attempt);
@@ -68,12 +69,14 @@
                 }
             },
             Err(RunEnd::Failed(cause)) => attempts.retry(attempt, cause).await,
-            Err(RunEnd::Waited(WaitEnd::Moved(successor))) => Ok(successor),
-            Err(RunEnd::Waited(WaitEnd::HandedOver(reply))) => Err(reply),
-            Err(RunEnd::Waited(WaitEnd::TimedOut)) => {
-                attempt.server.record_silence(node.now_ms());
-                Err(LocalReply::timed_out())
-            }
+            Err(RunEnd::Waited(end)) => match *end {
+                WaitEnd::Moved(successor) => Ok(successor),
+                WaitEnd::HandedOver(reply) => Err(reply),
+                WaitEnd::TimedOut => {
+                    attempt.server.record_silence(node.now_ms());
+                    Err(LocalReply::timed_out())
+                }
+            },
         };
     }
 }
@@ -82,7 +85,7 @@
 enum RunEnd<'a> {
     Failed(FailureCause),
     /// The wait for the head of the answer ended without one.
-    Waited(WaitEnd<'a>),
+    Waited(Box<WaitEnd<'a>>),
 }
 
 impl From<FailureCause> for RunEnd<'_> {
@@ -110,7 +113,9 @@
     let sending = send(&server, permit, &request, &job.node.dialect.names, clock);
     let mut silence = Silence::new(attempts.silence_timeout(attempt), AnswerProgress::Nothing);
     let waiting = attempts.wait(attempt, &mut silence, deadline, sending);
-    let mut answer = waiting.await.map_err(RunEnd::Waited)??;
+    let mut answer = waiting
+        .await
+        .map_err(|end| RunEnd::Waited(Box::new(end)))??;
     attempts.end_silence(attempt, &silence);
     attempt.note_answer(answer.summary);
     let action = match classify_answer(job, &answer.head) {
--- a/crates/gateway/tests/domain_exit.rs
+++ b/crates/gateway/tests/domain_exit.rs
@@ -12,6 +12,7 @@
 use gateway::decide::domain_share::{Crossing, ShareReport};
 use gateway::decide::placement::{Choice, prefix_homes};
 use gateway::decide::prompt::Prompt;
+use gateway::decide::speed::Work;
 use gateway::settings::Settings;
 use outside::Purchase;
 use test_case::test_case;
@@ -24,6 +25,7 @@
             opens_in_ms: 0,
             wait_ms,
             tokens_to_read: 1_000,
+            work: Work::default(),
         },
         surcharge_ms: 0.0,
     }
--- a/crates/gateway/tests/predictions.rs
+++ b/crates/gateway/tests/predictions.rs
@@ -8,11 +8,12 @@
 use base::{Map, Name};
 use batch_server::{BatchServer, Progress, Task};
 use gateway::belief::registry::{Load, Server, ServerRecord, ServerState};
+use gateway::decide::domain_exit::{DomainExit, ExitTerms, Refusal};
 use gateway::decide::placement::{
-    Candidate, Demand, ENGINE_QUEUE_SHARE, PlacementView, prefix_home,
+    Candidate, Demand, ENGINE_QUEUE_SHARE, PlacementView, prefix_homes,
 };
 use gateway::decide::prompt::Prompt;
-use gateway::decide::rule::{BaselineInputs, Rule, TimeLimits, choose_in_time};
+use gateway::decide::rule::{BaselineInputs, Exit, Rule, TimeLimits, choose_in_time};
 use gateway::decide::server_load::{LoadReport, ReportCheck};
 use gateway::decide::service_speeds::{FirstByte, ServiceSpeeds};
 use gateway::decide::speed::{Basis, Sample};
@@ -217,7 +218,7 @@
         let node = &self.nodes[number];
         let view = PlacementView {
             prompt: &prompt,
-            home: prefix_home(&prompt, &node.servers),
+            homes: prefix_homes(&prompt, &node.servers),
             failure_domain: &"here".into(),
             speed: node.speeds.speed(&"model".into(), FirstByte::Event, now_ms),
             others_age_ms: HEARTBEAT_MS / 2,
@@ -234,11 +235,25 @@
         };
         let demand = Demand::of(&prompt, ENGINE_QUEUE_SHARE);
         let chance = BaselineInputs::default();
-        let Ok(choice) = choose_in_time(Rule::Predicted, &demand, &candidates, chance, limits)
-        else {
+        // All servers are in the node's own domain.
+        let exit = Exit {
+            state: &mut DomainExit::default(),
+            terms: ExitTerms {
+                target_ms: 800,
+                traffic_kb: 1.0,
+                cost_ms_per_kb: 0.1,
+                now_ms,
+                load_age_ms: 0,
+                refusal: Refusal::Possible,
+            },
+            surcharges_ms: &vec![0.0; candidates.len()],
+        };
+        let chosen = choose_in_time(Rule::Predicted, &demand, &candidates, chance, limits, exit);
+        let Ok(chosen) = chosen else {
             self.refused += 1;
             return;
         };
+        let choice = chosen.choice;
         self.accepted += 1;
         let place = choice.index;
         let server = node.servers[place].clone();
