--- a/crates/gateway/src/decide/server_faults.rs
+++ b/crates/gateway/src/decide/server_faults.rs
@@ -242,7 +242,9 @@
             Some(k) => k.failures.saturating_add(1),
         };
         let others = known.map(|k| k.others).unwrap_or_default();
-        let is_news = others.len() < ENOUGH_WITNESSES || self.is_drawn;
+        // A pulse goes to every node. It pays for a server that fails every request; of single broken or
+        // silent connections, whole heartbeats tell soon enough.
+        let is_news = kind.is_gone() && (others.len() < ENOUGH_WITNESSES || self.is_drawn);
         self.own = Some(Observation {
             kind,
             at_ms: now_ms,
