--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -253,7 +253,14 @@
             },
             surcharges_ms: &surcharges_ms,
         };
-        let chosen = choose_in_time(self.rule, &demand, candidates, chance, ask.limits, exit)?;
+        let chosen = choose_in_time(
+            self.rule,
+            &demand,
+            candidates,
+            chance,
+            ask.limits,
+            Some(exit),
+        )?;
         Ok(chosen.choice)
     }
 
--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -23,8 +23,7 @@
 use crate::decide::domain_exit::Refusal;
 use crate::decide::outcome::FailureCause;
 use crate::decide::placement::{
-    Candidate, Choice, Demand, ENGINE_QUEUE_SHARE, PlacementView, brittle_slots, prefix_homes,
-    untried,
+    Candidate, Choice, Demand, ENGINE_QUEUE_SHARE, PlacementView, brittle_slots, untried,
 };
 use crate::decide::rule::{Exit, TimeLimits, choose_in_time};
 use crate::decide::service_speeds::FirstByte;
@@ -102,7 +101,7 @@
         let servers = untried(usable, failed);
         let view = PlacementView {
             prompt: &job.prompt,
-            homes: prefix_homes(&job.prompt, &servers),
+            homes: domains::homes(node, &job.prompt, &servers),
             failure_domain: &node.settings.node.failure_domain,
             speed: (node.speeds.borrow()).speed(&job.service.name, first_byte(job), now_ms),
             others_age_ms: node.others_age_ms(),
@@ -135,11 +134,11 @@
         let load_age_ms = exits.load_age_ms(&node.settings.node.failure_domain);
         let terms = domains::terms(job, refusal, load_age_ms);
         let (state, surcharges_ms) = exits.view(node, &job.service.name, &servers);
-        let exit = Exit {
+        let exit = node.settings.domains.as_ref().map(|_| Exit {
             state,
             terms,
             surcharges_ms: &surcharges_ms,
-        };
+        });
         let inputs = node.baseline_inputs();
         let chosen = choose_in_time(rule, &demand(job), &candidates, inputs, limits, exit)?;
         drop(exits);
--- a/crates/gateway/src/backend/domains.rs
+++ b/crates/gateway/src/backend/domains.rs
@@ -12,6 +12,8 @@
     own_surcharge_ms, surcharge_ms,
 };
 use crate::decide::domain_share::{Crossing, ShareChange, ShareReport};
+use crate::decide::placement::{prefix_home, prefix_homes};
+use crate::decide::prompt::Prompt;
 use crate::decide::rule::{Chosen, ExitReport};
 use crate::front::job::Job;
 use crate::node::Node;
@@ -136,10 +138,11 @@
         None => PLAIN_ANSWER_BYTES,
     };
     let bytes = job.request.body.len() as f64 + answer_bytes;
+    let domains = job.node.settings.domains.unwrap_or_default();
     ExitTerms {
         target_ms: job.route.target_ms,
         traffic_kb: bytes / 1_024.0,
-        cost_ms_per_kb: job.node.settings.domains.cross_cost_ms_per_kb,
+        cost_ms_per_kb: domains.cross_cost_ms_per_kb,
         now_ms: job.node.now_ms(),
         load_age_ms,
         refusal,
@@ -218,6 +221,14 @@
     crate::log::emit(events::Code::DomainDecided, &fields);
 }
 
+/// Home servers of a prompt's shared prefix: one in each domain if the domains are compared.
+pub fn homes(node: &Node, prompt: &Prompt, servers: &[Rc<Server>]) -> Vec<Name> {
+    match node.settings.domains {
+        Some(_) => prefix_homes(prompt, servers),
+        None => prefix_home(prompt, servers).into_iter().collect(),
+    }
+}
+
 /// Records by how much a first byte was later than predicted.
 pub fn record_first_byte(
     job: &Job<'_>,
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -86,7 +86,7 @@
 #[derive(Clone, Debug)]
 pub struct PlacementView<'a> {
     pub prompt: &'a Prompt,
-    /// Home servers of the prompt's shared prefix, one in each failure domain.
+    /// Home servers of the prompt's shared prefix: one in each failure domain, or one of all.
     pub homes: Vec<Name>,
     /// Failure domain of the node.
     pub failure_domain: &'a Name,
@@ -152,6 +152,23 @@
     }
 }
 
+/// The server to which all nodes send a prompt's shared prefix if the domains are not compared.
+pub fn prefix_home(prompt: &Prompt, servers: &[Rc<Server>]) -> Option<Name> {
+    let chain = prompt.shared_chain()?;
+    let highest = servers.iter().max_by_key(|s| home_score(chain, s))?;
+    Some(highest.record.id.clone())
+}
+
+fn home_score(chain: u64, server: &Server) -> u64 {
+    let mut hasher = rustc_hash::FxHasher::default();
+    (chain, &*server.record.id).hash(&mut hasher);
+    // The low bits of this hasher are weak.
+    hasher
+        .finish()
+        .rotate_left(26)
+        .wrapping_mul(0x9E37_79B9_7F4A_7C15)
+}
+
 /// The servers to which nodes send a prompt's shared prefix, chosen by rendezvous hashing: one in
 /// each failure domain. Each domain reads the prefix once, so that no request leaves its domain for a
 /// cached prefix.
@@ -159,21 +176,12 @@
     let Some(chain) = prompt.shared_chain() else {
         return Vec::new();
     };
-    let score = |server: &Rc<Server>| {
-        let mut hasher = rustc_hash::FxHasher::default();
-        (chain, &*server.record.id).hash(&mut hasher);
-        // The low bits of this hasher are weak.
-        hasher
-            .finish()
-            .rotate_left(26)
-            .wrapping_mul(0x9E37_79B9_7F4A_7C15)
-    };
     let mut homes: Vec<(u64, &Rc<Server>)> = Vec::new();
     for server in servers {
         let of_domain = |home: &&mut (u64, &Rc<Server>)| {
             home.1.record.failure_domain == server.record.failure_domain
         };
-        let score = score(server);
+        let score = home_score(chain, server);
         match homes.iter_mut().find(of_domain) {
             Some(home) if home.0 >= score => {}
             Some(home) => *home = (score, server),
--- a/crates/gateway/src/decide/rule.rs
+++ b/crates/gateway/src/decide/rule.rs
@@ -41,6 +41,10 @@
     }
 }
 
+/// Cost of a server in another failure domain, for the longer round trip and the price of the traffic,
+/// where the settings don't ask for a decision.
+const CROSS_DOMAIN_MS: f64 = 4.0;
+
 /// Values of the choosing node that the baselines use.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct BaselineInputs {
@@ -72,7 +76,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Chosen {
     pub choice: Choice,
-    /// `None` by a baseline rule.
+    /// `None` if the domains were not compared.
     pub exit: Option<ExitReport>,
 }
 
@@ -84,7 +88,8 @@
     pub other: Option<Other>,
 }
 
-/// Chooses a server that can answer within the limits.
+/// Chooses a server that can answer within the limits. Without `exit`, a server of another domain costs
+/// a fixed penalty.
 ///
 /// # Errors
 ///
@@ -95,12 +100,12 @@
     candidates: &[Candidate],
     chance: BaselineInputs,
     limits: TimeLimits,
-    exit: Exit<'_>,
+    exit: Option<Exit<'_>>,
 ) -> Result<Chosen, NoServer> {
     if candidates.is_empty() {
         return Err(NoServer::None);
     }
-    if rule == Rule::Predicted {
+    if let (Rule::Predicted, Some(exit)) = (rule, exit) {
         return choose_domain(demand, candidates, chance.drawn, limits, exit);
     }
     let choice = choose(rule, demand, candidates, chance).ok_or(NoServer::Full)?;
@@ -217,16 +222,15 @@
     Some(predict(demand, candidates, index).1)
 }
 
-/// The server with the lowest cost; one in the own domain if costs are equal.
+/// The server with the lowest cost, with a penalty for those in other domains.
 fn cheapest(demand: &Demand, candidates: &[Candidate], eligible: &[usize]) -> Option<Choice> {
-    let predicted = eligible
-        .iter()
-        .map(|index| predict(demand, candidates, *index));
-    let rank = |choice: &Choice| match candidates[choice.index].locality {
-        Locality::SameDomain => 0,
-        Locality::OtherDomain => 1,
-    };
-    let least =
-        predicted.min_by(|(a_ms, a), (b_ms, b)| a_ms.total_cmp(b_ms).then(rank(a).cmp(&rank(b))));
+    let predicted = eligible.iter().map(|index| {
+        let (cost_ms, choice) = predict(demand, candidates, *index);
+        match candidates[*index].locality {
+            Locality::SameDomain => (cost_ms, choice),
+            Locality::OtherDomain => (cost_ms + CROSS_DOMAIN_MS, choice),
+        }
+    });
+    let least = predicted.min_by(|(a_ms, _), (b_ms, _)| a_ms.total_cmp(b_ms));
     least.map(|(_, choice)| choice)
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -33,9 +33,9 @@
     /// Choice of servers for requests.
     #[serde(default)]
     pub placing: Placing,
-    /// Traffic between failure domains.
+    /// Traffic between failure domains; without it, servers of other domains cost a fixed penalty.
     #[serde(default)]
-    pub domains: Domains,
+    pub domains: Option<Domains>,
     /// Target utilizations, by which the number of servers is chosen.
     #[serde(default)]
     pub buying: UtilizationShares,
@@ -298,9 +298,10 @@
             ("bounds.usage_window_s", bounds.usage_window_s),
             ("bounds.usage_due_s", bounds.usage_due_s),
         ])?;
+        let domains = self.domains.unwrap_or_default();
         config_file::check_not_negative(
             "domains.cross_cost_ms_per_kb",
-            self.domains.cross_cost_ms_per_kb,
+            domains.cross_cost_ms_per_kb,
         )?;
         config_file::check_fraction("bounds.retry_ratio", bounds.retry_ratio)?;
         self.rollout.as_ref().map_or(Ok(()), Rollout::check)
