--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -15,6 +15,9 @@
 /// additional one slows down those that run.
 pub const ENGINE_QUEUE_SHARE: f64 = 0.25;
 
+/// Cost of each request that runs at a server, as a share of the predicted time.
+const SPREAD_SHARE: f64 = 0.02;
+
 /// Share of a brittle server's slots that all nodes together use, as far as a node knows.
 const BRITTLE_FILL_SHARE: f64 = 0.9;
 
@@ -278,7 +281,10 @@
         tokens_to_read: candidate.speed.tokens_to_read(&work),
         work,
     };
-    (first_byte_ms, choice)
+    // The prediction hardly rises with the running requests, and nodes hear of each other's late: without
+    // this, all of them would choose the same server.
+    let spread_ms = SPREAD_SHARE * f64::from(candidate.load.running) * served_ms;
+    (first_byte_ms + spread_ms, choice)
 }
 
 /// Whether all slots and queue places of a server are taken.
