Faults: pulses carry only what is new, and fewer nodes send them

Cause: after a crash each node sent all of its up to 32 reports to all other nodes, five times.

Now a pulse is built from its own fields, not from a whole heartbeat, carries only observations that are new, is delayed by a drawn part of 80 ms, and is left out if two other nodes have reported the same. What is new is repeated for 400 ms instead of 600 ms.

--- a/crates/gateway/src/backend/server_faults.rs
+++ b/crates/gateway/src/backend/server_faults.rs
@@ -113,6 +113,18 @@
 
 /// This node's observations for other nodes, newest first.
 pub fn reports(node: &Node) -> Vec<FaultReport> {
+    reports_of(node, |_, _| true)
+}
+
+/// The observations that pulses report now, newest first.
+pub fn fresh_reports(node: &Node) -> Vec<FaultReport> {
+    reports_of(node, ServerFaults::is_fresh)
+}
+
+fn reports_of(
+    node: &Node,
+    is_wanted: impl Fn(&ServerFaults, Millisecond) -> bool,
+) -> Vec<FaultReport> {
     if node.reach.borrow().reach() == Reach::Lost {
         return Vec::new();
     }
@@ -120,6 +132,9 @@
     let servers = faulty(node);
     let reports = servers.iter().filter_map(|server| {
         let faults = server.faults.borrow();
+        if !is_wanted(&faults, now_ms) {
+            return None;
+        }
         let (kind, age_ms, failures) = faults.report(server.last_byte_ms.get(), now_ms)?;
         let report = FaultReport {
             server: server.record.id.clone(),
--- a/crates/gateway/src/decide/server_faults.rs
+++ b/crates/gateway/src/decide/server_faults.rs
@@ -25,8 +25,9 @@
 /// Requests that fail within this time count as one failure: a crash breaks many connections.
 const SAME_FAILURE_MS: Millisecond = 100;
 
-/// Time for which pulses repeat what is new: five pulses, as some may be lost.
-const FRESH_MS: Millisecond = 600;
+/// Time for which pulses repeat what is new: three pulses, as some may be lost. More would fill
+/// links of 10 Mbit/s when all nodes observe a crash. Whole heartbeats repeat it further.
+const FRESH_MS: Millisecond = 400;
 
 /// Other nodes whose reports of a fault make a pulse of this node unnecessary.
 const ENOUGH_WITNESSES: usize = 2;
@@ -106,6 +107,8 @@
     failures: u32,
     /// Whether pulses report it.
     in_pulses: bool,
+    /// Whether this node was drawn to try the server.
+    is_trial: bool,
 }
 
 /// How a server stands by the faults that a node knows.
@@ -244,12 +247,14 @@
         let others = known.map(|k| k.others).unwrap_or_default();
         // A pulse goes to every node. It pays for a server that fails every request; of single broken or
         // silent connections, whole heartbeats tell soon enough.
-        let is_news = kind.is_gone() && (others.len() < ENOUGH_WITNESSES || self.is_drawn);
+        let is_trial = self.is_drawn;
+        let is_news = kind.is_gone() && (others.len() < ENOUGH_WITNESSES || is_trial);
         self.own = Some(Observation {
             kind,
             at_ms: now_ms,
             failures,
             in_pulses: is_news,
+            is_trial,
         });
         self.fault = Some(Fault {
             kind,
@@ -274,6 +279,7 @@
             failures: 0,
             // A broken connection says little of a server that goes on to answer.
             in_pulses: fault.kind.is_gone(),
+            is_trial: false,
         });
         Some(fault.kind)
     }
@@ -317,6 +323,7 @@
                     at_ms: last_byte_ms,
                     failures: 0,
                     in_pulses: false,
+                    is_trial: false,
                 });
             }
             return FaultChange::None;
@@ -439,7 +446,7 @@
         let is_news = |own: &Observation| {
             let is_recent = now_ms.saturating_sub(own.at_ms) < FRESH_MS;
             let is_known =
-                own.kind != FaultKind::Answered && own.failures < 2 && told >= ENOUGH_WITNESSES;
+                own.kind != FaultKind::Answered && !own.is_trial && told >= ENOUGH_WITNESSES;
             own.in_pulses && is_recent && !is_known
         };
         self.own.as_ref().is_some_and(is_news)
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -131,8 +131,6 @@
 
 /// The state of this node, as heartbeat number `number` of its life.
 pub fn heartbeat(node: &Node, number: u64, started_unix_ms: u64) -> NodeHeartbeat {
-    let now_ms = node.now_ms();
-    let server_silence_ms = reach::server_silence_ms(node);
     let registry = node.registry.borrow();
     let busy = registry.servers().filter(|s| s.running.get() > 0);
     let loads = busy
@@ -144,6 +142,34 @@
         .borrow()
         .export_local(SUSPECT_SENDING_MS, unix_ms());
     suspects.truncate(SENT_SUSPECTS_LIMIT);
+    NodeHeartbeat {
+        loads,
+        busy: node.busy_servers(),
+        used: buckets
+            .iter()
+            .map(|(name, b)| (name.clone(), b.used().round()))
+            .collect(),
+        begun: node.usage.borrow().recent_windows(),
+        settled: node.usage.borrow().settled_windows(),
+        suspects,
+        parts: quarantine::report(node),
+        server_loads: load_report::shared(node),
+        server_factors: load_report::factors(node),
+        speeds: node.speeds.borrow().reports(node.now_ms()),
+        faults: server_faults::reports(node),
+        ..pulse(node, number, started_unix_ms, HeartbeatContent::Whole)
+    }
+}
+
+/// The part of the state that pulses carry too.
+pub fn pulse(
+    node: &Node,
+    number: u64,
+    started_unix_ms: u64,
+    content: HeartbeatContent,
+) -> NodeHeartbeat {
+    let now_ms = node.now_ms();
+    let registry = node.registry.borrow();
     NodeHeartbeat {
         node: node.settings.node.name.clone(),
         failure_domain: node.settings.node.failure_domain.clone(),
@@ -153,7 +179,7 @@
             Phase::Draining | Phase::Closing | Phase::Ending => DrainState::Leaves,
         },
         period_ms: period_ms(node.node_count()),
-        content: HeartbeatContent::Whole,
+        content,
         boot: node.boot,
         started_unix_ms,
         number,
@@ -173,29 +199,18 @@
             directory_ms: time_since_ms(node.directory_confirmed_ms.get(), now_ms),
             registry_ms: time_since_ms(node.registry_confirmed_ms.get(), now_ms),
         }),
-        loads,
-        busy: node.busy_servers(),
-        used: buckets
-            .iter()
-            .map(|(name, b)| (name.clone(), b.used().round()))
-            .collect(),
-        begun: node.usage.borrow().recent_windows(),
-        settled: node.usage.borrow().settled_windows(),
-        suspects,
-        parts: quarantine::report(node),
+        parts: quarantine::fresh_report(node),
         reach: node.reach.borrow().reach(),
-        server_silence_ms,
+        server_silence_ms: reach::server_silence_ms(node),
         versions: {
             let history = node.version_history.borrow();
             history.is_known().then(|| history.report())
         },
         notices: gate::notices(node),
-        server_loads: load_report::shared(node),
-        server_factors: load_report::factors(node),
-        speeds: node.speeds.borrow().reports(now_ms),
-        faults: server_faults::reports(node),
+        faults: server_faults::fresh_reports(node),
         rollouts: news::report(node),
         rollout_counts: news::counts(node),
+        ..NodeHeartbeat::default()
     }
 }
 
--- a/crates/gateway/src/peer/fault_pulse.rs
+++ b/crates/gateway/src/peer/fault_pulse.rs
@@ -9,8 +9,8 @@
 
 use tokio::net::UdpSocket;
 
-use super::exchange::{heartbeat, send_to};
-use super::pulse;
+use super::exchange::send_to;
+use super::pulse::pulse;
 use super::role::HEARTBEAT_PERIOD_MS;
 use crate::backend::server_faults;
 use crate::node::Node;
@@ -18,11 +18,15 @@
 /// Time between two looks for new faults. Failures of one crash are collected in it.
 const LOOK_PERIOD: Duration = Duration::from_millis(40);
 
+/// Longest delay of a pulse, of which each node draws a part. All nodes observe a crash at the same
+/// time, and those that wait longer hear of it from the others.
+const PULSE_DELAY: Duration = Duration::from_millis(80);
+
 /// Time between two pulses about faults.
 const PULSE_PERIOD: Duration = Duration::from_millis(HEARTBEAT_PERIOD_MS);
 
-/// Most recipients of a pulse about faults: at 2 KB each, a quarter of a second of a link of
-/// 20 Mbit/s. In larger fleets the nodes that are not drawn learn by whole heartbeats.
+/// Most recipients of a pulse about faults: at 0.8 KB each, a fifth of a second of a link of
+/// 10 Mbit/s. In larger fleets the nodes that are not drawn learn by whole heartbeats.
 const RECIPIENTS_LIMIT: usize = 300;
 
 /// Sends pulses about faults, and tries servers again, until the process ends.
@@ -36,9 +40,12 @@
         if !server_faults::has_fresh(&node) {
             continue;
         }
-        let mut message = heartbeat(&node, node.next_datagram_number(), started_unix_ms);
-        pulse::reduce(&node, &mut message, HEARTBEAT_PERIOD_MS);
-        send_to(&socket, &message, &recipients(&node));
+        tokio::time::sleep(PULSE_DELAY.mul_f64(node.random_fraction())).await;
+        if !server_faults::has_fresh(&node) {
+            continue;
+        }
+        let pulse = pulse(&node, HEARTBEAT_PERIOD_MS, started_unix_ms);
+        send_to(&socket, &pulse, &recipients(&node));
         tokio::time::sleep(PULSE_PERIOD - LOOK_PERIOD).await;
     }
 }
--- a/crates/gateway/src/peer/pulse.rs
+++ b/crates/gateway/src/peer/pulse.rs
@@ -5,17 +5,16 @@
 //! reach all nodes within a fraction of their time bounds, and every node must know how old its
 //! data is.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use base::units::Millisecond;
 use tokio::net::UdpSocket;
 
-use super::exchange::{heartbeat, send_to};
+use super::exchange::{self, send_to};
 use super::message::{HeartbeatContent, NodeHeartbeat, Tenure};
 use super::role::{HEARTBEAT_PERIOD_MS, Role, SMALL_FLEET_NODES};
-use crate::backend::{quarantine, server_faults};
+use crate::backend::quarantine;
 use crate::node::Node;
 use crate::rollout::news;
 
@@ -49,52 +48,26 @@
             // Crashes are counted by the nodes that follow the store, as these reach all others
             // soon.
             if quarantine::has_fresh_evidence(&node) || news::has_running(&node) {
-                let mut pulse = heartbeat(&node, node.next_datagram_number(), started_unix_ms);
-                send(&node, &socket, &mut pulse, HEARTBEAT_PERIOD_MS, &followers);
+                let pulse = pulse(&node, HEARTBEAT_PERIOD_MS, started_unix_ms);
+                send_to(&socket, &pulse, &followers);
             }
             continue;
         }
-        let mut pulse = heartbeat(&node, node.next_datagram_number(), started_unix_ms);
-        send(&node, &socket, &mut pulse, HEARTBEAT_PERIOD_MS, &followers);
+        let mut pulse = pulse(&node, HEARTBEAT_PERIOD_MS, started_unix_ms);
+        send_to(&socket, &pulse, &followers);
         if rounds.listeners_are_due((pulse.directory, pulse.registry.changed, pulse.tenure)) {
-            send(
-                &node,
-                &socket,
-                &mut pulse,
-                HEARTBEAT_PERIOD_MS * LISTENER_PULSE_ROUNDS,
-                &listeners,
-            );
+            let period_ms = HEARTBEAT_PERIOD_MS * LISTENER_PULSE_ROUNDS;
+            pulse.content = HeartbeatContent::Pulse { period_ms };
+            send_to(&socket, &pulse, &listeners);
         }
     }
 }
 
-fn send(
-    node: &Node,
-    socket: &UdpSocket,
-    pulse: &mut NodeHeartbeat,
-    period_ms: Millisecond,
-    addresses: &[SocketAddr],
-) {
-    reduce(node, pulse, period_ms);
-    send_to(socket, pulse, addresses);
-}
-
-/// Reduces a whole heartbeat to a pulse.
-pub fn reduce(node: &Node, pulse: &mut NodeHeartbeat, period_ms: Millisecond) {
-    pulse.content = HeartbeatContent::Pulse { period_ms };
-    pulse.loads.clear();
-    pulse.busy.clear();
-    pulse.speeds.clear();
-    pulse.server_loads.clear();
-    pulse.server_factors.clear();
-    pulse.used.clear();
-    pulse.begun.clear();
-    pulse.settled.clear();
-    pulse.suspects.clear();
-    pulse.parts = quarantine::fresh_report(node);
-    if !server_faults::has_fresh(node) {
-        pulse.faults.clear();
-    }
+/// A pulse; the receiver may expect the next one after `period_ms`.
+pub fn pulse(node: &Node, period_ms: Millisecond, started_unix_ms: u64) -> NodeHeartbeat {
+    let number = node.next_datagram_number();
+    let content = HeartbeatContent::Pulse { period_ms };
+    exchange::pulse(node, number, started_unix_ms, content)
 }
 
 /// Chooses the pulses that also go to listening nodes.
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -53,14 +53,12 @@
     heartbeat(node, node.next_datagram_number(), STARTED_UNIX_MS)
 }
 
-fn reduced(node: &Rc<Node>) -> NodeHeartbeat {
-    let mut heartbeat = whole(node);
-    pulse::reduce(node, &mut heartbeat, 120);
-    heartbeat
+fn short(node: &Rc<Node>) -> NodeHeartbeat {
+    pulse::pulse(node, 120, STARTED_UNIX_MS)
 }
 
 #[test_case(whole; "by whole heartbeats")]
-#[test_case(reduced; "by pulses")]
+#[test_case(short; "by pulses")]
 fn a_part_in_quarantine_at_one_node_is_refused_at_the_others(sent: fn(&Rc<Node>) -> NodeHeartbeat) {
     let observer = support::node("observer");
     for (server, age_ms) in [("s1", 3_000), ("s2", 2_000), ("s3", 1_000)] {
--- a/crates/gateway/tests/server_faults.rs
+++ b/crates/gateway/tests/server_faults.rs
@@ -29,6 +29,10 @@
 /// Requests of all nodes together: those of the first deployment to model servers and plain ones.
 const REQUESTS_PER_S: f64 = 860.0;
 const CRASH_MS: u64 = 10_000;
+/// The thinnest link, of 10 Mbit/s.
+const LINK_BYTES_PER_S: usize = 1_250_000;
+/// Size of a pulse without reports.
+const PULSE_BYTES: usize = 560;
 
 /// Whether nodes report faults to each other.
 #[derive(Clone, Copy, PartialEq)]
@@ -70,6 +74,21 @@
     lost_attempts: usize,
     /// Longest time from a server's first answer to its use by the last node.
     slowest_return_ms: u64,
+    /// Time and size of each pulse. Each node receives all of them but its own.
+    pulses: Vec<(u64, usize)>,
+}
+
+impl Outcome {
+    /// Bytes of the pulses in the worst second.
+    fn most_pulse_bytes(&self) -> usize {
+        let in_second = |from_ms: u64| {
+            let within = |at_ms: u64| (from_ms..from_ms + 1_000).contains(&at_ms);
+            let pulses = self.pulses.iter().filter(|(at_ms, _)| within(*at_ms));
+            pulses.map(|(_, bytes)| bytes).sum()
+        };
+        let sums = self.pulses.iter().map(|(at_ms, _)| in_second(*at_ms));
+        sums.max().unwrap_or(0)
+    }
 }
 
 /// Plays the crash of a share of the servers, which come back after 2 to 4 s.
@@ -86,12 +105,14 @@
     let mut views: Vec<Vec<View>> = (0..NODES)
         .map(|_| (0..SERVERS).map(|_| View::default()).collect())
         .collect();
-    let mut pulse_ms = vec![0; NODES];
+    // When each node sends its next pulse, and from when on it may plan another one.
+    let mut pulse_ms = vec![(0, 0); NODES];
     let mut messages: VecDeque<(u64, usize, usize, Vec<FaultReport>)> = VecDeque::new();
     let mut first_ms = vec![None; crashed];
     let mut outcome = Outcome {
         lost_attempts: 0,
         slowest_return_ms: 0,
+        pulses: Vec::new(),
     };
     // Running streams: 20 at each node.
     let streams: Vec<Vec<usize>> = (0..NODES)
@@ -163,6 +184,7 @@
                     now_ms,
                     &mut pulse_ms,
                     &mut messages,
+                    &mut outcome.pulses,
                     |_| rng.random::<f64>() >= loss,
                 );
             }
@@ -178,29 +200,39 @@
     views: &mut [Vec<View>],
     node: usize,
     now_ms: u64,
-    pulse_ms: &mut [u64],
+    pulse_ms: &mut [(u64, u64)],
     messages: &mut VecDeque<(u64, usize, usize, Vec<FaultReport>)>,
+    sent: &mut Vec<(u64, usize)>,
     mut arrives: impl FnMut(usize) -> bool,
 ) {
     let phase_ms = now_ms + node as u64 * 15;
     let is_fresh = views[node].iter().any(|v| v.faults.is_fresh(now_ms));
-    let pulses = is_fresh && now_ms.is_multiple_of(40) && now_ms >= pulse_ms[node];
+    if is_fresh && now_ms.is_multiple_of(40) && now_ms >= pulse_ms[node].1 {
+        // A delay of up to 80 ms, which the node draws.
+        let drawn_ms = (now_ms / 40 + node as u64 * 37) % 16 * STEP_MS;
+        pulse_ms[node] = (now_ms + drawn_ms, now_ms + 160);
+    }
+    let pulses = is_fresh && now_ms == pulse_ms[node].0;
     let group = (phase_ms / 120 % 6) as usize;
     let recipients: Vec<usize> = match (pulses, phase_ms.is_multiple_of(120)) {
         (true, _) => (0..NODES).collect(),
         (false, true) => (0..NODES).filter(|n| n % 6 == group).collect(),
         (false, false) => return,
     };
-    if pulses {
-        pulse_ms[node] = now_ms + 120;
-    }
     let reports = views[node].iter().enumerate().filter_map(|(server, view)| {
+        if pulses && !view.faults.is_fresh(now_ms) {
+            return None;
+        }
         let (kind, age_ms, failures) = view.faults.report(view.last_byte_ms, now_ms)?;
         Some(report(&format!("s{server}"), kind, age_ms, failures))
     });
     let mut reports: Vec<FaultReport> = reports.collect();
     reports.sort_by_key(|r| r.age_ms);
     reports.truncate(REPORTS_LIMIT);
+    if pulses {
+        let bytes = PULSE_BYTES + serde_json::to_vec(&reports).unwrap().len();
+        sent.push((now_ms, bytes));
+    }
     for to in recipients {
         if to != node && !reports.is_empty() && arrives(to) {
             messages.push_back((now_ms + 20, node, to, reports.clone()));
@@ -247,7 +279,12 @@
     let alone = crash(share, loss, Reports::None, seed);
     let together = crash(share, loss, Reports::Sent, seed);
     let (before, after) = (alone.lost_attempts, together.lost_attempts);
-    println!("{before} -> {after}, {} ms", together.slowest_return_ms);
+    let pulse_bytes = together.most_pulse_bytes();
+    println!(
+        "{before} -> {after}, {} ms, {pulse_bytes} bytes/s",
+        together.slowest_return_ms
+    );
+    assert!(pulse_bytes <= LINK_BYTES_PER_S / 10, "{pulse_bytes}");
     assert!(after * 20 < before, "{after} instead of {before}");
     assert!(
         together.slowest_return_ms <= 1_000,
