Placement: running requests cost more at servers with few slots

Cause: the cost of a running request was 2% of the predicted time, and learned factors of equal servers differ by more.

Ruled out: waiting in the node's queue (no request waited).

Now requests that fill a server's slots cost half of the predicted time, which is the old figure for 24 slots.

The new test chose the server with 4 of 6 slots taken before.

--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -18,6 +18,10 @@
 /// Cost of each request that runs at a server, as a share of the predicted time.
 const SPREAD_SHARE: f64 = 0.02;
 
+/// The same for the requests that fill all slots of a server. It counts for servers with few slots,
+/// which other nodes fill before this node hears of it.
+const FULL_SPREAD_SHARE: f64 = 0.5;
+
 /// Share of a brittle server's slots that all nodes together use, as far as a node knows.
 const BRITTLE_FILL_SHARE: f64 = 0.9;
 
@@ -283,7 +287,8 @@
     };
     // The prediction hardly rises with the running requests, and nodes hear of each other's late: without
     // this, all of them would choose the same server.
-    let spread_ms = SPREAD_SHARE * f64::from(candidate.load.running) * served_ms;
+    let spread_share = SPREAD_SHARE.max(FULL_SPREAD_SHARE / f64::from(candidate.slots.max(1)));
+    let spread_ms = spread_share * f64::from(candidate.load.running) * served_ms;
     (first_byte_ms + spread_ms, choice)
 }
 
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -88,6 +88,32 @@
     assert_eq!(chosen(&[other_domain, candidate()]), Some(1));
 }
 
+/// Guards against requests that queue at a server with few slots: it looks a little faster than the
+/// others, each node sends it requests before it hears of the others', and all slots fill.
+#[test]
+fn a_server_with_few_free_slots_is_not_chosen_for_being_a_little_faster() {
+    let of_six = |factor, running| Candidate {
+        load: Load {
+            running,
+            waiting_tokens: 0,
+        },
+        slots: 6,
+        speed: Speed {
+            start_ms: 65.0,
+            ..Speed::default()
+        }
+        .times(factor),
+        ..candidate()
+    };
+    let call = Demand {
+        read_tokens: 0,
+        shared_tokens: 0,
+        queue_share: 1.0,
+    };
+    let choice = choose(&call, &[of_six(0.92, 4), of_six(1.0, 1)]);
+    assert_eq!(choice.map(|c| c.index), Some(1));
+}
+
 #[test]
 fn a_recently_failed_server_is_chosen_only_if_no_other_has_room() {
     let recently_failed = Candidate {
