Demand: waiting times don't count as work of the servers

Cause: demand is counted by the learned reading time, which is that of the median request, and a third of the requests wait for others that the node does not know of.

Now each node keeps the 25th percentile of real over predicted times of its samples, and demand counts that share of the predicted reading time.

--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -193,7 +193,8 @@
             .cache
             .borrow_mut()
             .record(prompt, self.memory_tokens, now_ms);
-        let reading_ms = self.estimate.speed().reading_ms(choice.tokens_to_read);
+        let estimate = &self.estimate;
+        let reading_ms = estimate.work_share() * estimate.speed().reading_ms(choice.tokens_to_read);
         self.work.add(reading_ms, now_ms);
         let crossing = match server.record.failure_domain == self.failure_domain {
             true => domain_share::Crossing::Stayed,
@@ -354,7 +355,8 @@
     /// Counts work that was refused.
     pub fn unmet(&mut self, lacking: NoServer, now_ms: Millisecond) {
         if let NoServer::Busy { reading_ms } = lacking {
-            self.work.add(reading_ms as f64, now_ms);
+            let work_ms = self.estimate.work_share() * reading_ms as f64;
+            self.work.add(work_ms, now_ms);
         }
     }
 
--- a/crates/gateway/src/decide/service_speeds.rs
+++ b/crates/gateway/src/decide/service_speeds.rs
@@ -149,6 +149,13 @@
         known.map_or_else(Speed::default, |s| s.combined(now_ms))
     }
 
+    /// Share of the predicted time to the first event that is work of the server, by this node's own
+    /// samples.
+    pub fn work_share(&self, service: &Name) -> f64 {
+        let known = self.by_service.get(&(service.clone(), FirstByte::Event));
+        known.map_or(1.0, |s| s.own.work_share())
+    }
+
     /// Records a sample of this node.
     pub fn record(
         &mut self,
--- a/crates/gateway/src/decide/speed_estimate.rs
+++ b/crates/gateway/src/decide/speed_estimate.rs
@@ -34,6 +34,14 @@
 const MEDIAN_STEEPNESS: f64 = 2.0;
 const SETTLED_SAMPLES: f64 = 20.0;
 
+/// Steps of the running quantile of real over predicted times, relative to its value. As the step down
+/// is three times as large, it settles at the 25th percentile.
+const RATIO_STEP_UP: f64 = 0.01;
+const RATIO_STEP_DOWN: f64 = 0.03;
+
+/// Least share of a predicted time that counts as work of the server.
+const LEAST_WORK_SHARE: f64 = 0.5;
+
 /// Weight of a new event gap at the least.
 const GAP_WEIGHT: f64 = 0.15;
 
@@ -46,6 +54,7 @@
     speed: Speed,
     covariance: [Vector; FIGURES],
     samples: f64,
+    work_share: f64,
 }
 
 impl Default for SpeedEstimate {
@@ -58,6 +67,7 @@
             speed: Speed::default(),
             covariance,
             samples: 0.0,
+            work_share: 1.0,
         }
     }
 }
@@ -77,6 +87,7 @@
         // Times are whole milliseconds, rounded down.
         let real_ms = (sample.after_ms as f64 + 0.5) / sample.factor;
         let predicted_ms = self.speed.first_byte_ms(&sample.work);
+        self.record_ratio(real_ms / predicted_ms);
         let limit = DEVIATION_LIMIT + FIRST_DEVIATION / self.samples;
         let steepness = 1.0 + MEDIAN_STEEPNESS * (self.samples / SETTLED_SAMPLES).min(1.0);
         let deviation = steepness * (real_ms / predicted_ms).ln();
@@ -94,6 +105,21 @@
         };
     }
 
+    /// Share of a predicted time that the server works for the request. Predictions are those of the
+    /// median request, and a third of the requests wait for some that this node does not know of;
+    /// the fastest quarter shows the work.
+    pub fn work_share(&self) -> f64 {
+        self.work_share
+    }
+
+    fn record_ratio(&mut self, ratio: f64) {
+        self.work_share *= match ratio > self.work_share {
+            true => 1.0 + RATIO_STEP_UP,
+            false => 1.0 - RATIO_STEP_DOWN,
+        };
+        self.work_share = self.work_share.clamp(LEAST_WORK_SHARE, 1.0);
+    }
+
     /// Records the time between two events.
     pub fn record_gap(&mut self, gap_ms: f64) {
         let known_ms = &mut self.speed.gap_ms;
--- a/crates/gateway/src/node/limits.rs
+++ b/crates/gateway/src/node/limits.rs
@@ -102,9 +102,10 @@
         apply(budget, &self.retry_terms())
     }
 
-    /// Adds to the demand of a service.
-    pub fn add_work(&self, service: &Name, cost_ms: f64) {
+    /// Adds a request that is predicted to be read in `reading_ms` to the demand of a service.
+    pub fn add_work(&self, service: &Name, reading_ms: f64) {
         let now_ms = self.now_ms();
+        let cost_ms = self.speeds.borrow().work_share(service) * reading_ms;
         let mut loads = self.offered_loads.borrow_mut();
         loads
             .entry(service.clone())
--- a/crates/gateway/tests/speed.rs
+++ b/crates/gateway/tests/speed.rs
@@ -74,6 +74,25 @@
 
 /// Guards against rounding errors that grow with each sample. An asymmetric covariance made the
 /// estimate follow single samples after some 1,000.
+/// Guards against servers that are ordered for waiting times: of ten requests four wait for others
+/// that the node does not know of, and the demand is to be that of the work alone.
+#[test]
+fn waiting_requests_do_not_count_as_demand() {
+    const REAL_MS_PER_TOKEN: f64 = 0.0091;
+    let mut estimate = SpeedEstimate::default();
+    let share =
+        |n: u64| [1.0, 1.0, 1.05, 1.1, 1.15, 1.2, 1.4, 1.7, 2.0, 3.0][(n * 7 % 10) as usize];
+    for n in 0..1_000 {
+        let tokens = 1_000 + n * 37 % 9_000;
+        let alone_ms = 8.0 + REAL_MS_PER_TOKEN * tokens as f64;
+        estimate.record(&sample(tokens, (alone_ms * share(n)) as u64));
+    }
+    let demand_ms = estimate.work_share() * estimate.speed().reading_ms(TOKENS);
+    let relative = demand_ms / (REAL_MS_PER_TOKEN * TOKENS as f64);
+    println!("{relative}, share of work {}", estimate.work_share());
+    assert!((0.9..1.1).contains(&relative), "{relative}");
+}
+
 #[test]
 fn an_estimate_stays_settled_after_100_000_samples() {
     let mut estimate = SpeedEstimate::default();
