Domains: nothing is computed for the decision where the settings lack it

Attempt::place computed the ages of the loads, a surcharge for each server and the terms of the request for each choice, and each first byte updated a measured delay, also without the setting [domains], where nothing reads them.

DomainExits::view now returns None without the setting, and holds the terms and the surcharges with it. record_first_byte returns at once without it.

Ruled out: no DomainExits at all without the setting (an Option in Node). It is an empty map there, and the Option would be checked in three places.

Not measured: the time that a choice saves.

--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -10,7 +10,7 @@
 use policy::suspect::{SuspectCandidate, Treatment};
 
 use crate::backend::answer_summary::AnswerSummary;
-use crate::backend::domains::{self, LeftDomain};
+use crate::backend::domains::{self, ExitView, LeftDomain};
 use crate::backend::gate::{self, Gate, Permit};
 use crate::backend::load_report;
 use crate::backend::pool::{ConnOrigin, Reuse};
@@ -25,7 +25,7 @@
 use crate::decide::placement::{
     Candidate, Choice, Demand, ENGINE_QUEUE_SHARE, PlacementView, brittle_slots, untried,
 };
-use crate::decide::rule::{Exit, TimeLimits, choose_in_time};
+use crate::decide::rule::{TimeLimits, choose_in_time};
 use crate::decide::service_speeds::FirstByte;
 use crate::decide::shed::placed_limit_ms;
 use crate::decide::speed::{Basis, Sample};
@@ -131,16 +131,11 @@
             RunState::Unknown | RunState::Ran => Refusal::Impossible,
         };
         let mut exits = node.domain_exits.borrow_mut();
-        let load_age_ms = exits.load_age_ms(&node.settings.node.failure_domain);
-        let terms = domains::terms(job, refusal, load_age_ms);
-        let (state, surcharges_ms) = exits.view(node, &job.service.name, &servers);
-        let exit = node.settings.domains.as_ref().map(|_| Exit {
-            state,
-            terms,
-            surcharges_ms: &surcharges_ms,
-        });
+        let mut exit_view = exits.view(job, refusal, &servers);
+        let exit = exit_view.as_mut().map(ExitView::exit);
         let inputs = node.baseline_inputs();
         let chosen = choose_in_time(rule, &demand(job), &candidates, inputs, limits, exit)?;
+        let terms = exit_view.map(|view| view.terms);
         drop(exits);
         let choice = chosen.choice;
         let server = &servers[choice.index];
@@ -151,7 +146,7 @@
         };
         let basis = view.basis(server, &candidates[choice.index], &choice);
         let mut attempt = Self::begin(job, server, choice, basis, permit, reuse);
-        attempt.left_domain = domains::record_choice(job, &chosen, server, &terms);
+        attempt.left_domain = domains::record_choice(job, &chosen, server, terms.as_ref());
         Ok(attempt)
     }
 
--- a/crates/gateway/src/backend/domains.rs
+++ b/crates/gateway/src/backend/domains.rs
@@ -14,10 +14,11 @@
 use crate::decide::domain_share::{Crossing, ShareChange, ShareReport};
 use crate::decide::placement::{prefix_home, prefix_homes};
 use crate::decide::prompt::Prompt;
-use crate::decide::rule::{Chosen, ExitReport};
+use crate::decide::rule::{Chosen, Exit, ExitReport};
 use crate::front::job::Job;
 use crate::node::Node;
 use crate::peer::role::Presence;
+use crate::settings::Domains;
 
 /// Expected answer of a service without a model engine.
 const PLAIN_ANSWER_BYTES: f64 = 1_024.0;
@@ -72,21 +73,43 @@
     load_age_ms: Millisecond,
 }
 
+/// What decides whether one request leaves its domain.
+pub struct ExitView<'e> {
+    state: &'e mut DomainExit,
+    pub terms: ExitTerms,
+    /// Time added to the prediction of each server.
+    surcharges_ms: Vec<f64>,
+}
+
+impl ExitView<'_> {
+    pub fn exit(&mut self) -> Exit<'_> {
+        Exit {
+            state: self.state,
+            terms: self.terms,
+            surcharges_ms: &self.surcharges_ms,
+        }
+    }
+}
+
 impl DomainExits {
-    /// State of a service, and the time added to the prediction of each server.
+    /// What decides whether `job` leaves for one of `servers`; `None` if the settings don't ask for the
+    /// decision.
     pub fn view(
         &mut self,
-        node: &Node,
-        service: &Name,
+        job: &Job<'_>,
+        refusal: Refusal,
         servers: &[Rc<Server>],
-    ) -> (&mut DomainExit, Vec<f64>) {
+    ) -> Option<ExitView<'_>> {
+        let node = job.node;
+        let domains = node.settings.domains.as_ref()?;
         let now_ms = node.now_ms();
         if now_ms.saturating_sub(self.ages_at_ms) >= AGES_KEPT_MS || self.load_ages.is_empty() {
             self.load_ages = load_ages(node, now_ms);
             self.ages_at_ms = now_ms;
         }
         let own = &node.settings.node.failure_domain;
-        let exit = self.services.entry(service.clone()).or_default();
+        let terms = terms(job, domains, refusal, self.load_age_ms(own));
+        let exit = self.services.entry(job.service.name.clone()).or_default();
         let delays = &exit.delays;
         let delay_ms = |domain: &Name| delays.get(domain).map_or(0.0, |delay| delay.ms(now_ms));
         let surcharge = |server: &Rc<Server>| {
@@ -97,12 +120,16 @@
                 false => surcharge_ms(delay_ms(own), delay_ms(domain), age_ms),
             }
         };
-        let surcharges = servers.iter().map(surcharge).collect();
-        (&mut exit.state, surcharges)
+        let surcharges_ms = servers.iter().map(surcharge).collect();
+        Some(ExitView {
+            state: &mut exit.state,
+            terms,
+            surcharges_ms,
+        })
     }
 
     /// Mean age of the loads of the other domains.
-    pub fn load_age_ms(&self, own: &Name) -> Millisecond {
+    fn load_age_ms(&self, own: &Name) -> Millisecond {
         let others = self.load_ages.iter().filter(|(domain, _)| *domain != own);
         let (count, sum_ms) = others.fold((0, 0), |(n, sum), (_, ms)| (n + 1, sum + ms));
         sum_ms.checked_div(count).unwrap_or(0)
@@ -132,13 +159,17 @@
 }
 
 /// What a request needs, for the decision whether it leaves.
-pub fn terms(job: &Job<'_>, refusal: Refusal, load_age_ms: Millisecond) -> ExitTerms {
+fn terms(
+    job: &Job<'_>,
+    domains: &Domains,
+    refusal: Refusal,
+    load_age_ms: Millisecond,
+) -> ExitTerms {
     let answer_bytes = match &job.service.engine {
         Some(engine) => answer_bytes(job.prompt.output_tokens, engine.event_tokens),
         None => PLAIN_ANSWER_BYTES,
     };
     let bytes = job.request.body.len() as f64 + answer_bytes;
-    let domains = job.node.settings.domains.unwrap_or_default();
     ExitTerms {
         target_ms: job.route.target_ms,
         traffic_kb: bytes / 1_024.0,
@@ -155,7 +186,7 @@
     job: &Job<'_>,
     chosen: &Chosen,
     server: &Server,
-    terms: &ExitTerms,
+    terms: Option<&ExitTerms>,
 ) -> Option<LeftDomain> {
     let node = job.node;
     let crossing = match server.record.failure_domain == node.settings.node.failure_domain {
@@ -163,7 +194,7 @@
         false => Crossing::Left,
     };
     let left = (crossing == Crossing::Left).then(|| left_domain(chosen.exit.as_ref()));
-    let Some(report) = &chosen.exit else {
+    let (Some(report), Some(terms)) = (&chosen.exit, terms) else {
         return left;
     };
     let mut exits = node.domain_exits.borrow_mut();
@@ -229,7 +260,8 @@
     }
 }
 
-/// Records by how much a first byte was later than predicted.
+/// Records by how much a first byte was later than predicted, if the settings ask for the decision that
+/// uses it.
 pub fn record_first_byte(
     job: &Job<'_>,
     server: &Server,
@@ -237,6 +269,9 @@
     predicted_ms: Millisecond,
 ) {
     let node = job.node;
+    if node.settings.domains.is_none() {
+        return;
+    }
     let mut exits = node.domain_exits.borrow_mut();
     let exit = exits.services.entry(job.service.name.clone()).or_default();
     let domain = server.record.failure_domain.clone();
