Speeds: the combined figures of a service are kept until they change

Each choice, and up to four calls of queues::work_ms for the same request, combined the figures of all nodes anew, with exponentials and logarithms for each of them.

ServiceSpeeds::speed keeps the combined figures of a service until a sample, a report or an expiry changes the evidence, and for less than 100 ms. The time between events may be up to 100 ms old, as each event of each stream changes it; no decision reads the combined one.

The time that a request takes by itself is computed once and kept with the Job. A request that waits, or is tried again, thus keeps the figure of its first use instead of one that follows the samples meanwhile; its place in the queue has always been computed once.

Ruled out: dropping kept figures after each event of a stream. A node relays so many that hardly anything would be kept.

--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -361,7 +361,7 @@
 fn wait_limit(job: &Job<'_>) -> Option<Millisecond> {
     let limit_ms = job.node.queues.wait_limit_ms(job)?;
     let due_in_ms = queues::due_ms(job).saturating_sub(job.node.now_ms());
-    let own_room_ms = due_in_ms.saturating_sub(queues::work_ms(job));
+    let own_room_ms = due_in_ms.saturating_sub(job.work_ms());
     Some(placed_limit_ms(limit_ms, own_room_ms))
 }
 
--- a/crates/gateway/src/backend/queues.rs
+++ b/crates/gateway/src/backend/queues.rs
@@ -11,12 +11,9 @@
 use tokio::sync::Notify;
 use tokio::time::{Duration, timeout};
 
-use crate::backend::attempt::first_byte;
 use crate::belief::directory::AllowanceUnit;
-use crate::decide::placement::Demand;
 use crate::decide::returns::{Capacity, Return, Returns};
 use crate::decide::shed::{RankRooms, room_ms, wait_limit_ms};
-use crate::decide::speed::Work;
 use crate::decide::timeouts::FULL_WAIT_SHARE;
 use crate::decide::waiting::{Applicant, Outlook, Urgency, WaitingLine};
 use crate::front::job::Job;
@@ -171,7 +168,7 @@
     /// that is after the caller's deadline.
     pub fn tell_return(&self, job: &Job<'_>) -> Option<Millisecond> {
         let now_ms = job.node.now_ms();
-        let (urgency, work_ms) = (Urgency::Rank(job.priority()), work_ms(job));
+        let (urgency, work_ms) = (Urgency::Rank(job.priority()), job.work_ms());
         let mut services = self.services.borrow_mut();
         let queue = services.entry(job.service.name.clone()).or_default();
         let drain = queue.line.drain_for(urgency, now_ms);
@@ -194,7 +191,7 @@
         let now_ms = job.node.now_ms();
         self.joined.set(self.joined.get() + 1);
         let id = RequestId::from(u128::from(self.joined.get()));
-        let work_ms = work_ms(job);
+        let work_ms = job.work_ms();
         if run_state == RunState::NotRun {
             self.record_room(job, work_ms);
         }
@@ -405,29 +402,11 @@
     }
 }
 
-/// Time that a server without other work takes for the request, by the figures of the service.
-pub fn work_ms(job: &Job<'_>) -> Millisecond {
-    let node = job.node;
-    let demand = Demand::of(&job.prompt, 0.0);
-    let home_tokens = match job.service.engine {
-        Some(_) => demand.shared_tokens.min(demand.read_tokens),
-        None => 0,
-    };
-    let work = Work {
-        own_tokens: demand.read_tokens - home_tokens,
-        home_tokens,
-        ..Work::default()
-    };
-    let speeds = node.speeds.borrow();
-    let speed = speeds.speed(&job.service.name, first_byte(job), node.now_ms());
-    speed.first_byte_ms(&work) as Millisecond
-}
-
 /// When the first byte is due: at the route's target, and before the deadline. A request that takes
 /// the whole target time itself may still wait for a small part of it.
 pub fn due_ms(job: &Job<'_>) -> Millisecond {
     let target_ms = job.route.target_ms;
-    let least_ms = (target_ms as f64 * FULL_WAIT_SHARE) as Millisecond + work_ms(job);
+    let least_ms = (target_ms as f64 * FULL_WAIT_SHARE) as Millisecond + job.work_ms();
     let due_ms = job.request.received_ms + target_ms.max(least_ms);
     due_ms.min(job.deadline_ms)
 }
--- a/crates/gateway/src/decide/service_speeds.rs
+++ b/crates/gateway/src/decide/service_speeds.rs
@@ -1,5 +1,7 @@
 //! Speeds of all services, as one node knows them from its own samples and those of other nodes.
 
+use std::cell::Cell;
+
 use base::units::Millisecond;
 use base::{Map, Name};
 use serde::{Deserialize, Serialize};
@@ -14,6 +16,10 @@
 /// Evidence of another node is dropped after this time.
 const AGE_LIMIT_MS: Millisecond = 60_000;
 
+/// Combined figures are kept for this time at most, in which weights fall by less than 1%. The time
+/// between events may be this old: it changes with each event of each stream.
+const COMBINED_KEPT_MS: Millisecond = 100;
+
 /// Most services in one report: heartbeats must fit into a datagram.
 pub const SPEEDS_LIMIT: usize = 32;
 
@@ -94,6 +100,15 @@
     own: SpeedEstimate,
     own_measured_ms: Millisecond,
     others: Map<Name, Evidence>,
+    /// The combined figures as last computed, until the evidence changes.
+    kept: Cell<Option<Combined>>,
+}
+
+/// Figures from the evidence of all nodes.
+#[derive(Clone, Copy, Debug)]
+struct Combined {
+    speed: Speed,
+    at_ms: Millisecond,
 }
 
 impl ServiceSpeed {
@@ -105,6 +120,20 @@
         }
     }
 
+    /// Figures from the evidence of all nodes, at most [`COMBINED_KEPT_MS`] old.
+    fn speed(&self, now_ms: Millisecond) -> Speed {
+        let is_current = |kept: &Combined| now_ms.abs_diff(kept.at_ms) < COMBINED_KEPT_MS;
+        if let Some(kept) = self.kept.get().filter(is_current) {
+            return kept.speed;
+        }
+        let speed = self.combined(now_ms);
+        self.kept.set(Some(Combined {
+            speed,
+            at_ms: now_ms,
+        }));
+        speed
+    }
+
     fn combined(&self, now_ms: Millisecond) -> Speed {
         let own = self.own();
         if self.others.is_empty() {
@@ -146,7 +175,7 @@
     /// Figures of a service, from the evidence of all nodes by weight and age.
     pub fn speed(&self, service: &Name, first_byte: FirstByte, now_ms: Millisecond) -> Speed {
         let known = self.by_service.get(&(service.clone(), first_byte));
-        known.map_or_else(Speed::default, |s| s.combined(now_ms))
+        known.map_or_else(Speed::default, |s| s.speed(now_ms))
     }
 
     /// Records a sample of this node.
@@ -160,6 +189,7 @@
         let known = self.entry(service, first_byte);
         known.own.record(sample);
         known.own_measured_ms = now_ms;
+        known.kept.set(None);
     }
 
     /// Records the time between two events of a stream.
@@ -204,6 +234,7 @@
             };
             let known = self.entry(&report.service, report.first_byte);
             known.others.insert(node.clone(), evidence);
+            known.kept.set(None);
         }
     }
 
@@ -211,7 +242,11 @@
     pub fn expire(&mut self, now_ms: Millisecond) {
         for known in self.by_service.values_mut() {
             let is_current = |e: &Evidence| now_ms.saturating_sub(e.measured_ms) <= AGE_LIMIT_MS;
+            let count = known.others.len();
             known.others.retain(|_, evidence| is_current(evidence));
+            if known.others.len() < count {
+                known.kept.set(None);
+            }
         }
     }
 
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -10,10 +10,13 @@
 
 use super::request::Request;
 use crate::backend::answer_summary::AnswerSummary;
+use crate::backend::attempt::first_byte;
 use crate::backend::crash_check::BrokenRequest;
 use crate::belief::{Route, Server, Service, Workspace};
 use crate::decide::delivery::Delivery;
+use crate::decide::placement::Demand;
 use crate::decide::prompt::Prompt;
+use crate::decide::speed::Work;
 use crate::http::HeadWriter;
 use crate::node::Node;
 
@@ -49,6 +52,7 @@
     version: OnceCell<Name>,
     digest: OnceCell<RequestDigest>,
     rollout_drawn: OnceCell<f64>,
+    work_ms: OnceCell<Millisecond>,
 }
 
 /// Whether a server may have started to run a request.
@@ -103,6 +107,7 @@
             version: OnceCell::new(),
             digest: OnceCell::new(),
             rollout_drawn: OnceCell::new(),
+            work_ms: OnceCell::new(),
         }
     }
 
@@ -129,6 +134,26 @@
         *self.rollout_drawn.get_or_init(draw)
     }
 
+    /// Time that a server without other work takes for the request, by the figures of the service when
+    /// it was first asked for.
+    pub fn work_ms(&self) -> Millisecond {
+        *self.work_ms.get_or_init(|| {
+            let demand = Demand::of(&self.prompt, 0.0);
+            let home_tokens = match self.service.engine {
+                Some(_) => demand.shared_tokens.min(demand.read_tokens),
+                None => 0,
+            };
+            let work = Work {
+                own_tokens: demand.read_tokens - home_tokens,
+                home_tokens,
+                ..Work::default()
+            };
+            let speeds = self.node.speeds.borrow();
+            let speed = speeds.speed(&self.service.name, first_byte(self), self.node.now_ms());
+            speed.first_byte_ms(&work) as Millisecond
+        })
+    }
+
     /// Time until the deadline.
     pub fn left_ms(&self) -> Millisecond {
         self.deadline_ms.saturating_sub(self.node.now_ms())
--- a/crates/gateway/tests/speed.rs
+++ b/crates/gateway/tests/speed.rs
@@ -145,6 +145,30 @@
     assert!(reading_ms(&node, 62_000) < 210.0);
 }
 
+/// Guards against predictions from figures that were kept when the evidence had changed.
+#[test]
+fn kept_figures_follow_each_change_of_the_evidence() {
+    let now_ms = 1_000;
+    let mut others = ServiceSpeeds::default();
+    slow_samples(&mut others, 50, now_ms);
+    let mut node = ServiceSpeeds::default();
+    slow_samples(&mut node, 1, now_ms);
+    let first_ms = reading_ms(&node, now_ms);
+    slow_samples(&mut node, 1, now_ms);
+    let sampled_ms = reading_ms(&node, now_ms);
+    node.merge(&"a".into(), &others.reports(now_ms), now_ms);
+    let merged_ms = reading_ms(&node, now_ms);
+    assert!(
+        first_ms < sampled_ms && sampled_ms < merged_ms,
+        "{first_ms} {sampled_ms} {merged_ms}"
+    );
+    // The figures are kept for 1 ms when the evidence of the other node expires.
+    let end_ms = now_ms + 60_000;
+    assert!((reading_ms(&node, end_ms) - merged_ms).abs() < 1.0);
+    node.expire(end_ms + 1);
+    assert!((reading_ms(&node, end_ms + 1) - sampled_ms).abs() < 1.0);
+}
+
 #[test]
 fn a_report_that_no_server_can_explain_is_implausible() {
     let mut speeds = ServiceSpeeds::default();
