Placement: the basis of a choice uses the load that the candidate knows

PlacementView::basis called Server::current_load and ServerFactor::factor for the chosen server again, after candidate had done so in the same choice.

A Candidate now has the source of its load, its pace and its factor, and basis reads them. Nothing changes them between the two calls, so the basis is the same. The counted load of basis is still read from the server: it is the sum of two cells, and tests/predictions.rs reads it after the request was counted.

Ruled out: one field of type KnownLoad in Candidate. It would change each reader of the load for nothing.

--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -25,10 +25,16 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
     pub load: Load,
+    /// What the load is known from.
+    pub load_source: LoadSource,
     /// Requests of this node that run on the server.
     pub own_running: u32,
     /// Requests that the server runs at once for this node.
     pub slots: u32,
+    /// How many times as long as its service the server takes, without its pace.
+    pub factor: f64,
+    /// How much longer than usual work takes on the server at this moment, by its load report.
+    pub pace: f64,
     /// Figures of the service's servers, adjusted to this one.
     pub speed: Speed,
     /// Tokens of the prompt that the server has cached, as far as this node knows.
@@ -107,11 +113,15 @@
     pub fn candidate(&self, server: &Server, slots: u32, opens_in_ms: Millisecond) -> Candidate {
         let record = &server.record;
         let known = server.current_load(self.now_ms, self.others_age_ms);
+        let factor = server.factor.borrow().factor(self.now_ms);
         Candidate {
             load: known.load,
+            load_source: known.source,
             own_running: server.running.get(),
             slots,
-            speed: (self.speed).times(known.pace * server.factor.borrow().factor(self.now_ms)),
+            factor,
+            pace: known.pace,
+            speed: self.speed.times(known.pace * factor),
             known_tokens: server.cache.borrow().cached_tokens(self.prompt),
             home: match self.homes.contains(&record.id) {
                 true => PrefixHome::ThisServer,
@@ -131,9 +141,8 @@
 
     /// What the time of the choice was predicted from.
     pub fn basis(&self, server: &Server, candidate: &Candidate, choice: &Choice) -> Basis {
-        let known = server.current_load(self.now_ms, self.others_age_ms);
-        let factor = server.factor.borrow().factor(self.now_ms);
-        let without_report_ms = match known.source {
+        let Candidate { factor, pace, .. } = *candidate;
+        let without_report_ms = match candidate.load_source {
             LoadSource::Counted => None,
             LoadSource::Reported => {
                 let running = server.load().running;
@@ -148,8 +157,8 @@
         Basis {
             work: choice.work,
             speed: candidate.speed,
-            factor: factor * known.pace,
-            pace: known.pace,
+            factor: factor * pace,
+            pace,
             without_report_ms,
         }
     }
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -1,6 +1,6 @@
 //! Choice of a backend server.
 
-use gateway::belief::registry::Load;
+use gateway::belief::registry::{Load, LoadSource};
 use gateway::decide::placement::{
     Candidate, Choice, Demand, Health, Locality, PrefixHome, Timeliness,
 };
@@ -13,8 +13,11 @@
 fn candidate() -> Candidate {
     Candidate {
         load: Load::default(),
+        load_source: LoadSource::Counted,
         own_running: 0,
         slots: 4,
+        factor: 1.0,
+        pace: 1.0,
         speed: Speed::default(),
         known_tokens: 0,
         home: PrefixHome::OtherServer,
--- a/crates/gateway/tests/shed.rs
+++ b/crates/gateway/tests/shed.rs
@@ -1,6 +1,6 @@
 //! Load shedding while servers have many prompt tokens to read.
 
-use gateway::belief::registry::Load;
+use gateway::belief::registry::{Load, LoadSource};
 use gateway::decide::placement::{Candidate, Demand, Health, Locality, PrefixHome};
 use gateway::decide::rule::{BaselineInputs, Rule, choose};
 use gateway::decide::shed::wait_limit_ms;
@@ -28,8 +28,11 @@
             running: 0,
             waiting_tokens,
         },
+        load_source: LoadSource::Counted,
         own_running: 0,
         slots: 48,
+        factor: 1.0,
+        pace: 1.0,
         speed: Speed::default(),
         known_tokens: 0,
         home: PrefixHome::OtherServer,
