Faults: the sender of a heartbeat is looked up by its name

server_faults::sender searched the peers, a map by name, from the start to the end for each heartbeat with faults. Peers::get looks the name up.

Ruled out: giving out the map itself, which would let callers change it past the checks of record_heartbeat.

The other uses of Peers::iter read all peers. Tests: those of the gateway, tests/server_faults.rs among them, pass with this change.

--- a/crates/gateway/src/backend/server_faults.rs
+++ b/crates/gateway/src/backend/server_faults.rs
@@ -221,8 +221,8 @@
 /// heartbeat.
 fn sender(node: &Node, heartbeat: &NodeHeartbeat) -> Sender {
     let peers = node.peers.borrow();
-    let known = peers.iter().find(|(name, _)| **name == heartbeat.node);
-    let loads = known.map_or(&heartbeat.loads, |(_, peer)| &peer.heartbeat.loads);
+    let known = peers.get(&heartbeat.node);
+    let loads = known.map_or(&heartbeat.loads, |peer| &peer.heartbeat.loads);
     let faults = heartbeat.faults.iter();
     let faulty: Vec<&Name> = faults
         .filter(|report| report.kind != FaultKind::Answered)
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -179,6 +179,10 @@
         self.addresses.len().max(self.count())
     }
 
+    pub fn get(&self, name: &Name) -> Option<&Peer> {
+        self.by_name.get(name)
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = (&Name, &Peer)> {
         self.by_name.iter()
     }
