Test: two plays of the waiting order share their kinds of requests

Two tests of tests/waiting.rs listed the same three kinds (rank, target and time at the server), which differ only in their loads. three_ranks builds them from the loads.

Ruled out: a set-up for all plays.

--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -168,15 +168,20 @@
     }
 }
 
+/// Kinds of one workspace, the more urgent ones with longer prompts.
+fn three_ranks(loads: [f64; 3]) -> [Kind; 3] {
+    [
+        kind("a", 0, 800, (80, 250), loads[0]),
+        kind("a", 1, 1_200, (20, 80), loads[1]),
+        kind("a", 2, 2_500, (5, 25), loads[2]),
+    ]
+}
+
 /// Guards against serving less urgent work while more urgent work with longer prompts is refused.
 /// Load: three ranks of different prompt length, arrivals at 1.3 times the capacity.
 #[test]
 fn no_kind_is_served_less_than_a_less_urgent_one_under_overload() {
-    let kinds = [
-        kind("a", 0, 800, (80, 250), 0.7),
-        kind("a", 1, 1_200, (20, 80), 0.4),
-        kind("a", 2, 2_500, (5, 25), 0.2),
-    ];
+    let kinds = three_ranks([0.7, 0.4, 0.2]);
     let counts = play(&kinds);
     println!("{counts:?}");
     for (index, more_urgent) in counts.iter().enumerate() {
@@ -212,11 +217,7 @@
 /// Load: rank 0 alone asks for 1.6 times the capacity.
 #[test]
 fn a_small_share_is_left_to_the_less_urgent_ranks() {
-    let kinds = [
-        kind("a", 0, 800, (80, 250), 1.6),
-        kind("a", 1, 1_200, (20, 80), 0.2),
-        kind("a", 2, 2_500, (5, 25), 0.2),
-    ];
+    let kinds = three_ranks([1.6, 0.2, 0.2]);
     let counts = play(&kinds);
     println!("{counts:?}");
     for (index, counted) in counts.iter().enumerate().skip(1) {
