Path stand-in: the port of a lost path stays held

A path that refuses connections closed its listener, and its port became free. Another test or process then got the port for a listener of its own. The node under test reached this listener, took its paths for sound and passed nothing on; requests ran at runners of other tests or were answered as misdirected. Each path now binds its port with a second socket that never listens. A path whose listener can't be opened again panics; before, its task spun without end and stopped the whole test thread.

--- a/crates/standin/src/users/path.rs
+++ b/crates/standin/src/users/path.rs
@@ -1,11 +1,11 @@
 //! A network path to a server, which can be lost.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 
 use socket2::SockRef;
 use tokio::io::copy_bidirectional;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 
@@ -32,6 +32,9 @@
     address: SocketAddr,
     state: watch::Sender<PathState>,
     task: JoinHandle<()>,
+    /// Never listens. Without it, another process or test gets the port of a path that refuses
+    /// connections, and the node under test reaches its listener in place of the server.
+    _port_holder: TcpSocket,
 }
 
 impl Path {
@@ -41,14 +44,16 @@
     ///
     /// Returns an error if it cannot listen on loopback.
     pub async fn open(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
+        let port_holder = hold_free_port()?;
+        let address = port_holder.local_addr()?;
+        let listener = TcpListener::bind(address).await?;
         let (state, watched) = watch::channel(PathState::Sound);
         let task = tokio::spawn(run(listener, address, target, watched));
         Ok(Self {
             address,
             state,
             task,
+            _port_holder: port_holder,
         })
     }
 
@@ -69,6 +74,15 @@
     }
 }
 
+/// Binds a free port of loopback without listening on it. Sockets that are bound to this port by
+/// number can listen beside it; the system gives it to no socket that asks for any free port.
+fn hold_free_port() -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+    Ok(socket)
+}
+
 async fn run(
     first: TcpListener,
     address: SocketAddr,
@@ -81,17 +95,18 @@
         let now = *state.borrow_and_update();
         match now {
             PathState::Sound => {
-                if listener.is_none() {
-                    listener = TcpListener::bind(address).await.ok();
-                }
-                let Some(listening) = &listener else { continue };
-                let _ = SockRef::from(listening).listen(BACKLOG);
+                let listening = match listener.take() {
+                    Some(listening) => listening,
+                    None => TcpListener::bind(address).await.expect("the port is held"),
+                };
+                let _ = SockRef::from(&listening).listen(BACKLOG);
                 tokio::select! {
                     Ok((near, _)) = listening.accept() => {
                         connections.spawn(pass(near, target, state.clone()));
                     }
                     _ = state.changed() => {}
                 }
+                listener = Some(listening);
             }
             PathState::Silent => {
                 let queued = fill_queue(listener.as_ref(), address).await;
