Rollouts: the next holder shows the canary stage before it goes on

Cause: the plan of a next holder began at the canary stage and left it in its first round, since responses from before its tenure already proved the version good. No node ever saw the canary share again, and a version that turned bad while there was no holder met the share of equal load at once. The canary stage of a tenure now lasts 1.2 s, or 0.3 s close to the deadline. The first tenure is unchanged: it waits 3.5 s and more for late faults anyway.

Ruled out: a lost log line of the canary stage. The next holder after a SIGKILL left out 2 lines in that second, but its first decision at 12.2 s was already "loaded" with a share of 0.2.

--- a/crates/gateway/src/decide/rollout/plan.rs
+++ b/crates/gateway/src/decide/rollout/plan.rs
@@ -24,6 +24,11 @@
 /// The same if the deadline is close.
 const LATE_FAULT_LEAST_MS: Millisecond = 3_500;
 
+/// Shortest time at the canary stage in a tenure of the holder, and the same if the deadline is close.
+/// Responses from before the tenure don't show a version that has turned bad since; counts of new
+/// ones take this long to the holder in a large fleet, and half of the shorter time in a small one.
+const CANARY_LEAST_MS: (Millisecond, Millisecond) = (1_200, 300);
+
 /// Shortest time under equal load.
 const LOADED_MS: Millisecond = 1_500;
 
@@ -171,7 +176,11 @@
             Finding::Undecided | Finding::Bad { .. } => false,
         };
         match self.stage {
-            Stage::Canary if is_good && self.is_past_late_faults(now) => {
+            Stage::Canary
+                if is_good
+                    && self.is_past_late_faults(now)
+                    && in_stage_ms >= self.canary_least_ms(now) =>
+            {
                 self.enter(Stage::Loaded, now);
             }
             Stage::Loaded if is_good && in_stage_ms >= LOADED_MS => self.enter(Stage::Growing, now),
@@ -205,14 +214,25 @@
         let Some(responding_ms) = now.responding_ms else {
             return false;
         };
-        let steps_ms = LOADED_MS + STEP_MS.0 * GROWING_SHARES.len() as Millisecond;
-        let is_pressed = now.age_ms + steps_ms + ALL_MARGIN_MS >= self.duration_ms;
-        match is_pressed {
+        match self.is_pressed(now) {
             true => responding_ms >= LATE_FAULT_LEAST_MS,
             false => responding_ms >= LATE_FAULT_MS,
         }
     }
 
+    fn canary_least_ms(&self, now: &Situation) -> Millisecond {
+        match self.is_pressed(now) {
+            true => CANARY_LEAST_MS.1,
+            false => CANARY_LEAST_MS.0,
+        }
+    }
+
+    /// Whether the deadline is too close for stages of their usual length.
+    fn is_pressed(&self, now: &Situation) -> bool {
+        let steps_ms = LOADED_MS + STEP_MS.0 * GROWING_SHARES.len() as Millisecond;
+        now.age_ms + steps_ms + ALL_MARGIN_MS >= self.duration_ms
+    }
+
     /// Time of each growing stage that is left, so that all requests move in time.
     fn step_ms(&self, left_ms: Millisecond) -> Millisecond {
         let steps = GROWING_SHARES.len().saturating_sub(self.step).max(1) as Millisecond;
--- a/crates/gateway/tests/rollout_decisions.rs
+++ b/crates/gateway/tests/rollout_decisions.rs
@@ -8,7 +8,8 @@
 use base::Name;
 use base::units::Millisecond;
 use gateway::decide::rollout::{
-    Decision, Evidence, ExposureBounds, Finding, Judge, Order, Plan, Situation, Verdict,
+    Decision, Evidence, ExposureBounds, Finding, Judge, Order, Plan, RouteEvidence, Situation,
+    Stage, Verdict,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -350,3 +351,47 @@
         assert!(!matches!(finding, Finding::Bad { .. }), "{finding:?}");
     }
 }
+
+/// Guards against a next holder that leaves the canary stage on responses from before its tenure.
+#[test_case(10_000, 60_000, 1_200; "early")]
+#[test_case(10_000, 16_000, 300; "close to the deadline")]
+fn next_holder_stays_at_the_canary_stage(
+    age_ms: Millisecond,
+    duration_ms: Millisecond,
+    least_ms: Millisecond,
+) {
+    let order = Order {
+        service: "s".into(),
+        to: "v2".into(),
+        duration_ms,
+        revision: 7,
+    };
+    let bounds = ExposureBounds {
+        share: 0.1,
+        slack: 50.0,
+    };
+    let mut plan = Plan::new(&order, bounds, age_ms);
+    for in_stage_ms in (0..=least_ms).step_by(50) {
+        let situation = Situation {
+            age_ms: age_ms + in_stage_ms,
+            responding_ms: Some(age_ms),
+            finding: Finding::Good {
+                routes: RouteEvidence::Enough,
+            },
+            new_servers: 6,
+            old_servers: 6,
+            sent_new: 50,
+            sent: 1_000,
+            requests_per_s: 100.0,
+            old_running: 3,
+        };
+        let Verdict::Continue(decision) = plan.round(&situation) else {
+            panic!("the rollout goes on");
+        };
+        let expected = match in_stage_ms < least_ms {
+            true => Stage::Canary,
+            false => Stage::Loaded,
+        };
+        assert_eq!(decision.stage, expected, "after {in_stage_ms} ms");
+    }
+}
