Rollouts: a plan belongs to one tenure of the lease

Cause, by reading: a holder dropped its plans only where the writing task found the lease lost. While that task waits for the store, or the process is paused, the lease can be lost and held again by the same node, and the old plan went on at its stage. Plans now have the fence of their tenure; decisions, rows and status are made only under it.

--- a/crates/gateway/src/duty/rollouts.rs
+++ b/crates/gateway/src/duty/rollouts.rs
@@ -58,6 +58,9 @@
 /// The plan of an order in this tenure.
 struct Planned {
     order: Order,
+    /// Fence of the tenure. The lease may be lost and held again while a call waits or the process is
+    /// paused; then another plan begins at the canary stage.
+    fence: u64,
     plan: Plan,
     /// Counts before this holder, as far as it doesn't know them itself.
     sent_new_before: u64,
@@ -85,31 +88,32 @@
     let writing = async {
         loop {
             tokio::time::sleep(WRITE_PERIOD).await;
-            if !holds(&node) {
+            let Some(fence) = fence(&node) else {
                 plans.borrow_mut().clear();
                 continue;
-            }
-            load_new(&node, &*table, &*statuses, &plans).await;
+            };
+            load_new(&node, &*table, &*statuses, &plans, fence).await;
             write_changes(&node, &*table, &*statuses, &plans).await;
         }
     };
     tokio::join!(deciding, writing);
 }
 
-/// Whether this node may act as the holder now.
-fn holds(node: &Node) -> bool {
+/// Fence of the tenure in which this node may act as the holder now.
+fn fence(node: &Node) -> Option<u64> {
     let rollouts = node.rollouts.borrow();
-    let tenure = rollouts.tenure.as_ref();
-    tenure.is_some_and(|tenure| tenure.permit().is_some())
+    let permit = rollouts.tenure.as_ref()?.permit()?;
+    Some(permit.fence.0)
 }
 
 /// Decides the stage of each running order.
 fn decide(node: &Rc<Node>, plans: &Plans) {
-    if !holds(node) {
+    let Some(fence) = fence(node) else {
         return;
-    }
+    };
     let now_ms = node.now_ms();
     let mut plans = plans.borrow_mut();
+    plans.retain(|_, planned| planned.fence == fence);
     let mut rollouts = node.rollouts.borrow_mut();
     for (service, rollout) in &mut rollouts.by_service {
         let Some(planned) = plans.get_mut(service) else {
@@ -214,13 +218,17 @@
     table: &dyn Table,
     statuses: &dyn RolloutStatuses,
     plans: &Plans,
+    fence: u64,
 ) {
     let orders: Vec<Order> = {
         let rollouts = node.rollouts.borrow();
         let plans = plans.borrow();
         let known = rollouts.by_service.values().map(|rollout| &rollout.order);
         known
-            .filter(|order| plans.get(&order.service).is_none_or(|p| p.order != **order))
+            .filter(|order| {
+                let planned = plans.get(&order.service);
+                planned.is_none_or(|p| p.order != **order || p.fence != fence)
+            })
             .cloned()
             .collect()
     };
@@ -228,7 +236,7 @@
         let Ok((record, status, condition)) = read(table, statuses, &order).await else {
             continue;
         };
-        let Some(planned) = plan(node, &order, record, status, condition) else {
+        let Some(planned) = plan(node, &order, fence, record, status, condition) else {
             continue;
         };
         plans.borrow_mut().insert(order.service.clone(), planned);
@@ -251,6 +259,7 @@
 fn plan(
     node: &Node,
     order: &Order,
+    fence: u64,
     record: Option<RolloutRecord>,
     status: Option<RolloutStatus>,
     condition: Condition,
@@ -285,6 +294,7 @@
     };
     Some(Planned {
         order: order.clone(),
+        fence,
         plan,
         sent_new_before: record.as_ref().map_or(0, |record| record.sent_new),
         sent_before: record.as_ref().map_or(0, |record| record.sent),
@@ -314,12 +324,12 @@
     let now_ms = node.now_ms();
     let services: Vec<Name> = plans.borrow().keys().cloned().collect();
     for service in services {
-        let due = plans
-            .borrow()
-            .get(&service)
-            .and_then(|p| p.due_record(now_ms));
-        if let Some(record) = due
-            && holds(node)
+        let due = plans.borrow().get(&service).and_then(|p| {
+            let record = p.due_record(now_ms)?;
+            Some((p.fence, record))
+        });
+        if let Some((tenure, record)) = due
+            && fence(node) == Some(tenure)
         {
             let write = Write::Put {
                 key: key(&service),
@@ -327,14 +337,19 @@
                 condition: Condition::Any,
             };
             let is_written = table.commit(vec![write]).await.is_ok();
-            if let Some(planned) = plans.borrow_mut().get_mut(&service).filter(|_| is_written) {
+            let mut plans = plans.borrow_mut();
+            let planned = plans.get_mut(&service).filter(|p| p.fence == tenure);
+            if let Some(planned) = planned.filter(|_| is_written) {
                 planned.written = Some(record);
                 planned.written_ms = now_ms;
             }
         }
-        let due = plans.borrow().get(&service).and_then(Planned::due_status);
-        if let Some((status, condition)) = due
-            && holds(node)
+        let due = plans.borrow().get(&service).and_then(|p| {
+            let (status, condition) = p.due_status()?;
+            Some((p.fence, status, condition))
+        });
+        if let Some((tenure, status, condition)) = due
+            && fence(node) == Some(tenure)
         {
             let outcome = statuses.write_status(&service, &status, condition).await;
             let outcome = match &outcome {
