--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -12,8 +12,9 @@
 /// Most events of level info per second; the rest of a burst is dropped and counted.
 const LINES_PER_S: u32 = 150;
 
-/// Lines of these that are left to the events that tell which versions are in force here: a node
-/// that starts hears of all other nodes and servers within a second.
+/// Lines of these that are left to the events that tell which versions are in force here, and what
+/// a holder decides of new ones: a node that starts hears of all other nodes and servers within a
+/// second, and one that wakes from a pause answers all requests that waited.
 const VERSION_LINES_PER_S: u32 = 30;
 
 thread_local! {
@@ -43,7 +44,9 @@
 
 fn limit_per_s(code: Code) -> u32 {
     match code {
-        Code::ConfigInForce | Code::BeliefPulled | Code::RoleChanged => LINES_PER_S,
+        Code::ConfigInForce | Code::BeliefPulled | Code::RoleChanged | Code::RolloutStaged => {
+            LINES_PER_S
+        }
         _ => LINES_PER_S - VERSION_LINES_PER_S,
     }
 }
