Rollouts: no share follows from the rate of the instant after a pause

Cause: the rate of requests was taken over the rounds of the last 4 s. The rate is unknown now until the rounds after a pause cover 1 s; the canary share is 0.06 meanwhile.

Tried and dropped: an unknown rate also at the order, where the first shares are 0.2 for 0.25 s as well.

--- a/crates/gateway/src/decide/rollout/evidence.rs
+++ b/crates/gateway/src/decide/rollout/evidence.rs
@@ -13,6 +13,10 @@
 /// Time that recent evidence covers.
 const RECENT_MS: Millisecond = 4_000;
 
+/// Shortest time that shows the rate of requests after a pause. Counts of other nodes take up to
+/// 0.75 s; a rate from less time is too low, and the shares that follow from it are too great.
+const RATE_LEAST_MS: Millisecond = 1_000;
+
 /// Rounds that are kept: a minute.
 const ROUNDS_LIMIT: usize = 240;
 
@@ -186,8 +190,9 @@
         self.first_response_ms
     }
 
-    /// Requests of the service per second, over the recent rounds.
-    pub fn requests_per_s(&self, now_ms: Millisecond) -> f64 {
+    /// Requests of the service per second, over the recent rounds. `None` after a pause of the
+    /// process, until they cover enough time.
+    pub fn requests_per_s(&self, now_ms: Millisecond) -> Option<f64> {
         let since_ms = now_ms.saturating_sub(RECENT_MS);
         let mut sent = 0;
         let mut first_ms = now_ms;
@@ -195,8 +200,13 @@
             first_ms = first_ms.min(*at_ms);
             sent += Evidence::total(&change.new).sent + Evidence::total(&change.old).sent;
         }
-        let span_ms = (now_ms - first_ms).max(250);
-        sent as f64 * 1_000.0 / span_ms as f64
+        let span_ms = now_ms - first_ms;
+        let is_old = |(ms, _): &(Millisecond, Evidence)| now_ms.saturating_sub(*ms) >= RECENT_MS;
+        let is_after_pause = self.rounds.front().is_some_and(is_old);
+        if is_after_pause && span_ms < RATE_LEAST_MS {
+            return None;
+        }
+        Some(sent as f64 * 1_000.0 / span_ms.max(250) as f64)
     }
 
     /// What the outcomes show at `now_ms`. Only those since `good_since_ms` count for a good
--- a/crates/gateway/src/decide/rollout/plan.rs
+++ b/crates/gateway/src/decide/rollout/plan.rs
@@ -102,7 +102,8 @@
     /// Requests sent since the order, to the new version and to all.
     pub sent_new: u64,
     pub sent: u64,
-    pub requests_per_s: f64,
+    /// `None` if unknown after a pause.
+    pub requests_per_s: Option<f64>,
     /// Requests that run at servers of the old version.
     pub old_running: u32,
 }
@@ -264,7 +265,10 @@
     }
 
     fn canary_share(&self, now: &Situation) -> f64 {
-        let requests = now.requests_per_s.max(1.0) * LATE_FAULT_MS as f64 / 1_000.0;
+        let Some(requests_per_s) = now.requests_per_s else {
+            return CANARY_SHARE;
+        };
+        let requests = requests_per_s.max(1.0) * LATE_FAULT_MS as f64 / 1_000.0;
         CANARY_SHARE + self.bounds.slack * CANARY_SLACK / requests
     }
 
@@ -275,7 +279,14 @@
         let allowed =
             bounds.share * COUNTED_SHARE * now.sent as f64 + bounds.slack * (1.0 - SLACK_RESERVE);
         let left = allowed - now.sent_new as f64;
-        let in_delay = (now.requests_per_s * DELAY_S).max(1.0);
-        (bounds.share * COUNTED_SHARE + left / in_delay).clamp(0.0, 1.0)
+        let planned = bounds.share * COUNTED_SHARE;
+        match now.requests_per_s {
+            Some(requests_per_s) => {
+                let in_delay = (requests_per_s * DELAY_S).max(1.0);
+                (planned + left / in_delay).clamp(0.0, 1.0)
+            }
+            None if left > 0.0 => planned,
+            None => 0.0,
+        }
     }
 }
--- a/crates/gateway/tests/rollout_decisions.rs
+++ b/crates/gateway/tests/rollout_decisions.rs
@@ -382,7 +382,7 @@
             old_servers: 6,
             sent_new: 50,
             sent: 1_000,
-            requests_per_s: 100.0,
+            requests_per_s: Some(100.0),
             old_running: 3,
         };
         let Verdict::Continue(decision) = plan.round(&situation) else {
@@ -395,3 +395,22 @@
         assert_eq!(decision.stage, expected, "after {in_stage_ms} ms");
     }
 }
+
+/// Guards against a share that follows from the requests of the instant after a pause.
+#[test]
+fn rate_is_unknown_after_a_pause() {
+    let mut judge = Judge::default();
+    let mut evidence = Evidence::default();
+    let mut observe = |now_ms| {
+        let old = evidence.old.entry("long".into()).or_default();
+        old.sent += 5;
+        old.responses += 5;
+        judge.observe(now_ms, &evidence);
+        judge.requests_per_s(now_ms)
+    };
+    assert_eq!(observe(500), Some(20.0));
+    for now_ms in (5_000..6_000).step_by(50) {
+        assert_eq!(observe(now_ms), None, "at {now_ms} ms");
+    }
+    assert_eq!(observe(6_000), Some(105.0));
+}
