--- a/crates/gateway/src/decide/rollout/plan.rs
+++ b/crates/gateway/src/decide/rollout/plan.rs
@@ -24,6 +24,11 @@
 /// The same if the deadline is close.
 const LATE_FAULT_LEAST_MS: Millisecond = 3_500;
 
+/// Shortest time at the canary stage in a tenure of the holder, and the same if the deadline is close.
+/// Responses from before the tenure don't show a version that has turned bad since; counts of new
+/// ones take this long to the holder in a large fleet, and half of the shorter time in a small one.
+const CANARY_LEAST_MS: (Millisecond, Millisecond) = (1_200, 300);
+
 /// Shortest time under equal load.
 const LOADED_MS: Millisecond = 1_500;
 
@@ -97,7 +102,8 @@
     /// Requests sent since the order, to the new version and to all.
     pub sent_new: u64,
     pub sent: u64,
-    pub requests_per_s: f64,
+    /// `None` if unknown after a pause.
+    pub requests_per_s: Option<f64>,
     /// Requests that run at servers of the old version.
     pub old_running: u32,
 }
@@ -171,7 +177,11 @@
             Finding::Undecided | Finding::Bad { .. } => false,
         };
         match self.stage {
-            Stage::Canary if is_good && self.is_past_late_faults(now) => {
+            Stage::Canary
+                if is_good
+                    && self.is_past_late_faults(now)
+                    && in_stage_ms >= self.canary_least_ms(now) =>
+            {
                 self.enter(Stage::Loaded, now);
             }
             Stage::Loaded if is_good && in_stage_ms >= LOADED_MS => self.enter(Stage::Growing, now),
@@ -205,14 +215,25 @@
         let Some(responding_ms) = now.responding_ms else {
             return false;
         };
-        let steps_ms = LOADED_MS + STEP_MS.0 * GROWING_SHARES.len() as Millisecond;
-        let is_pressed = now.age_ms + steps_ms + ALL_MARGIN_MS >= self.duration_ms;
-        match is_pressed {
+        match self.is_pressed(now) {
             true => responding_ms >= LATE_FAULT_LEAST_MS,
             false => responding_ms >= LATE_FAULT_MS,
         }
     }
 
+    fn canary_least_ms(&self, now: &Situation) -> Millisecond {
+        match self.is_pressed(now) {
+            true => CANARY_LEAST_MS.1,
+            false => CANARY_LEAST_MS.0,
+        }
+    }
+
+    /// Whether the deadline is too close for stages of their usual length.
+    fn is_pressed(&self, now: &Situation) -> bool {
+        let steps_ms = LOADED_MS + STEP_MS.0 * GROWING_SHARES.len() as Millisecond;
+        now.age_ms + steps_ms + ALL_MARGIN_MS >= self.duration_ms
+    }
+
     /// Time of each growing stage that is left, so that all requests move in time.
     fn step_ms(&self, left_ms: Millisecond) -> Millisecond {
         let steps = GROWING_SHARES.len().saturating_sub(self.step).max(1) as Millisecond;
@@ -244,7 +265,10 @@
     }
 
     fn canary_share(&self, now: &Situation) -> f64 {
-        let requests = now.requests_per_s.max(1.0) * LATE_FAULT_MS as f64 / 1_000.0;
+        let Some(requests_per_s) = now.requests_per_s else {
+            return CANARY_SHARE;
+        };
+        let requests = requests_per_s.max(1.0) * LATE_FAULT_MS as f64 / 1_000.0;
         CANARY_SHARE + self.bounds.slack * CANARY_SLACK / requests
     }
 
@@ -255,7 +279,14 @@
         let allowed =
             bounds.share * COUNTED_SHARE * now.sent as f64 + bounds.slack * (1.0 - SLACK_RESERVE);
         let left = allowed - now.sent_new as f64;
-        let in_delay = (now.requests_per_s * DELAY_S).max(1.0);
-        (bounds.share * COUNTED_SHARE + left / in_delay).clamp(0.0, 1.0)
+        let planned = bounds.share * COUNTED_SHARE;
+        match now.requests_per_s {
+            Some(requests_per_s) => {
+                let in_delay = (requests_per_s * DELAY_S).max(1.0);
+                (planned + left / in_delay).clamp(0.0, 1.0)
+            }
+            None if left > 0.0 => planned,
+            None => 0.0,
+        }
     }
 }
