--- a/crates/gateway/src/decide/scale/goal.rs
+++ b/crates/gateway/src/decide/scale/goal.rs
@@ -29,9 +29,9 @@
 impl Default for UtilizationShares {
     fn default() -> Self {
         Self {
-            comfort_share: 0.32,
-            tight_share: 0.6,
-            alone_share: 0.8,
+            comfort_share: 0.28,
+            tight_share: 0.5,
+            alone_share: 0.7,
         }
     }
 }
