Test: spare servers by the shares in force

The test of rooms lost to limits took 4 servers as the loss that the spare servers cover, which holds for a comfort share of 0.22 only: 15 servers, of which 10 are left after the loss of a domain, where the load needs 6. It now computes the same number from the shares: 4 at 0.22 as before, 2 at 0.28.

--- a/crates/gateway/tests/scaling.rs
+++ b/crates/gateway/tests/scaling.rs
@@ -6,7 +6,9 @@
 use base::units::Millisecond;
 use base::{Map, Name};
 use gateway::belief::directory::Scaling;
-use gateway::decide::scale::{Exposure, Need, Order, PresentServers, Registrations, ScalePlanner};
+use gateway::decide::scale::{
+    Exposure, Need, Order, PresentServers, Registrations, ScalePlanner, UtilizationShares,
+};
 use outside::Purchase;
 use support::{DECISION_PERIOD_MS, DOMAINS, in_each_domain, scaling};
 
@@ -339,7 +341,10 @@
     let mut sim = Simulation::new(in_each_domain(0, 6));
     sim.advance(30_000, Need::Busy(3.0));
     let before = sim.all();
-    sim.scale.set_lost_servers(4.0);
+    // What is left after the loss of one of three domains, beyond the servers that the load needs then.
+    let spare = (before * 2 / 3) as f64 - 3.0 / UtilizationShares::default().tight_share;
+    assert!(spare >= 2.0, "{spare}");
+    sim.scale.set_lost_servers(spare);
     sim.advance(10_000, Need::Busy(3.0));
     assert_eq!(
         sim.all(),
