--- a/crates/gateway/src/decide/allowance.rs
+++ b/crates/gateway/src/decide/allowance.rs
@@ -9,7 +9,6 @@
 use base::units::Millisecond;
 use base::{Map, Name};
 
-pub use super::allowance_start::{AllowanceStart, PriorUse};
 use super::returns::{Capacity, Return, Returns};
 use crate::belief::directory::Allowance;
 
@@ -125,6 +124,39 @@
     },
 }
 
+/// Units of an allowance that were used before a bucket began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PriorUse {
+    Unused,
+    Unknown,
+}
+
+/// The circumstances in which a process begins to enforce an allowance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AllowanceStart {
+    /// The process knew a directory before, so the allowance is new to all nodes.
+    WhileRunning,
+    /// The whole system starts for the first time.
+    FirstStart { age_ms: Millisecond },
+    /// The process has restarted, or starts beside running nodes.
+    Restart,
+}
+
+/// If the first directory takes longer than this to arrive, other nodes may have used the allowance
+/// meanwhile, even on a first start.
+const FIRST_START_LIMIT_MS: Millisecond = 3_000;
+
+impl PriorUse {
+    /// What is known of the units used before an allowance began.
+    pub fn at(beginning: AllowanceStart) -> Self {
+        match beginning {
+            AllowanceStart::WhileRunning => Self::Unused,
+            AllowanceStart::FirstStart { age_ms } if age_ms < FIRST_START_LIMIT_MS => Self::Unused,
+            AllowanceStart::FirstStart { .. } | AllowanceStart::Restart => Self::Unknown,
+        }
+    }
+}
+
 impl Bucket {
     pub fn new(allowance: Allowance, prior_use: PriorUse, now_ms: Millisecond) -> Self {
         let level = match prior_use {
@@ -162,51 +194,30 @@
         self.level
     }
 
-    /// The allowance that the bucket enforces.
-    pub fn allowance(&self) -> Allowance {
-        self.allowance
-    }
-
     /// Charges a request if the allowance has room for it.
     pub fn charge(&mut self, cost: f64, fleet: Fleet, now_ms: Millisecond) -> Admission {
-        self.update(fleet, now_ms);
-        if self.covers(cost, 0.0) {
-            self.take(cost);
+        self.update_unheard(fleet, now_ms);
+        self.refill(fleet.heard, now_ms);
+        let needed = cost.min(self.allowance.burst);
+        if self.level + LEVEL_TOLERANCE_UNITS >= needed {
+            self.level -= cost;
+            self.recent_per_ms += cost / RATE_AVERAGE_MS;
+            self.used += cost;
             return Admission::Charged;
         }
-        let missing = cost.min(self.allowance.burst) - self.level;
+        let missing = needed - self.level;
         let wait_ms = 1_000.0 * missing / self.allowance.rate_per_s.max(0.001);
         Admission::Refused {
             wait_ms: wait_ms.min(60_000.0) as Millisecond,
         }
     }
 
-    /// Refills the bucket, and charges what other nodes are presumed to have used.
-    pub fn update(&mut self, fleet: Fleet, now_ms: Millisecond) {
-        self.update_unheard(fleet, now_ms);
-        self.refill(fleet.heard, now_ms);
-    }
-
-    /// Whether the level covers a cost and leaves `held` units. A cost above the burst needs a full
-    /// bucket.
-    pub fn covers(&self, cost: f64, held: f64) -> bool {
-        self.level + LEVEL_TOLERANCE_UNITS >= cost.min(self.allowance.burst) + held
-    }
-
-    /// Charges a request, even if the level does not cover it.
-    pub fn take(&mut self, cost: f64) {
-        self.level -= cost;
-        self.recent_per_ms += cost / RATE_AVERAGE_MS;
-        self.used += cost;
-    }
-
     /// Time after which a refused caller should return: the level has then refilled to its cost
-    /// and the units that it must leave, after the costs of the callers that were told to return
-    /// before. `None` if that is after the caller's deadline.
+    /// after the costs of the callers that were told to return before. `None` if that is after the
+    /// caller's deadline.
     pub fn tell_return(
         &mut self,
         cost: f64,
-        held: f64,
         left_ms: Millisecond,
         now_ms: Millisecond,
     ) -> Option<Millisecond> {
@@ -215,7 +226,7 @@
             left_ms,
         };
         let capacity = Capacity {
-            before: held - self.level,
+            before: -self.level,
             per_s: self.allowance.rate_per_s,
             own_share: self.own_share(),
         };
@@ -224,24 +235,10 @@
 
     /// Share of the use of all nodes that is this node's. One second's rate counts as used evenly.
     fn own_share(&self) -> f64 {
-        self.share_among(self.peers.len() + 1)
-    }
-
-    /// This node's share of a reserve; at most an even one while another node is silent, as that one
-    /// may be cut off and use a share of its own.
-    pub fn reserve_share(&self, fleet: Fleet, now_ms: Millisecond) -> f64 {
-        let nodes = fleet.listed.max(self.peers.len() + 1);
-        let silent = |p: &Peer| now_ms.saturating_sub(p.heard_ms) > p.silence_ms;
-        match self.peers.values().any(silent) {
-            true => self.share_among(nodes).min(1.0 / nodes as f64),
-            false => self.share_among(nodes),
-        }
-    }
-
-    fn share_among(&self, nodes: usize) -> f64 {
+        let nodes = self.peers.len() as f64 + 1.0;
         let rate = self.allowance.rate_per_s.max(f64::MIN_POSITIVE);
         let used: f64 = self.peers.values().map(|p| p.used - p.used_at_first).sum();
-        let own = self.used.max(0.0) + rate / nodes as f64;
+        let own = self.used.max(0.0) + rate / nodes;
         own / (self.used.max(0.0) + used.max(0.0) + rate)
     }
 
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -1,11 +1,9 @@
 //! Decisions as pure code: without sockets, clocks or tasks.
 
 pub mod allowance;
-pub mod allowance_start;
 pub mod backpressure;
 pub mod begun_streams;
 pub mod body_memory;
-pub mod competing_kinds;
 pub mod delivery;
 pub mod domain_exit;
 pub mod domain_share;
@@ -19,7 +17,6 @@
 pub mod prefix_cache;
 pub mod prompt;
 pub mod reach;
-pub mod reserve;
 pub mod retry_budget;
 pub mod returns;
 pub mod rollout;
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -16,7 +16,6 @@
 use crate::decide::delivery::Delivery;
 use crate::decide::placement::Demand;
 use crate::decide::prompt::Prompt;
-use crate::decide::reserve::{Claim, Ranking, claim_rank};
 use crate::decide::speed::Work;
 use crate::http::HeadWriter;
 use crate::node::Node;
@@ -274,23 +273,6 @@
         workspace_priority.unwrap_or(self.route.priority).min(9)
     }
 
-    /// The request as it competes for the workspace's allowance. Only services with an engine rank
-    /// their requests; other routes have the priority 0 unless the configuration sets one.
-    pub fn claim(&self) -> Claim {
-        let priority = self.priority();
-        let ranking = match self.service.engine.is_none() && priority == 0 {
-            true => Ranking::Unranked {
-                idempotent: self.route.kind.repeats(),
-            },
-            false => Ranking::Ranked,
-        };
-        Claim {
-            cost: self.cost,
-            service: self.service.name.clone(),
-            rank: claim_rank(ranking, priority),
-        }
-    }
-
     fn has_body(&self) -> bool {
         let request = &self.request.head;
         !self.request.body.is_empty() || BODY_METHODS.contains(&request.method.as_str())
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -22,9 +22,9 @@
 use crate::belief::directory::Caller;
 use crate::belief::{Directory, Route, Service, Workspace};
 use crate::clock::unix_ms;
+use crate::decide::allowance::Admission;
 use crate::decide::body_memory::BodyReservation;
 use crate::decide::not_run::NotRunProof;
-use crate::decide::reserve::{self, Decision};
 use crate::decide::retry_budget::RetryPermit;
 use crate::node::{Node, Phase};
 
@@ -134,19 +134,6 @@
     burst: f64,
     /// Units that are left; negative after late reports of other nodes.
     level: f64,
-    /// Why the allowance refused the request; unset if something else did.
-    refusal: Option<AllowanceRefusalFields>,
-}
-
-#[derive(Serialize)]
-struct AllowanceRefusalFields {
-    reason: &'static str,
-    rank: u8,
-    cost: f64,
-    /// Units that the request had to leave for other kinds.
-    held: f64,
-    /// Reserve of this node, which the request could not use.
-    reserve: f64,
 }
 
 #[derive(Serialize)]
@@ -177,7 +164,6 @@
                 request,
                 route,
                 refusal.workspace.as_deref(),
-                None,
                 refusal.reply,
             )
         }
@@ -368,13 +354,9 @@
         workspace,
     } = admitted;
     let job = Job::new(node, request, route, service, workspace);
-    let workspace = job.workspace.as_deref();
-    if let Some((reply, refusal)) = check_allowance(&job) {
-        let route = Some(&*job.route.name);
-        return refuse(node, request, route, workspace, Some(refusal), reply);
-    }
-    if let Some(reply) = check_suspect(&job) {
-        return refuse(node, request, Some(&job.route.name), workspace, None, reply);
+    if let Some(reply) = check_allowance(&job).or_else(|| check_suspect(&job)) {
+        let workspace = job.workspace.as_deref();
+        return refuse(node, request, Some(&job.route.name), workspace, reply);
     }
     node.count_first_send(&job.service.name);
     let guard = InFlightRequest::begin(&job);
@@ -386,28 +368,18 @@
     served
 }
 
-fn check_allowance(job: &Job<'_>) -> Option<(LocalReply, AllowanceRefusalFields)> {
+fn check_allowance(job: &Job<'_>) -> Option<LocalReply> {
     let workspace = job.workspace.as_ref()?;
-    let claim = job.claim();
-    let refusal = match job.node.charge(workspace, &claim) {
-        Decision::Charged(_) => return None,
-        Decision::Refused(refusal) => refusal,
-    };
-    let text = "The workspace has used up its allowance.";
-    let left_ms = job.caller_left_ms();
-    let retry_after_ms = (job.node).tell_return(workspace, job.cost, refusal.held, left_ms);
-    let reply = LocalReply::refusal(NotRunProof::unsent(), 429, "allowance_used", text);
-    let fields = refusal_fields(&claim, &refusal);
-    Some((reply.with_retry_after(retry_after_ms), fields))
-}
-
-fn refusal_fields(claim: &reserve::Claim, refusal: &reserve::Refusal) -> AllowanceRefusalFields {
-    AllowanceRefusalFields {
-        reason: refusal.reason.label(),
-        rank: claim.rank,
-        cost: claim.cost.round(),
-        held: refusal.held.round(),
-        reserve: refusal.reserve.round(),
+    match job.node.charge(workspace, job.cost) {
+        Admission::Charged => None,
+        Admission::Refused { .. } => {
+            let text = "The workspace has used up its allowance.";
+            let left_ms = job.caller_left_ms();
+            let retry_after_ms = job.node.tell_return(workspace, job.cost, left_ms);
+            let proof = NotRunProof::unsent();
+            let reply = LocalReply::refusal(proof, 429, "allowance_used", text);
+            Some(reply.with_retry_after(retry_after_ms))
+        }
     }
 }
 
@@ -441,13 +413,12 @@
     request: &Request,
     route: Option<&str>,
     workspace: Option<&Workspace>,
-    refusal: Option<AllowanceRefusalFields>,
     reply: LocalReply,
 ) -> ServeOutcome {
     let now_ms = node.now_ms();
     let directory = node.directory();
     let fields = RefusedFields {
-        allowance: workspace.and_then(|w| allowance_fields(node, w, refusal)),
+        allowance: workspace.and_then(|w| allowance_fields(node, w)),
         request: request.head.fields.text(node.dialect.names.request_id),
         route,
         workspace: workspace.map(|w| &*w.name),
@@ -464,18 +435,13 @@
     ServeOutcome::Local(reply)
 }
 
-fn allowance_fields(
-    node: &Node,
-    workspace: &Workspace,
-    refusal: Option<AllowanceRefusalFields>,
-) -> Option<AllowanceFields> {
+fn allowance_fields(node: &Node, workspace: &Workspace) -> Option<AllowanceFields> {
     let allowance = workspace.allowance?;
     let buckets = node.buckets.borrow();
     Some(AllowanceFields {
         rate_per_s: allowance.rate_per_s,
         burst: allowance.burst,
         level: buckets.get(&workspace.name)?.level().round(),
-        refusal,
     })
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,7 +17,6 @@
 use crate::belief::RouteKind;
 use crate::decide::backpressure::WithholdReason;
 use crate::decide::outcome::FailureCause;
-use crate::decide::reserve::{Decision, Source};
 use crate::decide::server_faults::FaultKind;
 use crate::decide::server_load::LoadReport;
 use crate::decide::signal::{Reading, Signals};
@@ -106,7 +105,6 @@
     request_panics: Counter,
     durations_s: Durations,
     refusals: Family<ReasonLabels, Counter>,
-    allowance_decisions: Family<ReasonLabels, Counter>,
     failed_attempts: Family<ReasonLabels, Counter>,
     server_failures: Family<FailureLabels, Counter>,
     calls: Family<DependencyLabels, Counter>,
@@ -128,7 +126,6 @@
         let request_panics = Counter::default();
         let durations_s: Durations = Family::new_with_constructor(duration_histogram);
         let refusals = Family::default();
-        let allowance_decisions = Family::default();
         let failed_attempts = Family::default();
         let server_failures = Family::default();
         let calls = Family::default();
@@ -158,11 +155,6 @@
         );
         registry.register("request_seconds", "Time to the end", durations_s.clone());
         registry.register("refusals", "Requests refused here", refusals.clone());
-        registry.register(
-            "allowance_decisions",
-            "Requests that an allowance refused, and those that it admitted beyond its level",
-            allowance_decisions.clone(),
-        );
         registry.register(
             "failed_attempts",
             "Sends that failed",
@@ -210,7 +202,6 @@
             request_panics,
             durations_s,
             refusals,
-            allowance_decisions,
             failed_attempts,
             server_failures,
             calls,
@@ -246,18 +237,6 @@
         self.refusals.get_or_create(&ReasonLabels { reason }).inc();
     }
 
-    /// Counts a request that an allowance refused, or admitted from its reserve.
-    pub fn count_allowance_decision(&self, decision: &Decision) {
-        let reason = match decision {
-            Decision::Charged(Source::Level) => return,
-            Decision::Charged(Source::Reserve) => "reserve",
-            Decision::Refused(refusal) => refusal.reason.label(),
-        };
-        self.allowance_decisions
-            .get_or_create(&ReasonLabels { reason })
-            .inc();
-    }
-
     /// Counts a failed attempt.
     pub fn count_failed_attempt(&self, cause: FailureCause) {
         let reason = cause.label();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -25,7 +25,6 @@
 use crate::decide::offered_load::OfferedLoad;
 use crate::decide::pause::{Arrival, PauseDetector};
 use crate::decide::reach::ReachState;
-use crate::decide::reserve::Reserve;
 use crate::decide::retry_budget::RetryBudget;
 use crate::decide::rule::BaselineInputs;
 use crate::decide::service_speeds::ServiceSpeeds;
@@ -104,8 +103,6 @@
     pub serving: RefCell<Serving>,
     /// Token buckets of the workspaces' allowances.
     pub buckets: RefCell<Map<Name, Bucket>>,
-    /// Reserves of the allowances, by workspace.
-    pub reserves: RefCell<Map<Name, Reserve>>,
     /// Retry budgets by service.
     pub retry_budgets: RefCell<Map<Name, RetryBudget>>,
     /// Demand that arrives at this node, by service.
@@ -196,7 +193,6 @@
             pulls: RefCell::default(),
             serving: RefCell::default(),
             buckets: RefCell::default(),
-            reserves: RefCell::default(),
             retry_budgets: RefCell::default(),
             offered_loads: RefCell::default(),
             speeds: RefCell::default(),
--- a/crates/gateway/src/node/limits.rs
+++ b/crates/gateway/src/node/limits.rs
@@ -8,8 +8,7 @@
 use super::Node;
 use crate::belief::Workspace;
 use crate::belief::directory::Allowance;
-use crate::decide::allowance::{AllowanceStart, Bucket, Fleet, PriorUse};
-use crate::decide::reserve::{Claim, Decision, Reserve, Source};
+use crate::decide::allowance::{Admission, AllowanceStart, Bucket, Fleet, PriorUse};
 use crate::decide::retry_budget::{RetryBudget, RetryPermit, RetryTerms};
 use crate::peer::role::period_ms;
 use crate::settings::{FirstStart, ms};
@@ -25,10 +24,10 @@
         }
     }
 
-    /// Charges a request to the workspace's allowance, if it fits or may use the reserve.
-    pub fn charge(&self, workspace: &Workspace, claim: &Claim) -> Decision {
+    /// Charges a request to the workspace's allowance, if it fits.
+    pub fn charge(&self, workspace: &Workspace, cost: f64) -> Admission {
         let Some(allowance) = workspace.allowance else {
-            return Decision::Charged(Source::Level);
+            return Admission::Charged;
         };
         let now_ms = self.now_ms();
         let fleet = self.fleet();
@@ -36,27 +35,20 @@
         let bucket = buckets
             .entry(workspace.name.clone())
             .or_insert_with(|| self.new_bucket(allowance, now_ms));
-        let mut reserves = self.reserves.borrow_mut();
-        let reserve = reserves
-            .entry(workspace.name.clone())
-            .or_insert_with(|| Reserve::new(now_ms));
-        let decision = reserve.charge(bucket, claim, fleet, now_ms);
-        self.metrics.count_allowance_decision(&decision);
-        decision
+        bucket.charge(cost, fleet, now_ms)
     }
 
-    /// Time after which a refused caller should return to the allowance, when it covers the cost and
-    /// leaves `held` units; `None` if that is after its deadline.
+    /// Time after which a caller that the allowance has no room for should return; `None` if that is
+    /// after its deadline.
     pub fn tell_return(
         &self,
         workspace: &Workspace,
         cost: f64,
-        held: f64,
         left_ms: Millisecond,
     ) -> Option<Millisecond> {
         let mut buckets = self.buckets.borrow_mut();
         let bucket = buckets.get_mut(&workspace.name)?;
-        bucket.tell_return(cost, held, left_ms, self.now_ms())
+        bucket.tell_return(cost, left_ms, self.now_ms())
     }
 
     /// Refunds the charge of a request that did not run.
--- a/crates/gateway/tests/returns.rs
+++ b/crates/gateway/tests/returns.rs
@@ -24,7 +24,7 @@
     let mut times_ms = Vec::new();
     for _ in 0..20 {
         assert_ne!(bucket.charge(200.0, ALONE, 0), Admission::Charged);
-        times_ms.push(bucket.tell_return(200.0, 0.0, 30_000, 0).unwrap());
+        times_ms.push(bucket.tell_return(200.0, 30_000, 0).unwrap());
     }
     for (turn, at_ms) in times_ms.iter().enumerate() {
         assert_eq!(*at_ms, 200 * (turn as u64 + 1));
