Heartbeats: whole ones no longer build what only pulses carry

A whole heartbeat was built from a pulse, whose new faults and parts it computed and then replaced by its own. Both now start from the fields that they share.

--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -157,12 +157,24 @@
         server_factors: load_report::factors(node),
         speeds: node.speeds.borrow().reports(node.now_ms()),
         faults: server_faults::reports(node),
-        ..pulse(node, number, started_unix_ms, HeartbeatContent::Whole)
+        ..common(node, number, started_unix_ms, HeartbeatContent::Whole)
     }
 }
 
-/// The part of the state that pulses carry too.
-pub fn pulse(
+/// A pulse: versions, backpressure, and what this node has just observed. The receiver may expect the
+/// next one after `period_ms`.
+pub fn pulse(node: &Node, period_ms: Millisecond, started_unix_ms: u64) -> NodeHeartbeat {
+    let number = node.next_datagram_number();
+    let content = HeartbeatContent::Pulse { period_ms };
+    NodeHeartbeat {
+        parts: quarantine::fresh_report(node),
+        faults: server_faults::fresh_reports(node),
+        ..common(node, number, started_unix_ms, content)
+    }
+}
+
+/// The part of the state that all datagrams carry.
+fn common(
     node: &Node,
     number: u64,
     started_unix_ms: u64,
@@ -199,7 +211,6 @@
             directory_ms: time_since_ms(node.directory_confirmed_ms.get(), now_ms),
             registry_ms: time_since_ms(node.registry_confirmed_ms.get(), now_ms),
         }),
-        parts: quarantine::fresh_report(node),
         reach: node.reach.borrow().reach(),
         server_silence_ms: reach::server_silence_ms(node),
         versions: {
@@ -207,7 +218,6 @@
             history.is_known().then(|| history.report())
         },
         notices: gate::notices(node),
-        faults: server_faults::fresh_reports(node),
         rollouts: news::report(node),
         rollout_counts: news::counts(node),
         ..NodeHeartbeat::default()
--- a/crates/gateway/src/peer/fault_pulse.rs
+++ b/crates/gateway/src/peer/fault_pulse.rs
@@ -9,8 +9,7 @@
 
 use tokio::net::UdpSocket;
 
-use super::exchange::send_to;
-use super::pulse::pulse;
+use super::exchange::{pulse, send_to};
 use super::role::HEARTBEAT_PERIOD_MS;
 use crate::backend::server_faults;
 use crate::node::Node;
--- a/crates/gateway/src/peer/pulse.rs
+++ b/crates/gateway/src/peer/pulse.rs
@@ -8,11 +8,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::units::Millisecond;
 use tokio::net::UdpSocket;
 
-use super::exchange::{self, send_to};
-use super::message::{HeartbeatContent, NodeHeartbeat, Tenure};
+use super::exchange::{pulse, send_to};
+use super::message::{HeartbeatContent, Tenure};
 use super::role::{HEARTBEAT_PERIOD_MS, Role, SMALL_FLEET_NODES};
 use crate::backend::quarantine;
 use crate::node::Node;
@@ -63,13 +62,6 @@
     }
 }
 
-/// A pulse; the receiver may expect the next one after `period_ms`.
-pub fn pulse(node: &Node, period_ms: Millisecond, started_unix_ms: u64) -> NodeHeartbeat {
-    let number = node.next_datagram_number();
-    let content = HeartbeatContent::Pulse { period_ms };
-    exchange::pulse(node, number, started_unix_ms, content)
-}
-
 /// Chooses the pulses that also go to listening nodes.
 #[derive(Default)]
 struct PulseRounds {
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -8,9 +8,8 @@
 use base::Name;
 use gateway::backend::quarantine;
 use gateway::node::Node;
-use gateway::peer::exchange::{apply_heartbeat, heartbeat};
+use gateway::peer::exchange::{apply_heartbeat, heartbeat, pulse};
 use gateway::peer::message::NodeHeartbeat;
-use gateway::peer::pulse;
 use policy::suspect::{PartId, RunOnServer};
 use test_case::test_case;
 
@@ -54,7 +53,7 @@
 }
 
 fn short(node: &Rc<Node>) -> NodeHeartbeat {
-    pulse::pulse(node, 120, STARTED_UNIX_MS)
+    pulse(node, 120, STARTED_UNIX_MS)
 }
 
 #[test_case(whole; "by whole heartbeats")]
