Probes: one piece of code tries whether a server accepts a connection

The crash check, the check of the paths and the trial of a server that was reported as gone each had the same connect with the same 400 ms. They now call reach::accepts_connection. Tests reach and server_faults of the gateway pass.

--- a/crates/gateway/src/backend/crash_check.rs
+++ b/crates/gateway/src/backend/crash_check.rs
@@ -9,7 +9,6 @@
 use base::{Map, Name, Set};
 use policy::suspect::{Loss, PartId, RequestDigest, RunOnServer};
 use serde::Serialize;
-use tokio::net::TcpStream;
 
 use super::{quarantine, reach, server_faults};
 use crate::belief::Server;
@@ -21,9 +20,6 @@
 /// Connections to a server that break within this time are counted as one loss of the server.
 const SAME_LOSS_WINDOW: Duration = Duration::from_millis(30);
 
-/// A server that accepts no connection within this time is considered down.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Most parts of prompts in a log line.
 const LOGGED_PARTS: usize = 6;
 
@@ -68,10 +64,7 @@
 
 async fn check_server(node: &Rc<Node>, server: &Server) {
     tokio::time::sleep(SAME_LOSS_WINDOW).await;
-    let probe = TcpStream::connect(server.record.address);
-    let up = tokio::time::timeout(PROBE_TIMEOUT, probe)
-        .await
-        .is_ok_and(|c| c.is_ok());
+    let up = reach::accepts_connection(server.record.address).await;
     let broken = server.broken_requests.take();
     if up || reach::verify(node).await == Reach::Lost {
         return;
--- a/crates/gateway/src/backend/reach.rs
+++ b/crates/gateway/src/backend/reach.rs
@@ -143,12 +143,15 @@
     targets
 }
 
+/// Whether a server accepts a connection within the time after which it counts as not reached.
+pub async fn accepts_connection(address: SocketAddr) -> bool {
+    let connecting = TcpStream::connect(address);
+    let connected = tokio::time::timeout(PROBE_TIMEOUT, connecting).await;
+    connected.is_ok_and(|c| c.is_ok())
+}
+
 async fn reaches_any(targets: &[SocketAddr]) -> bool {
-    let probes = targets.iter().map(|target| async move {
-        let connecting = TcpStream::connect(*target);
-        let connected = tokio::time::timeout(PROBE_TIMEOUT, connecting).await;
-        connected.is_ok_and(|c| c.is_ok())
-    });
+    let probes = targets.iter().map(|target| accepts_connection(*target));
     let reached = futures_util::future::join_all(probes).await;
     reached.contains(&true)
 }
--- a/crates/gateway/src/backend/server_faults.rs
+++ b/crates/gateway/src/backend/server_faults.rs
@@ -1,14 +1,12 @@
 //! Faults of backend servers that nodes report to each other, as applied at this node.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use base::units::Millisecond;
 use base::{Map, Name};
 use serde::Serialize;
-use tokio::net::TcpStream;
 
-use crate::backend::queues;
+use crate::backend::{queues, reach};
 use crate::belief::Server;
 use crate::belief::registry::ServerState;
 use crate::decide::fault_report::REPORTS_LIMIT;
@@ -22,9 +20,6 @@
 use crate::peer::message::NodeHeartbeat;
 use crate::peer::role::{DrainState, Presence};
 
-/// A server that accepts no connection within this time is still unreachable.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-
 #[derive(Serialize)]
 struct ReportedFields<'a> {
     server: &'a str,
@@ -333,9 +328,7 @@
 }
 
 async fn probe(node: &Node, server: &Server) {
-    let connecting = TcpStream::connect(server.record.address);
-    let connected = tokio::time::timeout(PROBE_TIMEOUT, connecting).await;
-    if !connected.is_ok_and(|c| c.is_ok()) {
+    if !reach::accepts_connection(server.record.address).await {
         record(node, server, FaultKind::Unreachable);
         return;
     }
