Emulator: the baseline of a fixed penalty calls the gateway's rule

The emulator kept a copy of the gateway's choice with a fixed penalty for other domains, which the gateway still has for settings without [domains]. It calls choose_in_time without a decision on the domain instead.

--- a/crates/emulator/src/crossing.rs
+++ b/crates/emulator/src/crossing.rs
@@ -1,15 +1,10 @@
 //! Traffic between failure domains: where callers come, what it carries, how long links take, and
-//! the baseline of a fixed penalty.
+//! the one prefix home of the baseline.
 
 use base::Name;
 use base::units::Millisecond;
 use gateway::decide::domain_exit::answer_bytes;
-use gateway::decide::placement::{
-    Candidate, Choice, Demand, Locality, Timeliness, eligible, predict,
-};
 use gateway::decide::prompt::Prompt;
-use gateway::decide::rule::TimeLimits;
-use gateway::decide::timeouts::NoServer;
 use rand::Rng;
 use rand::rngs::SmallRng;
 
@@ -19,9 +14,6 @@
 /// Bytes of a request's body for each token of its prompt.
 const BODY_BYTES_PER_TOKEN: f64 = 4.0;
 
-/// Penalty of the baseline.
-const FIXED_PENALTY_MS: f64 = 4.0;
-
 /// Kilobytes of a request and its expected answer.
 pub fn traffic_kb(prompt: &Prompt) -> f64 {
     let body_bytes = prompt.read_tokens() as f64 * BODY_BYTES_PER_TOKEN;
@@ -103,37 +95,3 @@
     let kept = (chain % homes.len().max(1) as u64) as usize;
     homes.into_iter().skip(kept).take(1).collect()
 }
-
-/// The gateway's earlier rule: the lowest predicted time, with a fixed penalty for other domains.
-///
-/// # Errors
-///
-/// No server can take the request within the limits.
-pub fn fixed_penalty(
-    demand: &Demand,
-    candidates: &[Candidate],
-    limits: TimeLimits,
-) -> Result<Choice, NoServer> {
-    if candidates.is_empty() {
-        return Err(NoServer::None);
-    }
-    let predicted = eligible(demand, candidates).into_iter().map(|index| {
-        let (cost_ms, choice) = predict(demand, candidates, index);
-        let penalty_ms = match candidates[index].locality {
-            Locality::SameDomain => 0.0,
-            Locality::OtherDomain => FIXED_PENALTY_MS,
-        };
-        (cost_ms + penalty_ms, choice)
-    });
-    let least = predicted.min_by(|(a_ms, _), (b_ms, _)| a_ms.total_cmp(b_ms));
-    let (_, choice) = least.ok_or(NoServer::Full)?;
-    if choice.timeliness(limits.left_ms) == Timeliness::TooLate {
-        return Err(NoServer::TooLate);
-    }
-    if limits.wait_ms.is_some_and(|ms| choice.wait_ms > ms) {
-        let speed = &candidates[choice.index].speed;
-        let reading_ms = speed.reading_ms(choice.tokens_to_read) as Millisecond;
-        return Err(NoServer::Busy { reading_ms });
-    }
-    Ok(choice)
-}
--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -219,8 +219,9 @@
         now_ms: Millisecond,
     ) -> Result<Choice, NoServer> {
         let demand = Demand::of(ask.prompt, ENGINE_QUEUE_SHARE);
-        if self.rule == Rule::Predicted && self.crossing.rule == CrossingRule::FixedPenalty {
-            return crossing::fixed_penalty(&demand, candidates, ask.limits);
+        if self.crossing.rule == CrossingRule::FixedPenalty {
+            let chosen = choose_in_time(self.rule, &demand, candidates, chance, ask.limits, None)?;
+            return Ok(chosen.choice);
         }
         let delay_ms = |domain: &Name| {
             self.delays
