Leaving the domain: one type for the exit, the locality and the surcharge

backend::domains had a twin of Exit that owned the surcharges, domain_share a twin of Locality, and the gateway and the emulator each decided by locality which surcharge applies and by the run state whether a request may be refused. Exit owns its surcharges, ShareReport counts by Locality, surcharge_ms takes the locality, and Refusal::after is the one place of that choice.

--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -9,14 +9,11 @@
 use gateway::belief::Server;
 use gateway::belief::registry::{Load, ServerRecord, ServerState};
 use gateway::decide::backpressure::{Availability, Notice, Now, Timing};
-use gateway::decide::domain_exit::{
-    DomainExit, ExitTerms, MeasuredDelay, Refusal, own_surcharge_ms, surcharge_ms,
-};
-use gateway::decide::domain_share;
+use gateway::decide::domain_exit::{DomainExit, ExitTerms, MeasuredDelay, Refusal, surcharge_ms};
 use gateway::decide::offered_load::OfferedLoad;
 use gateway::decide::outcome::AttemptHistory;
 use gateway::decide::placement::{
-    Candidate, Choice, Demand, ENGINE_QUEUE_SHARE, PlacementView, prefix_homes, untried,
+    Candidate, Choice, Demand, ENGINE_QUEUE_SHARE, Locality, PlacementView, prefix_homes, untried,
 };
 use gateway::decide::prompt::Prompt;
 use gateway::decide::retry_budget::{RetryBudget, RetryPermit, RetryTerms};
@@ -100,7 +97,7 @@
 pub struct Sent {
     /// The server.
     pub server: Rc<Server>,
-    pub crossing: domain_share::Crossing,
+    pub locality: Locality,
     at_ms: Millisecond,
     predicted_ms: Millisecond,
     work: Work,
@@ -196,13 +193,9 @@
         let estimate = &self.estimate;
         let reading_ms = estimate.work_share() * estimate.speed().reading_ms(choice.tokens_to_read);
         self.work.add(reading_ms, now_ms);
-        let crossing = match server.record.failure_domain == self.failure_domain {
-            true => domain_share::Crossing::Stayed,
-            false => domain_share::Crossing::Left,
-        };
         Ok(Sent {
             server,
-            crossing,
+            locality: candidates[choice.index].locality,
             at_ms: now_ms,
             predicted_ms: choice.first_byte_ms,
             work: choice.work,
@@ -230,16 +223,13 @@
         };
         let surcharge = |server: &Rc<Server>| {
             let domain = &server.record.failure_domain;
-            match *domain == self.failure_domain {
-                true => own_surcharge_ms(delay_ms(domain), self.load_age_ms),
-                false => surcharge_ms(
-                    delay_ms(&self.failure_domain),
-                    delay_ms(domain),
-                    self.load_age_ms,
-                ),
-            }
+            surcharge_ms(
+                Locality::of(domain, &self.failure_domain),
+                delay_ms(&self.failure_domain),
+                delay_ms(domain),
+                self.load_age_ms,
+            )
         };
-        let surcharges_ms: Vec<f64> = servers.iter().map(surcharge).collect();
         let exit = Exit {
             state: &mut self.exit,
             terms: ExitTerms {
@@ -248,12 +238,9 @@
                 cost_ms_per_kb: self.crossing.cost_ms_per_kb,
                 now_ms,
                 load_age_ms: self.load_age_ms,
-                refusal: match ask.run_state {
-                    RunState::NotRun => Refusal::Possible,
-                    RunState::Unknown | RunState::Ran => Refusal::Impossible,
-                },
+                refusal: Refusal::after(ask.run_state),
             },
-            surcharges_ms: &surcharges_ms,
+            surcharges_ms: servers.iter().map(surcharge).collect(),
         };
         let chosen = choose_in_time(
             self.rule,
--- a/crates/emulator/src/requests.rs
+++ b/crates/emulator/src/requests.rs
@@ -4,8 +4,8 @@
 use base::outcome::RunState;
 use base::units::{Millisecond, TokenCount};
 use gateway::belief::RouteKind;
-use gateway::decide::domain_share::Crossing;
 use gateway::decide::outcome::{AttemptHistory, FailureCause, NextAction, RETRY_AFTER_MS};
+use gateway::decide::placement::Locality;
 use gateway::decide::prompt::Prompt;
 use gateway::decide::retry_budget::RetryPermit;
 use gateway::decide::rule::TimeLimits;
@@ -198,7 +198,7 @@
         request.attempt += 1;
         request.waits_since_ms = None;
         let attempt = request.attempt;
-        if sent.crossing == Crossing::Left && request.counted == Counted::Yes {
+        if sent.locality == Locality::OtherDomain && request.counted == Counted::Yes {
             self.figures.crossed += 1;
             self.figures.crossed_kb += traffic_kb(&request.prompt);
         }
--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -10,7 +10,7 @@
 use policy::suspect::{SuspectCandidate, Treatment};
 
 use crate::backend::answer_summary::AnswerSummary;
-use crate::backend::domains::{self, ExitView, LeftDomain};
+use crate::backend::domains::{self, LeftDomain};
 use crate::backend::gate::{self, Gate, Permit};
 use crate::backend::load_report;
 use crate::backend::pool::{ConnOrigin, Reuse};
@@ -126,16 +126,11 @@
             },
         };
         let rule = node.settings.placing.rule;
-        let refusal = match run_state {
-            RunState::NotRun => Refusal::Possible,
-            RunState::Unknown | RunState::Ran => Refusal::Impossible,
-        };
         let mut exits = node.domain_exits.borrow_mut();
-        let mut exit_view = exits.view(job, refusal, &servers);
-        let exit = exit_view.as_mut().map(ExitView::exit);
+        let exit = exits.view(job, Refusal::after(run_state), &servers);
+        let terms = exit.as_ref().map(|exit| exit.terms);
         let inputs = node.baseline_inputs();
         let chosen = choose_in_time(rule, &demand(job), &candidates, inputs, limits, exit)?;
-        let terms = exit_view.map(|view| view.terms);
         drop(exits);
         let choice = chosen.choice;
         let server = &servers[choice.index];
--- a/crates/gateway/src/backend/domains.rs
+++ b/crates/gateway/src/backend/domains.rs
@@ -8,11 +8,10 @@
 
 use crate::belief::Server;
 use crate::decide::domain_exit::{
-    DomainExit, ExitDecision, ExitTerms, MeasuredDelay, Own, Refusal, answer_bytes,
-    own_surcharge_ms, surcharge_ms,
+    DomainExit, ExitDecision, ExitTerms, MeasuredDelay, Own, Refusal, answer_bytes, surcharge_ms,
 };
-use crate::decide::domain_share::{Crossing, ShareChange, ShareReport};
-use crate::decide::placement::{prefix_home, prefix_homes};
+use crate::decide::domain_share::{ShareChange, ShareReport};
+use crate::decide::placement::{Locality, prefix_home, prefix_homes};
 use crate::decide::prompt::Prompt;
 use crate::decide::rule::{Chosen, Exit, ExitReport};
 use crate::front::job::Job;
@@ -73,24 +72,6 @@
     load_age_ms: Millisecond,
 }
 
-/// What decides whether one request leaves its domain.
-pub struct ExitView<'e> {
-    state: &'e mut DomainExit,
-    pub terms: ExitTerms,
-    /// Time added to the prediction of each server.
-    surcharges_ms: Vec<f64>,
-}
-
-impl ExitView<'_> {
-    pub fn exit(&mut self) -> Exit<'_> {
-        Exit {
-            state: self.state,
-            terms: self.terms,
-            surcharges_ms: &self.surcharges_ms,
-        }
-    }
-}
-
 impl DomainExits {
     /// What decides whether `job` leaves for one of `servers`; `None` if the settings don't ask for the
     /// decision.
@@ -99,7 +80,7 @@
         job: &Job<'_>,
         refusal: Refusal,
         servers: &[Rc<Server>],
-    ) -> Option<ExitView<'_>> {
+    ) -> Option<Exit<'_>> {
         let node = job.node;
         let domains = node.settings.domains.as_ref()?;
         let now_ms = node.now_ms();
@@ -114,14 +95,12 @@
         let delay_ms = |domain: &Name| delays.get(domain).map_or(0.0, |delay| delay.ms(now_ms));
         let surcharge = |server: &Rc<Server>| {
             let domain = &server.record.failure_domain;
+            let locality = Locality::of(domain, own);
             let age_ms = self.load_ages.get(domain).copied().unwrap_or(0);
-            match domain == own {
-                true => own_surcharge_ms(delay_ms(own), age_ms),
-                false => surcharge_ms(delay_ms(own), delay_ms(domain), age_ms),
-            }
+            surcharge_ms(locality, delay_ms(own), delay_ms(domain), age_ms)
         };
         let surcharges_ms = servers.iter().map(surcharge).collect();
-        Some(ExitView {
+        Some(Exit {
             state: &mut exit.state,
             terms,
             surcharges_ms,
@@ -189,17 +168,15 @@
     terms: Option<&ExitTerms>,
 ) -> Option<LeftDomain> {
     let node = job.node;
-    let crossing = match server.record.failure_domain == node.settings.node.failure_domain {
-        true => Crossing::Stayed,
-        false => Crossing::Left,
-    };
-    let left = (crossing == Crossing::Left).then(|| left_domain(chosen.exit.as_ref()));
+    let own = &node.settings.node.failure_domain;
+    let locality = Locality::of(&server.record.failure_domain, own);
+    let left = (locality == Locality::OtherDomain).then(|| left_domain(chosen.exit.as_ref()));
     let (Some(report), Some(terms)) = (&chosen.exit, terms) else {
         return left;
     };
     let mut exits = node.domain_exits.borrow_mut();
     let exit = exits.services.entry(job.service.name.clone()).or_default();
-    if let Some(change) = exit.report.count(crossing, terms.now_ms) {
+    if let Some(change) = exit.report.count(locality, terms.now_ms) {
         log_change(job, report, &change, terms);
     }
     left
--- a/crates/gateway/src/decide/domain_exit.rs
+++ b/crates/gateway/src/decide/domain_exit.rs
@@ -5,9 +5,10 @@
 //! leaving saves a share of the target that callers notice. The share of requests that leave rises
 //! only while the predicted waits differ, so that no more leave than equalise them.
 
+use base::outcome::RunState;
 use base::units::Millisecond;
 
-use super::placement::Choice;
+use super::placement::{Choice, Locality};
 
 /// Share of the target within which a domain must be predicted to answer. Half of the predictions
 /// agree with the real times within 25%.
@@ -69,6 +70,16 @@
     Impossible,
 }
 
+impl Refusal {
+    /// Whether a request may be refused after attempts that ended in `run_state`.
+    pub fn after(run_state: RunState) -> Self {
+        match run_state {
+            RunState::NotRun => Self::Possible,
+            RunState::Unknown | RunState::Ran => Self::Impossible,
+        }
+    }
+}
+
 /// The best server of the node's own domain.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Own {
@@ -323,16 +334,20 @@
     output_tokens as f64 * TOKEN_BYTES + events * EVENT_BYTES
 }
 
-/// Time added to the prediction for a server in the own domain, whose loads are `load_age_ms` old.
-pub fn own_surcharge_ms(delay_ms: f64, load_age_ms: Millisecond) -> f64 {
-    delay_ms + WAIT_GROWTH * load_age_ms as f64
-}
-
-/// The same for a server in another domain.
-/// What the predictions miss in the own domain, they are expected to miss in the other one, too: few
+/// Time added to the prediction for a server of a domain whose loads are `load_age_ms` old.
+/// What the predictions miss in the own domain, they are expected to miss in another one, too: few
 /// requests measure the latter.
-pub fn surcharge_ms(own_delay_ms: f64, other_delay_ms: f64, load_age_ms: Millisecond) -> f64 {
-    ROUND_TRIP_MS + own_surcharge_ms(other_delay_ms.max(own_delay_ms), load_age_ms)
+pub fn surcharge_ms(
+    locality: Locality,
+    own_delay_ms: f64,
+    delay_ms: f64,
+    load_age_ms: Millisecond,
+) -> f64 {
+    let growth_ms = WAIT_GROWTH * load_age_ms as f64;
+    match locality {
+        Locality::SameDomain => delay_ms + growth_ms,
+        Locality::OtherDomain => ROUND_TRIP_MS + (delay_ms.max(own_delay_ms) + growth_ms),
+    }
 }
 
 /// Delay of a domain's first bytes beyond the predictions: a slow link, or more work than is known.
--- a/crates/gateway/src/decide/domain_share.rs
+++ b/crates/gateway/src/decide/domain_share.rs
@@ -2,6 +2,8 @@
 
 use base::units::Millisecond;
 
+use super::placement::Locality;
+
 /// Shortest time between two reports of a service: at most two lines a second.
 const REPORT_MS: Millisecond = 500;
 
@@ -17,13 +19,6 @@
     reported_share: f64,
 }
 
-/// Whether a request left its failure domain.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Crossing {
-    Stayed,
-    Left,
-}
-
 /// A change of the share that is to be reported.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ShareChange {
@@ -35,13 +30,14 @@
 }
 
 impl ShareReport {
-    /// Counts a request. Returns the change of the share if it is to be reported now.
-    pub fn count(&mut self, crossing: Crossing, now_ms: Millisecond) -> Option<ShareChange> {
+    /// Counts a request that is sent to a server at `locality`. Returns the change of the share if it
+    /// is to be reported now.
+    pub fn count(&mut self, locality: Locality, now_ms: Millisecond) -> Option<ShareChange> {
         if self.chosen == 0 && self.from_ms == 0 {
             self.from_ms = now_ms;
         }
         self.chosen += 1;
-        self.left += u32::from(crossing == Crossing::Left);
+        self.left += u32::from(locality == Locality::OtherDomain);
         let period_ms = now_ms.saturating_sub(self.from_ms);
         if period_ms < REPORT_MS {
             return None;
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -65,6 +65,16 @@
     OtherDomain,
 }
 
+impl Locality {
+    /// Location of a server in `domain` for a node in `own`.
+    pub fn of(domain: &Name, own: &Name) -> Self {
+        match domain == own {
+            true => Self::SameDomain,
+            false => Self::OtherDomain,
+        }
+    }
+}
+
 /// Whether a server failed a short while ago.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Health {
@@ -131,10 +141,7 @@
                 true => PrefixHome::ThisServer,
                 false => PrefixHome::OtherServer,
             },
-            locality: match record.failure_domain == *self.failure_domain {
-                true => Locality::SameDomain,
-                false => Locality::OtherDomain,
-            },
+            locality: Locality::of(&record.failure_domain, self.failure_domain),
             health: match server.is_avoided(self.now_ms) {
                 true => Health::RecentlyFailed,
                 false => Health::Healthy,
--- a/crates/gateway/src/decide/rule.rs
+++ b/crates/gateway/src/decide/rule.rs
@@ -69,7 +69,7 @@
     pub state: &'a mut DomainExit,
     pub terms: ExitTerms,
     /// Time added to the prediction of each candidate by the state of its domain.
-    pub surcharges_ms: &'a [f64],
+    pub surcharges_ms: Vec<f64>,
 }
 
 /// The chosen server, and how the own domain compares with the others.
--- a/crates/gateway/tests/domain_exit.rs
+++ b/crates/gateway/tests/domain_exit.rs
@@ -10,7 +10,8 @@
     DomainExit, Estimate, ExitDecision, ExitTerms, LeaveReason, MeasuredDelay, Other, OtherHealth,
     Own, Refusal, StayReason, surcharge_ms,
 };
-use gateway::decide::domain_share::{Crossing, ShareReport};
+use gateway::decide::domain_share::ShareReport;
+use gateway::decide::placement::Locality::{OtherDomain, SameDomain};
 use gateway::decide::placement::{Choice, prefix_homes};
 use gateway::decide::prompt::Prompt;
 use gateway::decide::speed::Work;
@@ -141,10 +142,13 @@
     let now_ms = 2_000;
     assert!(link.ms(now_ms) > 200.0);
     assert!(link.ms(now_ms + 30_000) < 1.0);
-    let added = |load_age_ms| surcharge_ms(0.0, link.ms(now_ms), load_age_ms);
+    let added = |load_age_ms| surcharge_ms(OtherDomain, 0.0, link.ms(now_ms), load_age_ms);
     assert!(added(3_000) > added(100) + 250.0);
     // What is missed at home does not make the link look slow.
-    assert_eq!(surcharge_ms(300.0, 250.0, 0), surcharge_ms(300.0, 0.0, 0));
+    assert_eq!(
+        surcharge_ms(OtherDomain, 300.0, 250.0, 0),
+        surcharge_ms(OtherDomain, 300.0, 0.0, 0)
+    );
 }
 
 /// Load: 200 requests a second, of which a third leave from second 2 on. Guards against a line for
@@ -156,8 +160,8 @@
     for n in 0..1_200_u64 {
         let now_ms = 1_000 + n * 5;
         let crossing = match n >= 400 && n % 3 == 0 {
-            true => Crossing::Left,
-            false => Crossing::Stayed,
+            true => OtherDomain,
+            false => SameDomain,
         };
         changes.extend(report.count(crossing, now_ms));
     }
--- a/crates/gateway/tests/predictions.rs
+++ b/crates/gateway/tests/predictions.rs
@@ -246,7 +246,7 @@
                 load_age_ms: 0,
                 refusal: Refusal::Possible,
             },
-            surcharges_ms: &vec![0.0; candidates.len()],
+            surcharges_ms: vec![0.0; candidates.len()],
         };
         let chosen = choose_in_time(
             Rule::Predicted,
