Predictions: the gateway and its test compare times by the same code

The predicted time of a Basis was computed in three places, and tests/predictions.rs repeated how a real time becomes a ratio, a server's multiple and a check of its load report. Basis and ReportCheck now have these. The figures of the test are the same in all digits that it prints.

--- a/crates/gateway/src/backend/attempt.rs
+++ b/crates/gateway/src/backend/attempt.rs
@@ -253,8 +253,7 @@
         speeds.record(service, first_byte(self.job), &sample, now_ms);
         drop(speeds);
         load_report::record_factor(&self.server, &self.basis, sample.after_ms, now_ms);
-        let predicted_ms = self.basis.speed.first_byte_ms(&self.basis.work);
-        let ratio = (sample.after_ms as f64 + 0.5) / predicted_ms;
+        let ratio = self.basis.ratio(sample.after_ms);
         node.metrics.observe_first_byte(service, ratio);
         let request = self.job.id();
         load_report::check(node, &self.server, request, &self.basis, sample.after_ms);
--- a/crates/gateway/src/backend/load_report.rs
+++ b/crates/gateway/src/backend/load_report.rs
@@ -71,14 +71,9 @@
     basis: &Basis,
     after_ms: Millisecond,
 ) {
-    let Some(without_report_ms) = basis.without_report_ms else {
+    let Some(check) = ReportCheck::of(basis, after_ms) else {
         return;
     };
-    let check = ReportCheck {
-        real_ms: after_ms as f64,
-        with_report_ms: basis.speed.first_byte_ms(&basis.work),
-        without_report_ms,
-    };
     let is_contradicted = (server.reported.borrow_mut()).check(&check, node.now_ms());
     if is_contradicted {
         log_rejected(node, server, request, Some(&check));
@@ -87,8 +82,7 @@
 
 /// Records the server's speed relative to its service.
 pub fn record_factor(server: &Server, basis: &Basis, after_ms: Millisecond, now_ms: Millisecond) {
-    let usual_ms = basis.speed.first_byte_ms(&basis.work) / basis.factor * basis.pace;
-    let multiple = (after_ms as f64 + 0.5) / usual_ms;
+    let multiple = basis.server_multiple(after_ms);
     server.factor.borrow_mut().record(multiple, now_ms);
 }
 
--- a/crates/gateway/src/decide/server_load.rs
+++ b/crates/gateway/src/decide/server_load.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::signal::Reading;
+use super::speed::Basis;
 
 /// Most requests that a report may name as waiting; more is a damaged report.
 const WAITING_LIMIT: u32 = 65_535;
@@ -287,6 +288,15 @@
 }
 
 impl ReportCheck {
+    /// The times of one request; `None` if no report contributed to its prediction.
+    pub fn of(basis: &Basis, after_ms: Millisecond) -> Option<Self> {
+        Some(Self {
+            real_ms: after_ms as f64,
+            with_report_ms: basis.predicted_ms(),
+            without_report_ms: basis.without_report_ms?,
+        })
+    }
+
     fn is_contradicted(&self) -> bool {
         let deviation = |predicted_ms: f64| {
             let ratio = (self.real_ms + 0.5) / predicted_ms.max(0.5);
--- a/crates/gateway/src/decide/speed.rs
+++ b/crates/gateway/src/decide/speed.rs
@@ -146,6 +146,24 @@
     pub without_report_ms: Option<f64>,
 }
 
+impl Basis {
+    /// The predicted time.
+    pub fn predicted_ms(&self) -> f64 {
+        self.speed.first_byte_ms(&self.work)
+    }
+
+    /// A real time as a multiple of the predicted one.
+    pub fn ratio(&self, after_ms: Millisecond) -> f64 {
+        // Times are whole milliseconds, rounded down.
+        (after_ms as f64 + 0.5) / self.predicted_ms()
+    }
+
+    /// A real time as a multiple of what the service's figures and the server's pace let expect.
+    pub fn server_multiple(&self, after_ms: Millisecond) -> f64 {
+        self.ratio(after_ms) * self.factor / self.pace
+    }
+}
+
 /// A real time to first byte, with what it was predicted from.
 #[derive(Clone, Copy, Debug)]
 pub struct Sample {
--- a/crates/gateway/tests/predictions.rs
+++ b/crates/gateway/tests/predictions.rs
@@ -297,18 +297,16 @@
                     return;
                 };
                 let after_ms = now_ms - sent.sent_ms;
-                let predicted_ms = sent.basis.speed.first_byte_ms(&sent.basis.work);
                 self.samples += 1;
                 if self.samples > FIRST_SAMPLES {
-                    self.ratios.push((after_ms as f64 + 0.5) / predicted_ms);
+                    self.ratios.push(sent.basis.ratio(after_ms));
                 }
                 let sample = Sample {
                     work: sent.basis.work,
                     after_ms,
                     factor: sent.basis.factor,
                 };
-                let usual_ms = predicted_ms / sent.basis.factor * sent.basis.pace;
-                let multiple = (after_ms as f64 + 0.5) / usual_ms;
+                let multiple = sent.basis.server_multiple(after_ms);
                 sent.server.factor.borrow_mut().record(multiple, now_ms);
                 let speeds = &mut self.nodes[sent.node].speeds;
                 speeds.record(&"model".into(), FirstByte::Event, &sample, now_ms);
@@ -321,12 +319,7 @@
                 {
                     reported.record_own(report, now_ms);
                 }
-                if let Some(without_report_ms) = sent.basis.without_report_ms {
-                    let check = ReportCheck {
-                        real_ms: after_ms as f64,
-                        with_report_ms: predicted_ms,
-                        without_report_ms,
-                    };
+                if let Some(check) = ReportCheck::of(&sent.basis, after_ms) {
                     reported.check(&check, now_ms);
                 }
             }
