Rollouts, settings: a set for a map of nothing, one report of an end

Orders that are listed are a set of names, the two places that report the end of a rollout share one method, and check_not_negative calls check_least. A constant of the queue stands with the others. Tests rollouts and rollout_decisions pass.

--- a/crates/gateway/src/backend/queues.rs
+++ b/crates/gateway/src/backend/queues.rs
@@ -39,6 +39,9 @@
 /// made, are no newer than this.
 const LEAST_RETRY_AFTER_MS: Millisecond = 120;
 
+/// Allowance of a workspace that weighs as much as one without an allowance.
+const TOKENS_PER_S_OF_WEIGHT: f64 = 100_000.0;
+
 /// The requests of this node that wait, by service.
 #[derive(Default)]
 pub struct Queues {
@@ -425,9 +428,6 @@
     }
 }
 
-/// Allowance of a workspace that weighs as much as one without an allowance.
-const TOKENS_PER_S_OF_WEIGHT: f64 = 100_000.0;
-
 /// Servers of the service for each node: what each node gets if all ask for the same.
 fn assumed_drain(job: &Job<'_>) -> f64 {
     let registry = job.node.registry.borrow();
--- a/crates/gateway/src/config_file.rs
+++ b/crates/gateway/src/config_file.rs
@@ -72,10 +72,7 @@
 ///
 /// Returns an error if the value is negative, infinite or not a number.
 pub fn check_not_negative(key: &'static str, value: f64) -> Result<(), ConfigFileError> {
-    let range = "0 or a finite number above";
-    let within = value.is_finite() && value >= 0.0;
-    ensure!(within, RangeSnafu { key, value, range });
-    Ok(())
+    check_least(key, value, 0.0, "0 or a finite number above")
 }
 
 /// Checks that a value is from 0 to 1.
--- a/crates/gateway/src/rollout/mod.rs
+++ b/crates/gateway/src/rollout/mod.rs
@@ -111,10 +111,14 @@
             return;
         }
         self.state = state;
+        self.report_end(state.label(), reason);
+    }
+
+    fn report_end(&self, outcome: &str, reason: &str) {
         let fields = EndedFields {
             service: &self.order.service,
             to: &self.order.to,
-            outcome: state.label(),
+            outcome,
             reason,
             evidence: self.halted.as_ref(),
         };
@@ -174,17 +178,8 @@
             && !rollout.is_established
             && let Finding::Bad { .. } = finding
         {
-            log::emit(
-                events::Code::RolloutEnded,
-                &EndedFields {
-                    service: &rollout.order.service,
-                    to: &rollout.order.to,
-                    outcome: "halted",
-                    reason: "bad_responses",
-                    evidence: Some(&finding),
-                },
-            );
             rollout.halted = Some(finding);
+            rollout.report_end("halted", "bad_responses");
         }
     }
     rollouts.by_service.retain(|_, rollout| {
--- a/crates/gateway/src/rollout/orders.rs
+++ b/crates/gateway/src/rollout/orders.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use base::units::Millisecond;
-use base::{Map, Name};
+use base::{Name, Set};
 use outside::FeedRow;
 use outside::revision::version_of;
 use serde::Serialize;
@@ -27,7 +27,7 @@
     }
     let now_ms = node.now_ms();
     let mut rollouts = node.rollouts.borrow_mut();
-    let mut listed: Map<Name, ()> = Map::default();
+    let mut listed: Set<Name> = Set::default();
     for row in rows {
         let Some(service) = row.key.strip_prefix(node.dialect.rollout_prefix) else {
             continue;
@@ -36,7 +36,7 @@
             rollouts.withdraw(service);
             continue;
         };
-        listed.insert(service.into(), ());
+        listed.insert(service.into());
         match (node.dialect.rollout)(service, body) {
             Ok(decoded) => {
                 let order = Order {
@@ -59,7 +59,7 @@
     if scope == BatchScope::All {
         let services = rollouts.by_service.keys();
         let gone: Vec<Name> = services
-            .filter(|service| !listed.contains_key(*service))
+            .filter(|service| !listed.contains(*service))
             .cloned()
             .collect();
         for service in gone {
