Heartbeats: rows are encoded by serde_tuple

Reports of faults and factors each had a tuple type and two conversions for an encoding without names of fields. The library's derive replaces them.

--- a/crates/gateway/src/decide/fault_report.rs
+++ b/crates/gateway/src/decide/fault_report.rs
@@ -3,6 +3,7 @@
 use base::Name;
 use base::units::Millisecond;
 use serde::{Deserialize, Serialize};
+use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 use super::server_faults::EVIDENCE_LIMIT_MS;
 
@@ -47,9 +48,9 @@
     }
 }
 
-/// What a node reports of one life of a server.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "ReportRow", into = "ReportRow")]
+/// What a node reports of one life of a server. It is encoded without names of fields, which would
+/// double the size of a heartbeat with faults.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
 pub struct FaultReport {
     pub server: Name,
     /// Unix time at which the server started.
@@ -61,27 +62,6 @@
     pub failures: u32,
 }
 
-/// The fields in order; names would double the size of a heartbeat with faults.
-type ReportRow = (Name, u64, FaultKind, Millisecond, u32);
-
-impl From<ReportRow> for FaultReport {
-    fn from((server, born_unix_ms, kind, age_ms, failures): ReportRow) -> Self {
-        Self {
-            server,
-            born_unix_ms,
-            kind,
-            age_ms,
-            failures,
-        }
-    }
-}
-
-impl From<FaultReport> for ReportRow {
-    fn from(r: FaultReport) -> Self {
-        (r.server, r.born_unix_ms, r.kind, r.age_ms, r.failures)
-    }
-}
-
 /// Whether a node can have sent these reports.
 pub fn are_plausible(reports: &[FaultReport]) -> bool {
     let is_plausible = |r: &FaultReport| r.age_ms <= EVIDENCE_LIMIT_MS;
--- a/crates/gateway/src/decide/server_factor.rs
+++ b/crates/gateway/src/decide/server_factor.rs
@@ -2,7 +2,7 @@
 
 use base::units::Millisecond;
 use base::{Map, Name};
-use serde::{Deserialize, Serialize};
+use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 /// Samples that weigh as much as the assumption that a server is as fast as its service. With 3, the
 /// factors of equal servers were so uncertain that a tenth of the predictions were off by 2.08.
@@ -27,9 +27,9 @@
 /// Factors of servers differ by less than this.
 const FACTOR_LIMIT: f64 = 4.0;
 
-/// One node's evidence on a server, for other nodes.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(from = "FactorRow", into = "FactorRow")]
+/// One node's evidence on a server, for other nodes. It is encoded without names of fields, which
+/// would double its size.
+#[derive(Clone, Debug, PartialEq, Serialize_tuple, Deserialize_tuple)]
 pub struct FactorReport {
     pub server: Name,
     /// When the server started: its next life may be on another machine.
@@ -39,34 +39,6 @@
     pub age_ms: Millisecond,
 }
 
-/// The fields in order; names would double the size.
-type FactorRow = (Name, u64, u32, u32, Millisecond);
-
-impl From<FactorRow> for FactorReport {
-    fn from((server, born_unix_ms, factor_percent, weight, age_ms): FactorRow) -> Self {
-        Self {
-            server,
-            born_unix_ms,
-            factor_percent,
-            weight,
-            age_ms,
-        }
-    }
-}
-
-impl From<FactorReport> for FactorRow {
-    fn from(r: FactorReport) -> Self {
-        let FactorReport {
-            server,
-            born_unix_ms,
-            factor_percent,
-            weight,
-            age_ms,
-        } = r;
-        (server, born_unix_ms, factor_percent, weight, age_ms)
-    }
-}
-
 impl FactorReport {
     pub fn is_plausible(&self) -> bool {
         let factor = f64::from(self.factor_percent) / 100.0;
--- a/crates/gateway/tests/server_factor.rs
+++ b/crates/gateway/tests/server_factor.rs
@@ -50,3 +50,25 @@
     }
     assert!(factor.factor(0) <= 4.0);
 }
+
+/// Guards against an encoding that other builds of the fleet can't read.
+#[test]
+fn a_report_is_encoded_as_a_row() {
+    let report = FactorReport {
+        server: "s".into(),
+        born_unix_ms: 7,
+        factor_percent: 160,
+        weight: 8,
+        age_ms: 120,
+    };
+    let text = serde_json::to_string(&report).unwrap();
+    assert_eq!(text, r#"["s",7,160,8,120]"#);
+    assert_eq!(serde_json::from_str::<FactorReport>(&text).unwrap(), report);
+    for damaged in [
+        r#"["s",7,160,8]"#,
+        r#"["s",7,160,8,120,1]"#,
+        r#"["s",7,160,8,-1]"#,
+    ] {
+        assert!(serde_json::from_str::<FactorReport>(damaged).is_err());
+    }
+}
