--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -51,15 +51,18 @@
 /// callers do not return.
 fn play(kinds: &[Kind]) -> Vec<Counts> {
     let mut rng = SmallRng::seed_from_u64(7);
-    let mut counts = vec![Counts::default(); kinds.len()];
-    let mut line = WaitingLine::default();
-    let mut rooms = RankRooms::default();
-    let mut waiting: BTreeMap<RequestId, (usize, Applicant)> = BTreeMap::new();
-    let mut backlogs = [0.0_f64; SERVERS];
+    let mut node = Node {
+        kinds: kinds.to_vec(),
+        counts: vec![Counts::default(); kinds.len()],
+        line: WaitingLine::default(),
+        rooms: RankRooms::default(),
+        waiting: BTreeMap::new(),
+        backlogs: [0.0; SERVERS],
+    };
     let mut ids = 0_u128;
-    line.assume_drain(SERVERS as f64);
+    node.line.assume_drain(SERVERS as f64);
     for now_ms in 0..END_MS {
-        for backlog_ms in &mut backlogs {
+        for backlog_ms in &mut node.backlogs {
             *backlog_ms = (*backlog_ms - 1.0).max(0.0);
         }
         for (index, kind) in kinds.iter().enumerate() {
@@ -76,79 +79,73 @@
                 weight: 1.0,
                 due_ms: now_ms + kind.target_ms,
                 work_ms,
-                server_wait_ms: rooms.wait_limit_ms(kind.rank, 1.0).unwrap_or(0),
+                server_wait_ms: node.rooms.wait_limit_ms(kind.rank, 1.0).unwrap_or(0),
             };
-            counts[index].asked += 1.0;
-            rooms.record(kind.rank, room_ms(kind.target_ms, work_ms));
-            let removed = line.join(&applicant, now_ms);
-            waiting.insert(applicant.id, (index, applicant.clone()));
-            removed.and_then(|id| waiting.remove(&id));
-            start_waiting(
-                &mut line,
-                &rooms,
-                &mut waiting,
-                &mut backlogs,
-                &mut counts,
-                kinds,
-                now_ms,
-            );
-            let outlook = line.outlook(applicant.id, now_ms);
+            node.counts[index].asked += 1.0;
+            node.rooms
+                .record(kind.rank, room_ms(kind.target_ms, work_ms));
+            let removed = node.line.join(&applicant, now_ms);
+            node.waiting
+                .insert(applicant.id, (index, applicant.clone()));
+            removed.and_then(|id| node.waiting.remove(&id));
+            node.start_waiting(now_ms);
+            let outlook = node.line.outlook(applicant.id, now_ms);
             if outlook.is_some_and(|o| o.wait_limit_ms(0) == 0) {
-                line.leave(applicant.id, now_ms);
-                waiting.remove(&applicant.id);
+                node.leave(applicant.id, now_ms);
             }
-            line.mark_waiting(now_ms);
+            node.line.mark_waiting(now_ms);
         }
-        start_waiting(
-            &mut line,
-            &rooms,
-            &mut waiting,
-            &mut backlogs,
-            &mut counts,
-            kinds,
-            now_ms,
-        );
-        for id in line.out_of_reach(now_ms) {
-            line.leave(id, now_ms);
-            waiting.remove(&id);
+        node.start_waiting(now_ms);
+        for id in node.line.out_of_reach(now_ms) {
+            node.leave(id, now_ms);
         }
     }
-    counts
+    node.counts
+}
+
+/// One node with its servers, and the requests that wait for them.
+struct Node {
+    kinds: Vec<Kind>,
+    counts: Vec<Counts>,
+    line: WaitingLine,
+    rooms: RankRooms,
+    waiting: BTreeMap<RequestId, (usize, Applicant)>,
+    /// Time that the work at each server takes.
+    backlogs: [f64; SERVERS],
 }
 
-/// Starts the waiting requests in their order, each at the server with the least work, until one
-/// has no server within its limit.
-fn start_waiting(
-    line: &mut WaitingLine,
-    rooms: &RankRooms,
-    waiting: &mut BTreeMap<RequestId, (usize, Applicant)>,
-    backlogs: &mut [f64; SERVERS],
-    counts: &mut [Counts],
-    kinds: &[Kind],
-    now_ms: Millisecond,
-) {
-    let shortest_ms = kinds.iter().map(|k| k.target_ms).min().unwrap_or(0);
-    while let Some(id) = line.next(|_| false) {
-        let (index, applicant) = &waiting[&id];
-        let rank = match line.uses_reserve(applicant.urgency) {
-            true => 0,
-            false => kinds[*index].rank,
-        };
-        let limit_ms = rooms.wait_limit_ms(rank, 1.0).unwrap_or(0);
-        let limit_ms = limit_ms.min(wait_limit_ms(shortest_ms, 1.0, rank));
-        let own_room_ms = applicant.due_ms.saturating_sub(now_ms + applicant.work_ms);
-        let limit_ms = placed_limit_ms(limit_ms, own_room_ms) as f64;
-        let least = backlogs.iter_mut().min_by(|a, b| a.total_cmp(b));
-        let Some(backlog_ms) = least.filter(|backlog_ms| **backlog_ms <= limit_ms) else {
-            return;
-        };
-        *backlog_ms += applicant.work_ms as f64;
-        match now_ms as f64 + *backlog_ms <= applicant.due_ms as f64 {
-            true => counts[*index].in_time += 1.0,
-            false => counts[*index].late += 1.0,
+impl Node {
+    /// Starts the waiting requests in their order, each at the server with the least work, until one
+    /// has no server within its limit.
+    fn start_waiting(&mut self, now_ms: Millisecond) {
+        let shortest_ms = self.kinds.iter().map(|k| k.target_ms).min().unwrap_or(0);
+        while let Some(id) = self.line.next(|_| false) {
+            let (index, applicant) = &self.waiting[&id];
+            let rank = match self.line.uses_reserve(applicant.urgency) {
+                true => 0,
+                false => self.kinds[*index].rank,
+            };
+            let limit_ms = self.rooms.wait_limit_ms(rank, 1.0).unwrap_or(0);
+            let limit_ms = limit_ms.min(wait_limit_ms(shortest_ms, 1.0, rank));
+            let own_room_ms = applicant.due_ms.saturating_sub(now_ms + applicant.work_ms);
+            let limit_ms = placed_limit_ms(limit_ms, own_room_ms) as f64;
+            let least = self.backlogs.iter_mut().min_by(|a, b| a.total_cmp(b));
+            let Some(backlog_ms) = least.filter(|backlog_ms| **backlog_ms <= limit_ms) else {
+                return;
+            };
+            *backlog_ms += applicant.work_ms as f64;
+            match now_ms as f64 + *backlog_ms <= applicant.due_ms as f64 {
+                true => self.counts[*index].in_time += 1.0,
+                false => self.counts[*index].late += 1.0,
+            }
+            self.line.start(id, now_ms);
+            self.waiting.remove(&id);
         }
-        line.start(id, now_ms);
-        waiting.remove(&id);
+    }
+
+    fn leave(&mut self, id: RequestId, now_ms: Millisecond) {
+        self.line.leave(id, now_ms);
+        self.waiting.remove(&id);
     }
 }
 
