--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/release/review-2
 [ -x "$program" ] && [ -x target/release/apricotledged ] || exit 2
-"$program" stream-ids review/9 &
+"$program" spoiled-stream review/9 &
 pid=$!
 trap 'kill -KILL $(pgrep -P "$pid") "$pid" 2>/dev/null' INT TERM
 wait "$pid"
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 
 use deployment::Record;
+use spoiled::Start;
 
 /// Whether the rule held.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -34,7 +35,8 @@
 
 fn run(case: &str, record: &Arc<Record>, trouble: Trouble) -> io::Result<Verdict> {
     match case {
-        "spoiled" => spoiled::run(record, trouble),
+        "spoiled" => spoiled::run(record, trouble, Start::OfRefusal),
+        "spoiled-failure" => spoiled::run(record, trouble, Start::OfSuccess),
         "odd-entry" => odd_entry::run(record, trouble),
         "spoiled-stream" => spoiled_stream::run(record, trouble),
         "stream-ids" => stream_ids::run(record, trouble),
--- a/review/harness-2/src/spoiled.rs
+++ b/review/harness-2/src/spoiled.rs
@@ -1,5 +1,5 @@
-//! A faulty runner puts bytes that are no response before some of its answers: the first bytes of a
-//! refusal, cut off. Its answer, to a request that ran, follows whole.
+//! A faulty runner puts bytes that are no response before some of its answers: the first bytes of
+//! another answer, cut off. Its real answer, to a request that ran, follows whole.
 
 use std::io;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -34,7 +34,19 @@
 /// Statuses that promise that the request has not run and never will.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
+/// What the bytes before an answer are the start of.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Start {
+    /// A refusal, before a success.
+    OfRefusal,
+    /// A success, before a failure.
+    OfSuccess,
+}
+
 struct Desk {
+    start: Start,
+    /// Requests that the runner answered with a failure.
+    failed: Mutex<Vec<String>>,
     name: String,
     spoils: AtomicBool,
     random: Mutex<Random>,
@@ -60,27 +72,43 @@
         ));
         thread::sleep(Duration::from_millis(5 + (20.0 * self.draw()) as u64));
         let mut bytes = Vec::new();
+        let mut status = "200 OK";
         if self.spoils.load(Ordering::Relaxed) && self.draw() < SPOILED_SHARE {
-            // What this runner sends when it is full.
-            let refusal = format!(
-                "HTTP/1.1 503 Service Unavailable\r\nApricotledge-Request-Id: {id}\r\n\
-                 Apricotledge-Not-Executed: 1\r\nApricotledge-Server-Load: 6,24,6\r\n\
-                 Date: Mon, 07 Dec 2026 04:00:00 GMT\r\nServer: filing-desk\r\n\
-                 Content-Length: 0\r\n\r\n"
-            );
-            let cut = 1 + (self.draw() * (refusal.len() - 1) as f64) as usize;
-            bytes.extend_from_slice(&refusal.as_bytes()[..cut]);
+            let other = match self.start {
+                // What this runner sends when it is full.
+                Start::OfRefusal => format!(
+                    "HTTP/1.1 503 Service Unavailable\r\nApricotledge-Request-Id: {id}\r\n\
+                     Apricotledge-Not-Executed: 1\r\nApricotledge-Server-Load: 6,24,6\r\n\
+                     Date: Mon, 07 Dec 2026 04:00:00 GMT\r\nServer: filing-desk\r\n\
+                     Content-Length: 0\r\n\r\n"
+                ),
+                // It begins to report success, and then fails.
+                Start::OfSuccess => {
+                    status = "500 Internal Server Error";
+                    self.failed.lock().unwrap().push(id.clone());
+                    format!(
+                        "HTTP/1.1 200 OK\r\nApricotledge-Request-Id: {id}\r\n\
+                         Date: Mon, 07 Dec 2026 04:00:00 GMT\r\nServer: filing-desk\r\n\
+                         Content-Type: application/json\r\n"
+                    )
+                }
+            };
+            let cut = 1 + (self.draw() * (other.len() - 1) as f64) as usize;
+            bytes.extend_from_slice(&other.as_bytes()[..cut]);
             self.spoiled.fetch_add(1, Ordering::Relaxed);
-            let last = refusal[..cut].rsplit("\r\n").next().unwrap_or("");
+            let last = other[..cut].rsplit("\r\n").next().unwrap_or("");
             self.record.line(&format!(
-                "spoiled {id} at {}: {cut} bytes, to {last:?}",
+                "spoiled {id} at {}: {cut} bytes, to {last:?}, before {status}",
                 self.name
             ));
         }
-        let body = format!("filed {id}");
+        let body = match status {
+            "200 OK" => format!("filed {id}"),
+            _ => format!("not filed {id}"),
+        };
         bytes.extend_from_slice(
             format!(
-                "HTTP/1.1 200 OK\r\nApricotledge-Request-Id: {id}\r\n\
+                "HTTP/1.1 {status}\r\nApricotledge-Request-Id: {id}\r\n\
                  Apricotledge-Server-Signature: {}.{id}\r\nContent-Length: {}\r\n\r\n{body}",
                 self.name,
                 body.len()
@@ -91,7 +119,7 @@
     }
 }
 
-pub fn run(record: &Arc<Record>, trouble: Trouble) -> io::Result<Verdict> {
+pub fn run(record: &Arc<Record>, trouble: Trouble, start: Start) -> io::Result<Verdict> {
     let (store, store_at) = Store::start();
     let route = Route {
         name: "portal-file",
@@ -108,6 +136,8 @@
         .enumerate()
         .map(|(number, zone)| {
             let desk = Arc::new(Desk {
+                start,
+                failed: Mutex::default(),
                 name: format!("i-desk-{number}"),
                 spoils: AtomicBool::new(false),
                 random: Mutex::new(Random::new(unix_ms() + number as u64)),
@@ -206,6 +236,20 @@
             runs.of(id)
         ));
     }
+    let mut mixed_count = 0;
+    for desk in &desks {
+        let failed = desk.failed.lock().unwrap();
+        let mixed = answers
+            .iter()
+            .filter(|(id, s)| (200..300).contains(s) && failed.contains(id));
+        for (id, status) in mixed {
+            mixed_count += 1;
+            record.say(&format!(
+                "MIXED: {id} was answered {status}, and {} had answered 500",
+                desk.name
+            ));
+        }
+    }
     let spoiled: u64 = desks
         .iter()
         .map(|desk| desk.spoiled.load(Ordering::Relaxed))
@@ -213,7 +257,8 @@
     let of_status = |status: u16| answers.iter().filter(|(_, s)| *s == status).count();
     record.say(&format!(
         "{} requests sent, {} ran, {spoiled} answers spoiled; answered: 200 {}, 502 {}, 503 {}, \
-         504 {}, none {}; ran more than once: {}; ran and answered as not run: {refused_count}",
+         504 {}, none {}; ran more than once: {}; ran and answered as not run: {refused_count}; \
+         failed and answered as a success: {mixed_count}",
         answers.len(),
         runs.count(),
         of_status(200),
@@ -228,8 +273,10 @@
             "less than half of the requests were served",
         ));
     }
-    Ok(match twice.is_empty() && refused_count == 0 {
-        true => Verdict::Held,
-        false => Verdict::Broken,
-    })
+    Ok(
+        match twice.is_empty() && refused_count == 0 && mixed_count == 0 {
+            true => Verdict::Held,
+            false => Verdict::Broken,
+        },
+    )
 }
