--- a/review/harness-2/src/deployment.rs
+++ b/review/harness-2/src/deployment.rs
@@ -275,7 +275,12 @@
     let duties = store::start_duties();
     let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
     fs::create_dir_all(&folder)?;
-    let addresses: Vec<String> = (0..count).map(|i| format!("127.0.1.{}", 11 + i)).collect();
+    // Loopback addresses of this process alone: scripts that start at once can't take each other's ports.
+    let pid = std::process::id();
+    let (high, low) = (1 + pid / 250 % 250, pid % 250);
+    let addresses: Vec<String> = (0..count)
+        .map(|i| format!("127.{high}.{low}.{}", 11 + i))
+        .collect();
     let [callers, ready, peers, metrics] = free_ports(&addresses);
     let seeds: Vec<String> = addresses
         .iter()
@@ -330,6 +335,10 @@
         }
         thread::sleep(Duration::from_millis(100));
     }
+    // What answered above must be these daemons.
+    if !entries.all.iter().all(|entry| entry.runs()) {
+        return Err(io::Error::other("a daemon ended at its start"));
+    }
     Ok(entries)
 }
 
