Streams: an event is relayed only if its identifier moves the caller's position

Cause: two accounts of one thing. The reader relayed each block up to an empty line and kept beside it, in its own way, the identifier from which the stream is resumed: the first `id:` line, or none, or any text; a gap counted as a lost event, though the protocol says "increasing". The position that a caller sent in Last-Event-Id wasn't used.

Change: decide::event_order::EventPosition is the one account of where the caller is, with one meaning of identifiers; an event that doesn't move it ends the attempt before it is relayed. Both faults are in one commit as the meaning of an identifier decides both. Whole streams of a service show whether its numbers are consecutive; only then does a gap count as a lost event. A stream whose position isn't known is cut, also on routes that may be resumed: streams without identifiers began anew before. Logged as E309, counted as rejected_events.

The gap after a resumption is an error for services that number consecutively; for others it is allowed by the protocol.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -80,6 +80,7 @@
     AttemptSilent = 306, "attempt.silent", Info, "A backend server has sent nothing for a while; fields say for how long, whether the request stays, why, or which server takes it over.";
     AnswerCut = 307, "answer.cut", Warn, "The rest of a whole answer was not written, and the connection closed; fields say whether the caller read nothing in time or the memory went to other bodies, and how much was held.";
     ServerLoadRejected = 308, "server.load_rejected", Info, "A backend server's load report is not used, as it is unreadable or a response contradicted it; fields give the response's request, the report with its age, and the real and predicted times. At most one a second and server.";
+    EventRejected = 309, "event.rejected", Warn, "An event of a stream was not relayed, as it would not tell the caller which events it has; fields give the server, the reason, the identifier before it, how the service numbers its events, and whether the stream goes on at another server or is cut.";
     ReclaimDecided = 310, "reclaim.decided", Info, "A stream at a leaving backend server finishes there, moves with its KV cache, or is recomputed elsewhere.";
     DomainDecided = 311, "domain.decided", Info, "The share of a service's requests that leave this node's failure domain has changed; fields give the shares, the reason for the latest request, the predicted times here and there, the price of the traffic and the age of the loads.";
 
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -7,6 +7,7 @@
 pub mod delivery;
 pub mod domain_exit;
 pub mod domain_share;
+pub mod event_order;
 pub mod fault_report;
 pub mod lag;
 pub mod not_run;
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -221,6 +221,14 @@
         }
     }
 
+    /// Ends a failed attempt that no other one can follow, and returns the final reply.
+    pub fn give_up(&mut self, attempt: Attempt<'a>, cause: FailureCause) -> LocalReply {
+        let mut history = self.history;
+        let _ = history.record_failure(cause, self.job.left_ms());
+        self.record_failure(&attempt, cause, history, NextAction::GiveUp);
+        self.final_reply()
+    }
+
     /// Records a failed attempt. `history` includes it, and `next` is what follows.
     pub(super) fn record_failure(
         &mut self,
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -17,12 +17,14 @@
 use super::serve::{AnswerProgress, CallerWriter, ServeOutcome};
 use crate::backend::attempt::Attempt;
 use crate::backend::exchange::{Answer, OutgoingRequest, deadline_in, send};
+use crate::belief::RouteKind;
 use crate::decide::body_memory::BodyOwner;
+use crate::decide::event_order::{EventFault, EventPosition, Numbering, Resumption};
 use crate::decide::outcome::FailureCause;
 use crate::decide::timeouts::SilenceTimeout;
 use crate::http::put_chunk;
 use crate::node::Node;
-use crate::sse::EventReader;
+use crate::sse::{EventReader, EventStreamError};
 
 /// Another server is looked for when no event of a resumable stream arrives for this multiple of
 /// the route's target for the gap between events.
@@ -60,12 +62,24 @@
 struct Stream<'a, 'b, 'c> {
     job: &'a Job<'b>,
     out: &'a mut CallerWriter<'c>,
-    last_event: Option<String>,
+    /// Position of the caller.
+    position: EventPosition,
     /// How long the current server may take until its first event before another one is looked for.
     silence_timeout: SilenceTimeout,
     deadline: Instant,
 }
 
+#[derive(Serialize)]
+struct RejectedFields<'a> {
+    request: Option<&'a str>,
+    server: &'a str,
+    reason: EventFault,
+    after_event: Option<&'a str>,
+    events: u64,
+    numbering: Numbering,
+    next: &'static str,
+}
+
 #[derive(Serialize)]
 struct ResumedFields<'a> {
     request: Option<&'a str>,
@@ -84,7 +98,7 @@
     let mut stream = Stream {
         job,
         out,
-        last_event: None,
+        position: first_position(job),
         silence_timeout: SilenceTimeout::UntilDeadline,
         deadline: deadline_in(job.left_ms()),
     };
@@ -104,12 +118,38 @@
             }
             RelayEnd::Moved(successor) => Ok(successor),
             RelayEnd::HandedOver(reply) => Err(reply),
-            RelayEnd::Failed(cause) => attempts.retry(attempt, cause).await,
+            RelayEnd::Failed(cause) if stream.can_continue() => {
+                attempts.retry(attempt, cause).await
+            }
+            RelayEnd::Failed(cause) => Err(attempts.give_up(attempt, cause)),
         };
     }
 }
 
+/// Position of the caller before the first event of the answer.
+fn first_position(job: &Job<'_>) -> EventPosition {
+    let names = &job.node.dialect.names;
+    let named = job.request.head.fields.text(names.last_event);
+    match (job.route.kind, named) {
+        (RouteKind::ResumableStream, Some(id)) => EventPosition::after(id),
+        _ => EventPosition::default(),
+    }
+}
+
 impl<'a, 'b> Stream<'a, 'b, '_> {
+    /// Whether the events that the caller has are known, so that another server can continue.
+    fn can_continue(&self) -> bool {
+        self.position.resumption() != Resumption::Impossible
+    }
+
+    /// Identifier of the last event that was relayed.
+    fn relayed_event(&self) -> Option<&str> {
+        match self.out.progress() {
+            AnswerProgress::Nothing => None,
+            AnswerProgress::Begun => self.position.last_id(),
+        }
+    }
+
     /// Ends with `otherwise`, or breaks off if part of a server's answer has already been relayed.
     fn give_up(&self, otherwise: ServeOutcome) -> ServeOutcome {
         match self.out.progress() {
@@ -155,7 +195,7 @@
         let request = OutgoingRequest {
             method: &self.job.request.head.method,
             request_id: self.job.id(),
-            head: self.job.head_for(server, self.last_event.as_deref()),
+            head: self.job.head_for(server, self.relayed_event()),
             body: self.job.request.body.clone(),
             reuse: attempt.reuse,
         };
@@ -184,7 +224,9 @@
         if self.out.progress() == AnswerProgress::Nothing {
             write_head(&mut out, &answer.head, BodyKind::Chunks, self.out);
         }
-        let mut events = EventReader::after(self.last_event.as_deref());
+        let service = &attempt.server.record.service;
+        let numbering = self.job.node.numberings.borrow().of(service);
+        let mut events = EventReader::resume(self.position.clone(), numbering);
         let owner = BodyOwner::Answer(attempt.server.record.id.clone());
         let mut held = self.job.node.body_memory.reserve(owner);
         let mut last = Instant::now();
@@ -199,8 +241,9 @@
                 Ok(Err(cause)) => return RelayEnd::Failed(cause),
                 Err(end) => return end.into(),
             };
-            let Ok(whole) = events.take(data) else {
-                return RelayEnd::Failed(FailureCause::Garbled);
+            let whole = match events.take(data) {
+                Ok(whole) => whole,
+                Err(error) => return self.reject(attempt, &events, numbering, error),
             };
             if held.resize(events.partial_bytes()).is_err() {
                 return RelayEnd::Failed(FailureCause::Unheld);
@@ -213,17 +256,23 @@
             }
             self.record_events(attempt, &events, &mut last);
             attempts.end_silence(attempt, &silence);
-            silence = Silence::new(self.gap_timeout(), AnswerProgress::Begun);
             put_chunk(&mut out, &whole);
             self.job.record_part();
             if let Err(end) = self.send_to_caller(&out).await {
                 return end;
             }
             out.clear();
-            if let Some(id) = events.last_id() {
-                self.last_event = Some(id.to_owned());
+            self.position.clone_from(events.position());
+            silence = Silence::new(self.gap_timeout(), AnswerProgress::Begun);
+            if let Some(error) = events.fault() {
+                return self.reject(attempt, &events, numbering, error);
             }
         }
+        self.record_whole(attempt);
+        let rest = events.finish();
+        if !rest.is_empty() {
+            put_chunk(&mut out, &rest);
+        }
         out.extend_from_slice(b"0\r\n\r\n");
         let status = answer.head.status;
         answer.release(&attempt.server, self.job.node.now_ms());
@@ -233,6 +282,41 @@
         }
     }
 
+    fn record_whole(&self, attempt: &Attempt<'_>) {
+        let mut numberings = self.job.node.numberings.borrow_mut();
+        numberings.record_whole(&attempt.server.record.service, &self.position);
+    }
+
+    /// Ends the relay from a server at an event that must not be relayed.
+    fn reject(
+        &mut self,
+        attempt: &Attempt<'_>,
+        events: &EventReader,
+        numbering: Numbering,
+        error: EventStreamError,
+    ) -> RelayEnd<'a> {
+        self.position.clone_from(events.position());
+        let node = self.job.node;
+        let record = &attempt.server.record;
+        let mut numberings = node.numberings.borrow_mut();
+        numberings.record_rejected(&record.service, error.fault);
+        node.metrics.count_rejected_event(error.fault);
+        let fields = RejectedFields {
+            request: self.job.id(),
+            server: &record.id,
+            reason: error.fault,
+            after_event: self.position.last_id(),
+            events: events.event_count(),
+            numbering,
+            next: match self.job.route.kind.repeats() && self.can_continue() {
+                true => "again",
+                false => "cut",
+            },
+        };
+        crate::log::emit(events::Code::EventRejected, &fields);
+        RelayEnd::Failed(FailureCause::Garbled)
+    }
+
     /// Writes to the caller. A caller that does not read holds the server until the deadline only.
     async fn send_to_caller(&mut self, bytes: &[u8]) -> Result<(), RelayEnd<'a>> {
         match timeout_at(self.deadline, self.out.send(bytes)).await {
@@ -259,6 +343,9 @@
 
     /// How long a server may be silent after an event before another one is looked for.
     fn gap_timeout(&self) -> SilenceTimeout {
+        if !self.can_continue() {
+            return SilenceTimeout::UntilDeadline;
+        }
         match (self.silence_timeout, self.job.route.gap_target_ms) {
             (SilenceTimeout::UntilDeadline, _) => SilenceTimeout::UntilDeadline,
             (_, Some(gap_ms)) => SilenceTimeout::After(PAUSE_TARGET_MULTIPLE * gap_ms),
@@ -300,7 +387,7 @@
             request: self.job.id(),
             server: &attempt.server.record.id,
             version: &attempt.server.record.version,
-            after_event: self.last_event.as_deref(),
+            after_event: self.position.last_id(),
             left_ms: self.job.left_ms(),
         };
         crate::log::emit(events::Code::StreamResumed, &fields);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,7 @@
 use crate::backend::{gate, server_faults};
 use crate::belief::RouteKind;
 use crate::decide::backpressure::WithholdReason;
+use crate::decide::event_order::EventFault;
 use crate::decide::outcome::FailureCause;
 use crate::decide::server_faults::FaultKind;
 use crate::decide::server_load::LoadReport;
@@ -106,6 +107,7 @@
     durations_s: Durations,
     refusals: Family<ReasonLabels, Counter>,
     failed_attempts: Family<ReasonLabels, Counter>,
+    rejected_events: Family<ReasonLabels, Counter>,
     server_failures: Family<FailureLabels, Counter>,
     calls: Family<DependencyLabels, Counter>,
     signals: Family<SignalLabels, Counter>,
@@ -127,6 +129,12 @@
         let durations_s: Durations = Family::new_with_constructor(duration_histogram);
         let refusals = Family::default();
         let failed_attempts = Family::default();
+        let rejected_events = Family::default();
+        registry.register(
+            "rejected_events",
+            "Events of streams that were not relayed, by reason",
+            rejected_events.clone(),
+        );
         let server_failures = Family::default();
         let calls = Family::default();
         let signals = Family::default();
@@ -203,6 +211,7 @@
             durations_s,
             refusals,
             failed_attempts,
+            rejected_events,
             server_failures,
             calls,
             signals,
@@ -245,6 +254,14 @@
             .inc();
     }
 
+    /// Counts an event of a stream that was not relayed.
+    pub fn count_rejected_event(&self, fault: EventFault) {
+        let reason = fault.label();
+        self.rejected_events
+            .get_or_create(&ReasonLabels { reason })
+            .inc();
+    }
+
     /// Counts a backend server's answer with an error status.
     pub fn count_server_failure(&self, summary: &AnswerSummary) {
         let labels = FailureLabels {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -21,6 +21,7 @@
 use crate::decide::allowance::Bucket;
 use crate::decide::begun_streams::BegunStreams;
 use crate::decide::body_memory::BodyMemory;
+use crate::decide::event_order::Numberings;
 use crate::decide::lag::Lag;
 use crate::decide::offered_load::OfferedLoad;
 use crate::decide::pause::{Arrival, PauseDetector};
@@ -119,6 +120,8 @@
     pub suspect_parts: RefCell<SuspectParts>,
     /// Servers with faults that this node or others observed a short while ago.
     pub faulty_servers: RefCell<Set<Name>>,
+    /// How the services number the events of their streams.
+    pub numberings: RefCell<Numberings>,
     /// Software versions that began the recent streams.
     pub begun_streams: RefCell<BegunStreams>,
     /// The same of streams that began at other nodes, as told by these. They are kept apart, so that
@@ -201,6 +204,7 @@
             suspects: RefCell::default(),
             suspect_parts: RefCell::default(),
             faulty_servers: RefCell::default(),
+            numberings: RefCell::default(),
             begun_streams: RefCell::default(),
             streams_of_others: RefCell::default(),
             questions: RefCell::default(),
--- a/crates/standin/src/users/behaviour.rs
+++ b/crates/standin/src/users/behaviour.rs
@@ -13,6 +13,16 @@
     Late(u64),
     /// Sends so many events, with so many milliseconds between two.
     Stream(u32, u64),
+    /// Sends so many events, of which `event` lacks its byte at `place`.
+    LoseByte {
+        events: u32,
+        event: u32,
+        place: usize,
+    },
+    /// Sends so many events whose identifiers are multiples of this number.
+    Multiples(u32, u32),
+    /// Sends so many events without identifiers, and closes the connection if it is told to.
+    Unnumbered { events: u32, breaks: bool },
     /// Sends so many events and closes the connection in the midst of the next.
     Break(u32),
     /// Sends nothing for so many milliseconds after so many events, and then the rest.
