--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "not each case uses all of the stand-ins")]
 
+mod fences;
 mod heads;
 mod http;
 mod json;
@@ -66,6 +67,7 @@
     std::fs::create_dir_all(&temporary).expect("a temporary folder");
     let verdict = std::panic::catch_unwind(|| match case.as_str() {
         "large-events" => streams::run(&temporary, &streams::LARGE_EVENTS),
+        "fences" => fences::run(&temporary),
         "heads" => heads::run(&temporary),
         "preempted" => streams::run(&temporary, &streams::PREEMPTED),
         _ => Verdict::Unfit(format!("no case {case}")),
--- a/review/rig-3/platform.rs
+++ b/review/rig-3/platform.rs
@@ -11,6 +11,9 @@
 
 type Name = (String, String, String);
 
+/// How late a late write is done.
+const LATE: Duration = Duration::from_secs(6);
+
 /// How the store treats the calls of one machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Treatment {
@@ -19,6 +22,8 @@
     WritesRefused,
     /// Writes are not answered: their channels are reset, and nothing is done.
     WritesLost,
+    /// Writes are not answered, and done 6 s later if their condition still holds.
+    WritesLate,
     /// All calls get 503.
     Busy,
 }
@@ -77,7 +82,7 @@
         String::from_utf8(from_base64(value)).ok()
     }
 
-    fn handle(&self, machine: usize, channel: &mut Channel, message: &Message) -> bool {
+    fn handle(self: &Arc<Self>, machine: usize, channel: &mut Channel, message: &Message) -> bool {
         let is_write = message.path() == "/rows-tx";
         let treatment = self.state.lock().unwrap().treatments[machine];
         match treatment {
@@ -90,7 +95,18 @@
                 record(&format!("store: a write of machine {machine} is not done and not answered: {}", describe(message)));
                 return false;
             }
-            Treatment::Served | Treatment::WritesRefused | Treatment::WritesLost => {}
+            Treatment::WritesLate if is_write => {
+                record(&format!("store: a write of machine {machine} is not answered: {}", describe(message)));
+                let (store, message) = (self.clone(), message.clone());
+                std::thread::spawn(move || {
+                    std::thread::sleep(LATE);
+                    let (status, _) = store.transact(machine, &message);
+                    record(&format!("store: the late write of machine {machine} to {}: {status}", describe(&message)));
+                });
+                // "A channel on which a response is lost delivers nothing further."
+                return false;
+            }
+            Treatment::Served | Treatment::WritesRefused | Treatment::WritesLost | Treatment::WritesLate => {}
         }
         let (status, body) = match message.path() {
             "/rows-tx" => self.transact(machine, message),
