--- a/review/rig-3/fences.rs
+++ b/review/rig-3/fences.rs
@@ -24,7 +24,9 @@
 
 /// Times between the kill and the planned restart of the holder. Which machine takes over depends on when each
 /// one looks at the lease, so that several times are tried.
-const DELAYS_S: [f64; 12] = [0.6, 0.8, 0.5, 0.7, 0.9, 0.55, 0.75, 0.65, 0.85, 0.45, 0.95, 0.4];
+const DELAYS_S: [f64; 12] = [
+    0.6, 0.8, 0.5, 0.7, 0.9, 0.55, 0.75, 0.65, 0.85, 0.45, 0.95, 0.4,
+];
 
 struct Fleet {
     store: Arc<Store>,
@@ -47,9 +49,15 @@
                 self.starts.push((now + Duration::from_millis(200), number));
             }
         }
-        let due: Vec<usize> = self.starts.iter().filter(|(at, _)| *at <= now).map(|(_, number)| *number).collect();
+        let due: Vec<usize> = self
+            .starts
+            .iter()
+            .filter(|(at, _)| *at <= now)
+            .map(|(_, number)| *number)
+            .collect();
         self.starts.retain(|(at, _)| *at > now);
-        due.into_iter().for_each(|number| self.nodes[number].start());
+        due.into_iter()
+            .for_each(|number| self.nodes[number].start());
     }
 
     fn tend_until(&mut self, limit_s: f64, mut holds: impl FnMut(&Self) -> bool) -> bool {
@@ -68,12 +76,17 @@
 
     fn holder(&self) -> Option<usize> {
         let row = Json::read(&self.store.own_row("lease", "duties")?)?;
-        self.nodes.iter().position(|node| node.name == row.get("holder").text())
+        self.nodes
+            .iter()
+            .position(|node| node.name == row.get("holder").text())
     }
 
     /// The machine at a place of a zone.
     fn at(&self, zone: &str, place: u8) -> usize {
-        self.places.iter().position(|at| *at == (zone, place)).expect("a machine")
+        self.places
+            .iter()
+            .position(|at| *at == (zone, place))
+            .expect("a machine")
     }
 }
 
@@ -86,7 +99,11 @@
     if has_trouble() {
         match take_over_by_third(&mut fleet) {
             Some(holder) => refuse(&mut fleet, holder),
-            None => return Verdict::Unfit("no third machine of a zone came to hold the duties".to_owned()),
+            None => {
+                return Verdict::Unfit(
+                    "no third machine of a zone came to hold the duties".to_owned(),
+                );
+            }
         }
     }
     fleet.tend_until(6.0, |_| false);
@@ -103,9 +120,14 @@
     for (zone, count) in ZONES {
         places.extend((1..=count).map(|place| (zone, place)));
     }
-    let ips: Vec<(u8, u8)> = (0..places.len()).map(|number| (34, number as u8 + 1)).collect();
+    let ips: Vec<(u8, u8)> = (0..places.len())
+        .map(|number| (34, number as u8 + 1))
+        .collect();
     let port = free_port(&ips);
-    let seeds: Vec<String> = [1, 6, 10].iter().map(|ip| format!("127.0.34.{ip}:{port}")).collect();
+    let seeds: Vec<String> = [1, 6, 10]
+        .iter()
+        .map(|ip| format!("127.0.34.{ip}:{port}"))
+        .collect();
     let mut nodes = Vec::new();
     for (number, (zone, place)) in places.iter().enumerate() {
         let (machine, store_address) = store.open();
@@ -121,7 +143,13 @@
         nodes.push(Node::new(folder, &place));
     }
     nodes.iter_mut().for_each(Node::start);
-    Fleet { store, cloud, nodes, places, starts: Vec::new() }
+    Fleet {
+        store,
+        cloud,
+        nodes,
+        places,
+        starts: Vec::new(),
+    }
 }
 
 /// Kills the first two machines of each zone but for the holder, which is restarted as planned, until the third
@@ -134,9 +162,15 @@
             holder.is_some()
         });
         let before = holder?;
-        let firsts = ZONES.iter().flat_map(|(zone, _)| [fleet.at(zone, 1), fleet.at(zone, 2)]);
+        let firsts = ZONES
+            .iter()
+            .flat_map(|(zone, _)| [fleet.at(zone, 1), fleet.at(zone, 2)]);
         let others: Vec<usize> = firsts.filter(|n| *n != before).collect();
-        record(&format!("herd_kill: {} machines for {KILLED_S} s; roll_term: {}", others.len(), fleet.nodes[before].name));
+        record(&format!(
+            "herd_kill: {} machines for {KILLED_S} s; roll_term: {}",
+            others.len(),
+            fleet.nodes[before].name
+        ));
         let back = Instant::now() + Duration::from_secs_f64(KILLED_S);
         for number in others {
             fleet.nodes[number].kill();
@@ -162,11 +196,17 @@
 fn refuse(fleet: &mut Fleet, holder: usize) {
     let began = Instant::now();
     let left_s = |limit_s: f64| (limit_s - began.elapsed().as_secs_f64()).max(0.0);
-    record(&format!("{} holds the duties; its writes get 429 for {REFUSED_S} s", fleet.nodes[holder].name));
+    record(&format!(
+        "{} holds the duties; its writes get 429 for {REFUSED_S} s",
+        fleet.nodes[holder].name
+    ));
     fleet.store.treat(holder, Treatment::WritesRefused);
     let zone = fleet.places[holder].0;
     let pair = [fleet.at(zone, 1), fleet.at(zone, 2)];
-    let is_back = |fleet: &Fleet| pair.iter().all(|n| fleet.starts.is_empty() && fleet.nodes[*n].is_ready());
+    let is_back = |fleet: &Fleet| {
+        pair.iter()
+            .all(|n| fleet.starts.is_empty() && fleet.nodes[*n].is_ready())
+    };
     fleet.tend_until(left_s(5.0), is_back);
     record("both machines before it are back");
     fleet.tend_until(0.5, |_| false);
@@ -182,9 +222,14 @@
     let mut counts: BTreeMap<String, String> = BTreeMap::new();
     let mut broken = 0;
     for call in cloud.calls() {
-        let machine = *first.entry((call.subject.clone(), call.fence)).or_insert(call.machine);
+        let machine = *first
+            .entry((call.subject.clone(), call.fence))
+            .or_insert(call.machine);
         if machine != call.machine {
-            record(&format!("fence {} of {} was sent by machine {machine} and by machine {}", call.fence, call.subject, call.machine));
+            record(&format!(
+                "fence {} of {} was sent by machine {machine} and by machine {}",
+                call.fence, call.subject, call.machine
+            ));
             broken += 1;
         }
         let window = call.body.split(',').next().unwrap_or_default().to_owned();
--- a/review/rig-3/heads.rs
+++ b/review/rig-3/heads.rs
@@ -23,13 +23,21 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
     serve(listener, move |channel, message: Message| {
-        if message.field("apricotledge-expect-instance").is_some_and(|expected| expected != id) {
+        if message
+            .field("apricotledge-expect-instance")
+            .is_some_and(|expected| expected != id)
+        {
             return channel.send(&answer(421, "", "")).is_ok();
         }
         let request = message.field("apricotledge-request-id").unwrap_or_default();
         let method = message.first.first().map_or("", String::as_str);
-        record(&format!("{id}: runs {request}, {method} {}", message.path()));
-        let fields = format!("Apricotledge-Request-Id: {request}\r\nApricotledge-Server-Signature: s.{request}\r\n");
+        record(&format!(
+            "{id}: runs {request}, {method} {}",
+            message.path()
+        ));
+        let fields = format!(
+            "Apricotledge-Request-Id: {request}\r\nApricotledge-Server-Signature: s.{request}\r\n"
+        );
         let mut bytes = answer(200, &fields, BODY);
         if method == "HEAD" {
             bytes.truncate(bytes.len() - BODY.len());
@@ -53,7 +61,9 @@
     let store = Store::new();
     store.put("op", "config", &config(7, "\"k1\",\"k2\""));
     let cloud = Arc::new(Cloud::default());
-    ["da", "db", "dc"].iter().for_each(|id| start_runner(id, &store));
+    ["da", "db", "dc"]
+        .iter()
+        .for_each(|id| start_runner(id, &store));
     let ips = [(33, 1), (33, 2), (33, 3)];
     let port = free_port(&ips);
     let mut nodes = Vec::new();
@@ -76,7 +86,10 @@
         return Verdict::Unfit("the machines didn't become ready".to_owned());
     }
     sleep(4.0);
-    let opened: Result<Vec<Channel>, _> = nodes.iter().map(|node| Channel::open(node.callers)).collect();
+    let opened: Result<Vec<Channel>, _> = nodes
+        .iter()
+        .map(|node| Channel::open(node.callers))
+        .collect();
     let Ok(mut channels) = opened else {
         return Verdict::Unfit("no channel to a machine".to_owned());
     };
@@ -117,12 +130,18 @@
 
 /// Sends a request on a kept channel, and reads its answer as HTTP/1.1 says.
 fn ask(channel: &mut Channel, node: usize, place: usize, method: &str, key: &str) -> Seen {
-    let id = format!("{:08x}{place:08x}", node + 1 + 16 * usize::from(method == "HEAD"));
+    let id = format!(
+        "{:08x}{place:08x}",
+        node + 1 + 16 * usize::from(method == "HEAD")
+    );
     let request = format!(
         "{method} /status/7 HTTP/1.1\r\nHost: town.example\r\nApricotledge-Request-Id: {id}\r\n\
          Apricotledge-Deadline-Ms: 1000\r\nAuthorization: Token {key}\r\n\r\n"
     );
-    record(&format!("{id}: {method} /status/7 with {key} sent to machine {} on its kept channel", node + 1));
+    record(&format!(
+        "{id}: {method} /status/7 with {key} sent to machine {} on its kept channel",
+        node + 1
+    ));
     if channel.send(request.as_bytes()).is_err() {
         return Seen::Other("the request couldn't be sent".to_owned());
     }
@@ -133,9 +152,14 @@
     };
     let first = read.first.join(" ");
     record(&format!("{id}: first line of what came: {first}"));
-    let echoed = read.field("apricotledge-request-id").unwrap_or_default().to_owned();
+    let echoed = read
+        .field("apricotledge-request-id")
+        .unwrap_or_default()
+        .to_owned();
     if !first.starts_with("HTTP/1.1 ") || echoed != id {
-        return Seen::Other(format!("bytes that are no answer in the protocol stand before the answer to {id}: {first}"));
+        return Seen::Other(format!(
+            "bytes that are no answer in the protocol stand before the answer to {id}: {first}"
+        ));
     }
     // The answer to a HEAD request ends with its head.
     if method == "HEAD" {
--- a/review/rig-3/http.rs
+++ b/review/rig-3/http.rs
@@ -16,19 +16,27 @@
 
 impl Message {
     pub fn field(&self, name: &str) -> Option<&str> {
-        let found = self.fields.iter().find(|(have, _)| have.eq_ignore_ascii_case(name));
+        let found = self
+            .fields
+            .iter()
+            .find(|(have, _)| have.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
     pub fn path(&self) -> &str {
-        self.first.get(1).map_or("", |target| target.split('?').next().unwrap_or_default())
+        self.first
+            .get(1)
+            .map_or("", |target| target.split('?').next().unwrap_or_default())
     }
 
     /// A parameter of the query, with its percent signs resolved.
     pub fn parameter(&self, name: &str) -> String {
         let target = self.first.get(1).map_or("", String::as_str);
         let query = target.split_once('?').map_or("", |(_, query)| query);
-        let found = query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name);
+        let found = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(key, _)| *key == name);
         found.map_or_else(String::new, |(_, value)| unescape(value))
     }
 }
@@ -37,7 +45,9 @@
     let bytes = text.as_bytes();
     let (mut out, mut at) = (Vec::new(), 0);
     while at < bytes.len() {
-        let code = bytes.get(at + 1..at + 3).and_then(|d| std::str::from_utf8(d).ok());
+        let code = bytes
+            .get(at + 1..at + 3)
+            .and_then(|d| std::str::from_utf8(d).ok());
         match (bytes[at], code.and_then(|d| u8::from_str_radix(d, 16).ok())) {
             (b'%', Some(byte)) => {
                 out.push(byte);
@@ -69,7 +79,10 @@
 impl Channel {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, ahead: Vec::new() }
+        Self {
+            stream,
+            ahead: Vec::new(),
+        }
     }
 
     pub fn open(address: SocketAddr) -> std::io::Result<Self> {
@@ -103,10 +116,20 @@
                 let head: Vec<u8> = self.ahead.drain(..end + 4).collect();
                 let text = String::from_utf8_lossy(&head);
                 let mut lines = text.trim_end().split("\r\n");
-                let first = lines.next().unwrap_or_default().splitn(3, ' ').map(str::to_owned).collect();
+                let first = lines
+                    .next()
+                    .unwrap_or_default()
+                    .splitn(3, ' ')
+                    .map(str::to_owned)
+                    .collect();
                 let fields = lines.filter_map(|line| line.split_once(':'));
-                let fields = fields.map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()));
-                return Ok(Message { first, fields: fields.collect(), body: Vec::new() });
+                let fields =
+                    fields.map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()));
+                return Ok(Message {
+                    first,
+                    fields: fields.collect(),
+                    body: Vec::new(),
+                });
             }
             self.fill(until)?;
         }
@@ -134,7 +157,8 @@
         if message.field("transfer-encoding").is_some() {
             loop {
                 let size = self.line(until)?;
-                let size = usize::from_str_radix(size.split(';').next().unwrap_or_default().trim(), 16);
+                let size =
+                    usize::from_str_radix(size.split(';').next().unwrap_or_default().trim(), 16);
                 let size = size.map_err(|_| End::Reset)?;
                 if size == 0 {
                     while !self.line(until)?.is_empty() {}
@@ -144,7 +168,10 @@
                 message.body.extend_from_slice(&part[..size]);
             }
         }
-        let length = message.field("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+        let length = message
+            .field("content-length")
+            .and_then(|l| l.parse().ok())
+            .unwrap_or(0);
         message.body = self.exactly(length, until)?;
         Ok(())
     }
@@ -172,7 +199,10 @@
 }
 
 /// Serves each channel in a thread of its own; `handle` returns whether the channel stays open.
-pub fn serve(listener: TcpListener, handle: impl Fn(&mut Channel, Message) -> bool + Send + Sync + 'static) {
+pub fn serve(
+    listener: TcpListener,
+    handle: impl Fn(&mut Channel, Message) -> bool + Send + Sync + 'static,
+) {
     let handle = Arc::new(handle);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
--- a/review/rig-3/json.rs
+++ b/review/rig-3/json.rs
@@ -43,7 +43,10 @@
     }
 
     pub fn read(text: &str) -> Option<Json> {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         reader.value()
     }
 }
@@ -104,7 +107,10 @@
             }
             _ => {
                 let start = self.at;
-                while matches!(self.bytes.get(self.at), Some(b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E')) {
+                while matches!(
+                    self.bytes.get(self.at),
+                    Some(b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E')
+                ) {
                     self.at += 1;
                 }
                 let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
@@ -132,7 +138,8 @@
                         b'r' => out.push(b'\r'),
                         b't' => out.push(b'\t'),
                         b'u' => {
-                            let digits = std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
+                            let digits =
+                                std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
                             let code = u32::from_str_radix(digits, 16).ok()?;
                             self.at += 4;
                             let mut utf8 = [0; 4];
@@ -153,7 +160,10 @@
 pub fn base64(bytes: &[u8]) -> String {
     let mut out = String::new();
     for group in bytes.chunks(3) {
-        let word = group.iter().fold(0u32, |word, byte| word << 8 | u32::from(*byte)) << (8 * (3 - group.len()));
+        let word = group
+            .iter()
+            .fold(0u32, |word, byte| word << 8 | u32::from(*byte))
+            << (8 * (3 - group.len()));
         for place in 0..4 {
             match place <= group.len() {
                 true => out.push(char::from(DIGITS[(word >> (18 - 6 * place) & 63) as usize])),
--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -1,7 +1,5 @@
 //! Stand-ins and cases of the third review. `rig CASE FOLDER`; `TROUBLE=0` leaves the disruption out.
 
-#![allow(dead_code, reason = "not each case uses all of the stand-ins")]
-
 mod fences;
 mod heads;
 mod http;
@@ -60,7 +58,8 @@
         eprintln!("rig CASE FOLDER");
         std::process::exit(2);
     };
-    let file = std::fs::File::create(PathBuf::from(folder).join("record.txt")).expect("record.txt can be written");
+    let file = std::fs::File::create(PathBuf::from(folder).join("record.txt"))
+        .expect("record.txt can be written");
     let _ = RECORD.set((Instant::now(), Mutex::new(file)));
     record(&format!("case {case}, disruption: {}", has_trouble()));
     let temporary = std::env::temp_dir().join(format!("review-3-{case}-{}", std::process::id()));
--- a/review/rig-3/node.rs
+++ b/review/rig-3/node.rs
@@ -58,7 +58,12 @@
     /// Writes the settings of a machine. Its process doesn't run yet.
     pub fn new(folder: &Path, place: &Place<'_>) -> Self {
         let at = |offset: u16| SocketAddr::new(loopback(place.ip), place.port + offset);
-        let seeds = place.seeds.iter().map(|s| format!("\"{s}\"")).collect::<Vec<_>>().join(",");
+        let seeds = place
+            .seeds
+            .iter()
+            .map(|s| format!("\"{s}\""))
+            .collect::<Vec<_>>()
+            .join(",");
         let text = format!(
             "[node]\nname = \"{}\"\nfailure_domain = \"{}\"\nfirst_start = \"yes\"\n\
              [listen]\ncallers = \"{}\"\nready = \"{}\"\npeers = \"{}\"\nmetrics = \"{}\"\n\
@@ -68,17 +73,36 @@
              [bounds]\nshutdown_s = 8\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 52\n\
              drain_ms = 2000\ndirectory_ms = 2000\nlease_ms = 3000\nusage_window_s = 5\nusage_due_s = 10\n\
              [limits]\nmemory_mb = 260\nlink_mbps = 1000.0\n",
-            place.name, place.zone, at(1), at(2), at(0), at(3), place.port, place.store, place.cloud,
+            place.name,
+            place.zone,
+            at(1),
+            at(2),
+            at(0),
+            at(3),
+            place.port,
+            place.store,
+            place.cloud,
         );
         let settings = folder.join(format!("{}.toml", place.name));
         std::fs::write(&settings, text).expect("the settings can be written");
         let log = folder.join(format!("{}.log", place.name));
-        Self { name: place.name.to_owned(), callers: at(1), ready: at(2), settings, log, child: None }
+        Self {
+            name: place.name.to_owned(),
+            callers: at(1),
+            ready: at(2),
+            settings,
+            log,
+            child: None,
+        }
     }
 
     /// Starts its process. Later starts are no first start of the system.
     pub fn start(&mut self) {
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log).expect("a log file");
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("a log file");
         let errors = log.try_clone().expect("a log file");
         let child = Command::new("target/release/apricotledged")
             .args(["--interface", "routed"])
@@ -100,7 +124,10 @@
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
             record(&format!("SIG{signal} to {}", self.name));
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+            let _ = Command::new("kill")
+                .arg(format!("-{signal}"))
+                .arg(child.id().to_string())
+                .status();
         }
     }
 
@@ -115,7 +142,9 @@
 
     /// Whether its process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+        self.child
+            .as_mut()
+            .is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
 
     pub fn is_ready(&self) -> bool {
@@ -126,10 +155,6 @@
         let answer = channel.head(Some(Instant::now() + Duration::from_secs(1)));
         answer.is_ok_and(|head| head.first.get(1).is_some_and(|status| status == "200"))
     }
-
-    pub fn log(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Node {
--- a/review/rig-3/platform.rs
+++ b/review/rig-3/platform.rs
@@ -11,21 +11,12 @@
 
 type Name = (String, String, String);
 
-/// How late a late write is done.
-const LATE: Duration = Duration::from_secs(6);
-
 /// How the store treats the calls of one machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Treatment {
     Served,
     /// Writes beyond the rate get 429, and nothing is done.
     WritesRefused,
-    /// Writes are not answered: their channels are reset, and nothing is done.
-    WritesLost,
-    /// Writes are not answered, and done 6 s later if their condition still holds.
-    WritesLate,
-    /// All calls get 503.
-    Busy,
 }
 
 struct State {
@@ -43,8 +34,17 @@
 
 impl Store {
     pub fn new() -> Arc<Self> {
-        let state = State { rows: BTreeMap::new(), history: Vec::new(), version: 1, treatments: Vec::new() };
-        Arc::new(Self { state: Mutex::new(state), changed: Condvar::new(), started: Instant::now() })
+        let state = State {
+            rows: BTreeMap::new(),
+            history: Vec::new(),
+            version: 1,
+            treatments: Vec::new(),
+        };
+        Arc::new(Self {
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+            started: Instant::now(),
+        })
     }
 
     /// Opens an address for one machine, by which its calls are told from those of the others.
@@ -57,7 +57,9 @@
             state.treatments.len() - 1
         };
         let store = self.clone();
-        serve(listener, move |channel, message| store.handle(machine, channel, &message));
+        serve(listener, move |channel, message| {
+            store.handle(machine, channel, &message)
+        });
         (machine, address)
     }
 
@@ -82,31 +84,18 @@
         String::from_utf8(from_base64(value)).ok()
     }
 
-    fn handle(self: &Arc<Self>, machine: usize, channel: &mut Channel, message: &Message) -> bool {
+    fn handle(&self, machine: usize, channel: &mut Channel, message: &Message) -> bool {
         let is_write = message.path() == "/rows-tx";
         let treatment = self.state.lock().unwrap().treatments[machine];
         match treatment {
-            Treatment::Busy => return channel.send(&answer(503, "", "{}")).is_ok(),
             Treatment::WritesRefused if is_write => {
-                record(&format!("store: a write of machine {machine} gets 429: {}", describe(message)));
+                record(&format!(
+                    "store: a write of machine {machine} gets 429: {}",
+                    describe(message)
+                ));
                 return channel.send(&answer(429, "", "{}")).is_ok();
             }
-            Treatment::WritesLost if is_write => {
-                record(&format!("store: a write of machine {machine} is not done and not answered: {}", describe(message)));
-                return false;
-            }
-            Treatment::WritesLate if is_write => {
-                record(&format!("store: a write of machine {machine} is not answered: {}", describe(message)));
-                let (store, message) = (self.clone(), message.clone());
-                std::thread::spawn(move || {
-                    std::thread::sleep(LATE);
-                    let (status, _) = store.transact(machine, &message);
-                    record(&format!("store: the late write of machine {machine} to {}: {status}", describe(&message)));
-                });
-                // "A channel on which a response is lost delivers nothing further."
-                return false;
-            }
-            Treatment::Served | Treatment::WritesRefused | Treatment::WritesLost | Treatment::WritesLate => {}
+            Treatment::Served | Treatment::WritesRefused => {}
         }
         let (status, body) = match message.path() {
             "/rows-tx" => self.transact(machine, message),
@@ -114,11 +103,16 @@
             "/rows-feed" => self.feed(message),
             _ => (404, "{}".to_owned()),
         };
-        channel.send(&answer(status, "Content-Type: application/json\r\n", &body)).is_ok()
+        channel
+            .send(&answer(status, "Content-Type: application/json\r\n", &body))
+            .is_ok()
     }
 
     fn ends(&self, version: u64) -> String {
-        format!("\"ver\":{version},\"nowMs\":{}", self.started.elapsed().as_millis())
+        format!(
+            "\"ver\":{version},\"nowMs\":{}",
+            self.started.elapsed().as_millis()
+        )
     }
 
     fn transact(&self, machine: usize, message: &Message) -> (u16, String) {
@@ -127,7 +121,10 @@
         };
         let mut state = self.state.lock().unwrap();
         for row in body.get("expectedRevision").list() {
-            let have = state.rows.get(&name(row)).map_or(0, |(_, version)| *version);
+            let have = state
+                .rows
+                .get(&name(row))
+                .map_or(0, |(_, version)| *version);
             if have != row.get("ver").number() {
                 let ends = self.ends(state.version);
                 return (412, format!("{{\"rows\":[],{ends}}}"));
@@ -137,8 +134,11 @@
         let version = state.version;
         for row in body.get("writes").list() {
             if name(row).1 == "lease" {
-                let value = String::from_utf8_lossy(&from_base64(row.get("value").text())).into_owned();
-                record(&format!("store: machine {machine} writes the row of the lease, version {version}: {value}"));
+                let value =
+                    String::from_utf8_lossy(&from_base64(row.get("value").text())).into_owned();
+                record(&format!(
+                    "store: machine {machine} writes the row of the lease, version {version}: {value}"
+                ));
             }
             state.set(name(row), Some(row.get("value").text().to_owned()), version);
         }
@@ -152,7 +152,11 @@
     fn rows(&self, message: &Message) -> (u16, String) {
         let (table, part) = (message.parameter("table"), message.parameter("part"));
         let (from, to) = (message.parameter("from"), message.parameter("to"));
-        let limit = message.parameter("limit").parse().unwrap_or(500usize).min(500);
+        let limit = message
+            .parameter("limit")
+            .parse()
+            .unwrap_or(500usize)
+            .min(500);
         let state = self.state.lock().unwrap();
         let found = state.rows.iter().filter(|((t, p, key), _)| {
             *t == table && *p == part && *key >= from && (to.is_empty() || *key < to)
@@ -164,7 +168,10 @@
         let has_more = all.len() > limit;
         let rows = all[..all.len().min(limit)].join(",");
         let ends = self.ends(state.version);
-        (200, format!("{{\"rows\":[{rows}],\"hasMore\":{has_more},{ends}}}"))
+        (
+            200,
+            format!("{{\"rows\":[{rows}],\"hasMore\":{has_more},{ends}}}"),
+        )
     }
 
     fn feed(&self, message: &Message) -> (u16, String) {
@@ -174,7 +181,11 @@
         let until = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
         let mut state = self.state.lock().unwrap();
         loop {
-            let changes = state.history.iter().rev().take_while(|(version, _, _)| *version > since);
+            let changes = state
+                .history
+                .iter()
+                .rev()
+                .take_while(|(version, _, _)| *version > since);
             let mut changes: Vec<String> = changes.filter(|(_, (t, _, _), _)| *t == table).map(|(version, (_, part, key), value)| {
                 match value {
                     Some(value) => format!("{{\"part\":\"{part}\",\"key\":\"{key}\",\"value\":\"{value}\",\"ver\":{version}}}"),
@@ -209,7 +220,12 @@
 
 fn describe(message: &Message) -> String {
     let body = Json::read(&String::from_utf8_lossy(&message.body)).unwrap_or(Json::Null);
-    let rows = body.get("writes").list().iter().map(name).map(|(table, part, key)| format!("{table}/{part}/{key}"));
+    let rows = body
+        .get("writes")
+        .list()
+        .iter()
+        .map(name)
+        .map(|(table, part, key)| format!("{table}/{part}/{key}"));
     rows.collect::<Vec<_>>().join(", ")
 }
 
@@ -218,13 +234,11 @@
 pub struct DutyCall {
     /// The machine that called, by the address at which it calls.
     pub machine: usize,
-    pub holder: String,
     pub fence: u64,
     /// The duty, with its subject.
     pub subject: String,
     pub body: String,
     pub status: u16,
-    pub at: Instant,
 }
 
 /// The API for duties. It refuses calls whose fence is lower than one that it has seen for the same
@@ -256,10 +270,20 @@
         let read = Json::read(&body).unwrap_or(Json::Null);
         let subject = match message.path() {
             "/usage" => "usage".to_owned(),
-            _ => format!("scaling {} {}", read.get("service").text(), read.get("zone").text()),
+            _ => format!(
+                "scaling {} {}",
+                read.get("service").text(),
+                read.get("zone").text()
+            ),
         };
-        let holder = message.field("apricotledge-duty-holder").unwrap_or_default().to_owned();
-        let fence = message.field("apricotledge-fencing-token").and_then(|f| f.parse().ok()).unwrap_or(0);
+        let holder = message
+            .field("apricotledge-duty-holder")
+            .unwrap_or_default()
+            .to_owned();
+        let fence = message
+            .field("apricotledge-fencing-token")
+            .and_then(|f| f.parse().ok())
+            .unwrap_or(0);
         let mut state = self.state.lock().unwrap();
         let seen = state.0.entry(subject.clone()).or_default();
         let status = match fence < *seen {
@@ -267,8 +291,16 @@
             false => 200,
         };
         *seen = fence.max(*seen);
-        record(&format!("platform: {holder} (machine {machine}) calls {subject} with fence {fence}: {status}; {body}"));
-        state.1.push(DutyCall { machine, holder, fence, subject, body, status, at: Instant::now() });
+        record(&format!(
+            "platform: {holder} (machine {machine}) calls {subject} with fence {fence}: {status}; {body}"
+        ));
+        state.1.push(DutyCall {
+            machine,
+            fence,
+            subject,
+            body,
+            status,
+        });
         status
     }
 }
--- a/review/rig-3/runner.rs
+++ b/review/rig-3/runner.rs
@@ -9,17 +9,6 @@
 use crate::platform::Store;
 use crate::record;
 
-/// A request that a runner ran.
-#[derive(Clone, Debug)]
-pub struct Run {
-    pub id: String,
-    /// Whether the runner wrote its answer to the end.
-    pub is_whole: bool,
-    /// Whether an event of it held more than one token.
-    pub has_large_event: bool,
-    pub ended: Option<Instant>,
-}
-
 pub struct Runner {
     pub id: String,
     service: String,
@@ -28,7 +17,6 @@
     running: AtomicUsize,
     pub most_running: AtomicUsize,
     beats: AtomicU64,
-    pub runs: Mutex<Vec<Run>>,
     engine: Engine,
     /// Tokens of an answer, and the time of a step.
     tokens: u64,
@@ -61,7 +49,14 @@
 const GROWN: u64 = 8;
 
 impl Runner {
-    pub fn start(id: &str, service: &str, zone: &str, engine: Engine, (tokens, step_ms): (u64, u64), store: &Arc<Store>) -> Arc<Self> {
+    pub fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        engine: Engine,
+        (tokens, step_ms): (u64, u64),
+        store: &Arc<Store>,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let runner = Arc::new(Self {
             id: id.to_owned(),
@@ -71,14 +66,15 @@
             running: AtomicUsize::new(0),
             most_running: AtomicUsize::new(0),
             beats: AtomicU64::new(0),
-            runs: Mutex::default(),
             engine,
             tokens,
             step: Duration::from_millis(step_ms),
             memory: Mutex::default(),
         });
         let (handling, beating, store) = (runner.clone(), runner.clone(), store.clone());
-        serve(listener, move |channel, message| handling.handle(channel, &message));
+        serve(listener, move |channel, message| {
+            handling.handle(channel, &message)
+        });
         beating.beat(&store);
         std::thread::spawn(move || {
             loop {
@@ -100,38 +96,43 @@
     }
 
     fn handle(&self, channel: &mut Channel, message: &Message) -> bool {
-        let id = message.field("apricotledge-request-id").unwrap_or_default().to_owned();
-        if message.field("apricotledge-expect-instance").is_some_and(|expected| expected != self.id) {
+        let id = message
+            .field("apricotledge-request-id")
+            .unwrap_or_default()
+            .to_owned();
+        if message
+            .field("apricotledge-expect-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
             let fields = format!("Apricotledge-Instance-Id: {}\r\n", self.id);
             return channel.send(&answer(421, &fields, "")).is_ok();
         }
         if self.is_full() {
-            record(&format!("{}: {id} is rejected with 503 and Apricotledge-Not-Executed", self.id));
-            let fields = format!("Apricotledge-Request-Id: {id}\r\nApricotledge-Not-Executed: 1\r\n");
+            record(&format!(
+                "{}: {id} is rejected with 503 and Apricotledge-Not-Executed",
+                self.id
+            ));
+            let fields =
+                format!("Apricotledge-Request-Id: {id}\r\nApricotledge-Not-Executed: 1\r\n");
             return channel.send(&answer(503, &fields, "")).is_ok();
         }
         let after = message.field("last-event-id").unwrap_or("none");
         record(&format!("{}: runs {id}, Last-Event-Id {after}", self.id));
         let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
         self.most_running.fetch_max(running, Ordering::SeqCst);
-        let place = {
-            let mut runs = self.runs.lock().unwrap();
-            runs.push(Run { id: id.clone(), is_whole: false, has_large_event: false, ended: None });
-            runs.len() - 1
-        };
         let mut is_grown = false;
-        let (is_whole, has_large_event) = self.run(channel, message, &id, &mut is_grown);
+        let is_whole = self.run(channel, message, &id, &mut is_grown);
         if is_grown {
             self.memory.lock().unwrap().grown -= 1;
         }
         self.running.fetch_sub(1, Ordering::SeqCst);
-        let mut runs = self.runs.lock().unwrap();
-        let run = &mut runs[place];
-        (run.is_whole, run.has_large_event, run.ended) = (is_whole, has_large_event, Some(Instant::now()));
         if is_whole {
             record(&format!("{}: wrote the answer to {id} to its end", self.id));
         } else {
-            record(&format!("{}: the channel of {id} was closed before the runner had written its answer", self.id));
+            record(&format!(
+                "{}: the channel of {id} was closed before the runner had written its answer",
+                self.id
+            ));
         }
         is_whole
     }
@@ -141,16 +142,18 @@
         matches!(self.engine, Engine::Memory(limit) if memory.grown >= limit || memory.waiting > 0)
     }
 
-    fn run(&self, channel: &mut Channel, message: &Message, id: &str, is_grown: &mut bool) -> (bool, bool) {
+    fn run(&self, channel: &mut Channel, message: &Message, id: &str, is_grown: &mut bool) -> bool {
         let head = format!(
             "HTTP/1.1 200 OK\r\nApricotledge-Request-Id: {id}\r\nApricotledge-Server-Signature: s.{id}\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
-        let mut has_large_event = false;
         if channel.send(head.as_bytes()).is_err() {
-            return (false, has_large_event);
+            return false;
         }
-        let mut done: u64 = message.field("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let mut done: u64 = message
+            .field("last-event-id")
+            .and_then(|id| id.parse().ok())
+            .unwrap_or(0);
         while done < self.tokens {
             std::thread::sleep(self.step);
             let running = self.running.load(Ordering::SeqCst);
@@ -164,19 +167,29 @@
             {
                 *is_grown = self.grow(channel, id, limit);
                 if !*is_grown {
-                    return (false, has_large_event);
+                    return false;
                 }
             }
-            has_large_event |= tokens > 1;
-            let words: Vec<String> = (done + 1..=done + tokens).map(|n| format!("t{n}")).collect();
+            let words: Vec<String> = (done + 1..=done + tokens)
+                .map(|n| format!("t{n}"))
+                .collect();
             done += tokens;
+            let words = [
+                words,
+                if done == self.tokens {
+                    vec!["end".to_owned()]
+                } else {
+                    Vec::new()
+                },
+            ]
+            .concat();
             let event = format!("id: {done}\ndata: {}\n\n", words.join(" "));
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if channel.is_closed() || channel.send(chunk.as_bytes()).is_err() {
-                return (false, has_large_event);
+                return false;
             }
         }
-        (channel.send(b"0\r\n\r\n").is_ok(), has_large_event)
+        channel.send(b"0\r\n\r\n").is_ok()
     }
 
     /// Takes memory for the rest of a request, and waits for it if there is none. Returns false if its
@@ -185,7 +198,10 @@
         if self.take_memory(limit) {
             return true;
         }
-        record(&format!("{}: {id} is preempted after event {GROWN}", self.id));
+        record(&format!(
+            "{}: {id} is preempted after event {GROWN}",
+            self.id
+        ));
         self.memory.lock().unwrap().waiting += 1;
         let started = Instant::now();
         let mut taken = false;
@@ -196,7 +212,11 @@
         self.memory.lock().unwrap().waiting -= 1;
         if taken {
             std::thread::sleep(READING);
-            record(&format!("{}: {id} goes on after {} ms", self.id, started.elapsed().as_millis()));
+            record(&format!(
+                "{}: {id} goes on after {} ms",
+                self.id,
+                started.elapsed().as_millis()
+            ));
         }
         taken
     }
