Leases: the log says how a node learned that it holds the lease

Cause: E511 gave only the fencing number.

Change: E511 gives the nonce and the age of the write that began the tenure, and either that its commit was answered, or the version, the fencing number and the nonce of the row that was read.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -109,7 +109,7 @@
     StreamNotGiven = 508, "stream.not_given", Error, "No peer accepted an open stream.";
     StreamTaken = 509, "stream.taken", Info, "This daemon continues a stream that a peer handed over.";
     StreamActivated = 510, "stream.activated", Warn, "A stream's owner did not respond, and this daemon's copy replaces it.";
-    LeaseHeld = 511, "lease.held", Info, "This daemon holds a lease; fields give its fencing token.";
+    LeaseHeld = 511, "lease.held", Info, "This daemon holds a lease; fields give its fencing token, the nonce and age of the write that began the tenure, and whether the store answered its commit or the row was read.";
     LeaseLost = 512, "lease.lost", Warn, "This daemon no longer holds a lease.";
     BackendAppeared = 513, "backend.appeared", Info, "A backend server has registered itself and takes work.";
     BackendGone = 514, "backend.gone", Info, "A backend server's registry entry was removed.";
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use base::Name;
+use base::units::Millisecond;
 use events::Code;
 use outside::Table;
 use rand::SeedableRng;
@@ -14,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
-use crate::lease::{Lease, LeaseAction, LeasePermit, LeaseTerms};
+use crate::lease::{GrantEvidence, Lease, LeaseAction, LeasePermit, LeaseTerms};
 use crate::store::{commit_rows, get_row};
 
 /// Interval at which the lease is checked.
@@ -47,6 +48,15 @@
 struct LeaseFields<'a> {
     lease: &'a str,
     fence: Option<u64>,
+    #[serde(flatten)]
+    acquisition: Option<AcquisitionFields>,
+}
+
+#[derive(Serialize)]
+struct AcquisitionFields {
+    evidence: GrantEvidence,
+    nonce: u64,
+    write_age_ms: Millisecond,
 }
 
 impl LeaseHolder {
@@ -106,6 +116,17 @@
         lease.permit(self.clock.read())
     }
 
+    fn acquisition_fields(&self) -> Option<AcquisitionFields> {
+        let lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+        let acquisition = lease.acquisition()?;
+        let now_ms = self.clock.read().max_elapsed_ms;
+        Some(AcquisitionFields {
+            evidence: acquisition.evidence,
+            nonce: acquisition.nonce,
+            write_age_ms: now_ms.saturating_sub(acquisition.sent_ms),
+        })
+    }
+
     fn with_lease<T>(&self, act: impl FnOnce(&mut Lease, &mut StdRng) -> T) -> T {
         let mut lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
         let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
@@ -141,6 +162,7 @@
         let fields = LeaseFields {
             lease: &self.name,
             fence: after.or(before).map(|fence| fence.0),
+            acquisition: after.and_then(|_| self.acquisition_fields()),
         };
         match after {
             Some(_) => events::emit(Code::LeaseHeld, &fields),
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -86,6 +86,28 @@
     pub remaining_ms: Millisecond,
 }
 
+/// How a node learned that the store has granted it the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum GrantEvidence {
+    /// The store answered the commit of the write with success.
+    CommitAnswered,
+    /// The row was read and holds the write, whose commit wasn't answered with success.
+    RowRead {
+        row_version: u64,
+        row_fence: Fence,
+        row_nonce: u64,
+    },
+}
+
+/// The write that began a tenure, for logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Acquisition {
+    pub nonce: u64,
+    pub sent_ms: Millisecond,
+    pub evidence: GrantEvidence,
+}
+
 /// A call to the table, whose result the caller passes back.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaseAction {
@@ -102,6 +124,7 @@
     row_version: Option<u64>,
     until_ms: Millisecond,
     renew_at_ms: Millisecond,
+    acquisition: Acquisition,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -172,6 +195,11 @@
         })
     }
 
+    /// The write that began the present tenure.
+    pub fn acquisition(&self) -> Option<Acquisition> {
+        Some(self.tenure?.acquisition)
+    }
+
     /// Renews the lease when it is due, or checks whether it can be acquired.
     pub fn tick(&mut self, now: ClockReading, rng: &mut impl Rng) -> Option<LeaseAction> {
         if self.permit(now).is_none() {
@@ -207,7 +235,12 @@
         };
         let own_write = self.find_sent_write(body.nonce);
         if let Some(sent_write) = own_write {
-            self.grant(sent_write, Some(row.version));
+            let evidence = GrantEvidence::RowRead {
+                row_version: row.version,
+                row_fence: body.fence,
+                row_nonce: body.nonce,
+            };
+            self.grant(sent_write, Some(row.version), evidence);
             if self.permit(now).is_some() {
                 return None;
             }
@@ -234,7 +267,7 @@
         match result {
             Ok(()) => {
                 if let Some(sent_write) = self.sent_writes.back().copied() {
-                    self.grant(sent_write, None);
+                    self.grant(sent_write, None, GrantEvidence::CommitAnswered);
                 }
                 Some(LeaseAction::Read(self.key.clone()))
             }
@@ -292,11 +325,18 @@
         })
     }
 
-    fn grant(&mut self, sent_write: SentWrite, row_version: Option<u64>) {
+    fn grant(&mut self, sent_write: SentWrite, row_version: Option<u64>, evidence: GrantEvidence) {
         let until_ms = sent_write.sent_ms + self.terms.term_ms - self.terms.margin_ms;
-        let event = match self.tenure {
-            Some(_) => "renewed",
-            None => "acquired",
+        let (event, acquisition) = match self.tenure {
+            Some(tenure) => ("renewed", tenure.acquisition),
+            None => {
+                let acquisition = Acquisition {
+                    nonce: sent_write.nonce,
+                    sent_ms: sent_write.sent_ms,
+                    evidence,
+                };
+                ("acquired", acquisition)
+            }
         };
         self.chart.apply(event);
         self.tenure = Some(Tenure {
@@ -304,6 +344,7 @@
             row_version,
             until_ms,
             renew_at_ms: sent_write.sent_ms + self.terms.term_ms / 3,
+            acquisition,
         });
     }
 
