Leases: the nonce of a write is drawn for each write and can't be seeded

Cause: a node recognizes its own write in the lease's row by the nonce alone, and the nonces came from a generator that the caller of LeaseHolder::spawn seeds. duty::runner starts a new holder each time the node takes part in the duties again, always with node.boot, so that each tenure repeats the nonces of the one before. A grant that the store refused (429) was found again in the row of the earlier tenure.

Change: Nonce can only be made by drawing it from the system's generator; LeaseHolder, Lease and placement take no seed for it. Second line: a write is recognized only if the whole row is the one sent.

--- a/crates/entry/src/placement/mod.rs
+++ b/crates/entry/src/placement/mod.rs
@@ -47,7 +47,7 @@
     pub daemon: Arc<DaemonState>,
     /// Source of the view of backend servers.
     pub flow: Arc<Flow>,
-    /// Seed of random delays and nonces.
+    /// Seed of random delays and of the tokens of orders.
     pub seed: u64,
 }
 
@@ -65,7 +65,6 @@
             options.node.clone(),
             options.table.clone(),
             LeaseTerms::default(),
-            options.seed,
         );
         let mut round = Round {
             lease: lease.handle(),
--- a/crates/entry/tests/placement.rs
+++ b/crates/entry/tests/placement.rs
@@ -84,13 +84,7 @@
         };
         let table = Arc::new(HttpTable::open(endpoint, "t"));
         let node = Name::from(node);
-        let lease = LeaseHolder::spawn(
-            "placement",
-            node,
-            table.clone(),
-            LeaseTerms::default(),
-            seed,
-        );
+        let lease = LeaseHolder::spawn("placement", node, table.clone(), LeaseTerms::default());
         let round = Round {
             lease: lease.handle(),
             rng: StdRng::seed_from_u64(seed),
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -8,14 +8,12 @@
 use base::units::Millisecond;
 use events::Code;
 use outside::Table;
-use rand::SeedableRng;
-use rand::rngs::StdRng;
 use serde::Serialize;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
-use crate::lease::{GrantEvidence, Lease, LeaseAction, LeasePermit, LeaseTerms};
+use crate::lease::{GrantEvidence, Lease, LeaseAction, LeasePermit, LeaseTerms, Nonce};
 use crate::store::{commit_rows, get_row};
 
 /// Interval at which the lease is checked.
@@ -41,7 +39,6 @@
     table: Arc<dyn Table>,
     clock: Clock,
     lease: Mutex<Lease>,
-    rng: Mutex<StdRng>,
 }
 
 #[derive(Serialize)]
@@ -55,26 +52,19 @@
 #[derive(Serialize)]
 struct AcquisitionFields {
     evidence: GrantEvidence,
-    nonce: u64,
+    nonce: Nonce,
     write_age_ms: Millisecond,
 }
 
 impl LeaseHolder {
     /// Starts the task for the lease `name`.
-    pub fn spawn(
-        name: &str,
-        node: Name,
-        table: Arc<dyn Table>,
-        terms: LeaseTerms,
-        seed: u64,
-    ) -> Self {
+    pub fn spawn(name: &str, node: Name, table: Arc<dyn Table>, terms: LeaseTerms) -> Self {
         let shared = Arc::new(Shared {
             acquisition_paused: AtomicBool::new(false),
             name: name.to_owned(),
             table,
             clock: Clock::start(),
             lease: Mutex::new(Lease::new(name, node, terms)),
-            rng: Mutex::new(StdRng::seed_from_u64(seed)),
         });
         let stop = CancellationToken::new();
         let task = tokio::spawn(run(shared.clone(), stop.clone()));
@@ -112,13 +102,11 @@
 
 impl Shared {
     fn permit(&self) -> Option<LeasePermit> {
-        let lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
-        lease.permit(self.clock.read())
+        self.with_lease(|lease| lease.permit(self.clock.read()))
     }
 
     fn acquisition_fields(&self) -> Option<AcquisitionFields> {
-        let lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
-        let acquisition = lease.acquisition()?;
+        let acquisition = self.with_lease(|lease| lease.acquisition())?;
         let now_ms = self.clock.read().max_elapsed_ms;
         Some(AcquisitionFields {
             evidence: acquisition.evidence,
@@ -127,10 +115,9 @@
         })
     }
 
-    fn with_lease<T>(&self, act: impl FnOnce(&mut Lease, &mut StdRng) -> T) -> T {
+    fn with_lease<T>(&self, act: impl FnOnce(&mut Lease) -> T) -> T {
         let mut lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
-        act(&mut lease, &mut rng)
+        act(&mut lease)
     }
 
     async fn carry_out(&self, mut next: Option<LeaseAction>) {
@@ -140,14 +127,14 @@
                     let row = get_row(&*self.table, &key).await;
                     let now = self.clock.read();
                     let restorations = self.table.restorations();
-                    self.with_lease(|lease, rng| {
+                    self.with_lease(|lease| {
                         lease.note_restorations(restorations);
-                        lease.on_row(row, now, rng)
+                        lease.on_row(row, now)
                     })
                 }
                 LeaseAction::Commit(write) => {
                     let result = commit_rows(&*self.table, vec![write]).await;
-                    self.with_lease(|lease, _| lease.on_commit(result))
+                    self.with_lease(|lease| lease.on_commit(result))
                 }
             };
         }
@@ -176,7 +163,7 @@
     loop {
         if known.is_some() || !shared.acquisition_paused.load(Ordering::Relaxed) {
             let now = shared.clock.read();
-            let action = shared.with_lease(|lease, rng| lease.tick(now, rng));
+            let action = shared.with_lease(|lease| lease.tick(now));
             shared.carry_out(action).await;
         }
         shared.report(known);
@@ -186,7 +173,7 @@
             () = tokio::time::sleep(ROUND_INTERVAL) => {}
         }
     }
-    let release = shared.with_lease(|lease, rng| lease.release(rng));
+    let release = shared.with_lease(Lease::release);
     if let Some(LeaseAction::Commit(write)) = release {
         // If the release fails, others wait for one term. It is not retried, because reading the row
         // again could acquire the lease again.
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -18,8 +18,8 @@
 
 /// Partition of the lease rows.
 pub const LEASE_PARTITION: &str = "lease";
-/// Most recent writes of this node that are kept, to recognize their nonces in the row if an answer
-/// was lost.
+/// Most recent writes of this node that are kept, to recognize them in the row if an answer was
+/// lost.
 const SENT_WRITES_MAX: usize = 8;
 
 static CHART: LazyLock<Arc<Chart>> = LazyLock::new(|| {
@@ -64,13 +64,25 @@
     }
 }
 
+/// Number of one write of a lease row; no two writes of any process have the same one. It is drawn
+/// here rather than from a generator of the caller, who might seed two of them alike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Nonce(u64);
+
+impl Nonce {
+    fn unique() -> Self {
+        Self(rand::rng().random())
+    }
+}
+
 /// Body of a lease row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
     /// Absent after a release.
     pub holder: Option<Name>,
-    /// Random for each write.
-    pub nonce: u64,
+    /// Identifies the write of the row.
+    pub nonce: Nonce,
     /// Fencing token of the tenure.
     pub fence: Fence,
     /// Duration of the grant.
@@ -96,14 +108,14 @@
     RowRead {
         row_version: u64,
         row_fence: Fence,
-        row_nonce: u64,
+        row_nonce: Nonce,
     },
 }
 
 /// The write that began a tenure, for logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Acquisition {
-    pub nonce: u64,
+    pub nonce: Nonce,
     pub sent_ms: Millisecond,
     pub evidence: GrantEvidence,
 }
@@ -127,10 +139,9 @@
     acquisition: Acquisition,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct SentWrite {
-    nonce: u64,
-    fence: Fence,
+    row: LeaseRow,
     sent_ms: Millisecond,
 }
 
@@ -201,7 +212,7 @@
     }
 
     /// Renews the lease when it is due, or checks whether it can be acquired.
-    pub fn tick(&mut self, now: ClockReading, rng: &mut impl Rng) -> Option<LeaseAction> {
+    pub fn tick(&mut self, now: ClockReading) -> Option<LeaseAction> {
         if self.permit(now).is_none() {
             self.end_tenure("lapsed");
         }
@@ -211,7 +222,7 @@
             Some(tenure) => Some(match tenure.row_version {
                 Some(version) => {
                     let condition = Condition::VersionIs(version);
-                    self.write_grant(condition, tenure.fence, now, rng)
+                    self.write_grant(condition, tenure.fence, now)
                 }
                 None => LeaseAction::Read(self.key.clone()),
             }),
@@ -223,24 +234,24 @@
         &mut self,
         row: Result<Option<Row>, ReadError>,
         now: ClockReading,
-        rng: &mut impl Rng,
     ) -> Option<LeaseAction> {
         let Ok(row) = row else { return None };
         let Some(row) = row else {
             let fence = Fence(self.lowest_fence());
-            return Some(self.write_grant(Condition::Absent, fence, now, rng));
+            return Some(self.write_grant(Condition::Absent, fence, now));
         };
         let Ok(body) = serde_json::from_str::<LeaseRow>(&row.body) else {
             return None;
         };
-        let own_write = self.find_sent_write(body.nonce);
+        let own_write = self.find_sent_write(&body);
+        let is_own = own_write.is_some();
         if let Some(sent_write) = own_write {
             let evidence = GrantEvidence::RowRead {
                 row_version: row.version,
                 row_fence: body.fence,
                 row_nonce: body.nonce,
             };
-            self.grant(sent_write, Some(row.version), evidence);
+            self.grant(&sent_write, Some(row.version), evidence);
             if self.permit(now).is_some() {
                 return None;
             }
@@ -252,13 +263,12 @@
             self.unchanged_ms(row.version, now) >= body.term_ms + self.terms.margin_ms;
         // Only one process at a time uses a node's name and addresses, so an earlier process of this
         // name that held the lease has ended.
-        let held_by_other =
-            body.holder.is_some_and(|holder| holder != self.node) && own_write.is_none();
+        let held_by_other = body.holder.is_some_and(|holder| holder != self.node) && !is_own;
         if held_by_other && !term_expired {
             return None;
         }
         let fence = Fence((body.fence.0 + FENCE_STEP).max(self.lowest_fence()));
-        Some(self.write_grant(Condition::VersionIs(row.version), fence, now, rng))
+        Some(self.write_grant(Condition::VersionIs(row.version), fence, now))
     }
 
     /// Handles the result of [`LeaseAction::Commit`]. The row is read next to learn its version, as
@@ -266,8 +276,8 @@
     pub fn on_commit(&mut self, result: Result<(), CommitError>) -> Option<LeaseAction> {
         match result {
             Ok(()) => {
-                if let Some(sent_write) = self.sent_writes.back().copied() {
-                    self.grant(sent_write, None, GrantEvidence::CommitAnswered);
+                if let Some(sent_write) = self.sent_writes.back().cloned() {
+                    self.grant(&sent_write, None, GrantEvidence::CommitAnswered);
                 }
                 Some(LeaseAction::Read(self.key.clone()))
             }
@@ -279,13 +289,13 @@
     }
 
     /// Gives up the lease; the write frees it for others at once.
-    pub fn release(&mut self, rng: &mut impl Rng) -> Option<LeaseAction> {
+    pub fn release(&mut self) -> Option<LeaseAction> {
         let tenure = self.tenure.take()?;
         self.chart.apply("released");
         self.sent_writes.clear();
         let body = LeaseRow {
             holder: None,
-            nonce: rng.random(),
+            nonce: Nonce::unique(),
             fence: tenure.fence,
             term_ms: self.terms.term_ms,
         };
@@ -298,23 +308,22 @@
         condition: Condition,
         fence: Fence,
         now: ClockReading,
-        rng: &mut impl Rng,
     ) -> LeaseAction {
-        let body = LeaseRow {
+        let row = LeaseRow {
             holder: Some(self.node.clone()),
-            nonce: rng.random(),
+            nonce: Nonce::unique(),
             fence,
             term_ms: self.terms.term_ms,
         };
         if self.sent_writes.len() == SENT_WRITES_MAX {
             self.sent_writes.pop_front();
         }
+        let action = self.put_row(&row, condition);
         self.sent_writes.push_back(SentWrite {
-            nonce: body.nonce,
-            fence,
+            row,
             sent_ms: now.max_elapsed_ms,
         });
-        self.put_row(&body, condition)
+        action
     }
 
     fn put_row(&self, body: &LeaseRow, condition: Condition) -> LeaseAction {
@@ -325,13 +334,13 @@
         })
     }
 
-    fn grant(&mut self, sent_write: SentWrite, row_version: Option<u64>, evidence: GrantEvidence) {
+    fn grant(&mut self, sent_write: &SentWrite, row_version: Option<u64>, evidence: GrantEvidence) {
         let until_ms = sent_write.sent_ms + self.terms.term_ms - self.terms.margin_ms;
         let (event, acquisition) = match self.tenure {
             Some(tenure) => ("renewed", tenure.acquisition),
             None => {
                 let acquisition = Acquisition {
-                    nonce: sent_write.nonce,
+                    nonce: sent_write.row.nonce,
                     sent_ms: sent_write.sent_ms,
                     evidence,
                 };
@@ -340,7 +349,7 @@
         };
         self.chart.apply(event);
         self.tenure = Some(Tenure {
-            fence: sent_write.fence,
+            fence: sent_write.row.fence,
             row_version,
             until_ms,
             renew_at_ms: sent_write.sent_ms + self.terms.term_ms / 3,
@@ -354,8 +363,10 @@
         }
     }
 
-    fn find_sent_write(&self, nonce: u64) -> Option<SentWrite> {
-        self.sent_writes.iter().find(|t| t.nonce == nonce).copied()
+    /// The write of this node that `row` holds. The nonce alone identifies it; the other fields are
+    /// compared too, so that a node never acts under a fencing number that isn't in the row.
+    fn find_sent_write(&self, row: &LeaseRow) -> Option<SentWrite> {
+        self.sent_writes.iter().find(|w| w.row == *row).cloned()
     }
 
     fn unchanged_ms(&mut self, row_version: u64, now: ClockReading) -> Millisecond {
--- a/crates/fleet/tests/restored_lease.rs
+++ b/crates/fleet/tests/restored_lease.rs
@@ -4,8 +4,7 @@
 use fleet::lease::{FENCE_STEP, Fence, Lease, LeaseAction, LeaseRow, LeaseTerms};
 use outside::revision::pack;
 use outside::{Condition, Key, Row, Write};
-use rand::SeedableRng;
-use rand::rngs::StdRng;
+use serde_json::json;
 use test_case::test_case;
 
 const TERMS: LeaseTerms = LeaseTerms {
@@ -21,26 +20,21 @@
 }
 
 fn row(holder: Option<&str>, fence: u64, version: u64) -> Row {
-    let body = LeaseRow {
-        holder: holder.map(Into::into),
-        nonce: 7,
-        fence: Fence(fence),
-        term_ms: TERMS.term_ms,
-    };
+    let term_ms = TERMS.term_ms;
+    let body = json!({ "holder": holder, "nonce": 7, "fence": fence, "term_ms": term_ms });
     Row {
         key: Key::new("lease", "duties"),
-        body: serde_json::to_string(&body).unwrap(),
+        body: body.to_string(),
         version,
     }
 }
 
 /// The grant that the node `b` writes when it finds `found` in the store of `era`.
 fn grant(found: Option<Row>, era: u64) -> (LeaseRow, Condition) {
-    let mut rng = StdRng::seed_from_u64(1);
     let mut lease = Lease::new("duties", "b".into(), TERMS);
     lease.note_restorations(outside::revision::restorations(era));
-    let first = lease.on_row(Ok(found.clone()), at(0), &mut rng);
-    let action = first.or_else(|| lease.on_row(Ok(found), at(10_000), &mut rng));
+    let first = lease.on_row(Ok(found.clone()), at(0));
+    let action = first.or_else(|| lease.on_row(Ok(found), at(10_000)));
     let Some(LeaseAction::Commit(Write::Put {
         body, condition, ..
     })) = action
--- a/crates/fleet/tests/store_races.rs
+++ b/crates/fleet/tests/store_races.rs
@@ -4,6 +4,8 @@
 
 mod rows;
 
+use std::collections::BTreeMap;
+
 use base::units::Millisecond;
 use fleet::apply::{self, Apply, ApplyOutcome, ApplyStep, Author, ConfigContent, Proposal};
 use fleet::clock::ClockReading;
@@ -143,13 +145,18 @@
     );
 }
 
+/// A machine that competes for the lease. Its process restarts under the same name, and takes part
+/// for a time, releases the lease, and takes part again.
 struct Node {
+    index: usize,
     lease: Lease,
+    /// Number of leases begun on this machine.
+    begun: u32,
     next: Option<LeaseAction>,
     answer: Option<Answer>,
     paused_until_ms: Millisecond,
     suspended_ms: Millisecond,
-    rate_percent: u64,
+    refused_until_ms: Millisecond,
 }
 
 enum Answer {
@@ -157,53 +164,121 @@
     Commit(Result<(), CommitError>),
 }
 
+fn new_lease(index: usize) -> Lease {
+    Lease::new(
+        "placement",
+        format!("n{index}").into(),
+        LeaseTerms::default(),
+    )
+}
+
 impl Node {
+    fn start(index: usize) -> Self {
+        Self {
+            index,
+            lease: new_lease(index),
+            begun: 1,
+            next: None,
+            answer: None,
+            paused_until_ms: 0,
+            suspended_ms: 0,
+            refused_until_ms: 0,
+        }
+    }
+
     /// Reads clocks that run up to 2 percent fast or slow; the lower bound stands still while the
     /// node's VM is suspended.
     fn now(&self, true_ms: Millisecond) -> ClockReading {
-        let max_elapsed_ms = true_ms * self.rate_percent / 100;
+        let rate_percent = [98, 100, 102][self.index];
+        let max_elapsed_ms = true_ms * rate_percent / 100;
         ClockReading {
-            min_elapsed_ms: (true_ms - self.suspended_ms) * self.rate_percent / 100,
+            min_elapsed_ms: (true_ms - self.suspended_ms) * rate_percent / 100,
             max_elapsed_ms,
         }
     }
 
+    /// Kills the process and starts another one under the same name. A write that it was about to
+    /// send may still arrive.
+    fn restart(&mut self, rows: &mut Rows, rng: &mut StdRng) {
+        if let Some(LeaseAction::Commit(write)) = self.next.take() {
+            let _ = rows.commit(vec![write], draw_commit_fault(rng));
+        }
+        self.begin_lease();
+    }
+
+    /// Releases the lease and takes part again at once.
+    fn leave_and_return(&mut self, rows: &mut Rows, true_ms: Millisecond, rng: &mut StdRng) {
+        if let Some(LeaseAction::Commit(write)) = self.lease.release() {
+            let fault = self.commit_fault(true_ms, rng);
+            let _ = rows.commit(vec![write], fault);
+        }
+        self.begin_lease();
+    }
+
+    fn begin_lease(&mut self) {
+        self.lease = new_lease(self.index);
+        self.begun += 1;
+        (self.next, self.answer) = (None, None);
+    }
+
+    fn commit_fault(&self, true_ms: Millisecond, rng: &mut StdRng) -> CommitFault {
+        if true_ms < self.refused_until_ms {
+            return CommitFault::Refused;
+        }
+        match rng.random_ratio(1, 2) {
+            true => CommitFault::None,
+            false => draw_commit_fault(rng),
+        }
+    }
+
     fn step(&mut self, rows: &mut Rows, true_ms: Millisecond, rng: &mut StdRng) {
         let now = self.now(true_ms);
         match (self.answer.take(), self.next.take()) {
-            (Some(Answer::Row(row)), _) => self.next = self.lease.on_row(row, now, rng),
+            (Some(Answer::Row(row)), _) => self.next = self.lease.on_row(row, now),
             (Some(Answer::Commit(result)), _) => self.next = self.lease.on_commit(result),
             (None, Some(LeaseAction::Read(key))) => {
                 self.answer = Some(Answer::Row(read(rows, &key, rng)));
             }
             (None, Some(LeaseAction::Commit(write))) => {
-                let fault = match rng.random_ratio(1, 2) {
-                    true => CommitFault::None,
-                    false => draw_commit_fault(rng),
-                };
+                let fault = self.commit_fault(true_ms, rng);
                 self.answer = Some(Answer::Commit(rows.commit(vec![write], fault)));
             }
-            (None, None) => self.next = self.lease.tick(now, rng),
+            (None, None) => self.next = self.lease.tick(now),
         }
     }
+
+    /// Draws what happens to the node now. Returns `false` if it is paused.
+    fn draw_event(&mut self, rows: &mut Rows, true_ms: Millisecond, rng: &mut StdRng) -> bool {
+        if true_ms < self.paused_until_ms {
+            return false;
+        }
+        match rng.random_range(0..1_200) {
+            0..8 => {
+                let pause_ms = rng.random_range(1_000..30_000);
+                self.paused_until_ms = true_ms + pause_ms;
+                self.suspended_ms += if rng.random() { pause_ms } else { 0 };
+                return false;
+            }
+            8..12 => self.restart(rows, rng),
+            12..20 if self.next.is_none() && self.answer.is_none() => {
+                self.leave_and_return(rows, true_ms, rng);
+            }
+            20..26 => self.refused_until_ms = true_ms + rng.random_range(1_000..20_000),
+            _ => {}
+        }
+        true
+    }
 }
 
+/// Two holders that use one fencing number can't be told apart by those who check it.
 #[test]
 fn only_the_holder_acts_and_fencing_tokens_rise() {
-    let (mut orders, mut tenures, mut pauses) = (0_u64, 0_u64, 0_u64);
+    let (mut orders, mut tenures, mut leases) = (0_u64, 0_u64, 0_u64);
     for seed in 0..histories() {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut rows = Rows::default();
-        let mut nodes: Vec<Node> = (0..3)
-            .map(|i| Node {
-                lease: Lease::new("placement", format!("n{i}").into(), LeaseTerms::default()),
-                next: None,
-                answer: None,
-                paused_until_ms: 0,
-                suspended_ms: 0,
-                rate_percent: [98, 100, 102][i],
-            })
-            .collect();
+        let mut nodes: Vec<Node> = (0..3).map(|i| Node::start(i)).collect();
+        let mut holders: BTreeMap<Fence, (usize, u32)> = BTreeMap::new();
         let mut highest = Fence(0);
         for true_ms in (0..120_000).step_by(100) {
             if rng.random_ratio(1, 40) {
@@ -211,15 +286,7 @@
             }
             let mut acting = 0;
             for node in &mut nodes {
-                if true_ms < node.paused_until_ms {
-                    continue;
-                }
-                if rng.random_ratio(1, 150) {
-                    let pause_ms = rng.random_range(1_000..30_000);
-                    node.paused_until_ms = true_ms + pause_ms;
-                    let suspended = rng.random_ratio(1, 2);
-                    node.suspended_ms += if suspended { pause_ms } else { 0 };
-                    pauses += 1;
+                if !node.draw_event(&mut rows, true_ms, &mut rng) {
                     continue;
                 }
                 if let Some(permit) = node.lease.permit(node.now(true_ms)) {
@@ -227,10 +294,17 @@
                     orders += 1;
                     assert!(
                         permit.fence >= highest,
-                        "seed {seed}: the fencing token decreased"
+                        "seed {seed}: the fencing number decreased"
                     );
                     tenures += u64::from(permit.fence > highest);
                     highest = permit.fence;
+                    let holder = (node.index, node.begun);
+                    let first = *holders.entry(permit.fence).or_insert(holder);
+                    assert_eq!(
+                        first, holder,
+                        "seed {seed}: {:?} has two holders at {true_ms} ms",
+                        permit.fence
+                    );
                 }
                 node.step(&mut rows, true_ms, &mut rng);
             }
@@ -239,9 +313,10 @@
                 "seed {seed}: two nodes hold the lease at {true_ms} ms"
             );
         }
+        leases += nodes.iter().map(|n| u64::from(n.begun)).sum::<u64>();
     }
     println!(
-        "lease histories {}: orders {orders}, tenures {tenures}, pauses {pauses}",
+        "lease histories {}: orders {orders}, tenures {tenures}, leases {leases}",
         histories()
     );
     assert!(tenures > histories(), "the lease never changed hands");
--- a/crates/gateway/src/duty/runner.rs
+++ b/crates/gateway/src/duty/runner.rs
@@ -60,7 +60,7 @@
             tokio::time::sleep(ROUND_PERIOD).await;
             continue;
         }
-        let lease = LeaseHolder::spawn(LEASE_NAME, name.clone(), table.clone(), terms, node.boot);
+        let lease = LeaseHolder::spawn(LEASE_NAME, name.clone(), table.clone(), terms);
         // After a restart the node looks once whether its earlier life still holds the lease.
         lease.pause_acquisition(node.settings.node.first_start == FirstStart::Yes);
         let tenure = DutyTenure::new(lease.handle(), name.clone());
