Leases: a grant from before a restoration of the store gives no right

Cause: the lowest fencing number after a restoration was used for new grants only. A grant sent before the restoration that arrives after it was recognized, or answered, and its number used, though a tenure that the restored store has lost may have had it.

Change: a row grants a tenure only if its number is not below the lowest one; the restorations are noted before the answer to a commit, too.

Tests: a_grant_from_before_a_restoration_gives_no_right, both cases failed before (permit with fence 1), pass now.

--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -120,21 +120,25 @@
         act(&mut lease)
     }
 
+    fn with_restorations_noted<T>(&self, act: impl FnOnce(&mut Lease) -> T) -> T {
+        let restorations = self.table.restorations();
+        self.with_lease(|lease| {
+            lease.note_restorations(restorations);
+            act(lease)
+        })
+    }
+
     async fn carry_out(&self, mut next: Option<LeaseAction>) {
         while let Some(action) = next {
             next = match action {
                 LeaseAction::Read(key) => {
                     let row = get_row(&*self.table, &key).await;
                     let now = self.clock.read();
-                    let restorations = self.table.restorations();
-                    self.with_lease(|lease| {
-                        lease.note_restorations(restorations);
-                        lease.on_row(row, now)
-                    })
+                    self.with_restorations_noted(|lease| lease.on_row(row, now))
                 }
                 LeaseAction::Commit(write) => {
                     let result = commit_rows(&*self.table, vec![write]).await;
-                    self.with_lease(|lease| lease.on_commit(result))
+                    self.with_restorations_noted(|lease| lease.on_commit(result))
                 }
             };
         }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -180,7 +180,7 @@
         }
     }
 
-    /// Records how often the store was restored, before a row that it returned is handled.
+    /// Records how often the store was restored, before one of its answers is handled.
     pub fn note_restorations(&mut self, restorations: u64) {
         self.restorations = self.restorations.max(restorations);
     }
@@ -276,7 +276,8 @@
     pub fn on_commit(&mut self, result: Result<(), CommitError>) -> Option<LeaseAction> {
         match result {
             Ok(()) => {
-                if let Some(sent_write) = self.sent_writes.back().cloned() {
+                let sent_write = self.sent_writes.back().cloned();
+                if let Some(sent_write) = sent_write.filter(|w| self.may_grant(&w.row)) {
                     self.grant(&sent_write, None, GrantEvidence::CommitAnswered);
                 }
                 Some(LeaseAction::Read(self.key.clone()))
@@ -363,10 +364,19 @@
         }
     }
 
+    /// Whether a row that is in the store grants a tenure. If the store was restored after the row's
+    /// fencing number was chosen, a tenure that is lost may have had the same one.
+    fn may_grant(&self, row: &LeaseRow) -> bool {
+        row.fence.0 >= self.lowest_fence()
+    }
+
     /// The write of this node that `row` holds. The nonce alone identifies it; the other fields are
     /// compared too, so that a node never acts under a fencing number that isn't in the row.
     fn find_sent_write(&self, row: &LeaseRow) -> Option<SentWrite> {
-        self.sent_writes.iter().find(|w| w.row == *row).cloned()
+        let mut sent_writes = self.sent_writes.iter();
+        sent_writes
+            .find(|w| w.row == *row && self.may_grant(&w.row))
+            .cloned()
     }
 
     fn unchanged_ms(&mut self, row_version: u64, now: ClockReading) -> Millisecond {
--- a/crates/fleet/tests/restored_lease.rs
+++ b/crates/fleet/tests/restored_lease.rs
@@ -3,7 +3,7 @@
 use fleet::clock::ClockReading;
 use fleet::lease::{FENCE_STEP, Fence, Lease, LeaseAction, LeaseRow, LeaseTerms};
 use outside::revision::pack;
-use outside::{Condition, Key, Row, Write};
+use outside::{CommitError, Condition, Key, Row, Write};
 use serde_json::json;
 use test_case::test_case;
 
@@ -65,3 +65,28 @@
     assert_eq!(next.fence, Fence(1 + FENCE_STEP));
     assert_eq!(condition, Condition::VersionIs(40));
 }
+
+/// Guards against two tenures with one fencing token: the write was sent before the restoration, after
+/// which another node may have had the token that it carries.
+#[test_case(Err(CommitError::Unknown { reason: "no answer".to_owned() }); "its answer was lost")]
+#[test_case(Ok(()); "it was answered")]
+fn a_grant_from_before_a_restoration_gives_no_right(answer: Result<(), CommitError>) {
+    let mut lease = Lease::new("duties", "b".into(), TERMS);
+    let Some(LeaseAction::Commit(Write::Put { key, body, .. })) = lease.on_row(Ok(None), at(0))
+    else {
+        panic!("a free lease is not acquired");
+    };
+    lease.note_restorations(1);
+    let action = lease.on_commit(answer);
+    assert_eq!(lease.permit(at(10)), None);
+    assert_eq!(action, Some(LeaseAction::Read(key.clone())));
+    let version = pack(2, 1);
+    let row = Row { key, body, version };
+    let action = lease.on_row(Ok(Some(row)), at(10));
+    assert_eq!(lease.permit(at(10)), None);
+    let Some(LeaseAction::Commit(Write::Put { body, .. })) = action else {
+        panic!("{action:?}");
+    };
+    let next: LeaseRow = serde_json::from_str(&body).unwrap();
+    assert!(next.fence > Fence(1 + FENCE_STEP));
+}
--- a/crates/fleet/tests/rows/mod.rs
+++ b/crates/fleet/tests/rows/mod.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 
+use outside::revision::{pack, restorations_of, version_of};
 use outside::{CommitError, Condition, Key, Row, Write};
 
 /// Fault injected into a commit.
@@ -21,6 +22,7 @@
 pub struct Rows {
     pub rows: BTreeMap<Key, Row>,
     delayed: Vec<Vec<Write>>,
+    restorations: u64,
 }
 
 fn unknown() -> CommitError {
@@ -30,11 +32,23 @@
 }
 
 impl Rows {
+    /// The row, with its version as [`outside::revision`] tells those of restored stores apart.
     pub fn get(&self, key: &Key) -> Option<Row> {
-        self.rows.get(key).cloned()
+        let row = self.rows.get(key)?.clone();
+        let version = pack(self.restorations + 1, row.version);
+        Some(Row { version, ..row })
     }
 
     pub fn commit(&mut self, writes: Vec<Write>, fault: CommitFault) -> Result<(), CommitError> {
+        let is_of_other_store = writes.iter().any(|write| {
+            let (Write::Put { condition, .. }
+            | Write::Delete { condition, .. }
+            | Write::Check { condition, .. }) = write;
+            matches!(condition, Condition::VersionIs(v) if restorations_of(*v) != self.restorations)
+        });
+        if is_of_other_store {
+            return Err(CommitError::Conflict);
+        }
         match fault {
             CommitFault::None => self.apply(writes),
             CommitFault::Refused => Err(CommitError::NotApplied {
@@ -52,6 +66,17 @@
         }
     }
 
+    /// Replaces all rows by those of an earlier copy. Commits that are delayed still arrive.
+    pub fn restore(&mut self, copy: BTreeMap<Key, Row>) {
+        self.rows = copy;
+        self.restorations += 1;
+    }
+
+    /// Number of times that the rows were replaced by those of an earlier copy.
+    pub fn restorations(&self) -> u64 {
+        self.restorations
+    }
+
     /// Applies the delayed commit at `index`, if there is one and its conditions still hold.
     pub fn apply_delayed(&mut self, index: usize) {
         if index < self.delayed.len() {
@@ -66,7 +91,7 @@
             match condition {
                 Condition::Any => true,
                 Condition::Absent => version.is_none(),
-                Condition::VersionIs(wanted) => version == Some(*wanted),
+                Condition::VersionIs(wanted) => version == Some(version_of(*wanted)),
             }
         };
         for write in &writes {
--- a/crates/fleet/tests/store_races.rs
+++ b/crates/fleet/tests/store_races.rs
@@ -233,6 +233,7 @@
 
     fn step(&mut self, rows: &mut Rows, true_ms: Millisecond, rng: &mut StdRng) {
         let now = self.now(true_ms);
+        self.lease.note_restorations(rows.restorations());
         match (self.answer.take(), self.next.take()) {
             (Some(Answer::Row(row)), _) => self.next = self.lease.on_row(row, now),
             (Some(Answer::Commit(result)), _) => self.next = self.lease.on_commit(result),
@@ -270,6 +271,21 @@
     }
 }
 
+/// The lease of a node that used each fencing token.
+#[derive(Default)]
+struct Holders(BTreeMap<Fence, (usize, u32)>);
+
+impl Holders {
+    fn record(&mut self, node: &Node, fence: Fence, seed: u64, true_ms: Millisecond) {
+        let holder = (node.index, node.begun);
+        let first = *self.0.entry(fence).or_insert(holder);
+        assert_eq!(
+            first, holder,
+            "seed {seed}: {fence:?} has two holders at {true_ms} ms"
+        );
+    }
+}
+
 /// Two holders that use one fencing number can't be told apart by those who check it.
 #[test]
 fn only_the_holder_acts_and_fencing_tokens_rise() {
@@ -278,7 +294,7 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let mut rows = Rows::default();
         let mut nodes: Vec<Node> = (0..3).map(|i| Node::start(i)).collect();
-        let mut holders: BTreeMap<Fence, (usize, u32)> = BTreeMap::new();
+        let mut holders = Holders::default();
         let mut highest = Fence(0);
         for true_ms in (0..120_000).step_by(100) {
             if rng.random_ratio(1, 40) {
@@ -298,13 +314,7 @@
                     );
                     tenures += u64::from(permit.fence > highest);
                     highest = permit.fence;
-                    let holder = (node.index, node.begun);
-                    let first = *holders.entry(permit.fence).or_insert(holder);
-                    assert_eq!(
-                        first, holder,
-                        "seed {seed}: {:?} has two holders at {true_ms} ms",
-                        permit.fence
-                    );
+                    holders.record(node, permit.fence, seed, true_ms);
                 }
                 node.step(&mut rows, true_ms, &mut rng);
             }
@@ -321,3 +331,40 @@
     );
     assert!(tenures > histories(), "the lease never changed hands");
 }
+
+/// A commit of before a restoration may arrive after it, when the row of a tenure that followed is
+/// lost: its fencing number is in the row, and another node has used it.
+#[test]
+fn no_fencing_token_is_used_twice_across_a_restoration_of_the_store() {
+    let (mut restorations, mut tenures) = (0, 0);
+    for seed in 0..histories() {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut rows = Rows::default();
+        let mut copy = rows.rows.clone();
+        let mut nodes: Vec<Node> = (0..3).map(Node::start).collect();
+        let mut holders = Holders::default();
+        for true_ms in (0..60_000).step_by(100) {
+            if rng.random_ratio(1, 40) {
+                rows.apply_delayed(0);
+            }
+            match rng.random_range(0..200) {
+                0 => copy = rows.rows.clone(),
+                1 => rows.restore(copy.clone()),
+                _ => {}
+            }
+            for node in &mut nodes {
+                if !node.draw_event(&mut rows, true_ms, &mut rng) {
+                    continue;
+                }
+                if let Some(permit) = node.lease.permit(node.now(true_ms)) {
+                    holders.record(node, permit.fence, seed, true_ms);
+                }
+                node.step(&mut rows, true_ms, &mut rng);
+            }
+        }
+        restorations += rows.restorations();
+        tenures += holders.0.len();
+    }
+    println!("restorations {restorations}, tenures {tenures}");
+    assert!(restorations > histories() && tenures as u64 > histories());
+}
