Local replies: an answer to HEAD ends with its head

Cause: each writer of answers decided alone whether there is a body, and only the relay of buffered answers looked at the method.

Change: AnswerBody follows from the method when the request's head is read and goes with the writer to the caller; write_head and LocalReply::write take it from there. On a route of streams, a server's answer to HEAD is relayed as a whole one: it was followed by a last chunk, or got length 0. Readiness and metrics follow the same rule.

The stand-in can answer with a head alone.

--- a/crates/fleet/tests/store_races.rs
+++ b/crates/fleet/tests/store_races.rs
@@ -293,7 +293,7 @@
     for seed in 0..histories() {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut rows = Rows::default();
-        let mut nodes: Vec<Node> = (0..3).map(|i| Node::start(i)).collect();
+        let mut nodes: Vec<Node> = (0..3).map(Node::start).collect();
         let mut holders = Holders::default();
         let mut highest = Fence(0);
         for true_ms in (0..120_000).step_by(100) {
--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use super::caller;
-use super::local_reply::reason;
+use super::local_reply::{AnswerBody, reason};
 use super::readiness::{Readiness, readiness};
 use super::relay::RELAY_PREFIX;
 use crate::belief::directory::CallerLimits;
@@ -219,7 +219,8 @@
             ListenerPurpose::Peers => return serve_pull(node, &mut conn, &head).await,
             ListenerPurpose::Callers => (404, Vec::new()),
         };
-        let sent = conn.send(&response(status, None, &body)).await;
+        let answer_body = AnswerBody::of_answer_to(&head.method);
+        let sent = conn.send(&response(status, None, &body, answer_body)).await;
         if sent.is_err() || !head.keeps_alive() {
             return;
         }
@@ -229,7 +230,8 @@
 /// Answers a pull of another node, which closes the connection when it has the whole answer.
 async fn serve_pull(node: &Rc<Node>, conn: &mut Conn, head: &RequestHead) {
     let answer = serve_peer::answer(node, head);
-    let response = response(answer.status, answer.coding, &answer.body);
+    let answer_body = AnswerBody::of_answer_to(&head.method);
+    let response = response(answer.status, answer.coding, &answer.body, answer_body);
     let mut sent = std::pin::pin!(async {
         conn.send(&response).await?;
         conn.fill().await
@@ -249,7 +251,7 @@
     }
 }
 
-fn response(status: u16, coding: Option<&str>, body: &[u8]) -> BytesMut {
+fn response(status: u16, coding: Option<&str>, body: &[u8], answer_body: AnswerBody) -> BytesMut {
     let mut out = BytesMut::with_capacity(256 + body.len());
     let mut head = HeadWriter::response(&mut out, status, reason(status))
         .number("Content-Length", body.len() as u64);
@@ -257,7 +259,10 @@
         head = head.field("Content-Encoding", coding.as_bytes());
     }
     head.end();
-    out.put_slice(body);
+    match answer_body {
+        AnswerBody::Sent => out.put_slice(body),
+        AnswerBody::Omitted => {}
+    }
     out
 }
 
--- a/crates/gateway/src/front/answer.rs
+++ b/crates/gateway/src/front/answer.rs
@@ -3,7 +3,7 @@
 use bytes::BytesMut;
 
 use super::job::Job;
-use super::local_reply::ConnDisposition;
+use super::local_reply::{AnswerBody, ConnDisposition};
 use super::serve::CallerWriter;
 use crate::decide::not_run::promises_not_run;
 use crate::decide::outcome::FailureCause;
@@ -46,7 +46,8 @@
     }
 }
 
-/// Writes the head of a server's answer without its hop-by-hop fields.
+/// Writes the head of a server's answer without its hop-by-hop fields. An answer without a body keeps
+/// the length that the server named.
 pub fn write_head(out: &mut BytesMut, head: &ResponseHead, kind: BodyKind, to: &CallerWriter<'_>) {
     let mut written = HeadWriter::response(out, head.status, &head.reason);
     for (name, value) in head.fields.iter() {
@@ -56,10 +57,16 @@
         }
         written = written.field(name, value);
     }
-    written = match kind {
-        BodyKind::Whole(_) if matches!(head.status, 204 | 304) => written,
-        BodyKind::Whole(bytes) => written.number("Content-Length", bytes as u64),
-        BodyKind::Chunks => written.field("Transfer-Encoding", b"chunked"),
+    written = match (to.body, kind) {
+        (AnswerBody::Omitted, _) => match head.fields.number("content-length") {
+            Some(bytes) => written.number("Content-Length", bytes),
+            None => written,
+        },
+        (AnswerBody::Sent, BodyKind::Whole(_)) if matches!(head.status, 204 | 304) => written,
+        (AnswerBody::Sent, BodyKind::Whole(bytes)) => {
+            written.number("Content-Length", bytes as u64)
+        }
+        (AnswerBody::Sent, BodyKind::Chunks) => written.field("Transfer-Encoding", b"chunked"),
     };
     if to.disposition == ConnDisposition::Close {
         written = written.field("Connection", b"close");
--- a/crates/gateway/src/front/buffered.rs
+++ b/crates/gateway/src/front/buffered.rs
@@ -154,12 +154,8 @@
 
 async fn relay(whole: &BufferedAnswer, job: &Job<'_>, out: &mut CallerWriter<'_>) -> ServeOutcome {
     let head = &whole.head;
-    let length = match job.request.head.method.as_str() {
-        "HEAD" => head.fields.number("content-length").unwrap_or(0) as usize,
-        _ => whole.body.len(),
-    };
     let mut bytes = BytesMut::new();
-    write_head(&mut bytes, head, BodyKind::Whole(length), out);
+    write_head(&mut bytes, head, BodyKind::Whole(whole.body.len()), out);
     job.record_part();
     let sent = out.send_answer(bytes, &whole.body, job.left_ms(), &whole.held);
     match sent.await {
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 
-use super::local_reply::{ConnDisposition, LocalReply};
+use super::local_reply::{AnswerBody, ConnDisposition, LocalReply};
 use super::relay;
 use super::request::{ReadError, Request, RequestSource, read_body, read_head, wait_for_request};
 use super::serve::{
@@ -54,16 +54,17 @@
         if wait(&node, &mut conn).await.is_err() {
             return;
         }
+        let mut body = AnswerBody::Sent;
         let request = tokio::select! {
             biased;
-            request = catch_panic(read(&node, &mut conn)) => {
+            request = catch_panic(read(&node, &mut conn, &mut body)) => {
                 request.unwrap_or(Err(ReadError::Panicked))
             }
             () = process_ends(&node) => Err(ReadError::ProcessEnds),
         };
         let request = match request {
             Ok(request) => request,
-            Err(error) => return refuse(&node, &mut conn, error).await,
+            Err(error) => return refuse(&node, &mut conn, error, body).await,
         };
         if serve_request(&node, &mut conn, &request).await == ConnDisposition::Close {
             return;
@@ -99,10 +100,16 @@
     }
 }
 
-/// Reads a request whose first bytes have arrived.
-async fn read(node: &Node, conn: &mut Conn) -> Result<Request, ReadError> {
+/// Reads a request whose first bytes have arrived. Sets whether its answer has a body once the head is
+/// known, also if the rest can't be read.
+async fn read(
+    node: &Node,
+    conn: &mut Conn,
+    answer_body: &mut AnswerBody,
+) -> Result<Request, ReadError> {
     let limits = limits(node);
     let head = read_head(conn, &limits).await?;
+    *answer_body = AnswerBody::of_answer_to(&head.method);
     let received_ms = node.now_ms();
     let mut held = node.body_memory.reserve(BodyOwner::Request);
     let body = read_body(conn, &head, &limits, &mut held).await?;
@@ -121,7 +128,10 @@
     let mut held = node.body_memory.reserve(BodyOwner::Request);
     let body = match read_body(conn, &head, &limits(node), &mut held).await {
         Ok(body) => body,
-        Err(error) => return refuse(node, conn, error).await,
+        Err(error) => {
+            let answer_body = AnswerBody::of_answer_to(&head.method);
+            return refuse(node, conn, error, answer_body).await;
+        }
     };
     let Some(_count_guard) = relay::takes_relayed(node) else {
         let mut out = BytesMut::new();
@@ -166,7 +176,8 @@
     let (read, buf, write) = conn.split();
     skip_empty_lines(buf);
     let mut disposition = conn_disposition(node, request, buf);
-    let mut out = CallerWriter::new(write, disposition);
+    let body = AnswerBody::of_answer_to(&request.head.method);
+    let mut out = CallerWriter::new(write, disposition, body);
     let end = tokio::select! {
         biased;
         // Polled first: when the process resumes after a pause, the request and the caller's
@@ -216,7 +227,7 @@
     let names = &node.dialect.names;
     let id = request.head.fields.text(names.request_id);
     let echoed = id.map(|id| (names.request_id, id));
-    reply.write(&mut bytes, echoed, out.disposition);
+    reply.write(&mut bytes, echoed, out.disposition, out.body);
     match out.send(&bytes).await {
         Ok(()) => ServeOutcome::Local(reply),
         Err(_) => ServeOutcome::CallerGone,
@@ -284,7 +295,7 @@
     let _ = tokio::time::timeout(LINGER_TIMEOUT, read_to_end).await;
 }
 
-async fn refuse(node: &Node, conn: &mut Conn, error: ReadError) {
+async fn refuse(node: &Node, conn: &mut Conn, error: ReadError, body: AnswerBody) {
     let reply = match error {
         ReadError::Ended => return,
         ReadError::Malformed => {
@@ -320,7 +331,7 @@
     };
     node.metrics.count_refusal(reply.code);
     let mut out = BytesMut::new();
-    reply.write(&mut out, None, ConnDisposition::Close);
+    reply.write(&mut out, None, ConnDisposition::Close, body);
     if conn.send(&out).await.is_ok() {
         close_gracefully(conn).await;
     }
--- a/crates/gateway/src/front/local_reply.rs
+++ b/crates/gateway/src/front/local_reply.rs
@@ -29,6 +29,24 @@
     Close,
 }
 
+/// Whether the answer to a request has a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerBody {
+    Sent,
+    /// The answer ends with its head, whose fields may still describe a body.
+    Omitted,
+}
+
+impl AnswerBody {
+    /// The body of an answer to a request with this method.
+    pub fn of_answer_to(method: &str) -> Self {
+        match method {
+            "HEAD" => Self::Omitted,
+            _ => Self::Sent,
+        }
+    }
+}
+
 #[derive(Serialize)]
 struct Document<'a> {
     error: &'a ErrorDocument,
@@ -121,6 +139,7 @@
         out: &mut BytesMut,
         request_id: Option<(&str, &str)>,
         disposition: ConnDisposition,
+        body_kind: AnswerBody,
     ) {
         let error = ErrorDocument {
             code: self.code,
@@ -143,7 +162,10 @@
             head = head.field("Connection", b"close");
         }
         head.end();
-        out.put_slice(&body);
+        match body_kind {
+            AnswerBody::Sent => out.put_slice(&body),
+            AnswerBody::Omitted => {}
+        }
     }
 }
 
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -15,7 +15,7 @@
 
 use super::in_flight::InFlightRequest;
 use super::job::{Job, deadline_ms};
-use super::local_reply::{ConnDisposition, LocalReply};
+use super::local_reply::{AnswerBody, ConnDisposition, LocalReply};
 use super::request::{Request, RequestSource};
 use super::{buffered, relay, stream};
 use crate::backend::exchange::deadline_in;
@@ -53,6 +53,7 @@
 pub struct CallerWriter<'a> {
     write: &'a mut OwnedWriteHalf,
     pub disposition: ConnDisposition,
+    pub body: AnswerBody,
     progress: AnswerProgress,
 }
 
@@ -71,10 +72,15 @@
 }
 
 impl<'a> CallerWriter<'a> {
-    pub fn new(write: &'a mut OwnedWriteHalf, disposition: ConnDisposition) -> Self {
+    pub fn new(
+        write: &'a mut OwnedWriteHalf,
+        disposition: ConnDisposition,
+        body: AnswerBody,
+    ) -> Self {
         Self {
             write,
             disposition,
+            body,
             progress: AnswerProgress::Nothing,
         }
     }
@@ -176,6 +182,7 @@
             &mut bytes,
             id.map(|id| (names.request_id, id)),
             out.disposition,
+            out.body,
         );
         if out.send(&bytes).await.is_err() {
             return ServeOutcome::CallerGone;
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -12,7 +12,7 @@
 use super::attempts::Attempts;
 use super::failover::{Silence, WaitEnd};
 use super::job::Job;
-use super::local_reply::LocalReply;
+use super::local_reply::{AnswerBody, LocalReply};
 use super::resume;
 use super::serve::{AnswerProgress, CallerWriter, ServeOutcome};
 use crate::backend::attempt::Attempt;
@@ -169,7 +169,7 @@
         };
         attempt.note_answer(answer.summary);
         match classify_answer(self.job, &answer.head) {
-            Ok(AnswerAction::Relay) if is_stream(&answer) => {
+            Ok(AnswerAction::Relay) if is_stream(&answer) && self.out.body == AnswerBody::Sent => {
                 self.relay(attempts, attempt, answer).await
             }
             Ok(AnswerAction::Relay) if self.out.progress() == AnswerProgress::Nothing => {
--- a/crates/standin/src/users/behaviour.rs
+++ b/crates/standin/src/users/behaviour.rs
@@ -9,6 +9,10 @@
     Answer,
     /// Answers 200 with a body of so many bytes.
     Sized(usize),
+    /// Answers 200 as to HEAD: with a head that names so many bytes, and no body.
+    SizedHead(usize),
+    /// Answers 200 as to HEAD: with the head of a stream, and no body.
+    StreamHead,
     /// Answers after so many milliseconds.
     Late(u64),
     /// Sends so many events, with so many milliseconds between two.
--- a/crates/standin/src/users/runner.rs
+++ b/crates/standin/src/users/runner.rs
@@ -260,6 +260,12 @@
     match behaviour {
         Behaviour::Answer => connection.send(&whole(id, own)).await,
         Behaviour::Sized(bytes) => connection.send(&signed(200, id, &vec![b'x'; bytes])).await,
+        Behaviour::SizedHead(bytes) => {
+            let mut answer = signed(200, id, &vec![b'x'; bytes]);
+            answer.truncate(answer.len() - bytes);
+            connection.send(&answer).await
+        }
+        Behaviour::StreamHead => connection.send(stream_head(id).as_bytes()).await,
         Behaviour::Late(ms) => {
             wait(connection, shared, id, ms).await?;
             connection.send(&whole(id, own)).await
