Streams: a gap in a service's identifiers is checked by one stream, or passed on

Cause: an event after a gap was rejected in every stream of a service whose whole streams had been consecutive, by the numbering that held when the relay began. Streams that may not be resumed were cut for an event that might be missing; the others all went to other servers at once and met the same gap there.

Evidence: E309 in the case gives gap and consecutive. A gap alone shows nothing, as the protocol says "increasing ids"; only another reading of the stream does.

Change: numbering::gap_rule. One stream per service and node that may be resumed and retried goes on at another server; if that leaves a gap too, the service is known to leave gaps. All others pass the gap on, logged as E312 and counted in passed_gaps. Numberings moves to a file of its own, the check of a stream to front/gap_check.rs. A gap that another server doesn't leave no longer counts against the numbering; before, three in the life of a node ended the check.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -83,6 +83,7 @@
     EventRejected = 309, "event.rejected", Warn, "An event of a stream was not relayed, as it would not tell the caller which events it has; fields give the server, the reason, the identifier before it, how the service numbers its events, and whether the stream goes on at another server or is cut.";
     ReclaimDecided = 310, "reclaim.decided", Info, "A stream at a leaving backend server finishes there, moves with its KV cache, or is recomputed elsewhere.";
     DomainDecided = 311, "domain.decided", Info, "The share of a service's requests that leave this node's failure domain has changed; fields give the shares, the reason for the latest request, the predicted times here and there, the price of the traffic and the age of the loads.";
+    GapPassed = 312, "event.gap_passed", Warn, "An event of a stream was relayed though identifiers are missing before it, where the service's were consecutive; fields give the server, the identifier before it and the reason. The caller may lack an event.";
 
     ConfigInForce = 400, "config.in_force", Info, "A configuration version is in force at this daemon.";
     BeliefPulled = 401, "belief.pulled", Info, "A newer configuration or registry was requested from another node; fields give the version that this node had, the time for which it had known that others have a newer one, how many sources it could choose from and how many it asks, and the bytes and the time of the answer.";
--- a/crates/fuzz/tests/event_damage.rs
+++ b/crates/fuzz/tests/event_damage.rs
@@ -5,7 +5,8 @@
 
 use bytes::BytesMut;
 use fuzz::event_client::EventClient;
-use gateway::decide::event_order::{EventPosition, Numbering, Resumption};
+use gateway::decide::event_order::{EventPosition, Resumption};
+use gateway::decide::numbering::Numbering;
 use gateway::sse::EventReader;
 use test_case::test_case;
 
--- a/crates/gateway/src/decide/event_order.rs
+++ b/crates/gateway/src/decide/event_order.rs
@@ -1,19 +1,9 @@
 //! Whether an event may follow those that a client has of a stream, and where the stream can be
 //! resumed. The design is in docs/design/event-order.md.
 
-use base::Map;
-use base::Name;
 use serde::Serialize;
 
-/// Whole streams in a row, each numbered without a gap, after which a gap counts as a lost event.
-const CONSECUTIVE_STREAMS: u32 = 8;
-
-/// Gaps of a service after which its identifiers are known to have gaps.
-const GAPS_LIMIT: u32 = 3;
-
-/// Rejected events in a row, with no whole stream between them, after which a service may have begun
-/// to number its events in another way.
-const REJECTIONS_LIMIT: u32 = 3;
+use super::numbering::Numbering;
 
 /// Longest identifier that is not a number.
 const TEXT_LIMIT_BYTES: usize = 200;
@@ -69,22 +59,6 @@
     }
 }
 
-/// How a service numbers the events of its streams.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Numbering {
-    /// Too few streams have ended whole.
-    #[default]
-    Unknown,
-    /// Each identifier is greater than the one before by one.
-    Consecutive {
-        /// Identifier of the first event of a stream.
-        first: u64,
-    },
-    /// Each identifier is greater than the one before.
-    Increasing,
-}
-
 /// Identifier of an event as received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReceivedId<'a> {
@@ -171,16 +145,16 @@
     announced: Option<String>,
     /// Whether the last identifier may be wrong, as the one after it was smaller.
     is_doubtful: bool,
-    steps: Steps,
+    pub(super) steps: Steps,
 }
 
 /// The identifiers of a stream from its start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Steps {
+pub(super) struct Steps {
     /// The first identifier; `None` if the caller resumed the stream.
-    first: Option<u64>,
-    count: u32,
-    gaps: u32,
+    pub first: Option<u64>,
+    pub count: u32,
+    pub gaps: u32,
 }
 
 impl EventPosition {
@@ -213,6 +187,11 @@
         }
     }
 
+    /// Number of gaps since the start of the stream.
+    pub fn gap_count(&self) -> u32 {
+        self.steps.gaps
+    }
+
     pub fn resumption(&self) -> Resumption<'_> {
         if self.is_doubtful {
             return Resumption::Impossible;
@@ -354,69 +333,3 @@
         None => next > 0,
     }
 }
-
-/// What the streams of the services have shown of their numbering.
-#[derive(Clone, Debug, Default)]
-pub struct Numberings(Map<Name, NumberingHistory>);
-
-#[derive(Clone, Copy, Debug, Default)]
-struct NumberingHistory {
-    numbering: Numbering,
-    /// First identifier of the latest streams.
-    first: u64,
-    /// Whole streams in a row that began at `first` and had no gap.
-    consecutive: u32,
-    gaps: u32,
-    /// Rejected events since the last whole stream.
-    rejected: u32,
-}
-
-impl Numberings {
-    pub fn of(&self, service: &str) -> Numbering {
-        self.0
-            .get(service)
-            .map_or(Numbering::Unknown, |h| h.numbering)
-    }
-
-    /// Records a stream that ended whole.
-    pub fn record_whole(&mut self, service: &Name, position: &EventPosition) {
-        let steps = position.steps;
-        let Some(first) = steps.first.filter(|_| steps.count > 1) else {
-            return;
-        };
-        let history = self.0.entry(service.clone()).or_default();
-        history.rejected = 0;
-        if steps.gaps > 0 || (history.consecutive > 0 && history.first != first) {
-            return history.record_gap();
-        }
-        history.first = first;
-        history.consecutive = history.consecutive.saturating_add(1);
-        if history.numbering == Numbering::Unknown && history.consecutive >= CONSECUTIVE_STREAMS {
-            history.numbering = Numbering::Consecutive { first };
-        }
-    }
-
-    /// Records an event that was rejected.
-    pub fn record_rejected(&mut self, service: &Name, fault: EventFault) {
-        let Some(history) = self.0.get_mut(service) else {
-            return;
-        };
-        if fault == EventFault::Gap {
-            history.record_gap();
-        }
-        history.rejected = history.rejected.saturating_add(1);
-        if history.rejected >= REJECTIONS_LIMIT {
-            *history = NumberingHistory::default();
-        }
-    }
-}
-
-impl NumberingHistory {
-    fn record_gap(&mut self) {
-        self.consecutive = 0;
-        self.gaps = self.gaps.saturating_add(1);
-        if self.gaps >= GAPS_LIMIT {
-            self.numbering = Numbering::Increasing;
-        }
-    }
-}
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -11,6 +11,7 @@
 pub mod fault_report;
 pub mod lag;
 pub mod not_run;
+pub mod numbering;
 pub mod offered_load;
 pub mod outcome;
 pub mod pause;
--- a/crates/gateway/src/front/attempts.rs
+++ b/crates/gateway/src/front/attempts.rs
@@ -195,6 +195,13 @@
         state.silence_timeout()
     }
 
+    /// Whether another attempt may follow if the present one fails by `cause`.
+    pub fn may_retry_after(&self, cause: FailureCause) -> bool {
+        let mut history = self.history;
+        history.record_failure(cause, self.job.left_ms()) == NextAction::Retry
+            && self.node.check_retry(&self.job.service.name) == RetryPermit::Granted
+    }
+
     /// Ends a failed attempt, and chooses a server for the next one.
     ///
     /// # Errors
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -6,6 +6,7 @@
 mod buffered;
 mod caller;
 mod failover;
+mod gap_check;
 mod in_flight;
 pub mod job;
 mod local_reply;
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -11,6 +11,7 @@
 use super::answer::{AnswerAction, BodyKind, classify_answer, write_head};
 use super::attempts::Attempts;
 use super::failover::{Silence, WaitEnd};
+use super::gap_check::{self, GapCheck};
 use super::job::Job;
 use super::local_reply::{AnswerBody, LocalReply};
 use super::resume;
@@ -19,7 +20,8 @@
 use crate::backend::exchange::{Answer, OutgoingRequest, deadline_in, send};
 use crate::belief::RouteKind;
 use crate::decide::body_memory::BodyOwner;
-use crate::decide::event_order::{EventFault, EventPosition, Numbering, Resumption};
+use crate::decide::event_order::{EventFault, EventPosition, Resumption};
+use crate::decide::numbering::{GapRule, GapState, Numbering};
 use crate::decide::outcome::FailureCause;
 use crate::decide::timeouts::SilenceTimeout;
 use crate::http::put_chunk;
@@ -67,6 +69,7 @@
     /// How long the current server may take until its first event before another one is looked for.
     silence_timeout: SilenceTimeout,
     deadline: Instant,
+    gap_check: GapCheck<'a>,
 }
 
 #[derive(Serialize)]
@@ -101,6 +104,7 @@
         position: first_position(job),
         silence_timeout: SilenceTimeout::UntilDeadline,
         deadline: deadline_in(job.left_ms()),
+        gap_check: GapCheck::NotBegun,
     };
     let mut placed = attempts.place().await;
     loop {
@@ -241,7 +245,7 @@
                 Ok(Err(cause)) => return RelayEnd::Failed(cause),
                 Err(end) => return end.into(),
             };
-            let whole = match events.take(data) {
+            let whole = match self.take_events(attempts, attempt, &mut events, data) {
                 Ok(whole) => whole,
                 Err(error) => return self.reject(attempt, &events, numbering, error),
             };
@@ -255,6 +259,7 @@
                 resume::record_version(self.job, &attempt.server.record.version);
             }
             self.record_events(attempt, &events, &mut last);
+            self.gap_check.end(&self.position, events.position());
             attempts.end_silence(attempt, &silence);
             put_chunk(&mut out, &whole);
             self.job.record_part();
@@ -282,6 +287,46 @@
         }
     }
 
+    /// Takes the events that are complete. An event after a gap is taken if it is to be passed on.
+    fn take_events(
+        &self,
+        attempts: &Attempts<'_, '_>,
+        attempt: &Attempt<'_>,
+        events: &mut EventReader,
+        data: BytesMut,
+    ) -> Result<BytesMut, EventStreamError> {
+        let taken = events.take(data);
+        if events
+            .fault()
+            .is_none_or(|error| error.fault != EventFault::Gap)
+        {
+            return taken;
+        }
+        let GapRule::Pass(reason) = self.gap_rule(attempts) else {
+            return taken;
+        };
+        gap_check::report_passed(self.job, attempt, events.position(), reason);
+        match (taken, events.pass_gaps()) {
+            (Ok(mut before), Ok(after)) => {
+                before.unsplit(after);
+                Ok(before)
+            }
+            // The fault of the later event is still that of the reader.
+            (Ok(before), Err(_)) => Ok(before),
+            (Err(_), passed) => passed,
+        }
+    }
+
+    fn gap_rule(&self, attempts: &Attempts<'_, '_>) -> GapRule {
+        let state = GapState {
+            is_resumable: self.job.route.kind.repeats() && self.can_continue(),
+            was_checked: self.gap_check.was_begun(),
+            may_retry: attempts.may_retry_after(FailureCause::Garbled),
+        };
+        let numberings = self.job.node.numberings.borrow();
+        numberings.gap_rule(&self.job.service.name, state)
+    }
+
     fn record_whole(&self, attempt: &Attempt<'_>) {
         let mut numberings = self.job.node.numberings.borrow_mut();
         numberings.record_whole(&attempt.server.record.service, &self.position);
@@ -298,8 +343,12 @@
         self.position.clone_from(events.position());
         let node = self.job.node;
         let record = &attempt.server.record;
-        let mut numberings = node.numberings.borrow_mut();
-        numberings.record_rejected(&record.service, error.fault);
+        node.numberings
+            .borrow_mut()
+            .record_rejected(&record.service);
+        if error.fault == EventFault::Gap {
+            self.gap_check.begin(self.job);
+        }
         node.metrics.count_rejected_event(error.fault);
         let fields = RejectedFields {
             request: self.job.id(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,7 @@
 use crate::belief::RouteKind;
 use crate::decide::backpressure::WithholdReason;
 use crate::decide::event_order::EventFault;
+use crate::decide::numbering::PassReason;
 use crate::decide::outcome::FailureCause;
 use crate::decide::server_faults::FaultKind;
 use crate::decide::server_load::LoadReport;
@@ -108,6 +109,7 @@
     refusals: Family<ReasonLabels, Counter>,
     failed_attempts: Family<ReasonLabels, Counter>,
     rejected_events: Family<ReasonLabels, Counter>,
+    passed_gaps: Family<ReasonLabels, Counter>,
     server_failures: Family<FailureLabels, Counter>,
     calls: Family<DependencyLabels, Counter>,
     signals: Family<SignalLabels, Counter>,
@@ -135,6 +137,13 @@
             "Events of streams that were not relayed, by reason",
             rejected_events.clone(),
         );
+        let passed_gaps = Family::default();
+        registry.register(
+            "passed_gaps",
+            "Gaps between the identifiers of events that were passed on, of services whose \
+             identifiers were consecutive, by reason",
+            passed_gaps.clone(),
+        );
         let server_failures = Family::default();
         let calls = Family::default();
         let signals = Family::default();
@@ -212,6 +221,7 @@
             refusals,
             failed_attempts,
             rejected_events,
+            passed_gaps,
             server_failures,
             calls,
             signals,
@@ -262,6 +272,14 @@
             .inc();
     }
 
+    /// Counts a gap between the identifiers of two events that were relayed.
+    pub fn count_passed_gap(&self, reason: PassReason) {
+        let reason = reason.label();
+        self.passed_gaps
+            .get_or_create(&ReasonLabels { reason })
+            .inc();
+    }
+
     /// Counts a backend server's answer with an error status.
     pub fn count_server_failure(&self, summary: &AnswerSummary) {
         let labels = FailureLabels {
--- a/crates/gateway/src/sse/mod.rs
+++ b/crates/gateway/src/sse/mod.rs
@@ -8,9 +8,8 @@
 use bytes::{Buf, BytesMut};
 use snafu::Snafu;
 
-use crate::decide::event_order::{
-    EventFault, EventPosition, Numbering, ReceivedEvent, ReceivedId, RelayTime,
-};
+use crate::decide::event_order::{EventFault, EventPosition, ReceivedEvent, ReceivedId, RelayTime};
+use crate::decide::numbering::Numbering;
 use block::{Block, BlockData, BlockId, LastLineEnd, block_length};
 
 const EVENT_LIMIT_BYTES: usize = 1024 * 1024;
@@ -99,6 +98,21 @@
         } else {
             self.partial.extend_from_slice(&data);
         }
+        self.take_whole()
+    }
+
+    /// Continues after a fault that is a gap, and passes all later gaps on.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::take`].
+    pub fn pass_gaps(&mut self) -> Result<BytesMut, EventStreamError> {
+        self.numbering = self.numbering.with_gaps();
+        self.fault = None;
+        self.take_whole()
+    }
+
+    fn take_whole(&mut self) -> Result<BytesMut, EventStreamError> {
         let mut end = self.held_bytes;
         let mut relayed = 0;
         while self.fault.is_none() {
@@ -110,15 +124,16 @@
             let Some((length, last_line_end)) = block_length(&self.partial[end..]) else {
                 break;
             };
-            let checked = self.check(end..end + length);
-            end += length;
-            match checked {
-                Ok(RelayTime::Now) => relayed = end,
-                Ok(RelayTime::WithNext) => {}
+            let time = match self.check(end..end + length) {
+                Ok(time) => time,
                 Err(fault) => {
                     self.fault = Some(EventStreamError { fault });
                     break;
                 }
+            };
+            end += length;
+            if time == RelayTime::Now {
+                relayed = end;
             }
             self.last_line_end = last_line_end;
             self.event_count += 1;
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -2,7 +2,8 @@
 //! the caller which events it has.
 
 use bytes::BytesMut;
-use gateway::decide::event_order::{EventFault, EventPosition, Numbering, Resumption};
+use gateway::decide::event_order::{EventFault, EventPosition, Resumption};
+use gateway::decide::numbering::Numbering;
 use gateway::sse::{EventReader, EventStreamError};
 use test_case::test_case;
 
@@ -168,3 +169,22 @@
     assert_eq!(events.position().last_id(), Some(id));
     assert!(events.is_at_boundary());
 }
+
+/// Guards against the end of a stream at a gap that is to be passed on.
+#[test]
+fn events_after_a_gap_are_read_on_if_it_is_passed() {
+    let numbering = Numbering::Consecutive { first: 1 };
+    let mut events = EventReader::resume(EventPosition::default(), numbering);
+    let event = |id: u32| format!("id: {id}\ndata: x\n\n");
+    let sent = [event(1), event(3), event(4), event(6)].concat();
+    let before = events.take(BytesMut::from(sent.as_str())).unwrap();
+    assert_eq!(before, event(1));
+    let fault = events.fault().map(|error| error.fault);
+    assert_eq!(fault, Some(EventFault::Gap));
+    let after = events.pass_gaps().unwrap();
+    assert_eq!(after, [event(3), event(4), event(6)].concat());
+    assert_eq!(events.fault(), None);
+    assert_eq!(events.event_count() - events.event_count_before(), 4);
+    assert!(events.is_at_boundary());
+    assert_eq!(events.position().gap_count(), 2);
+}
--- a/crates/standin/src/users/behaviour.rs
+++ b/crates/standin/src/users/behaviour.rs
@@ -9,6 +9,13 @@
     Answer,
     /// Answers 200 with a body of so many bytes.
     Sized(usize),
+    /// Sends so many events, with so many milliseconds between two. The identifiers of those after
+    /// `consecutive` go up by two.
+    LeaveGaps {
+        events: u32,
+        consecutive: u32,
+        gap_ms: u64,
+    },
     /// Answers 200 as to HEAD: with a head that names so many bytes, and no body.
     SizedHead(usize),
     /// Answers 200 as to HEAD: with the head of a stream, and no body.
--- a/crates/standin/src/users/runner.rs
+++ b/crates/standin/src/users/runner.rs
@@ -296,6 +296,21 @@
             chunks(connection, id, lines).await?;
             connection.send(b"0\r\n\r\n").await
         }
+        Behaviour::LeaveGaps {
+            events,
+            consecutive,
+            gap_ms,
+        } => {
+            connection.send(stream_head(id).as_bytes()).await?;
+            let ids = (1..=events).map(|n| n + n.saturating_sub(consecutive));
+            for number in ids.filter(|n| *n > after.unwrap_or(0)) {
+                wait(connection, shared, id, gap_ms).await?;
+                let event = format!("id: {number}\ndata: {number}\n\n");
+                let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+                connection.send(chunk.as_bytes()).await?;
+            }
+            connection.send(b"0\r\n\r\n").await
+        }
         Behaviour::Unnumbered { events, breaks } => {
             let lines = (1..=events).map(|n| format!("data: {n}\n\n"));
             chunks(connection, id, lines).await?;
