Responses: a head that holds another status line is malformed

Cause: the status line behind the cut was read as the rest of a field's value or of the reason phrase, so that one head had the status and mark of the first response and the number and signature of the second.

Change: response_head rejects a head with the start of a status line after its own. Each other place of a cut was rejected before, which the test shows for all places. The stand-in can send the start of a refusal or of an answer before an answer.

--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -17,6 +17,9 @@
 /// Interim status after which the connection has another protocol. No request here asks for it.
 const SWITCHING_PROTOCOLS: u16 = 101;
 
+/// Length of the start of a status line, up to the first digit of the status.
+const STATUS_LINE_START_BYTES: usize = b"HTTP/1.1 2".len();
+
 /// How the end of a message body is found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -139,8 +142,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the head is malformed or too large, if its status is none of HTTP, or if its
-/// framing is ambiguous.
+/// Returns an error if the head is malformed or too large, if it holds that of another response, if its
+/// status is none of HTTP, or if its framing is ambiguous.
 pub fn response_head(
     buf: &mut BytesMut,
     limit_bytes: usize,
@@ -155,6 +158,9 @@
         Err(_) => return Err(HeadError::Malformed),
     };
     let raw: Bytes = buf.split_to(length).freeze();
+    if holds_status_line(&raw[1..]) {
+        return Err(HeadError::Malformed);
+    }
     let mut headers = [EMPTY_HEADER; FIELDS_LIMIT];
     let mut parsed = httparse::Response::new(&mut headers);
     let (status, reason, minor_version) = match parsed.parse(&raw) {
@@ -179,6 +185,16 @@
     }))
 }
 
+/// Whether a head has the status line of another response after its own: the end of the first response
+/// was lost, and the fields are of both.
+fn holds_status_line(rest: &[u8]) -> bool {
+    let mut starts = rest.windows(STATUS_LINE_START_BYTES);
+    starts.any(|start| match start.strip_prefix(b"HTTP/1.") {
+        Some([minor, b' ', status]) => minor.is_ascii_digit() && status.is_ascii_digit(),
+        _ => false,
+    })
+}
+
 /// Removes empty lines before a request head, which some senders put after a body.
 pub(crate) fn skip_empty_lines(buf: &mut BytesMut) {
     let empty = buf
--- a/crates/gateway/tests/http_heads.rs
+++ b/crates/gateway/tests/http_heads.rs
@@ -66,6 +66,25 @@
     assert!(!head.keeps_alive());
 }
 
+/// Guards against the status of one response with the fields of another, after the end of the first one
+/// was lost.
+#[test_case("HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRetry-After: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 2\r\n\r\n"; "a refusal before an answer")]
+#[test_case("HTTP/1.1 200 Some reason\r\nSignature: s\r\n\r\n", "HTTP/1.1 500 X\r\nContent-Length: 2\r\n\r\n"; "an answer before a failure")]
+#[test_case("HTTP/1.0 200 \r\nSignature:\r\n\r\n", "HTTP/1.0 500 \r\n\r\n"; "of an older version")]
+fn the_start_of_a_head_and_a_whole_one_are_no_head(first: &str, second: &str) {
+    for cut in 1..first.len() {
+        let text = format!("{}{second}", &first[..cut]);
+        let mut buf = BytesMut::from(text.as_str());
+        let head = response_head(&mut buf, LIMIT_BYTES, "GET");
+        assert_eq!(
+            head.err(),
+            Some(HeadError::Malformed),
+            "cut at {cut}: {text:?}"
+        );
+    }
+}
+
+#[test_case("HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\nServer: HTTP/1.1\r\nContent-Length: 3\r\n\r\n", "GET" => Ok(Some(Framing::Length(3))); "the name of the protocol in a field")]
 #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "GET" => Ok(Some(Framing::Length(3))); "length")]
 #[test_case("HTTP/1.1 200 OK\r\n\r\n", "GET" => Ok(Some(Framing::Close)); "until the connection ends")]
 #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "HEAD" => Ok(Some(Framing::Empty)); "answer to HEAD")]
--- a/crates/standin/src/users/behaviour.rs
+++ b/crates/standin/src/users/behaviour.rs
@@ -16,6 +16,10 @@
         consecutive: u32,
         gap_ms: u64,
     },
+    /// Runs the request and answers 200, behind so many bytes of a refusal.
+    AnswerBehindRefusal(usize),
+    /// Runs the request and answers 500, behind so many bytes of an answer with 200.
+    FailureBehindAnswer(usize),
     /// Answers 200 as to HEAD: with a head that names so many bytes, and no body.
     SizedHead(usize),
     /// Answers 200 as to HEAD: with the head of a stream, and no body.
--- a/crates/standin/src/users/runner.rs
+++ b/crates/standin/src/users/runner.rs
@@ -260,6 +260,14 @@
     match behaviour {
         Behaviour::Answer => connection.send(&whole(id, own)).await,
         Behaviour::Sized(bytes) => connection.send(&signed(200, id, &vec![b'x'; bytes])).await,
+        Behaviour::AnswerBehindRefusal(bytes) => {
+            connection.send(&REFUSAL[..bytes]).await?;
+            connection.send(&whole(id, own)).await
+        }
+        Behaviour::FailureBehindAnswer(bytes) => {
+            connection.send(&whole(id, own)[..bytes]).await?;
+            connection.send(&signed(500, id, b"failed")).await
+        }
         Behaviour::SizedHead(bytes) => {
             let mut answer = signed(200, id, &vec![b'x'; bytes]);
             answer.truncate(answer.len() - bytes);
