--- a/crates/standin/src/users/mod.rs
+++ b/crates/standin/src/users/mod.rs
@@ -1,5 +1,6 @@
 //! The users' platform: its metadata store, its API for duties, and its runners.
 
+mod answering;
 pub mod behaviour;
 pub mod cloud;
 mod exchange;
