--- a/crates/fleet/tests/rows/mod.rs
+++ b/crates/fleet/tests/rows/mod.rs
@@ -41,10 +41,11 @@
 
     pub fn commit(&mut self, writes: Vec<Write>, fault: CommitFault) -> Result<(), CommitError> {
         let is_of_other_store = writes.iter().any(|write| {
-            let (Write::Put { condition, .. }
-            | Write::Delete { condition, .. }
-            | Write::Check { condition, .. }) = write;
-            matches!(condition, Condition::VersionIs(v) if restorations_of(*v) != self.restorations)
+            let version = match write.condition() {
+                Condition::VersionIs(version) => version,
+                Condition::Any | Condition::Absent => return false,
+            };
+            restorations_of(version) != self.restorations
         });
         if is_of_other_store {
             return Err(CommitError::Conflict);
--- a/crates/outside/src/table.rs
+++ b/crates/outside/src/table.rs
@@ -73,6 +73,17 @@
     },
 }
 
+impl Write {
+    /// The precondition on the stored row.
+    pub fn condition(&self) -> Condition {
+        match self {
+            Self::Put { condition, .. }
+            | Self::Delete { condition, .. }
+            | Self::Check { condition, .. } => *condition,
+        }
+    }
+}
+
 /// Failure of a read.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("A read of the table service failed: {reason}."))]
