HTTP: AnswerBody stands beside the heads, and the reader uses it too

Cause: the reader of response heads and the writer of replies each knew for themselves which method's answers have no body, and two writers each decided whether to append one.

Change: AnswerBody is in http::head, where the reader asks it, and appends the body itself. The answers to internal requests are made from the request's head.

--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -6,18 +6,18 @@
 use std::time::Duration;
 
 use base::units::Millisecond;
-use bytes::{BufMut, BytesMut};
+use bytes::BytesMut;
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, Socket};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use super::caller;
-use super::local_reply::{AnswerBody, reason};
+use super::local_reply::reason;
 use super::readiness::{Readiness, readiness};
 use super::relay::RELAY_PREFIX;
 use crate::belief::directory::CallerLimits;
 use crate::front::request::{read_head, wait_for_request};
-use crate::http::{Conn, HeadWriter, RequestHead, set_tcp_options};
+use crate::http::{AnswerBody, Conn, HeadWriter, RequestHead, set_tcp_options};
 use crate::node::{Node, Phase};
 use crate::peer::pull::PULL_LIMIT;
 use crate::peer::{exchange, serve as serve_peer};
@@ -219,8 +219,7 @@
             ListenerPurpose::Peers => return serve_pull(node, &mut conn, &head).await,
             ListenerPurpose::Callers => (404, Vec::new()),
         };
-        let answer_body = AnswerBody::of_answer_to(&head.method);
-        let sent = conn.send(&response(status, None, &body, answer_body)).await;
+        let sent = conn.send(&response(&head, status, None, &body)).await;
         if sent.is_err() || !head.keeps_alive() {
             return;
         }
@@ -230,8 +229,7 @@
 /// Answers a pull of another node, which closes the connection when it has the whole answer.
 async fn serve_pull(node: &Rc<Node>, conn: &mut Conn, head: &RequestHead) {
     let answer = serve_peer::answer(node, head);
-    let answer_body = AnswerBody::of_answer_to(&head.method);
-    let response = response(answer.status, answer.coding, &answer.body, answer_body);
+    let response = response(head, answer.status, answer.coding, &answer.body);
     let mut sent = std::pin::pin!(async {
         conn.send(&response).await?;
         conn.fill().await
@@ -251,7 +249,7 @@
     }
 }
 
-fn response(status: u16, coding: Option<&str>, body: &[u8], answer_body: AnswerBody) -> BytesMut {
+fn response(to: &RequestHead, status: u16, coding: Option<&str>, body: &[u8]) -> BytesMut {
     let mut out = BytesMut::with_capacity(256 + body.len());
     let mut head = HeadWriter::response(&mut out, status, reason(status))
         .number("Content-Length", body.len() as u64);
@@ -259,10 +257,7 @@
         head = head.field("Content-Encoding", coding.as_bytes());
     }
     head.end();
-    match answer_body {
-        AnswerBody::Sent => out.put_slice(body),
-        AnswerBody::Omitted => {}
-    }
+    AnswerBody::of_answer_to(&to.method).put(&mut out, body);
     out
 }
 
--- a/crates/gateway/src/front/answer.rs
+++ b/crates/gateway/src/front/answer.rs
@@ -3,11 +3,11 @@
 use bytes::BytesMut;
 
 use super::job::Job;
-use super::local_reply::{AnswerBody, ConnDisposition};
+use super::local_reply::ConnDisposition;
 use super::serve::CallerWriter;
 use crate::decide::not_run::promises_not_run;
 use crate::decide::outcome::FailureCause;
-use crate::http::{HeadWriter, ResponseHead};
+use crate::http::{AnswerBody, HeadWriter, ResponseHead};
 
 /// Handling of an answer that may be relayed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 
-use super::local_reply::{AnswerBody, ConnDisposition, LocalReply};
+use super::local_reply::{ConnDisposition, LocalReply};
 use super::relay;
 use super::request::{ReadError, Request, RequestSource, read_body, read_head, wait_for_request};
 use super::serve::{
@@ -19,7 +19,7 @@
 use crate::belief::directory::CallerLimits;
 use crate::decide::body_memory::BodyOwner;
 use crate::decide::not_run::NotRunProof;
-use crate::http::{Conn, HeadWriter, RequestHead, fill, skip_empty_lines};
+use crate::http::{AnswerBody, Conn, HeadWriter, RequestHead, fill, skip_empty_lines};
 use crate::node::{Node, Phase};
 use crate::tasks::catch_panic;
 
--- a/crates/gateway/src/front/local_reply.rs
+++ b/crates/gateway/src/front/local_reply.rs
@@ -2,11 +2,11 @@
 
 use base::outcome::RunState;
 use base::units::Millisecond;
-use bytes::{BufMut, BytesMut};
+use bytes::BytesMut;
 use serde::Serialize;
 
 use crate::decide::not_run::{NotRunProof, promises_not_run};
-use crate::http::HeadWriter;
+use crate::http::{AnswerBody, HeadWriter};
 
 /// An error answer of the gateway.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,24 +29,6 @@
     Close,
 }
 
-/// Whether the answer to a request has a body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AnswerBody {
-    Sent,
-    /// The answer ends with its head, whose fields may still describe a body.
-    Omitted,
-}
-
-impl AnswerBody {
-    /// The body of an answer to a request with this method.
-    pub fn of_answer_to(method: &str) -> Self {
-        match method {
-            "HEAD" => Self::Omitted,
-            _ => Self::Sent,
-        }
-    }
-}
-
 #[derive(Serialize)]
 struct Document<'a> {
     error: &'a ErrorDocument,
@@ -139,7 +121,7 @@
         out: &mut BytesMut,
         request_id: Option<(&str, &str)>,
         disposition: ConnDisposition,
-        body_kind: AnswerBody,
+        answer_body: AnswerBody,
     ) {
         let error = ErrorDocument {
             code: self.code,
@@ -162,10 +144,7 @@
             head = head.field("Connection", b"close");
         }
         head.end();
-        match body_kind {
-            AnswerBody::Sent => out.put_slice(&body),
-            AnswerBody::Omitted => {}
-        }
+        answer_body.put(out, &body);
     }
 }
 
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -15,7 +15,7 @@
 
 use super::in_flight::InFlightRequest;
 use super::job::{Job, deadline_ms};
-use super::local_reply::{AnswerBody, ConnDisposition, LocalReply};
+use super::local_reply::{ConnDisposition, LocalReply};
 use super::request::{Request, RequestSource};
 use super::{buffered, relay, stream};
 use crate::backend::exchange::deadline_in;
@@ -26,6 +26,7 @@
 use crate::decide::body_memory::BodyReservation;
 use crate::decide::not_run::NotRunProof;
 use crate::decide::retry_budget::RetryPermit;
+use crate::http::AnswerBody;
 use crate::node::{Node, Phase};
 
 /// `Retry-After` of a node that has no directory yet.
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -13,7 +13,7 @@
 use super::failover::{Silence, WaitEnd};
 use super::gap_check::{self, GapCheck};
 use super::job::Job;
-use super::local_reply::{AnswerBody, LocalReply};
+use super::local_reply::LocalReply;
 use super::resume;
 use super::serve::{AnswerProgress, CallerWriter, ServeOutcome};
 use crate::backend::attempt::Attempt;
@@ -24,7 +24,7 @@
 use crate::decide::numbering::{GapRule, GapState, Numbering};
 use crate::decide::outcome::FailureCause;
 use crate::decide::timeouts::SilenceTimeout;
-use crate::http::put_chunk;
+use crate::http::{AnswerBody, put_chunk};
 use crate::node::Node;
 use crate::sse::{EventReader, EventStreamError};
 
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -33,6 +33,32 @@
     Close,
 }
 
+/// Whether the answer to a request has a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerBody {
+    Sent,
+    /// The answer ends with its head, whose fields may still describe a body.
+    Omitted,
+}
+
+impl AnswerBody {
+    /// The body of an answer to a request with this method.
+    pub fn of_answer_to(method: &str) -> Self {
+        match method {
+            "HEAD" => Self::Omitted,
+            _ => Self::Sent,
+        }
+    }
+
+    /// Appends `body` to a head, if the answer has one.
+    pub fn put(self, out: &mut BytesMut, body: &[u8]) {
+        match self {
+            Self::Sent => out.extend_from_slice(body),
+            Self::Omitted => {}
+        }
+    }
+}
+
 /// A message head that is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum HeadError {
@@ -221,7 +247,8 @@
 }
 
 fn response_framing(fields: &Fields, status: u16, method: &str) -> Result<Framing, HeadError> {
-    if method == "HEAD" || status < 200 || matches!(status, 204 | 304) {
+    let body = AnswerBody::of_answer_to(method);
+    if body == AnswerBody::Omitted || status < 200 || matches!(status, 204 | 304) {
         return Ok(Framing::Empty);
     }
     let lengths = fields.count("content-length");
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -14,5 +14,7 @@
 pub use conn::{Conn, ConnOptions, set_tcp_options};
 pub use fields::Fields;
 pub(crate) use head::skip_empty_lines;
-pub use head::{Framing, HeadError, RequestHead, ResponseHead, request_head, response_head};
+pub use head::{
+    AnswerBody, Framing, HeadError, RequestHead, ResponseHead, request_head, response_head,
+};
 pub use write::{HeadWriter, put_chunk};
