Numbering: the reasons to pass a gap on are a list in order

gap_rule was a match with guards between its patterns; the order of the reasons is the rule, so it is a list now. The begin of a check no longer makes an entry for a service, as only a service whose streams were whole can have a gap to check. is_consecutive serves the position too.

--- a/crates/gateway/src/decide/event_order.rs
+++ b/crates/gateway/src/decide/event_order.rs
@@ -275,7 +275,7 @@
         text: &str,
         numbering: Numbering,
     ) -> Result<(), EventFault> {
-        let is_consecutive = matches!(numbering, Numbering::Consecutive { .. });
+        let is_consecutive = numbering.is_consecutive();
         let before = match &self.carried {
             Carried::Text(_) if numbering == Numbering::Unknown => {
                 return self.advance_to_text(text, numbering);
--- a/crates/gateway/src/decide/numbering.rs
+++ b/crates/gateway/src/decide/numbering.rs
@@ -33,6 +33,10 @@
 }
 
 impl Numbering {
+    pub fn is_consecutive(self) -> bool {
+        matches!(self, Self::Consecutive { .. })
+    }
+
     /// The numbering by which a stream is read that passes gaps on.
     #[must_use]
     pub fn with_gaps(self) -> Self {
@@ -119,34 +123,30 @@
     /// identifiers were consecutive.
     pub fn gap_rule(&self, service: &str, state: GapState) -> GapRule {
         let history = self.0.get(service).copied().unwrap_or_default();
-        match state {
-            _ if !matches!(history.numbering, Numbering::Consecutive { .. }) => {
-                GapRule::Pass(PassReason::Increasing)
-            }
-            GapState {
-                is_resumable: false,
-                ..
-            } => GapRule::Pass(PassReason::NotResumable),
-            GapState {
-                was_checked: true, ..
-            } => GapRule::Pass(PassReason::Checked),
-            _ if history.is_checking => GapRule::Pass(PassReason::OtherCheck),
-            GapState {
-                may_retry: false, ..
-            } => GapRule::Pass(PassReason::NoRetry),
-            GapState { .. } => GapRule::Check,
-        }
+        let reasons = [
+            (!history.numbering.is_consecutive(), PassReason::Increasing),
+            (!state.is_resumable, PassReason::NotResumable),
+            (state.was_checked, PassReason::Checked),
+            (history.is_checking, PassReason::OtherCheck),
+            (!state.may_retry, PassReason::NoRetry),
+        ];
+        let first = reasons.into_iter().find(|(holds, _)| *holds);
+        first.map_or(GapRule::Check, |(_, reason)| GapRule::Pass(reason))
     }
 
     /// Records that a stream goes on at another server because of a gap.
-    pub fn begin_gap_check(&mut self, service: &Name) {
-        self.0.entry(service.clone()).or_default().is_checking = true;
+    pub fn begin_gap_check(&mut self, service: &str) {
+        self.set_checking(service, true);
     }
 
     /// Records that the stream that was checked has events of another server, or has ended.
     pub fn end_gap_check(&mut self, service: &str) {
+        self.set_checking(service, false);
+    }
+
+    fn set_checking(&mut self, service: &str, is_checking: bool) {
         if let Some(history) = self.0.get_mut(service) {
-            history.is_checking = false;
+            history.is_checking = is_checking;
         }
     }
 
--- a/crates/gateway/tests/event_order.rs
+++ b/crates/gateway/tests/event_order.rs
@@ -109,7 +109,7 @@
 #[test]
 fn one_stream_of_a_service_is_checked_at_a_time() {
     let mut numberings = after_whole_streams(&[(8, &[1, 2])]);
-    numberings.begin_gap_check(&"s".into());
+    numberings.begin_gap_check("s");
     let rule = numberings.gap_rule("s", FIRST_GAP);
     assert_eq!(rule, GapRule::Pass(PassReason::OtherCheck));
     numberings.end_gap_check("s");
