--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -244,14 +244,13 @@
             return None;
         };
         let own_write = self.find_sent_write(&body);
-        let is_own = own_write.is_some();
-        if let Some(sent_write) = own_write {
+        if let Some(sent_write) = &own_write {
             let evidence = GrantEvidence::RowRead {
                 row_version: row.version,
                 row_fence: body.fence,
                 row_nonce: body.nonce,
             };
-            self.grant(&sent_write, Some(row.version), evidence);
+            self.grant(sent_write, Some(row.version), evidence);
             if self.permit(now).is_some() {
                 return None;
             }
@@ -263,7 +262,8 @@
             self.unchanged_ms(row.version, now) >= body.term_ms + self.terms.margin_ms;
         // Only one process at a time uses a node's name and addresses, so an earlier process of this
         // name that held the lease has ended.
-        let held_by_other = body.holder.is_some_and(|holder| holder != self.node) && !is_own;
+        let held_by_other =
+            body.holder.is_some_and(|holder| holder != self.node) && own_write.is_none();
         if held_by_other && !term_expired {
             return None;
         }
--- a/crates/fleet/tests/store_races.rs
+++ b/crates/fleet/tests/store_races.rs
@@ -9,7 +9,7 @@
 use base::units::Millisecond;
 use fleet::apply::{self, Apply, ApplyOutcome, ApplyStep, Author, ConfigContent, Proposal};
 use fleet::clock::ClockReading;
-use fleet::lease::{Fence, Lease, LeaseAction, LeaseTerms};
+use fleet::lease::{Fence, Lease, LeaseAction, LeasePermit, LeaseTerms};
 use outside::{CommitError, ReadError, Row};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -271,6 +271,25 @@
     }
 }
 
+/// Lets each node that isn't paused act, if it holds the lease, and take its next step.
+fn step_all(
+    nodes: &mut [Node],
+    rows: &mut Rows,
+    true_ms: Millisecond,
+    rng: &mut StdRng,
+    mut act: impl FnMut(&Node, LeasePermit),
+) {
+    for node in nodes {
+        if !node.draw_event(rows, true_ms, rng) {
+            continue;
+        }
+        if let Some(permit) = node.lease.permit(node.now(true_ms)) {
+            act(node, permit);
+        }
+        node.step(rows, true_ms, rng);
+    }
+}
+
 /// The lease of a node that used each fencing token.
 #[derive(Default)]
 struct Holders(BTreeMap<Fence, (usize, u32)>);
@@ -301,23 +320,17 @@
                 rows.apply_delayed(0);
             }
             let mut acting = 0;
-            for node in &mut nodes {
-                if !node.draw_event(&mut rows, true_ms, &mut rng) {
-                    continue;
-                }
-                if let Some(permit) = node.lease.permit(node.now(true_ms)) {
-                    acting += 1;
-                    orders += 1;
-                    assert!(
-                        permit.fence >= highest,
-                        "seed {seed}: the fencing number decreased"
-                    );
-                    tenures += u64::from(permit.fence > highest);
-                    highest = permit.fence;
-                    holders.record(node, permit.fence, seed, true_ms);
-                }
-                node.step(&mut rows, true_ms, &mut rng);
-            }
+            step_all(&mut nodes, &mut rows, true_ms, &mut rng, |node, permit| {
+                acting += 1;
+                orders += 1;
+                assert!(
+                    permit.fence >= highest,
+                    "seed {seed}: the fencing token decreased"
+                );
+                tenures += u64::from(permit.fence > highest);
+                highest = permit.fence;
+                holders.record(node, permit.fence, seed, true_ms);
+            });
             assert!(
                 acting <= 1,
                 "seed {seed}: two nodes hold the lease at {true_ms} ms"
@@ -352,15 +365,9 @@
                 1 => rows.restore(copy.clone()),
                 _ => {}
             }
-            for node in &mut nodes {
-                if !node.draw_event(&mut rows, true_ms, &mut rng) {
-                    continue;
-                }
-                if let Some(permit) = node.lease.permit(node.now(true_ms)) {
-                    holders.record(node, permit.fence, seed, true_ms);
-                }
-                node.step(&mut rows, true_ms, &mut rng);
-            }
+            step_all(&mut nodes, &mut rows, true_ms, &mut rng, |node, permit| {
+                holders.record(node, permit.fence, seed, true_ms);
+            });
         }
         restorations += rows.restorations();
         tenures += holders.0.len();
